--- /dev/null
+++ b/call/call.go
@@ -0,0 +1,140 @@
+// Package call holds the names, ids and outcomes that the other packages
+// share: who sends a call, where it goes, what it weighs and how it ended.
+package call
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+)
+
+// VM names one machine of the deployment.
+type VM string
+
+// FailureDomain names a set of VMs that can fail or be cut off together.
+type FailureDomain string
+
+// Service names a kind of upstream.
+type Service string
+
+// Class names a group of requests of equal importance.
+type Class string
+
+// Tenant names a deployment.
+type Tenant string
+
+// Importance orders classes: work of a lower importance is refused first.
+type Importance uint8
+
+// Bounds of Importance.
+const (
+	MinImportance Importance = 1
+	MaxImportance Importance = 7
+)
+
+// Cohort is a hash of the root request. It is the same in all calls of one
+// request, so that admission treats the whole call tree alike.
+type Cohort uint8
+
+// Depth is the number of calls between the root request and this one.
+type Depth uint8
+
+// Level is an admission level. Work is admitted when its own level is equal
+// or higher. The zero Level admits everything.
+type Level uint16
+
+// LevelOf returns the level of work with the given importance and cohort.
+func LevelOf(imp Importance, coh Cohort) Level {
+	return Level(imp)<<8 | Level(coh)
+}
+
+// Importance returns the importance of the level.
+func (lv Level) Importance() Importance { return Importance(lv >> 8) }
+
+// Cohort returns the cohort of the level.
+func (lv Level) Cohort() Cohort { return Cohort(lv) }
+
+// Outcome says what became of a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Unknown means that the request may have run.
+	Unknown Outcome = iota
+	// Done means that the upstream's whole answer was received.
+	Done
+	// NotRun means that the request did not begin on an upstream.
+	NotRun
+)
+
+// String returns the outcome as it is written in headers.
+func (oc Outcome) String() string {
+	switch oc {
+	case Done:
+		return "done"
+	case NotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseOutcome returns the outcome written as s. Any other text is Unknown.
+func ParseOutcome(s string) Outcome {
+	switch s {
+	case "done":
+		return Done
+	case "not-run":
+		return NotRun
+	default:
+		return Unknown
+	}
+}
+
+// ErrBadID is returned for text that is not an id.
+var ErrBadID = errors.New("call: id is not 32 hexadecimal digits")
+
+// RequestID identifies a root request over its whole call tree.
+type RequestID [16]byte
+
+// AttemptID identifies one attempt to run a request on an upstream.
+type AttemptID [16]byte
+
+// NewRequestID returns a random id from rng.
+func NewRequestID(rng *rand.Rand) RequestID { return random(rng) }
+
+// NewAttemptID returns a random id from rng.
+func NewAttemptID(rng *rand.Rand) AttemptID { return random(rng) }
+
+// String returns the id as 32 hexadecimal digits.
+func (id RequestID) String() string { return hex.EncodeToString(id[:]) }
+
+// String returns the id as 32 hexadecimal digits.
+func (id AttemptID) String() string { return hex.EncodeToString(id[:]) }
+
+// Cohort returns the cohort of the request.
+func (id RequestID) Cohort() Cohort { return Cohort(id[15]) }
+
+// ParseRequestID returns the id written as s.
+func ParseRequestID(s string) (RequestID, error) { return parse(s) }
+
+// ParseAttemptID returns the id written as s.
+func ParseAttemptID(s string) (AttemptID, error) { return parse(s) }
+
+func random(rng *rand.Rand) (id [16]byte) {
+	binary.BigEndian.PutUint64(id[:8], rng.Uint64())
+	binary.BigEndian.PutUint64(id[8:], rng.Uint64())
+	return id
+}
+
+func parse(s string) (id [16]byte, err error) {
+	if len(s) != 2*len(id) {
+		return id, ErrBadID
+	}
+	if _, err := hex.Decode(id[:], []byte(s)); err != nil {
+		return [16]byte{}, ErrBadID
+	}
+	return id, nil
+}
--- /dev/null
+++ b/cmd/camphortrail/main.go
@@ -0,0 +1,4 @@
+// Command camphortrail runs and operates the processes of the system.
+package main
+
+func main() {}
--- /dev/null
+++ b/ring/ring_test.go
@@ -0,0 +1,41 @@
+package ring_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"camphortrail/ring"
+)
+
+func TestOfferRefusesWhenFull(t *testing.T) {
+	rg := ring.New[int](2)
+	for v := range 2 {
+		if !rg.Offer(v) {
+			t.Fatalf("Offer(%d) refused with room left", v)
+		}
+	}
+	if rg.Offer(2) {
+		t.Fatal("Offer accepted a third value into two slots")
+	}
+	for want := range 2 {
+		if got, err := rg.Take(t.Context()); err != nil || got != want {
+			t.Fatalf("Take() = %d, %v; want %d", got, err, want)
+		}
+	}
+}
+
+func TestTakeEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := ring.New[int](1).Take(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("Take error = %v, want context.Canceled", err)
+	}
+}
+
+func ExampleRing_Offer() {
+	rg := ring.New[string](1)
+	fmt.Println(rg.Offer("first"), rg.Offer("second"))
+	// Output: true false
+}
