--- /dev/null
+++ b/quorum/disk.go
@@ -0,0 +1,103 @@
+package quorum
+
+import "slices"
+
+// disk tracks what has been handed to the disk and what is on it.
+type disk struct {
+	number   uint64
+	busy     bool
+	dirty    bool
+	from     Index
+	snapshot bool
+	// stable is the last index on the disk that is still part of the log,
+	// and issued the one that the outstanding Persist brings.
+	stable, issued         Index
+	stableTerm, issuedTerm Term
+	held                   []held
+}
+
+// held is a message that waits for a Persist.
+type held struct {
+	number uint64
+	msg    Message
+}
+
+// touch notes that the log changed from index i on.
+func (di *disk) touch(i Index) {
+	di.dirty = true
+	if di.from == 0 || i < di.from {
+		di.from = i
+	}
+	di.stable = min(di.stable, i-1)
+	di.issued = min(di.issued, i-1)
+}
+
+// replaceAll notes that the log was replaced by a snapshot.
+func (di *disk) replaceAll() {
+	di.dirty, di.snapshot = true, true
+	di.stable, di.issued = 0, 0
+}
+
+// clean reports whether everything is on the disk.
+func (di *disk) clean() bool { return !di.busy && !di.dirty }
+
+// persist hands changes to the disk unless it is busy.
+func (ma *Machine) persist() {
+	di := &ma.disk
+	if di.busy || !di.dirty {
+		return
+	}
+	di.number++
+	pe := Persist{
+		Number:    di.number,
+		HardState: HardState{Term: ma.term, Vote: ma.vote, Commit: ma.commit},
+	}
+	switch {
+	case di.snapshot:
+		snap := ma.log.snap
+		pe.Snapshot, pe.From = &snap, snap.Index+1
+	case di.from != 0:
+		pe.From = di.from
+	}
+	if pe.From != 0 {
+		pe.Entries = slices.Clip(ma.log.from(pe.From))
+	}
+	di.busy, di.dirty, di.from, di.snapshot = true, false, 0, false
+	di.issued, di.issuedTerm = ma.log.last(), ma.term
+	ma.act(pe)
+}
+
+// persisted releases the messages that waited for the disk.
+func (ma *Machine) persisted(number uint64) {
+	di := &ma.disk
+	if !di.busy || number != di.number {
+		return
+	}
+	di.busy = false
+	di.stable, di.stableTerm = di.issued, di.issuedTerm
+	rest := di.held[:0]
+	for _, he := range di.held {
+		if he.number <= number {
+			ma.act(Send{he.msg})
+		} else {
+			rest = append(rest, he)
+		}
+	}
+	di.held = rest
+	if ma.role == Leader {
+		ma.advance()
+	}
+}
+
+// sendSynced sends a message once the present state is on the disk.
+func (ma *Machine) sendSynced(msg Message) {
+	di := &ma.disk
+	switch {
+	case di.clean():
+		ma.act(Send{msg})
+	case di.dirty:
+		di.held = append(di.held, held{di.number + 1, msg})
+	default:
+		di.held = append(di.held, held{di.number, msg})
+	}
+}
--- /dev/null
+++ b/quorum/election.go
@@ -0,0 +1,121 @@
+package quorum
+
+// ballot counts the votes for a candidate.
+type ballot struct {
+	pre      bool
+	transfer bool
+	given    map[Replica]Incarnation
+}
+
+// campaign stands for election. With pre set it first asks whether it would
+// win, so that a replica which was cut off does not disturb the others.
+func (ma *Machine) campaign(pre, transfer bool) {
+	ma.resetElection()
+	if ma.leaving || !ma.voter() {
+		return
+	}
+	ma.role, ma.leader = Candidate, ""
+	ma.ballot = ballot{pre: pre, transfer: transfer, given: map[Replica]Incarnation{ma.set.ID: ma.inc}}
+	if !pre {
+		ma.term++
+		ma.vote = ma.set.ID
+		ma.disk.dirty = true
+		ma.disk.held = ma.disk.held[:0]
+	}
+	if ma.decide() {
+		return
+	}
+	for _, id := range ma.peers {
+		ma.ask(id)
+	}
+}
+
+func (ma *Machine) ask(id Replica) {
+	vo := &Vote{
+		Header:    ma.headerTo(id),
+		Pre:       ma.ballot.pre,
+		LastIndex: ma.log.last(),
+		LastTerm:  ma.log.lastTerm(),
+		Transfer:  ma.ballot.transfer,
+	}
+	if vo.Pre {
+		vo.Term++
+		ma.act(Send{vo})
+		return
+	}
+	ma.sendSynced(vo)
+}
+
+// decide goes on if enough votes that count have been given, and reports
+// whether it did.
+func (ma *Machine) decide() bool {
+	counted := 0
+	for id, inc := range ma.log.agreed() {
+		if got, ok := ma.ballot.given[id]; ok && got == inc {
+			counted++
+		}
+	}
+	if counted < ma.quorum() {
+		return false
+	}
+	if ma.ballot.pre {
+		ma.campaign(false, false)
+	} else {
+		ma.becomeLeader()
+	}
+	return true
+}
+
+func (ma *Machine) receiveVote(vo *Vote) {
+	va := &VoteAnswer{Header: ma.answerTo(&vo.Header), Pre: vo.Pre}
+	if vo.Pre {
+		va.Refused = vo.Term <= ma.term || ma.leaderAlive() || !ma.upToDate(vo)
+		if !va.Refused {
+			va.Term = vo.Term
+		}
+		ma.act(Send{va})
+		return
+	}
+	free := ma.vote == "" || ma.vote == vo.From
+	va.Refused = vo.Term < ma.term || !free || ma.role == Leader || !ma.upToDate(vo)
+	if !va.Refused && ma.vote == "" {
+		ma.vote = vo.From
+		ma.disk.dirty = true
+		ma.resetElection()
+	}
+	ma.sendSynced(va)
+}
+
+func (ma *Machine) receiveVoteAnswer(va *VoteAnswer) {
+	if ma.role != Candidate || va.Pre != ma.ballot.pre || va.Refused {
+		return
+	}
+	if want := ma.term + Term(bit(va.Pre)); va.Term != want {
+		return
+	}
+	ma.ballot.given[va.From] = va.Incarnation
+	ma.decide()
+}
+
+// upToDate reports whether the candidate's log holds all that this one can
+// have seen committed.
+func (ma *Machine) upToDate(vo *Vote) bool {
+	term := ma.log.lastTerm()
+	return vo.LastTerm > term || vo.LastTerm == term && vo.LastIndex >= ma.log.last()
+}
+
+// leaderAlive reports whether a leader may hold a lease that this replica
+// confirmed.
+func (ma *Machine) leaderAlive() bool {
+	if ma.role == Leader {
+		return true
+	}
+	return !ma.heard.IsZero() && ma.now.Sub(ma.heard) < ma.set.ElectionTimeout
+}
+
+func bit(set bool) int {
+	if set {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/quorum/follow.go
@@ -0,0 +1,132 @@
+package quorum
+
+// receipt is a snapshot that is being received.
+type receipt struct {
+	term  Term
+	index Index
+	data  []byte
+}
+
+func (ma *Machine) receiveAppend(ap *Append) {
+	an := &AppendAnswer{Header: ma.answerTo(&ap.Header), Sequence: ap.Sequence}
+	end := ap.PrevIndex + Index(len(ap.Entries))
+	switch {
+	case end <= ma.commit:
+		an.Match = ma.commit
+	case ap.PrevIndex >= ma.commit && !ma.log.matches(ap.PrevIndex, ap.PrevTerm):
+		an.Refused, an.Match, an.Last = true, ap.PrevIndex, ma.lastCandidate(ap.PrevIndex)
+	default:
+		ma.extend(ap.Entries)
+		an.Match = end
+		ma.setCommit(min(ap.Commit, end))
+	}
+	ma.answerAppend(an, len(ap.Entries) == 0)
+}
+
+// answerAppend sends the answer once what it says is on the disk. A heartbeat
+// is answered at once with what is there.
+func (ma *Machine) answerAppend(an *AppendAnswer, heartbeat bool) {
+	if heartbeat && ma.disk.stableTerm == ma.term {
+		if !an.Refused {
+			an.Match = min(an.Match, ma.disk.stable)
+		}
+		ma.act(Send{an})
+		return
+	}
+	ma.sendSynced(an)
+}
+
+// extend adds entries, and drops those that conflict with them.
+func (ma *Machine) extend(list []Entry) {
+	for n, en := range list {
+		if en.Index <= ma.commit || ma.log.matches(en.Index, en.Term) {
+			continue
+		}
+		if en.Index <= ma.log.last() {
+			ma.log.truncate(en.Index)
+		}
+		ma.log.append(list[n:]...)
+		ma.disk.touch(en.Index)
+		return
+	}
+}
+
+// lastCandidate returns the last index before i, or the log's end, at which
+// this log may match the leader's.
+func (ma *Machine) lastCandidate(i Index) Index {
+	if i > ma.log.last() {
+		return ma.log.last()
+	}
+	term := ma.log.term(i)
+	for i > ma.commit && ma.log.term(i) == term {
+		i--
+	}
+	return i
+}
+
+func (ma *Machine) receiveChunk(ch *Chunk) {
+	sn := ch.Snapshot
+	if ma.log.matches(sn.Index, sn.Term) {
+		ma.setCommit(sn.Index)
+	}
+	if sn.Index <= ma.commit {
+		ma.answerChunk(ch, ma.commit)
+		return
+	}
+	re := &ma.receipt
+	if re.term != ch.Term || re.index != sn.Index {
+		*re = receipt{term: ch.Term, index: sn.Index}
+	}
+	if ch.Offset == uint64(len(re.data)) {
+		re.data = append(re.data, sn.Data...)
+	}
+	if uint64(len(re.data)) < ch.Size {
+		ma.act(Send{&ChunkAnswer{
+			Header: ma.answerTo(&ch.Header), Index: sn.Index,
+			Offset: uint64(len(re.data)), Sequence: ch.Sequence,
+		}})
+		return
+	}
+	sn.Data = re.data
+	ma.receipt = receipt{}
+	ma.install(sn)
+	ma.answerChunk(ch, sn.Index)
+}
+
+func (ma *Machine) answerChunk(ch *Chunk, match Index) {
+	ma.sendSynced(&AppendAnswer{Header: ma.answerTo(&ch.Header), Match: match, Sequence: ch.Sequence})
+}
+
+// install replaces the log with a snapshot.
+func (ma *Machine) install(sn Snapshot) {
+	ma.log = newEntryLog(sn, nil)
+	ma.commit, ma.applied = sn.Index, sn.Index
+	ma.disk.replaceAll()
+	ma.act(Restore{sn})
+}
+
+// compact replaces the entries up to an applied index with a snapshot.
+func (ma *Machine) compact(co Compact) {
+	if co.Index <= ma.log.snap.Index || co.Index > ma.applied {
+		return
+	}
+	sn := Snapshot{
+		Index:  co.Index,
+		Term:   ma.log.term(co.Index),
+		Voters: ma.votersAt(co.Index),
+		Data:   co.Data,
+	}
+	ma.log.compact(sn, keptEntries)
+	ma.disk.dirty, ma.disk.snapshot = true, true
+}
+
+// votersAt returns the voters in force at a committed index that is not
+// covered by a snapshot yet.
+func (ma *Machine) votersAt(i Index) Voters {
+	for at := i; at > ma.log.snap.Index; at-- {
+		if en := ma.log.entry(at); en.Kind == Change {
+			return en.Voters
+		}
+	}
+	return ma.log.snap.Voters
+}
--- /dev/null
+++ b/quorum/lead.go
@@ -0,0 +1,206 @@
+package quorum
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// leadership is the state of a leader.
+type leadership struct {
+	since time.Time
+	// first is the index of the empty entry that began the term.
+	first Index
+	peers map[Replica]*peer
+	// waiting are the proposals that are not committed yet, in the order of
+	// their indexes.
+	waiting []waiting
+	bytes   int
+	// hurry asks for a message to everybody without delay.
+	hurry    bool
+	transfer transfer
+}
+
+// waiting is a proposal that was appended.
+type waiting struct {
+	index    Index
+	proposal Proposal
+	bytes    int
+}
+
+// take returns the proposal that waits for an entry, or 0.
+func (le *leadership) take(en Entry) Proposal {
+	if len(le.waiting) == 0 || le.waiting[0].index != en.Index {
+		return 0
+	}
+	wa := le.waiting[0]
+	le.waiting = le.waiting[1:]
+	le.bytes -= wa.bytes
+	return wa.proposal
+}
+
+// reject ends all proposals that wait.
+func (le *leadership) reject(ma *Machine, err error, leader Replica) {
+	for _, wa := range le.waiting {
+		ma.act(Rejected{Proposal: wa.proposal, Err: err, Leader: leader})
+	}
+	*le = leadership{}
+}
+
+func (ma *Machine) becomeLeader() {
+	ma.role, ma.leader = Leader, ma.set.ID
+	ma.lead = leadership{since: ma.now, first: ma.log.last() + 1, peers: make(map[Replica]*peer)}
+	for _, id := range ma.peers {
+		ma.lead.peers[id] = &peer{next: ma.log.last() + 1, probing: true}
+	}
+	ma.appendOwn(Entry{Kind: Empty})
+	ma.lead.hurry = true
+}
+
+func (ma *Machine) appendOwn(en Entry) Index {
+	en.Index, en.Term = ma.log.last()+1, ma.term
+	ma.log.append(en)
+	ma.disk.touch(en.Index)
+	return en.Index
+}
+
+func (ma *Machine) propose(pr Propose) {
+	err := error(nil)
+	switch {
+	case ma.role != Leader || ma.lead.transfer.active:
+		err = ErrNotLeader
+	case ma.lead.bytes+len(pr.Data) > ma.set.MaxUncommittedBytes:
+		err = ErrFull
+	}
+	if err != nil {
+		ma.act(Rejected{Proposal: pr.Proposal, Err: err, Leader: ma.leader})
+		return
+	}
+	i := ma.appendOwn(Entry{Kind: Data, Data: pr.Data})
+	ma.lead.waiting = append(ma.lead.waiting, waiting{i, pr.Proposal, len(pr.Data)})
+	ma.lead.bytes += len(pr.Data)
+}
+
+// advance commits what a quorum has on its disks. Entries of earlier terms
+// are committed with the first one of this term.
+func (ma *Machine) advance() {
+	for {
+		i, ok := quorumOf(ma, func(id Replica) Index {
+			if id == ma.set.ID {
+				return ma.disk.stable
+			}
+			return ma.lead.peers[id].match
+		}, cmp.Compare[Index])
+		if !ok || i <= ma.commit || ma.log.term(i) != ma.term {
+			return
+		}
+		ma.setCommit(i)
+	}
+}
+
+// quorumOf returns the highest value that a quorum of the voters that count
+// has reached.
+func quorumOf[T any](ma *Machine, value func(Replica) T, compare func(a, b T) int) (T, bool) {
+	var values []T
+	for id, inc := range ma.log.agreed() {
+		if id == ma.set.ID && inc == ma.inc || id != ma.set.ID && ma.lead.peers[id].inc == inc {
+			values = append(values, value(id))
+		}
+	}
+	if len(values) < ma.quorum() {
+		var none T
+		return none, false
+	}
+	slices.SortFunc(values, compare)
+	return values[len(values)-ma.quorum()], true
+}
+
+// acknowledged returns the send time of the latest messages that a quorum
+// acknowledged.
+func (ma *Machine) acknowledged() (time.Time, bool) {
+	return quorumOf(ma, func(id Replica) time.Time {
+		if id == ma.set.ID {
+			return ma.now
+		}
+		return ma.lead.peers[id].acked
+	}, time.Time.Compare)
+}
+
+// Lease returns the time until which the machine is the leader with a lease
+// that a quorum confirmed, and the index that must have been applied before
+// the state may be presented as current. The time is zero for others.
+func (ma *Machine) Lease() (until time.Time, applied Index) {
+	if ma.role != Leader || ma.lead.transfer.active || ma.commit < ma.lead.first {
+		return time.Time{}, 0
+	}
+	at, ok := ma.acknowledged()
+	if !ok || at.IsZero() {
+		return time.Time{}, 0
+	}
+	return at.Add(ma.set.Lease), ma.lead.first
+}
+
+// Current reports whether the machine holds a lease at now.
+func (ma *Machine) Current(now time.Time) bool {
+	until, _ := ma.Lease()
+	return now.Before(until)
+}
+
+// checkQuorum steps down when the others have not been heard of for the time
+// after which they may have elected another leader.
+func (ma *Machine) checkQuorum() {
+	at, ok := ma.acknowledged()
+	if !ok || at.Before(ma.lead.since) {
+		at = ma.lead.since
+	}
+	if ma.now.Sub(at) >= 2*ma.set.ElectionTimeout {
+		ma.follow(ma.term, "")
+	}
+}
+
+// transfer is a leadership transfer that is under way.
+type transfer struct {
+	active bool
+	sent   bool
+	target Replica
+	until  time.Time
+}
+
+// transfer begins to hand over the leadership, and keeps the replica from
+// being elected again.
+func (ma *Machine) transfer() {
+	ma.leaving = true
+	if ma.role != Leader || ma.lead.transfer.active {
+		return
+	}
+	ma.lead.transfer = transfer{active: true, until: ma.now.Add(ma.set.ElectionTimeout)}
+}
+
+// handover sends the request to stand for election once everything is
+// committed and the target has it. The leader gives up in any case when the
+// time is over: having asked, it can't rely on its lease in this term again.
+func (ma *Machine) handover() {
+	tr := &ma.lead.transfer
+	if !tr.active {
+		return
+	}
+	if !ma.now.Before(tr.until) {
+		ma.follow(ma.term, "")
+		return
+	}
+	if tr.sent || ma.commit < ma.log.last() {
+		return
+	}
+	if len(ma.peers) == 0 {
+		ma.follow(ma.term, "")
+		return
+	}
+	for _, id := range ma.peers {
+		pe := ma.lead.peers[id]
+		if pe.match == ma.log.last() && ma.log.agreed()[id] == pe.inc && ma.now.Sub(pe.heard) < ma.set.ElectionTimeout {
+			tr.sent, tr.target = true, id
+			ma.act(Send{&Handover{ma.headerTo(id)}})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,128 @@
+package quorum
+
+import "slices"
+
+// change is the voters from an index on.
+type change struct {
+	index  Index
+	voters Voters
+}
+
+// entryLog holds the entries after base, and the latest snapshot, whose index
+// is base or later.
+type entryLog struct {
+	snap     Snapshot
+	base     Index
+	baseTerm Term
+	list     []Entry
+	// changes holds the voters in force at the commit index, if there are
+	// any, and all later ones.
+	changes []change
+}
+
+func newEntryLog(snap Snapshot, list []Entry) entryLog {
+	lg := entryLog{snap: snap, base: snap.Index, baseTerm: snap.Term}
+	if snap.Voters != nil {
+		lg.changes = append(lg.changes, change{snap.Index, snap.Voters})
+	}
+	lg.append(list...)
+	return lg
+}
+
+func (lg *entryLog) last() Index { return lg.base + Index(len(lg.list)) }
+
+func (lg *entryLog) lastTerm() Term { return lg.term(lg.last()) }
+
+// term returns the term of the entry at i, which must be in [base, last].
+func (lg *entryLog) term(i Index) Term {
+	if i == lg.base {
+		return lg.baseTerm
+	}
+	return lg.list[i-lg.base-1].Term
+}
+
+// matches reports whether the entry at i has the given term.
+func (lg *entryLog) matches(i Index, term Term) bool {
+	return i >= lg.base && i <= lg.last() && lg.term(i) == term
+}
+
+func (lg *entryLog) entry(i Index) Entry { return lg.list[i-lg.base-1] }
+
+// from returns all entries from i on. The result stays valid.
+func (lg *entryLog) from(i Index) []Entry { return lg.list[i-lg.base-1:] }
+
+// batch returns entries from i on with at most the given bytes of data, but
+// at least one if there is any.
+func (lg *entryLog) batch(i Index, bytes int) []Entry {
+	list := lg.from(i)
+	for n, en := range list {
+		bytes -= len(en.Data)
+		if bytes < 0 && n > 0 {
+			return list[:n:n]
+		}
+	}
+	return slices.Clip(list)
+}
+
+func (lg *entryLog) append(list ...Entry) {
+	for _, en := range list {
+		if en.Kind == Change {
+			lg.changes = append(lg.changes, change{en.Index, en.Voters})
+		}
+	}
+	lg.list = append(lg.list, list...)
+}
+
+// truncate drops the entry at i and all after it. Slices given out before
+// keep their content.
+func (lg *entryLog) truncate(i Index) {
+	lg.list = slices.Clip(lg.list[:i-lg.base-1])
+	for len(lg.changes) > 0 && lg.changes[len(lg.changes)-1].index >= i {
+		lg.changes = lg.changes[:len(lg.changes)-1]
+	}
+}
+
+// committed forgets voters that were replaced at or before commit.
+func (lg *entryLog) committed(commit Index) {
+	for len(lg.changes) > 1 && lg.changes[1].index <= commit {
+		lg.changes = slices.Delete(lg.changes, 0, 1)
+	}
+}
+
+// compact drops entries so that at most keep remain up to the snapshot.
+func (lg *entryLog) compact(snap Snapshot, keep Index) {
+	lg.snap = snap
+	if snap.Index <= lg.base+keep {
+		return
+	}
+	base := snap.Index - keep
+	term := lg.term(base)
+	lg.list = slices.Clone(lg.list[base-lg.base:])
+	lg.base, lg.baseTerm = base, term
+}
+
+// agreed returns the voters that count: those on which the voters in force
+// at the commit index and all later ones agree.
+func (lg *entryLog) agreed() Voters {
+	switch len(lg.changes) {
+	case 0:
+		return nil
+	case 1:
+		return lg.changes[0].voters
+	}
+	vo := Voters{}
+	for id, inc := range lg.changes[0].voters {
+		if !slices.ContainsFunc(lg.changes, func(ch change) bool { return ch.voters[id] != inc }) {
+			vo[id] = inc
+		}
+	}
+	return vo
+}
+
+// latest returns the last voters, and whether they are still being agreed.
+func (lg *entryLog) latest() (vo Voters, pending bool) {
+	if len(lg.changes) == 0 {
+		return nil, false
+	}
+	return lg.changes[len(lg.changes)-1].voters, len(lg.changes) > 1
+}
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -1,18 +1,210 @@
 package quorum
 
-import "time"
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// keptEntries is the number of entries that stay in memory after they are
+// covered by a snapshot, for replicas that are a little behind.
+const keptEntries = 256
 
 // Machine is one replica of the log.
 type Machine struct {
-	set Settings
+	set   Settings
+	inc   Incarnation
+	rng   *rand.Rand
+	peers []Replica
+
+	now     time.Time
+	started bool
+	out     []Action
+	shown   RoleChanged
+
+	role    Role
+	term    Term
+	vote    Replica
+	leader  Replica
+	log     entryLog
+	commit  Index
+	applied Index
+	disk    disk
+
+	// heard is when a leader was last heard of, and electionAt when to
+	// stand for election.
+	heard      time.Time
+	electionAt time.Time
+	leaving    bool
+
+	ballot  ballot
+	lead    leadership
+	found   founding
+	receipt receipt
 }
 
 // New returns a machine with the state found on the disk.
-func New(set Settings, st State) *Machine { _ = st; return &Machine{set: set} }
+func New(set Settings, st State) *Machine {
+	ma := &Machine{
+		set:  set,
+		inc:  st.Incarnation,
+		rng:  rand.New(rand.NewPCG(set.Seed, uint64(st.Incarnation))),
+		role: Follower,
+		term: st.HardState.Term,
+		vote: st.HardState.Vote,
+		log:  newEntryLog(st.Snapshot, st.Entries),
+	}
+	ma.set.Replicas = slices.Sorted(slices.Values(set.Replicas))
+	for _, id := range ma.set.Replicas {
+		if id != set.ID {
+			ma.peers = append(ma.peers, id)
+		}
+	}
+	ma.commit = min(max(st.HardState.Commit, st.Snapshot.Index), ma.log.last())
+	ma.applied = st.Snapshot.Index
+	ma.log.committed(ma.commit)
+	ma.disk.stable, ma.disk.stableTerm = ma.log.last(), ma.term
+	return ma
+}
 
 // Step handles an event and returns the actions to carry out, in order. The
 // slice may be reused by the next Step.
-func (ma *Machine) Step(now time.Time, ev Event) []Action { _, _ = now, ev; return nil }
+func (ma *Machine) Step(now time.Time, ev Event) []Action {
+	clear(ma.out)
+	ma.out = ma.out[:0]
+	ma.now = now
+	ma.start()
+	switch ev := ev.(type) {
+	case Receive:
+		ma.receive(ev.Message)
+	case Propose:
+		ma.propose(ev)
+	case Persisted:
+		ma.persisted(ev.Number)
+	case Compact:
+		ma.compact(ev)
+	case Transfer:
+		ma.transfer()
+	case Tick:
+		ma.tick()
+	}
+	ma.finish()
+	return ma.out
+}
+
+// start sets the timers at the first event. A replica that may have
+// acknowledged a leader before it restarted gives no vote until that leader's
+// lease has run out.
+func (ma *Machine) start() {
+	if ma.started {
+		return
+	}
+	ma.started = true
+	ma.resetElection()
+	if ma.blank() {
+		return
+	}
+	ma.heard = ma.now
+	if ma.log.snap.Index > 0 {
+		ma.act(Restore{ma.log.snap})
+	}
+}
+
+// finish does what may be due after any event.
+func (ma *Machine) finish() {
+	if ma.role == Leader {
+		ma.repair()
+		ma.replicate()
+		ma.handover()
+	}
+	ma.apply()
+	ma.persist()
+	ma.showRole()
+}
+
+func (ma *Machine) act(ac Action) { ma.out = append(ma.out, ac) }
+
+func (ma *Machine) tick() {
+	switch {
+	case ma.role == Leader:
+		ma.checkQuorum()
+	case ma.blank():
+		ma.join()
+	case !ma.now.Before(ma.electionAt):
+		ma.campaign(true, false)
+	}
+}
+
+// blank reports whether the replica holds nothing and has promised nothing.
+func (ma *Machine) blank() bool { return ma.term == 0 && ma.log.last() == 0 }
+
+// voter reports whether the replica's own vote counts.
+func (ma *Machine) voter() bool { return ma.log.agreed()[ma.set.ID] == ma.inc }
+
+func (ma *Machine) quorum() int { return len(ma.set.Replicas)/2 + 1 }
+
+func (ma *Machine) resetElection() {
+	random := time.Duration(ma.rng.Int64N(int64(ma.set.ElectionTimeout)))
+	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout + random)
+}
+
+// follow enters a term, or leaves the role of a leader or candidate in the
+// present one.
+func (ma *Machine) follow(term Term, leader Replica) {
+	if term > ma.term {
+		ma.term, ma.vote = term, ""
+		ma.disk.dirty = true
+		ma.disk.held = ma.disk.held[:0]
+	}
+	if ma.role == Leader {
+		ma.apply()
+		ma.lead.reject(ma, ErrUnknown, leader)
+		ma.resetElection()
+	}
+	ma.role, ma.leader = Follower, leader
+}
+
+// setCommit moves the commit index. Voters are saved with it at once, since
+// after a restart only the voters that are known to be committed count.
+func (ma *Machine) setCommit(i Index) {
+	if i <= ma.commit {
+		return
+	}
+	before := len(ma.log.changes)
+	ma.commit = i
+	ma.log.committed(i)
+	if len(ma.log.changes) != before {
+		ma.disk.dirty = true
+		ma.lead.hurry = true
+	}
+}
+
+// apply hands committed entries to the state machine.
+func (ma *Machine) apply() {
+	for ma.applied < ma.commit {
+		ma.applied++
+		en := ma.log.entry(ma.applied)
+		pr := ma.lead.take(en)
+		if en.Kind == Data {
+			ma.act(Apply{Entry: en, Proposal: pr})
+		}
+	}
+}
+
+func (ma *Machine) showRole() {
+	now := RoleChanged{Role: ma.shownRole(), Term: ma.term, Leader: ma.leader}
+	if now != ma.shown {
+		ma.shown = now
+		ma.act(now)
+	}
+}
+
+func (ma *Machine) shownRole() Role {
+	if ma.role == Follower && !ma.voter() {
+		return Learner
+	}
+	return ma.role
+}
 
 // Status describes a machine.
 type Status struct {
@@ -24,15 +216,9 @@
 }
 
 // Status returns the machine's state.
-func (ma *Machine) Status() Status { return Status{} }
-
-// Lease returns the time until which the machine is the leader with a lease
-// that a quorum confirmed, and the index that must have been applied before
-// the state may be presented as current. The time is zero for others.
-func (ma *Machine) Lease() (until time.Time, applied Index) { return time.Time{}, 0 }
-
-// Current reports whether the machine holds a lease at now.
-func (ma *Machine) Current(now time.Time) bool {
-	until, _ := ma.Lease()
-	return now.Before(until)
+func (ma *Machine) Status() Status {
+	return Status{
+		Role: ma.shownRole(), Term: ma.term, Leader: ma.leader,
+		Commit: ma.commit, Last: ma.log.last(),
+	}
 }
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -92,3 +92,6 @@
 
 // Destination returns the replica that a message is for.
 func Destination(msg Message) Replica { return msg.header().To }
+
+// Source returns the replica that sent a message.
+func Source(msg Message) Replica { return msg.header().From }
--- /dev/null
+++ b/quorum/receive.go
@@ -0,0 +1,109 @@
+package quorum
+
+import "slices"
+
+// receive handles a message of another replica.
+func (ma *Machine) receive(msg Message) {
+	he := msg.header()
+	if he.To != ma.set.ID || !slices.Contains(ma.peers, he.From) {
+		return
+	}
+	if he.ToIncarnation != 0 && he.ToIncarnation != ma.inc {
+		return
+	}
+	switch msg := msg.(type) {
+	case *Join:
+		ma.receiveJoin(msg)
+		return
+	case *JoinAnswer:
+		ma.receiveJoinAnswer(msg)
+		return
+	}
+	if he.Term > ma.term && !ma.enter(msg) {
+		return
+	}
+	if he.Term < ma.term && ma.late(msg) {
+		return
+	}
+	ma.dispatch(msg)
+}
+
+// enter moves to the later term of a message. It returns false if the
+// message is to be ignored.
+func (ma *Machine) enter(msg Message) bool {
+	switch msg := msg.(type) {
+	case *Vote:
+		if msg.Pre {
+			return true
+		}
+		if ma.leaderAlive() && !msg.Transfer {
+			return false
+		}
+	case *VoteAnswer:
+		if msg.Pre && !msg.Refused {
+			return true
+		}
+	}
+	ma.follow(msg.header().Term, "")
+	return true
+}
+
+// late answers a message of an earlier term where its sender has to learn of
+// the present one. It returns true if the message needs nothing else.
+func (ma *Machine) late(msg Message) bool {
+	switch msg := msg.(type) {
+	case *Append:
+		ma.refuseLeader(&msg.Header)
+	case *Chunk:
+		ma.refuseLeader(&msg.Header)
+	case *Vote:
+		return false
+	}
+	return true
+}
+
+func (ma *Machine) refuseLeader(he *Header) {
+	ma.sendSynced(&AppendAnswer{Header: ma.answerTo(he), Refused: true})
+}
+
+func (ma *Machine) dispatch(msg Message) {
+	switch msg := msg.(type) {
+	case *Vote:
+		ma.receiveVote(msg)
+	case *VoteAnswer:
+		ma.receiveVoteAnswer(msg)
+	case *Append:
+		ma.hear(msg.From)
+		ma.receiveAppend(msg)
+	case *Chunk:
+		ma.hear(msg.From)
+		ma.receiveChunk(msg)
+	case *AppendAnswer:
+		ma.receiveAppendAnswer(msg)
+	case *ChunkAnswer:
+		ma.receiveChunkAnswer(msg)
+	case *Handover:
+		if ma.role == Follower && ma.leader == msg.From {
+			ma.campaign(false, true)
+		}
+	}
+}
+
+// hear notes a message of the leader of this term.
+func (ma *Machine) hear(leader Replica) {
+	if ma.role != Follower || ma.leader != leader {
+		ma.follow(ma.term, leader)
+	}
+	ma.heard = ma.now
+	ma.resetElection()
+}
+
+func (ma *Machine) headerTo(id Replica) Header {
+	return Header{From: ma.set.ID, To: id, Term: ma.term, Incarnation: ma.inc}
+}
+
+func (ma *Machine) answerTo(he *Header) Header {
+	answer := ma.headerTo(he.From)
+	answer.ToIncarnation = he.Incarnation
+	return answer
+}
