Test repair, handover and the time without a leader

A replica that fails to win now tries again after a quarter to three quarters of the election timeout.

--- a/config/version.go
+++ b/config/version.go
@@ -62,14 +62,14 @@
 // one. Replicas that decide on the same proposals in the same order come to
 // the same decisions.
 type History struct {
-	max      int
+	limit    int
 	accepted []Accepted
 }
 
-// NewHistory returns a history that remembers the last max versions and
+// NewHistory returns a history that remembers the last limit versions and
 // begins with the given ones.
-func NewHistory(max int, accepted []Accepted) *History {
-	hi := &History{max: max}
+func NewHistory(limit int, accepted []Accepted) *History {
+	hi := &History{limit: limit}
 	for _, ac := range accepted {
 		hi.add(ac)
 	}
@@ -107,7 +107,7 @@
 func (hi *History) All() []Accepted { return hi.accepted }
 
 func (hi *History) add(ac Accepted) {
-	if len(hi.accepted) == hi.max {
+	if len(hi.accepted) == hi.limit {
 		hi.accepted = slices.Delete(hi.accepted, 0, 1)
 	}
 	hi.accepted = append(hi.accepted, ac)
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -8,9 +8,10 @@
 }
 
 // campaign stands for election. With pre set it first asks whether it would
-// win, so that a replica which was cut off does not disturb the others.
+// win, so that a replica which was cut off does not disturb the others. If
+// nobody wins it tries again sooner than the election timeout.
 func (ma *Machine) campaign(pre, transfer bool) {
-	ma.resetElection()
+	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout/4 + ma.random(ma.set.ElectionTimeout/2))
 	if ma.leaving || !ma.voter() {
 		return
 	}
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -144,8 +144,11 @@
 func (ma *Machine) quorum() int { return len(ma.set.Replicas)/2 + 1 }
 
 func (ma *Machine) resetElection() {
-	random := time.Duration(ma.rng.Int64N(int64(ma.set.ElectionTimeout)))
-	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout + random)
+	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout + ma.random(ma.set.ElectionTimeout))
+}
+
+func (ma *Machine) random(below time.Duration) time.Duration {
+	return time.Duration(ma.rng.Int64N(int64(below)))
 }
 
 // follow enters a term, or leaves the role of a leader or candidate in the
--- a/quorum/network_test.go
+++ b/quorum/network_test.go
@@ -43,6 +43,8 @@
 	list   []accepted
 }
 
+type link struct{ from, to quorum.Replica }
+
 type packet struct {
 	msg quorum.Message
 	at  time.Time
@@ -57,7 +59,10 @@
 	ids     []quorum.Replica
 	hosts   map[quorum.Replica]*host
 	packets []packet
-	cut     map[quorum.Replica]bool
+	// cut holds the replicas of one side of a partition, and broken the
+	// links that carry nothing in one direction.
+	cut    map[quorum.Replica]bool
+	broken map[link]bool
 	// loss, double and slow are in percent of messages; slowDisk of writes.
 	loss, double, slow, slowDisk int
 
@@ -75,7 +80,7 @@
 	nw := &network{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		hosts: make(map[quorum.Replica]*host), cut: make(map[quorum.Replica]bool),
-		open: make(map[quorum.Proposal]string),
+		open: make(map[quorum.Proposal]string), broken: make(map[link]bool),
 	}
 	for i := range size {
 		nw.ids = append(nw.ids, quorum.Replica(rune('a'+i)))
@@ -305,13 +310,15 @@
 }
 
 func (nw *network) blocked(msg quorum.Message) bool {
-	return nw.cut[quorum.Source(msg)] != nw.cut[quorum.Destination(msg)]
+	li := link{quorum.Source(msg), quorum.Destination(msg)}
+	return nw.cut[li.from] != nw.cut[li.to] || nw.broken[li]
 }
 
 // heal ends all faults and restarts what is down.
 func (nw *network) heal() {
 	nw.loss, nw.double, nw.slow, nw.slowDisk = 0, 0, 0, 0
 	clear(nw.cut)
+	clear(nw.broken)
 	for _, id := range nw.ids {
 		nw.hosts[id].paused = false
 		nw.start(id)
@@ -320,7 +327,7 @@
 
 func (nw *network) leader() (quorum.Replica, bool) {
 	for _, id := range nw.ids {
-		if ho := nw.hosts[id]; ho.up && ho.ma.Current(nw.now) {
+		if ho := nw.hosts[id]; ho.up && !ho.paused && ho.ma.Current(nw.now) {
 			return id, true
 		}
 	}
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -95,7 +95,15 @@
 				nw.cut[id] = rapid.Bool().Draw(t, "cut")
 			}
 		},
-		"heal": func(*rapid.T) { clear(nw.cut) },
+		"break link": func(t *rapid.T) {
+			a, b := host(t), host(t)
+			nw.broken[link{a, b}] = true
+			nw.broken[link{b, a}] = rapid.Bool().Draw(t, "both ways")
+		},
+		"heal": func(*rapid.T) {
+			clear(nw.cut)
+			clear(nw.broken)
+		},
 		"weather": func(t *rapid.T) {
 			nw.loss = rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "loss")
 			nw.double = rapid.SampledFrom([]int{0, 0, 20}).Draw(t, "double")
