Add the store of the replicated log

A torn tail is cut; damage before the tail sets the log aside and begins a new incarnation, so that the replica comes back as a learner. A failed write or sync ends the store.

--- a/quorum/rules_test.go
+++ b/quorum/rules_test.go
@@ -195,3 +195,25 @@
 	// leader
 	// entry 3: hello
 }
+
+// TestLeaseIsNotOverruled cuts one follower from the leader only. The other
+// follower, whose acknowledgements the lease rests on, must not elect it.
+func TestLeaseIsNotOverruled(t *testing.T) {
+	for seed := range uint64(20) {
+		nw := newNetwork(t, 3, seed)
+		id := nw.settle(t)
+		other := nw.ids[0]
+		if other == id {
+			other = nw.ids[1]
+		}
+		nw.broken[link{id, other}], nw.broken[link{other, id}] = true, true
+		for range 100 {
+			nw.propose(id)
+			nw.run(20 * time.Millisecond)
+		}
+		if now, _ := nw.leader(); now != id {
+			t.Fatalf("seed %d: leader %s, want %s", seed, now, id)
+		}
+		nw.finish(t)
+	}
+}
--- /dev/null
+++ b/store/files.go
@@ -0,0 +1,106 @@
+package store
+
+import (
+	"io"
+	"io/fs"
+	"os"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+const lockName = "lock"
+
+// file is an open file.
+type file interface {
+	io.WriteCloser
+	Truncate(size int64) error
+	Sync() error
+}
+
+// files is the part of a file system that a Store uses: one folder.
+type files interface {
+	List() ([]string, error)
+	Read(name string) ([]byte, error)
+	// Create opens a new file, and Append one that exists.
+	Create(name string) (file, error)
+	Append(name string) (file, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncFolder makes renames and removals last.
+	SyncFolder() error
+	Close() error
+}
+
+// folder is a folder on a disk, locked for this process.
+type folder struct {
+	root *os.Root
+	lock *os.File
+}
+
+func openFolder(path string) (*folder, error) {
+	root, err := os.OpenRoot(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "store: data folder")
+	}
+	lock, err := root.OpenFile(lockName, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		_ = root.Close()
+		return nil, errors.Wrap(err, "store: lock")
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		_ = root.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, errors.Wrap(ErrOwned, path)
+		}
+		return nil, errors.Wrap(err, "store: lock")
+	}
+	return &folder{root: root, lock: lock}, nil
+}
+
+func (fo *folder) List() ([]string, error) {
+	entries, err := fs.ReadDir(fo.root.FS(), ".")
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, en := range entries {
+		names[i] = en.Name()
+	}
+	return names, nil
+}
+
+func (fo *folder) Read(name string) ([]byte, error) { return fo.root.ReadFile(name) }
+
+func (fo *folder) Create(name string) (file, error) {
+	return fo.root.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+}
+
+func (fo *folder) Append(name string) (file, error) {
+	return fo.root.OpenFile(name, os.O_APPEND|os.O_WRONLY, 0o600)
+}
+
+func (fo *folder) Rename(from, to string) error { return fo.root.Rename(from, to) }
+
+func (fo *folder) Remove(name string) error { return fo.root.Remove(name) }
+
+func (fo *folder) SyncFolder() error {
+	dir, err := fo.root.Open(".")
+	if err != nil {
+		return err
+	}
+	if err := dir.Sync(); err != nil {
+		_ = dir.Close()
+		return err
+	}
+	return dir.Close()
+}
+
+func (fo *folder) Close() error {
+	err := fo.lock.Close()
+	if rootErr := fo.root.Close(); err == nil {
+		err = rootErr
+	}
+	return err
+}
--- /dev/null
+++ b/store/recover.go
@@ -0,0 +1,176 @@
+package store
+
+import (
+	"fmt"
+	"io/fs"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/quorum"
+	"camphortrail/schema"
+)
+
+// errDamaged is the cause of a log being set aside.
+var errDamaged = errors.New("store: damaged")
+
+const (
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".tmp"
+	damagedPrefix  = "damaged-"
+)
+
+func logName(number uint64) string { return fmt.Sprintf("%s%020d", logPrefix, number) }
+
+func snapshotName(i quorum.Index) string { return fmt.Sprintf("%s%020d", snapshotPrefix, i) }
+
+// found is what recovery read.
+type found struct {
+	state quorum.State
+	// log is the number of the log file, and records and end what it holds.
+	log     uint64
+	records uint64
+	end     int
+	cut     int
+}
+
+// recover reads the latest log file and its snapshot. The error wraps
+// errDamaged if what was synced can't be read back whole.
+func (st *Store) recover() (found, error) {
+	names, err := st.fs.List()
+	if err != nil {
+		return found{}, errors.Wrap(err, "store: list")
+	}
+	latest := ""
+	for _, name := range names {
+		if strings.HasPrefix(name, logPrefix) && !strings.HasSuffix(name, temporary) {
+			latest = max(latest, name)
+		}
+	}
+	if latest == "" {
+		return found{}, nil
+	}
+	var fo found
+	if _, err := fmt.Sscanf(latest, logPrefix+"%d", &fo.log); err != nil {
+		return found{}, errors.Wrapf(err, "store: file name %s", latest)
+	}
+	data, err := st.fs.Read(latest)
+	if err != nil {
+		return fo, errors.Wrap(err, "store: read log")
+	}
+	if err := fo.readLog(data); err != nil {
+		return fo, err
+	}
+	return fo, st.readSnapshot(&fo)
+}
+
+// readLog applies the records of a log file. Invalid bytes at the end are a
+// write that was not synced, and so was never answered; followed by valid
+// records they are damage.
+func (fo *found) readLog(data []byte) error {
+	for fo.end < len(data) {
+		rec := new(schema.LogRecord)
+		size, ok := decodeRecord(data[fo.end:], rec)
+		if !ok {
+			if fo.records == 0 || containsRecord(data[fo.end+1:]) {
+				return errors.Wrapf(errDamaged, "record %d at byte %d", fo.records, fo.end)
+			}
+			fo.cut = len(data) - fo.end
+			return nil
+		}
+		if err := fo.apply(rec); err != nil {
+			return err
+		}
+		fo.end += size
+	}
+	if fo.records == 0 {
+		return errors.Wrap(errDamaged, "empty log")
+	}
+	return nil
+}
+
+func (fo *found) apply(rec *schema.LogRecord) error {
+	if rec.GetNumber() != fo.records {
+		return errors.Wrapf(errDamaged, "record %d where %d is due", rec.GetNumber(), fo.records)
+	}
+	if fo.records == 0 {
+		fo.state.Incarnation = quorum.Incarnation(rec.GetIncarnation())
+		fo.state.Snapshot.Index = quorum.Index(rec.GetSnapshotIndex())
+	}
+	fo.records++
+	fo.state.HardState = quorum.HardState{
+		Term:   quorum.Term(rec.GetTerm()),
+		Vote:   quorum.Replica(rec.GetVote()),
+		Commit: quorum.Index(rec.GetCommit()),
+	}
+	if rec.GetFrom() == 0 {
+		return nil
+	}
+	first := fo.state.Snapshot.Index + 1
+	from := quorum.Index(rec.GetFrom())
+	if from < first || from > first+quorum.Index(len(fo.state.Entries)) {
+		return errors.Wrapf(errDamaged, "entries from %d", from)
+	}
+	list, err := quorum.DecodeEntries(rec.GetEntries(), from)
+	if err != nil {
+		return errors.Wrapf(errDamaged, "entries from %d", from)
+	}
+	fo.state.Entries = append(fo.state.Entries[:from-first], list...)
+	return nil
+}
+
+func (st *Store) readSnapshot(fo *found) error {
+	i := fo.state.Snapshot.Index
+	if i == 0 {
+		return nil
+	}
+	data, err := st.fs.Read(snapshotName(i))
+	if errors.Is(err, fs.ErrNotExist) {
+		return errors.Wrapf(errDamaged, "no snapshot at %d", i)
+	}
+	if err != nil {
+		return errors.Wrap(err, "store: read snapshot")
+	}
+	rec := new(schema.SnapshotRecord)
+	if size, ok := decodeRecord(data, rec); !ok || size != len(data) || quorum.Index(rec.GetIndex()) != i {
+		return errors.Wrapf(errDamaged, "snapshot at %d", i)
+	}
+	fo.state.Snapshot = quorum.Snapshot{
+		Index:  i,
+		Term:   quorum.Term(rec.GetTerm()),
+		Voters: quorum.DecodeVoters(rec.GetVoters()),
+		Data:   rec.GetData(),
+	}
+	return nil
+}
+
+// clean removes the files that the present log does not need. Failure to do
+// so is no harm; the next Open tries again.
+func (st *Store) clean() {
+	names, err := st.fs.List()
+	if err != nil {
+		return
+	}
+	needed := []string{logName(st.log), snapshotName(st.snapshot)}
+	for _, name := range names {
+		ours := strings.HasPrefix(name, logPrefix) || strings.HasPrefix(name, snapshotPrefix)
+		if ours && !slices.Contains(needed, name) {
+			_ = st.fs.Remove(name)
+		}
+	}
+}
+
+// setAside renames the files of a damaged log, for inspection.
+func (st *Store) setAside(fo found) error {
+	for from, to := range map[string]string{
+		logName(fo.log):                       damagedPrefix + "log",
+		snapshotName(fo.state.Snapshot.Index): damagedPrefix + "snapshot",
+	} {
+		if err := st.fs.Rename(from, to); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return errors.Wrap(err, "store: set aside")
+		}
+	}
+	return errors.Wrap(st.fs.SyncFolder(), "store: sync folder")
+}
--- a/store/store.go
+++ b/store/store.go
@@ -1,20 +1,26 @@
 // Package store keeps the replicated log and its snapshot as synced,
 // checksummed files in one data folder.
+//
+// The folder holds one log file, which begins with the state at the time it
+// was made, and the snapshot that it follows. A snapshot makes a new log
+// file. Everything is synced before Save returns.
 package store
 
 import (
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"camphortrail/quorum"
+	"camphortrail/schema"
 )
 
 // Errors of a Store.
 var (
 	// ErrOwned means that another process uses the data folder.
 	ErrOwned = errors.New("store: data folder is in use")
-	// ErrFailed means that an earlier write or sync failed. What the disk
-	// holds is not known until the store is opened again.
-	ErrFailed = errors.New("store: an earlier write failed")
+	// ErrFailed means that a write or sync failed. What the disk holds is
+	// not known until the store is opened again.
+	ErrFailed = errors.New("store: write failed")
 )
 
 // Report says what Open found in the data folder.
@@ -26,25 +32,209 @@
 	Damage string
 	// CutBytes is the length of an unfinished record that was cut off the
 	// end of the log.
-	CutBytes int64
+	CutBytes int
 	// Records is the number of records read.
 	Records int
 }
 
-// Store owns a data folder.
-type Store struct{}
+// Store owns a data folder. It is used by one goroutine.
+type Store struct {
+	fs          files
+	incarnation quorum.Incarnation
+	file        file
+	log         uint64
+	records     uint64
+	snapshot    quorum.Index
+	failed      error
+}
 
 // Open takes ownership of the folder, which must exist, and returns the
-// state found in it. Incarnation is given to the state if the folder is
-// empty or its log is damaged.
-func Open(folder string, inc quorum.Incarnation) (*Store, quorum.State, Report, error) {
-	_ = folder
-	return &Store{}, quorum.State{Incarnation: inc}, Report{}, nil
+// state found in it. If there is none or it is damaged, the state is blank,
+// and its incarnation is inc or higher.
+func Open(path string, inc quorum.Incarnation) (*Store, quorum.State, Report, error) {
+	fo, err := openFolder(path)
+	if err != nil {
+		return nil, quorum.State{}, Report{}, err
+	}
+	return open(fo, inc)
+}
+
+func open(fs files, inc quorum.Incarnation) (*Store, quorum.State, Report, error) {
+	st := &Store{fs: fs}
+	state, re, err := st.open(inc)
+	if err != nil {
+		_ = st.Close()
+		return nil, quorum.State{}, re, err
+	}
+	st.clean()
+	return st, state, re, nil
+}
+
+func (st *Store) open(inc quorum.Incarnation) (quorum.State, Report, error) {
+	fo, err := st.recover()
+	if errors.Is(err, errDamaged) {
+		if err := st.setAside(fo); err != nil {
+			return quorum.State{}, Report{}, err
+		}
+		state, createErr := st.create(fo.log, max(inc, fo.state.Incarnation+1))
+		return state, Report{Damage: err.Error()}, createErr
+	}
+	if err != nil {
+		return quorum.State{}, Report{}, err
+	}
+	if fo.records == 0 {
+		state, err := st.create(0, inc)
+		return state, Report{Fresh: true}, err
+	}
+	return fo.state, Report{CutBytes: fo.cut, Records: int(fo.records)}, st.resume(fo)
+}
+
+// create begins the log of a new incarnation.
+func (st *Store) create(log uint64, inc quorum.Incarnation) (quorum.State, error) {
+	st.incarnation, st.log = inc, log
+	if err := st.begin(quorum.Persist{From: 1}); err != nil {
+		return quorum.State{}, err
+	}
+	return quorum.State{Incarnation: inc}, nil
+}
+
+// resume opens a log to add records to it.
+func (st *Store) resume(fo found) error {
+	st.incarnation, st.snapshot = fo.state.Incarnation, fo.state.Snapshot.Index
+	st.log, st.records = fo.log, fo.records
+	fi, err := st.fs.Append(logName(fo.log))
+	if err != nil {
+		return errors.Wrap(err, "store: open log")
+	}
+	st.file = fi
+	if fo.cut == 0 {
+		return nil
+	}
+	if err := fi.Truncate(int64(fo.end)); err != nil {
+		return errors.Wrap(err, "store: cut log")
+	}
+	return errors.Wrap(fi.Sync(), "store: sync log")
 }
 
-// Save writes and syncs. After an error, which wraps ErrFailed, the store
-// refuses all further use.
-func (st *Store) Save(pe quorum.Persist) error { _ = pe; return nil }
+// Save writes and syncs. An error wraps ErrFailed; the store then refuses
+// all further use, since a later sync may report success for data that is
+// lost.
+func (st *Store) Save(pe quorum.Persist) error {
+	if st.failed != nil {
+		return st.failed
+	}
+	var err error
+	if pe.Snapshot != nil {
+		err = st.replace(pe)
+	} else {
+		err = st.add(pe)
+	}
+	if err != nil {
+		st.failed = errors.Wrap(ErrFailed, err.Error())
+	}
+	return st.failed
+}
+
+func (st *Store) record(pe quorum.Persist) *schema.LogRecord {
+	return &schema.LogRecord{
+		Number:        st.records,
+		Incarnation:   uint64(st.incarnation),
+		Term:          uint64(pe.HardState.Term),
+		Vote:          string(pe.HardState.Vote),
+		Commit:        uint64(pe.HardState.Commit),
+		From:          uint64(pe.From),
+		Entries:       quorum.EncodeEntries(pe.Entries),
+		SnapshotIndex: uint64(st.snapshot),
+	}
+}
+
+// add appends a record to the log file.
+func (st *Store) add(pe quorum.Persist) error {
+	if err := write(st.file, st.record(pe)); err != nil {
+		return err
+	}
+	st.records++
+	return nil
+}
+
+// replace writes a snapshot and a log file that follows it.
+func (st *Store) replace(pe quorum.Persist) error {
+	sn := pe.Snapshot
+	rec := &schema.SnapshotRecord{
+		Index:  uint64(sn.Index),
+		Term:   uint64(sn.Term),
+		Voters: quorum.EncodeVoters(sn.Voters),
+		Data:   sn.Data,
+	}
+	fi, err := st.writeFile(snapshotName(sn.Index), rec)
+	if err != nil {
+		return err
+	}
+	if err := fi.Close(); err != nil {
+		return err
+	}
+	st.snapshot = sn.Index
+	if err := st.begin(pe); err != nil {
+		return err
+	}
+	st.clean()
+	return nil
+}
+
+// begin writes the next log file, whose first record holds the whole state,
+// and adds to it from then on.
+func (st *Store) begin(pe quorum.Persist) error {
+	st.records = 0
+	fi, err := st.writeFile(logName(st.log+1), st.record(pe))
+	if err != nil {
+		return err
+	}
+	if st.file != nil {
+		_ = st.file.Close()
+	}
+	st.file, st.log, st.records = fi, st.log+1, 1
+	return nil
+}
+
+// writeFile makes a file appear whole or not at all.
+func (st *Store) writeFile(name string, msg proto.Message) (file, error) {
+	fi, err := st.fs.Create(name + temporary)
+	if err != nil {
+		return nil, err
+	}
+	if err := write(fi, msg); err != nil {
+		_ = fi.Close()
+		return nil, err
+	}
+	err = st.fs.Rename(name+temporary, name)
+	if err == nil {
+		err = st.fs.SyncFolder()
+	}
+	if err != nil {
+		_ = fi.Close()
+		return nil, err
+	}
+	return fi, nil
+}
+
+func write(fi file, msg proto.Message) error {
+	data, err := encodeRecord(msg)
+	if err != nil {
+		return err
+	}
+	if _, err := fi.Write(data); err != nil {
+		return err
+	}
+	return fi.Sync()
+}
 
 // Close gives up the folder.
-func (st *Store) Close() error { return nil }
+func (st *Store) Close() error {
+	if st.failed == nil {
+		st.failed = errors.Wrap(ErrFailed, "closed")
+	}
+	if st.file != nil {
+		_ = st.file.Close()
+	}
+	return st.fs.Close()
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,256 @@
+package store
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"camphortrail/quorum"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var voters = quorum.Voters{"a": 1, "b": 2}
+
+func entries(from quorum.Index, count int, term quorum.Term) []quorum.Entry {
+	var list []quorum.Entry
+	for i := range count {
+		en := quorum.Entry{Index: from + quorum.Index(i), Term: term, Kind: quorum.Data}
+		en.Data = fmt.Appendf(nil, "entry %d of term %d", en.Index, term)
+		list = append(list, en)
+	}
+	return list
+}
+
+// save is the oracle: what a state becomes by a Persist.
+func save(st quorum.State, pe quorum.Persist) quorum.State {
+	st.HardState = pe.HardState
+	if pe.Snapshot != nil {
+		st.Snapshot, st.Entries = *pe.Snapshot, nil
+	}
+	if pe.From != 0 {
+		st.Entries = append(slices.Clone(st.Entries[:pe.From-st.Snapshot.Index-1]), pe.Entries...)
+	}
+	return st
+}
+
+func equal(a, b quorum.State) bool {
+	if len(a.Entries) == 0 && len(b.Entries) == 0 {
+		a.Entries, b.Entries = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
+
+// TestSavedStateOutlivesCrashes saves at random, with faults and crashes. The
+// state found afterwards is the one saved last, or the one whose Save failed.
+func TestSavedStateOutlivesCrashes(t *testing.T) {
+	var crashes, faults int
+	rapid.Check(t, func(t *rapid.T) {
+		me := newMemory(rapid.Uint64().Draw(t, "seed"))
+		st, saved, _, err := open(me, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tried := saved
+		reopen := func() {
+			me.crash()
+			crashes++
+			var state quorum.State
+			var re Report
+			if st, state, re, err = open(me, 99); err != nil {
+				t.Fatal(err)
+			}
+			if !equal(state, saved) && !equal(state, tried) || re.Damage != "" || re.Fresh {
+				t.Fatalf("found %+v with %+v, saved %+v, tried %+v", state, re, saved, tried)
+			}
+			saved, tried = state, state
+		}
+		put := func(pe quorum.Persist) {
+			tried = save(saved, pe)
+			if err := st.Save(pe); err == nil {
+				saved = tried
+				return
+			} else if !errors.Is(err, ErrFailed) || !errors.Is(st.Save(pe), ErrFailed) {
+				t.Fatalf("Save error = %v, want ErrFailed from then on", err)
+			}
+			faults++
+			reopen()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"save": func(t *rapid.T) {
+				pe := quorum.Persist{HardState: saved.HardState}
+				pe.HardState.Term++
+				if rapid.Bool().Draw(t, "entries") {
+					kept := rapid.IntRange(0, len(saved.Entries)).Draw(t, "kept")
+					pe.From = saved.Snapshot.Index + quorum.Index(kept) + 1
+					pe.Entries = entries(pe.From, rapid.IntRange(0, 4).Draw(t, "count"), pe.HardState.Term)
+				}
+				put(pe)
+			},
+			"snapshot": func(t *rapid.T) {
+				if len(saved.Entries) == 0 {
+					t.Skip("nothing to compact")
+				}
+				kept := rapid.IntRange(0, len(saved.Entries)-1).Draw(t, "kept")
+				at := len(saved.Entries) - kept
+				last := saved.Entries[at-1]
+				put(quorum.Persist{
+					HardState: saved.HardState,
+					From:      last.Index + 1,
+					Entries:   saved.Entries[at:],
+					Snapshot:  &quorum.Snapshot{Index: last.Index, Term: last.Term, Voters: voters, Data: last.Data},
+				})
+			},
+			"crash": func(*rapid.T) { reopen() },
+			"fault": func(t *rapid.T) {
+				me.budget = rapid.IntRange(1, 6).Draw(t, "budget")
+				me.fault = rapid.SampledFrom([]fault{shortWrite, failedSync, fullDisk}).Draw(t, "fault")
+			},
+		})
+	})
+	if crashes == 0 || faults == 0 {
+		t.Fatalf("%d crashes and %d faults, want some of both", crashes, faults)
+	}
+}
+
+// written returns a folder with a log of three records, and the offset of
+// each and the end.
+func written(t *testing.T) (path string, data []byte, offsets []int, states []quorum.State) {
+	t.Helper()
+	path = t.TempDir()
+	st, state, re, err := Open(path, 7)
+	if err != nil || !re.Fresh {
+		t.Fatalf("Open = %+v, %v; want a fresh folder", re, err)
+	}
+	for i := range 3 {
+		data, err = os.ReadFile(filepath.Join(path, logName(1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		offsets, states = append(offsets, len(data)), append(states, state)
+		pe := quorum.Persist{From: quorum.Index(2*i + 1), HardState: quorum.HardState{Term: 3, Vote: "a"}}
+		pe.Entries = entries(pe.From, 2, 3)
+		if err := st.Save(pe); err != nil {
+			t.Fatal(err)
+		}
+		state = save(state, pe)
+	}
+	if data, err = os.ReadFile(filepath.Join(path, logName(1))); err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return path, data, append(offsets, len(data)), append(states, state)
+}
+
+// reopen writes the log file anew and opens the folder.
+func reopen(t *testing.T, path string, data []byte) (quorum.State, Report) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(path, logName(1)), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	st, state, re, err := Open(path, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return state, re
+}
+
+func TestTornTailIsCutAtEveryByte(t *testing.T) {
+	path, data, offsets, states := written(t)
+	last := offsets[2]
+	for end := last; end < len(data); end++ {
+		state, re := reopen(t, path, data[:end])
+		if !equal(state, states[2]) || re.CutBytes != end-last || re.Damage != "" {
+			t.Fatalf("cut at %d: found %+v with %+v", end, state, re)
+		}
+		broken := slices.Clone(data)
+		broken[end] ^= 0x40
+		state, re = reopen(t, path, broken)
+		if !equal(state, states[2]) || re.CutBytes != len(data)-last {
+			t.Fatalf("byte %d changed: found %+v with %+v", end, state, re)
+		}
+	}
+	if state, re := reopen(t, path, data); !equal(state, states[3]) || re.CutBytes != 0 || re.Records != 4 {
+		t.Fatalf("whole log: found %+v with %+v", state, re)
+	}
+}
+
+func TestDamageBeforeTheTailMakesBlank(t *testing.T) {
+	_, data, offsets, _ := written(t)
+	for at := range offsets[2] {
+		broken := slices.Clone(data)
+		broken[at] ^= 0x01
+		state, re := reopen(t, t.TempDir(), broken)
+		if re.Damage == "" || state.Incarnation < 8 || len(state.Entries) != 0 || state.HardState.Term != 0 {
+			t.Fatalf("byte %d changed: found %+v with %+v", at, state, re)
+		}
+	}
+	if _, re := reopen(t, t.TempDir(), nil); re.Damage == "" {
+		t.Fatalf("empty log: %+v, want damage", re)
+	}
+}
+
+func TestLostSnapshotMakesBlank(t *testing.T) {
+	path := t.TempDir()
+	st, _, _, err := Open(path, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Save(quorum.Persist{From: 1, Entries: entries(1, 3, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	sn := &quorum.Snapshot{Index: 3, Term: 1, Voters: voters, Data: []byte("content")}
+	if err := st.Save(quorum.Persist{From: 4, Snapshot: sn}); err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(filepath.Join(path, snapshotName(3))); err != nil {
+		t.Fatal(err)
+	}
+	st, state, re, err := Open(path, 7)
+	if err != nil || re.Damage == "" || state.Incarnation != 8 {
+		t.Fatalf("Open = %+v, %+v, %v; want damage and incarnation 8", state, re, err)
+	}
+	if _, _, _, err := Open(path, 9); !errors.Is(err, ErrOwned) {
+		t.Fatalf("second Open error = %v, want ErrOwned", err)
+	}
+	if err := st.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func ExampleOpen() {
+	path, err := os.MkdirTemp("", "store")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer func() { _ = os.RemoveAll(path) }()
+	st, _, re, _ := Open(path, 1)
+	fmt.Println("fresh:", re.Fresh)
+	_ = st.Save(quorum.Persist{From: 1, Entries: entries(1, 2, 1)})
+	_ = st.Close()
+	st, state, _, _ := Open(path, 2)
+	fmt.Println("entries:", len(state.Entries))
+	_ = st.Close()
+	// Output:
+	// fresh: true
+	// entries: 2
+}
