--- a/config/check.go
+++ b/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 
 	"camphortrail/call"
 	"camphortrail/schema"
@@ -157,9 +158,7 @@
 }
 
 func (ck *checker) request(at string, rk *schema.RequestKind) {
-	if !slices.Contains(methods, rk.GetMethod()) {
-		ck.text(join(at, "method"), rk.GetMethod(), "must be one of DELETE, GET, HEAD, OPTIONS, PATCH, POST, PUT")
-	}
+	ck.method(join(at, "method"), rk.GetMethod())
 	ck.prefix(join(at, "path-prefix"), rk)
 	if !ck.classes[rk.GetClass()] {
 		ck.text(join(at, "class"), rk.GetClass(), "is not a class of this configuration")
@@ -170,10 +169,15 @@
 	}
 }
 
+func (fs *findings) method(field, method string) {
+	if !slices.Contains(methods, method) {
+		fs.text(field, method, "must be one of "+strings.Join(methods, ", "))
+	}
+}
+
 func (ck *checker) prefix(field string, rk *schema.RequestKind) {
 	prefix := rk.GetPathPrefix()
-	if len(prefix) > maxPrefixBytes || !plainPath(prefix) {
-		ck.text(field, prefix, "must be up to 256 bytes, begin with / and have no empty or dot segments")
+	if !ck.plain(field, prefix) {
 		return
 	}
 	key := rk.GetMethod() + " " + normalPrefix(prefix)
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -24,6 +24,8 @@
 			_, err = config.Load(dir)
 		case "settings":
 			_, err = config.LoadSettings(filepath.Join(dir, "settings.json"))
+		case "fleet":
+			_, err = config.LoadFleet(filepath.Join(dir, "upstreams.json"))
 		default:
 			t.Fatalf("unknown command %q", td.Cmd)
 		}
