--- /dev/null
+++ b/route/event.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"time"
+
+	"camphortrail/call"
+)
+
+// Event is an input of a Table: Upsert, Remove, Suspect, Alive, Near, Sent,
+// Answered or Failed.
+type Event interface{ event() }
+
+// Upsert adds or changes an upstream of a service.
+type Upsert struct {
+	VM      call.VM
+	Service call.Service
+	Domain  call.FailureDomain
+	Slots   int
+	// WarmUp is the duration of a cold start. It begins when the VM is first
+	// seen and with each new incarnation.
+	WarmUp      time.Duration
+	Draining    bool
+	Incarnation uint64
+}
+
+// Remove deletes an upstream.
+type Remove struct {
+	VM      call.VM
+	Service call.Service
+}
+
+// Suspect marks a VM as unreachable for all its services.
+type Suspect struct{ VM call.VM }
+
+// Alive ends the effect of Suspect.
+type Alive struct{ VM call.VM }
+
+// Near names the other failure domains of the own region, which are
+// preferred to those of other regions.
+type Near struct{ Domains []call.FailureDomain }
+
+// Sent reports that an attempt was sent. Exactly one Answered or Failed
+// follows.
+type Sent struct {
+	Service call.Service
+	VM      call.VM
+}
+
+// Answered reports the answer to an attempt.
+type Answered struct {
+	Service call.Service
+	VM      call.VM
+	// Latency is the time since Sent.
+	Latency time.Duration
+	Outcome call.Outcome
+	// Level is the admission level that the guard returned.
+	Level call.Level
+	// Overload says that the guard refused the attempt for overload.
+	Overload bool
+}
+
+// Failed reports an attempt without an answer from its guard.
+type Failed struct {
+	Service call.Service
+	VM      call.VM
+	// Latency is the time since Sent.
+	Latency time.Duration
+	// Cancelled says that the attempt was given up by the own side, so that
+	// the VM is not to blame.
+	Cancelled bool
+}
+
+func (Upsert) event()   {}
+func (Remove) event()   {}
+func (Suspect) event()  {}
+func (Alive) event()    {}
+func (Near) event()     {}
+func (Sent) event()     {}
+func (Answered) event() {}
+func (Failed) event()   {}
