--- /dev/null
+++ b/internal/attempt/attempt.go
@@ -0,0 +1,151 @@
+// Package attempt describes one attempt to run a request on an upstream and
+// the answer to it, with their HTTP form between nodes.
+package attempt
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/internal/header"
+	"camphortrail/withdrawal"
+)
+
+// PathPrefix starts the path of attempts between nodes; the request URI of
+// the request follows.
+const PathPrefix = "/attempt"
+
+// ErrTooLarge is returned for a body over the bound of the configuration.
+var ErrTooLarge = errors.New("attempt: body is larger than the configuration allows")
+
+// ErrIncomplete is returned for a body that ends early, or whose end cannot
+// be told.
+var ErrIncomplete = errors.New("attempt: body is incomplete")
+
+// Attempt is one attempt to run a request on an upstream.
+type Attempt struct {
+	ID         call.AttemptID
+	Request    call.RequestID
+	Service    call.Service
+	Importance call.Importance
+	Depth      call.Depth
+	// Deadline is the time by which the answer must be at the caller.
+	Deadline time.Time
+	// Allowance is the number of retries that may be spent below.
+	Allowance  int
+	Idempotent bool
+	MaxAnswer  int64
+	// Stamp is the latest stamp known of the guard.
+	Stamp withdrawal.Stamp
+
+	Method string
+	URI    string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is what became of an attempt.
+type Answer struct {
+	Outcome call.Outcome
+	// Reason is set when the outcome is not Done.
+	Reason string
+	Status int
+	Header http.Header
+	Body   []byte
+	// Level is the admission level of the guard.
+	Level call.Level
+	// Unused is the number of retries that come back.
+	Unused int
+	// Overload is true when the attempt failed because a guard, here or
+	// further down, refused work for load.
+	Overload bool
+	// RetryAfter is the time after which a caller may come back.
+	RetryAfter time.Duration
+	// Work is the time that the upstream took.
+	Work time.Duration
+}
+
+// Refusal returns an answer for an attempt that did not begin.
+func Refusal(reason string, retryAfter time.Duration) *Answer {
+	return &Answer{Outcome: call.NotRun, Reason: reason, Status: http.StatusServiceUnavailable, RetryAfter: retryAfter}
+}
+
+// Broken returns an answer for an attempt that may have run.
+func Broken(reason string, status int) *Answer {
+	return &Answer{Outcome: call.Unknown, Reason: reason, Status: status}
+}
+
+// hopHeaders are not passed on, by RFC 9110 section 7.6.1.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// PassOn returns the headers of src that concern the ends of a call and not
+// one connection or the system itself.
+func PassOn(src http.Header) http.Header {
+	dst := make(http.Header, len(src))
+	named := strings.Split(strings.Join(src.Values("Connection"), ","), ",")
+	for name, values := range src {
+		if !strings.HasPrefix(name, header.Prefix) {
+			dst[name] = values
+		}
+	}
+	for _, name := range append(named, hopHeaders...) {
+		dst.Del(strings.TrimSpace(name))
+	}
+	return dst
+}
+
+// ReadBody reads a whole body of at most limit bytes. The stated length is -1
+// when it is not known.
+func ReadBody(body io.Reader, stated, limit int64) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	if stated > limit {
+		return nil, ErrTooLarge
+	}
+	var buf bytes.Buffer
+	if stated > 0 {
+		buf.Grow(int(stated) + bytes.MinRead)
+	}
+	read, err := buf.ReadFrom(io.LimitReader(body, limit+1))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(ErrIncomplete, err.Error())
+	case read > limit:
+		return nil, ErrTooLarge
+	case stated >= 0 && read != stated:
+		return nil, ErrIncomplete
+	}
+	return buf.Bytes(), nil
+}
+
+// Remaining returns the time until the deadline in the form of a header, at
+// least 0.
+func Remaining(now, deadline time.Time) string {
+	return strconv.FormatInt(max(0, deadline.Sub(now).Milliseconds()), 10)
+}
+
+// Failed reports whether the attempt did not bring what the caller asked for
+// in a way that another attempt may mend.
+func (an *Answer) Failed() bool {
+	if an.Outcome != call.Done {
+		return true
+	}
+	return an.Status == http.StatusBadGateway || an.Status == http.StatusServiceUnavailable ||
+		an.Status == http.StatusGatewayTimeout
+}
+
+// OnceBody returns a request body that net/http cannot rewind, so that its
+// transport does not send the request again by itself.
+func OnceBody(body []byte) io.ReadCloser {
+	return io.NopCloser(bytes.NewReader(body))
+}
--- /dev/null
+++ b/internal/guard/duty.go
@@ -0,0 +1,118 @@
+package guard
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"camphortrail/admission"
+	"camphortrail/call"
+	"camphortrail/ring"
+)
+
+const (
+	admissionRingSize = 8192
+	idleWake          = time.Hour
+)
+
+// machine is what decides on admission: admission.Machine or a baseline.
+type machine interface {
+	Step(now time.Time, ev admission.Event) []admission.Action
+	NextWake(now time.Time) (time.Time, bool)
+	Level() call.Level
+	Running() int
+	Waiting() int
+	Slots() int
+}
+
+// verdict is the decision on one attempt.
+type verdict struct {
+	start      bool
+	reason     admission.Reason
+	retryAfter time.Duration
+}
+
+// ticket is an attempt that waits for admission or runs.
+type ticket struct {
+	verdict chan verdict
+	abort   context.CancelFunc
+}
+
+// input is an event for the admission duty. The ticket is set for arrivals.
+type input struct {
+	event  admission.Event
+	ticket *ticket
+}
+
+// duty owns the admission machine in one goroutine.
+type duty struct {
+	machine machine
+	inputs  *ring.Ring[input]
+	tickets map[call.AttemptID]*ticket
+
+	level, running, waiting, slots atomic.Int64
+}
+
+func newDuty(mc machine) *duty {
+	return &duty{
+		machine: mc,
+		inputs:  ring.New[input](admissionRingSize),
+		tickets: make(map[call.AttemptID]*ticket),
+	}
+}
+
+// run applies inputs until ctx ends.
+func (du *duty) run(ctx context.Context) {
+	timer := time.NewTimer(idleWake)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-du.inputs.Out():
+			du.apply(in)
+		case <-timer.C:
+			du.apply(input{event: admission.Tick{}})
+		}
+		now := time.Now()
+		wake := idleWake
+		if at, ok := du.machine.NextWake(now); ok {
+			wake = max(0, at.Sub(now))
+		}
+		timer.Reset(wake)
+	}
+}
+
+func (du *duty) apply(in input) {
+	switch ev := in.event.(type) {
+	case admission.Arrive:
+		du.tickets[ev.ID] = in.ticket
+	case admission.Finish:
+		delete(du.tickets, ev.ID)
+	}
+	for _, ac := range du.machine.Step(time.Now(), in.event) {
+		du.perform(ac)
+	}
+	du.level.Store(int64(du.machine.Level()))
+	du.running.Store(int64(du.machine.Running()))
+	du.waiting.Store(int64(du.machine.Waiting()))
+	du.slots.Store(int64(du.machine.Slots()))
+}
+
+func (du *duty) perform(ac admission.Action) {
+	switch ac := ac.(type) {
+	case *admission.Start:
+		if tk, ok := du.tickets[ac.ID]; ok {
+			tk.verdict <- verdict{start: true}
+		}
+	case *admission.Refuse:
+		if tk, ok := du.tickets[ac.ID]; ok {
+			delete(du.tickets, ac.ID)
+			tk.verdict <- verdict{reason: ac.Reason, retryAfter: ac.RetryAfter}
+		}
+	case *admission.Abort:
+		if tk, ok := du.tickets[ac.ID]; ok {
+			tk.abort()
+		}
+	}
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,245 @@
+// Package guard admits attempts to the upstream beside a node, runs them there
+// and holds each answer until it is whole.
+package guard
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"camphortrail/admission"
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/tree"
+	"camphortrail/membership"
+	"camphortrail/retry"
+	"camphortrail/withdrawal"
+)
+
+// Reasons of refusals and of unknown outcomes.
+const (
+	ReasonDuplicate = "duplicate-attempt"
+	ReasonWithdrawn = "withdrawn"
+	ReasonStale     = "stale-stamp"
+	ReasonFull      = "full"
+	ReasonBroken    = "broken-answer"
+	ReasonDeadline  = "deadline"
+)
+
+const (
+	fullRetryAfter = 500 * time.Millisecond
+	cancelTimeout  = time.Second
+)
+
+// Options describe a guard.
+type Options struct {
+	Trees *tree.Trees
+	// FIFO replaces the admission policy by one that takes work in the order
+	// of arrival without bound.
+	FIFO bool
+	// Admission tunes the policy.
+	Admission admission.Settings
+	// Seed makes the choices of the guard repeatable.
+	Seed uint64
+	// Incarnation identifies this run of the guard.
+	Incarnation withdrawal.Incarnation
+}
+
+// Guard runs attempts on the upstream beside its node. Its methods are safe
+// for concurrent use.
+type Guard struct {
+	trees    *tree.Trees
+	duty     *duty
+	client   *http.Client
+	upstream atomic.Pointer[membership.Upstream]
+	active   sync.WaitGroup
+
+	mu       sync.Mutex
+	registry *withdrawal.Registry[*attempt.Answer]
+}
+
+// New returns a guard without an upstream.
+func New(opt Options) *Guard {
+	var mc machine = newFIFO()
+	if !opt.FIFO {
+		mc = admission.New(opt.Admission, rand.New(rand.NewPCG(opt.Seed, opt.Seed)))
+	}
+	return &Guard{
+		trees:    opt.Trees,
+		duty:     newDuty(mc),
+		client:   newClient(),
+		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
+	}
+}
+
+// Run decides on admission until ctx ends.
+func (gd *Guard) Run(ctx context.Context) error {
+	gd.duty.run(ctx)
+	gd.client.CloseIdleConnections()
+	return nil
+}
+
+// SetUpstream states what the upstream has announced. A nil upstream has left.
+func (gd *Guard) SetUpstream(ctx context.Context, up *membership.Upstream) error {
+	old := gd.upstream.Swap(up)
+	if up == nil || up.Draining {
+		return gd.duty.inputs.Put(ctx, input{event: admission.Leave{}})
+	}
+	if old == nil || old.Draining {
+		if err := gd.duty.inputs.Put(ctx, input{event: admission.Resume{}}); err != nil {
+			return err
+		}
+	}
+	ev := admission.Announce{Slots: int(up.Slots), WarmUp: up.WarmUp, Restarted: old == nil}
+	return gd.duty.inputs.Put(ctx, input{event: ev})
+}
+
+// Load describes the work of a guard.
+type Load struct {
+	Slots, Running, Waiting int
+	Level                   call.Level
+}
+
+// Load returns the present work.
+func (gd *Guard) Load() Load {
+	return Load{
+		Slots:   int(gd.duty.slots.Load()),
+		Running: int(gd.duty.running.Load()),
+		Waiting: int(gd.duty.waiting.Load()),
+		Level:   gd.level(),
+	}
+}
+
+func (gd *Guard) level() call.Level { return call.Level(gd.duty.level.Load()) }
+
+// Wait waits until no attempt is handled any more. No attempt may arrive
+// meanwhile.
+func (gd *Guard) Wait() { gd.active.Wait() }
+
+// Stamp returns the stamp of the guard at present.
+func (gd *Guard) Stamp() withdrawal.Stamp {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	return gd.registry.Stamp(time.Now())
+}
+
+// Handle runs an attempt and returns its answer. When ctx ends, waiting work is
+// refused and running idempotent work is aborted.
+func (gd *Guard) Handle(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
+	gd.active.Add(1)
+	defer gd.active.Done()
+	an := gd.begin(at)
+	if an == nil {
+		an = gd.admit(ctx, at)
+	}
+	an.Level = gd.level()
+	return an
+}
+
+// begin registers the attempt. It returns an answer if that is refused.
+func (gd *Guard) begin(at *attempt.Attempt) *attempt.Answer {
+	rs := gd.step(withdrawal.Begin[*attempt.Answer]{Attempt: at.ID, Stamp: at.Stamp, Idempotent: at.Idempotent})
+	switch rs.Decision {
+	case withdrawal.Accepted:
+		return nil
+	case withdrawal.Duplicate:
+		return attempt.Broken(ReasonDuplicate, http.StatusConflict)
+	case withdrawal.Withdrawn:
+		return attempt.Refusal(ReasonWithdrawn, 0)
+	case withdrawal.Stale:
+		return attempt.Refusal(ReasonStale, 0)
+	default:
+		return attempt.Refusal(ReasonFull, fullRetryAfter)
+	}
+}
+
+func (gd *Guard) step(ev withdrawal.Event[*attempt.Answer]) withdrawal.Result[*attempt.Answer] {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	return gd.registry.Step(time.Now(), ev)
+}
+
+// admit asks for admission and runs the attempt once it is granted.
+func (gd *Guard) admit(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
+	runCtx, abort := context.WithDeadline(context.WithoutCancel(ctx), at.Deadline)
+	defer abort()
+	tk := &ticket{verdict: make(chan verdict, 1), abort: abort}
+	arrival := admission.Arrive{
+		ID: at.ID, Importance: at.Importance, Cohort: at.Request.Cohort(), Depth: at.Depth,
+		Deadline: at.Deadline, Abortable: at.Idempotent,
+	}
+	if !gd.duty.inputs.Offer(input{event: arrival, ticket: tk}) {
+		gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
+		return attempt.Refusal(ReasonFull, fullRetryAfter)
+	}
+	stop := context.AfterFunc(ctx, func() { gd.cancel(at.ID) })
+	defer stop()
+	vd := <-tk.verdict
+	if !vd.start {
+		gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
+		an := attempt.Refusal(vd.reason.String(), vd.retryAfter)
+		an.Overload = vd.reason.Load()
+		return an
+	}
+	return gd.execute(runCtx, at)
+}
+
+// cancel tells the admission duty that nobody waits for the attempt.
+func (gd *Guard) cancel(id call.AttemptID) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	_ = gd.duty.inputs.Put(ctx, input{event: admission.Cancel{ID: id}})
+}
+
+// execute runs an admitted attempt, and gives its slot back.
+func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
+	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline}
+	fin := admission.Finish{ID: at.ID}
+	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin}) }()
+	if gd.step(withdrawal.Start[*attempt.Answer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
+		return attempt.Refusal(ReasonWithdrawn, 0)
+	}
+	open := retry.OpenAttempt{Attempt: at.ID, Allowance: retry.Allowance(at.Allowance), Deadline: at.Deadline}
+	if gd.trees.Step(time.Now(), open).Decision != retry.FirstSend {
+		gd.step(withdrawal.Abort[*attempt.Answer]{Attempt: at.ID})
+		return attempt.Broken(ReasonFull, http.StatusServiceUnavailable)
+	}
+	gd.trees.Enter(in)
+	begun := time.Now()
+	an := gd.forward(ctx, at)
+	ended := time.Now()
+	gd.trees.Exit(at.ID)
+	unused := gd.trees.Step(ended, retry.Close{Account: retry.OfAttempt(at.ID)})
+	waited, overload := in.Downstream(ended)
+	an.Unused = int(unused.Allowance)
+	an.Work = ended.Sub(begun)
+	an.Overload = an.Overload || overload && an.Failed()
+	fin.OK, fin.Downstream = an.Outcome == call.Done, waited
+	gd.record(at, an)
+	return an
+}
+
+// record keeps the answer for a later question about the attempt.
+func (gd *Guard) record(at *attempt.Attempt, an *attempt.Answer) {
+	if an.Outcome == call.Unknown {
+		gd.step(withdrawal.Abort[*attempt.Answer]{Attempt: at.ID})
+		return
+	}
+	gd.step(withdrawal.Finish[*attempt.Answer]{Attempt: at.ID, Answer: an, Bytes: len(an.Body)})
+}
+
+// Withdraw reports the state of an attempt. Unless inspect is set, an attempt
+// that has not begun is prevented from beginning.
+func (gd *Guard) Withdraw(id call.AttemptID, sp withdrawal.Stamp, inspect bool) withdrawal.Result[*attempt.Answer] {
+	if inspect {
+		return gd.step(withdrawal.Inspect[*attempt.Answer]{Attempt: id, Stamp: sp})
+	}
+	rs := gd.step(withdrawal.Withdraw[*attempt.Answer]{Attempt: id, Stamp: sp})
+	if rs.State == withdrawal.Dequeued {
+		gd.cancel(id)
+	}
+	return rs
+}
--- /dev/null
+++ b/internal/tree/tree.go
@@ -0,0 +1,102 @@
+// Package tree keeps, on one node, the call trees that pass through it: the
+// attempts that run on the upstream beside the node, whose calls come back to
+// the same node, and the retry accounts of both.
+package tree
+
+import (
+	"sync"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/retry"
+)
+
+// Trees holds the call trees of one node. It is safe for concurrent use.
+type Trees struct {
+	mu      sync.Mutex
+	ledger  *retry.Ledger
+	inbound map[call.AttemptID]*Inbound
+}
+
+// New returns Trees without any.
+func New(lim retry.Limits) *Trees {
+	return &Trees{ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound)}
+}
+
+// Step applies an event to the retry ledger.
+func (tr *Trees) Step(now time.Time, ev retry.Event) retry.Result {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.ledger.Step(now, ev)
+}
+
+// Enter registers an attempt that is about to run on the upstream.
+func (tr *Trees) Enter(in *Inbound) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.inbound[in.ID] = in
+}
+
+// Exit removes an attempt that has ended.
+func (tr *Trees) Exit(id call.AttemptID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	delete(tr.inbound, id)
+}
+
+// Inbound returns the running attempt with the given id.
+func (tr *Trees) Inbound(id call.AttemptID) (*Inbound, bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	in, ok := tr.inbound[id]
+	return in, ok
+}
+
+// Inbound is an attempt that runs on the upstream beside the node.
+type Inbound struct {
+	ID         call.AttemptID
+	Request    call.RequestID
+	Importance call.Importance
+	Depth      call.Depth
+	Deadline   time.Time
+
+	mu       sync.Mutex
+	calls    int
+	since    time.Time
+	waited   time.Duration
+	overload bool
+}
+
+// BeginCall notes that the upstream waits for a call of its own.
+func (in *Inbound) BeginCall(now time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.calls == 0 {
+		in.since = now
+	}
+	in.calls++
+}
+
+// EndCall notes that a call has ended, and whether it failed because work was
+// refused for load.
+func (in *Inbound) EndCall(now time.Time, overload bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.calls--
+	if in.calls == 0 {
+		in.waited += now.Sub(in.since)
+	}
+	in.overload = in.overload || overload
+}
+
+// Downstream returns the time in which the upstream waited for at least one
+// call, and whether any call failed because work was refused for load.
+func (in *Inbound) Downstream(now time.Time) (waited time.Duration, overload bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	waited = in.waited
+	if in.calls > 0 {
+		waited += now.Sub(in.since)
+	}
+	return waited, in.overload
+}
