--- /dev/null
+++ b/internal/expiry/expiry.go
@@ -0,0 +1,96 @@
+// Package expiry orders the entries of bounded tables by the time at which
+// they expire.
+package expiry
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Item is the place of one entry in a Queue. It is usually a field of the
+// entry. The zero Item is in no queue.
+type Item[T any] struct {
+	Value T
+
+	at time.Time
+	// place is the index in the queue plus one, or zero.
+	place int
+}
+
+// Queue orders items by time. The zero Queue is empty. It is not safe for
+// concurrent use.
+type Queue[T any] struct {
+	items items[T]
+}
+
+// Len returns the number of items.
+func (qu *Queue[T]) Len() int { return len(qu.items) }
+
+// Set puts it at the time at, and moves it when it is already in the queue.
+func (qu *Queue[T]) Set(it *Item[T], at time.Time) {
+	it.at = at
+	if it.place > 0 {
+		heap.Fix(&qu.items, it.place-1)
+		return
+	}
+	heap.Push(&qu.items, it)
+}
+
+// Remove takes it out of the queue, if it is there.
+func (qu *Queue[T]) Remove(it *Item[T]) {
+	if it.place > 0 {
+		heap.Remove(&qu.items, it.place-1)
+	}
+}
+
+// Next returns the earliest time in the queue.
+func (qu *Queue[T]) Next() (time.Time, bool) {
+	if len(qu.items) == 0 {
+		return time.Time{}, false
+	}
+	return qu.items[0].at, true
+}
+
+// Pop takes the earliest item out.
+func (qu *Queue[T]) Pop() (T, bool) {
+	if len(qu.items) == 0 {
+		var zero T
+		return zero, false
+	}
+	return heap.Pop(&qu.items).(*Item[T]).Value, true
+}
+
+// PopBefore takes the earliest item out if its time is now or earlier.
+func (qu *Queue[T]) PopBefore(now time.Time) (T, bool) {
+	if len(qu.items) == 0 || qu.items[0].at.After(now) {
+		var zero T
+		return zero, false
+	}
+	return qu.Pop()
+}
+
+// items implements heap.Interface.
+type items[T any] []*Item[T]
+
+func (its items[T]) Len() int           { return len(its) }
+func (its items[T]) Less(i, j int) bool { return its[i].at.Before(its[j].at) }
+
+func (its items[T]) Swap(i, j int) {
+	its[i], its[j] = its[j], its[i]
+	its[i].place, its[j].place = i+1, j+1
+}
+
+func (its *items[T]) Push(v any) {
+	it := v.(*Item[T])
+	*its = append(*its, it)
+	it.place = len(*its)
+}
+
+func (its *items[T]) Pop() any {
+	last := len(*its) - 1
+	it := (*its)[last]
+	(*its)[last] = nil
+	*its = (*its)[:last]
+	it.place = 0
+	return it
+}
--- /dev/null
+++ b/retry/account.go
@@ -0,0 +1,90 @@
+package retry
+
+import (
+	"slices"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/expiry"
+)
+
+// account is what one root request or inbound attempt may still spend.
+type account struct {
+	id       AccountID
+	left     Allowance
+	closed   bool
+	deadline time.Time
+	// resends is the highest number of a resend seen.
+	resends uint32
+	calls   []Digest
+	sends   []escrow
+	item    expiry.Item[*account]
+}
+
+// escrow is the allowance that an attempt in flight carries.
+type escrow struct {
+	attempt   call.AttemptID
+	allowance Allowance
+}
+
+func (ac *account) usable(now time.Time) bool {
+	return !ac.closed && now.Before(ac.deadline)
+}
+
+func (ac *account) spend() bool {
+	if ac.left == 0 {
+		return false
+	}
+	ac.left--
+	return true
+}
+
+// first reports whether the call is new, and remembers it. A call that
+// cannot be remembered counts as a repeat.
+func (ac *account) first(dg Digest, limit int) bool {
+	if len(ac.calls) >= limit || slices.Contains(ac.calls, dg) {
+		return false
+	}
+	ac.calls = append(ac.calls, dg)
+	return true
+}
+
+// send moves the larger half of the allowance to the attempt: retries next
+// to a failure repeat less work than those above it.
+func (ac *account) send(at call.AttemptID, limit int) Allowance {
+	carry := ac.left - ac.left/2
+	if carry == 0 || len(ac.sends) >= limit || ac.find(at) >= 0 {
+		return 0
+	}
+	ac.left -= carry
+	ac.sends = append(ac.sends, escrow{at, carry})
+	return carry
+}
+
+func (ac *account) settle(at call.AttemptID, unused Allowance) Allowance {
+	i := ac.find(at)
+	if i < 0 {
+		return 0
+	}
+	credit := min(unused, ac.sends[i].allowance)
+	ac.sends = slices.Delete(ac.sends, i, i+1)
+	ac.left += credit
+	return credit
+}
+
+// close forfeits what is in flight. An attempt's account hands over what is
+// left; a root request's keeps it.
+func (ac *account) close() Allowance {
+	left := ac.left
+	ac.closed = true
+	ac.sends = nil
+	ac.calls = nil
+	if !ac.id.root {
+		ac.left = 0
+	}
+	return left
+}
+
+func (ac *account) find(at call.AttemptID) int {
+	return slices.IndexFunc(ac.sends, func(es escrow) bool { return es.attempt == at })
+}
--- /dev/null
+++ b/withdrawal/registry.go
@@ -0,0 +1,140 @@
+// Package withdrawal finds out what became of attempts whose answers do not
+// come. A Registry at the guard records the state of each attempt, and fences
+// attempts that have not begun; a Suspicion at the entry finds connections
+// that went silent; a History tells the entry whether a request may be sent
+// again, and what its caller may be told.
+package withdrawal
+
+import (
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/expiry"
+)
+
+// Registry holds the attempts of one guard. It is not safe for concurrent
+// use.
+//
+// An attempt is remembered until its stamp is stale. From then on a late copy
+// of it is refused by its stamp, and a question about it is answered with
+// Unknown. So nothing that was forgotten can be reported as not run.
+type Registry[A any] struct {
+	lim   Limits
+	self  Incarnation
+	start time.Time
+	// horizon is the latest stamp whose attempts may have been forgotten.
+	horizon time.Duration
+	records map[call.AttemptID]*record[A]
+	ended   expiry.Queue[*record[A]]
+	live    expiry.Queue[*record[A]]
+	answers expiry.Queue[*record[A]]
+	bytes   int
+}
+
+// NewRegistry returns a registry for the guard's run self, which began at the
+// time start.
+func NewRegistry[A any](self Incarnation, start time.Time, lim Limits) *Registry[A] {
+	return &Registry[A]{
+		lim:     lim,
+		self:    self,
+		start:   start,
+		horizon: -1,
+		records: make(map[call.AttemptID]*record[A]),
+	}
+}
+
+// Len returns the number of attempts and fences held.
+func (rg *Registry[A]) Len() int { return len(rg.records) }
+
+// Stamp returns the guard's stamp at the time now.
+func (rg *Registry[A]) Stamp(now time.Time) Stamp {
+	return Stamp{Incarnation: rg.self, Since: now.Sub(rg.start)}
+}
+
+// Step applies ev at the time now.
+func (rg *Registry[A]) Step(now time.Time, ev Event[A]) Result[A] {
+	rg.expire(now)
+	switch ev := ev.(type) {
+	case Begin[A]:
+		return rg.begin(now, ev)
+	case Start[A]:
+		return rg.move(ev.Attempt, Queued, Running)
+	case Refuse[A]:
+		return rg.move(ev.Attempt, Queued, Dequeued)
+	case Abort[A]:
+		return rg.move(ev.Attempt, Running, Finished)
+	case Finish[A]:
+		return rg.finish(now, ev)
+	case Withdraw[A]:
+		return rg.withdraw(now, ev)
+	case Inspect[A]:
+		return rg.inspect(now, ev)
+	}
+	return Result[A]{}
+}
+
+func (rg *Registry[A]) begin(now time.Time, ev Begin[A]) Result[A] {
+	rc := rg.records[ev.Attempt]
+	if rc == nil {
+		_, dec := rg.add(now, ev.Attempt, ev.Stamp, Queued)
+		return Result[A]{Decision: dec}
+	}
+	res := rc.result()
+	res.Decision = Duplicate
+	if rc.state == Fenced {
+		res.Decision = Withdrawn
+	}
+	return res
+}
+
+// move takes an attempt from one state to another, and rejects it in any
+// other state.
+func (rg *Registry[A]) move(id call.AttemptID, from, to State) Result[A] {
+	rc := rg.records[id]
+	if rc == nil || rc.state != from {
+		return Result[A]{Decision: Rejected}
+	}
+	if to == Running {
+		rc.state = Running
+	} else {
+		rg.end(rc, to)
+	}
+	return Result[A]{Decision: Accepted, State: to}
+}
+
+func (rg *Registry[A]) finish(now time.Time, ev Finish[A]) Result[A] {
+	res := rg.move(ev.Attempt, Running, Finished)
+	if res.Decision == Accepted {
+		rg.keep(now, rg.records[ev.Attempt], ev.Answer, ev.Bytes)
+	}
+	return res
+}
+
+func (rg *Registry[A]) withdraw(now time.Time, ev Withdraw[A]) Result[A] {
+	rc := rg.records[ev.Attempt]
+	if rc == nil {
+		if _, dec := rg.add(now, ev.Attempt, ev.Stamp, Fenced); dec != Accepted {
+			return Result[A]{State: Unknown}
+		}
+		return Result[A]{Decision: Accepted, State: Fenced}
+	}
+	if rc.state == Queued {
+		rg.end(rc, Dequeued)
+	}
+	res := rc.result()
+	res.Decision = Accepted
+	return res
+}
+
+func (rg *Registry[A]) inspect(now time.Time, ev Inspect[A]) Result[A] {
+	rc := rg.records[ev.Attempt]
+	switch {
+	case rc != nil:
+		res := rc.result()
+		res.Decision = Accepted
+		return res
+	case rg.fresh(now, ev.Stamp):
+		return Result[A]{Decision: Accepted, State: Unseen}
+	}
+	return Result[A]{State: Unknown}
+}
--- /dev/null
+++ b/withdrawal/stamp.go
@@ -0,0 +1,56 @@
+package withdrawal
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrBadStamp is returned for text that is not a stamp.
+var ErrBadStamp = errors.New("withdrawal: stamp is not 32 hexadecimal digits")
+
+// Incarnation identifies one run of a guard's process. It is drawn at random
+// when the process starts, and is not zero.
+type Incarnation uint64
+
+// Stamp is a reading of a guard's own clock. The guard puts it on every
+// acknowledgement, refusal and answer; an entry puts the latest one that it
+// has from the guard on each attempt. It proves to the guard that the attempt
+// was sent after that reading, without clocks that agree. The zero Stamp is
+// stale at every guard.
+type Stamp struct {
+	Incarnation Incarnation
+	// Since is the time since the incarnation began.
+	Since time.Duration
+}
+
+// String returns the stamp as 32 hexadecimal digits.
+func (sp Stamp) String() string {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(sp.Incarnation))
+	binary.BigEndian.PutUint64(b[8:], uint64(sp.Since))
+	return hex.EncodeToString(b[:])
+}
+
+// ParseStamp returns the stamp written as s.
+func ParseStamp(s string) (Stamp, error) {
+	var b [16]byte
+	if len(s) != 2*len(b) {
+		return Stamp{}, ErrBadStamp
+	}
+	if _, err := hex.Decode(b[:], []byte(s)); err != nil {
+		return Stamp{}, ErrBadStamp
+	}
+	return Stamp{
+		Incarnation: Incarnation(binary.BigEndian.Uint64(b[:8])),
+		Since:       time.Duration(binary.BigEndian.Uint64(b[8:])),
+	}, nil
+}
+
+// Later reports whether sp replaces the stamp old of the same guard. A stamp
+// of another incarnation always does.
+func (sp Stamp) Later(old Stamp) bool {
+	return sp.Incarnation != old.Incarnation || sp.Since > old.Since
+}
--- /dev/null
+++ b/withdrawal/suspicion.go
@@ -0,0 +1,91 @@
+package withdrawal
+
+import (
+	"time"
+
+	"camphortrail/call"
+)
+
+// ConnID identifies one connection of an entry.
+type ConnID uint64
+
+// Signal is an input of a Suspicion.
+type Signal interface{ signal() }
+
+// Sent reports an attempt sent on a connection.
+type Sent struct {
+	Conn    ConnID
+	Attempt call.AttemptID
+	VM      call.VM
+	// Expected is the usual time until the answer, or zero if not known.
+	Expected time.Duration
+	Deadline time.Time
+}
+
+// Acked reports the guard's acknowledgement of an attempt.
+type Acked struct {
+	Attempt call.AttemptID
+}
+
+// Settled reports that nothing more is to be found out about an attempt: its
+// answer came, its state is final, or its request ended.
+type Settled struct {
+	Attempt call.AttemptID
+}
+
+// Failed reports that sending an attempt, or reading its answer, failed.
+type Failed struct {
+	Attempt call.AttemptID
+}
+
+// Gone reports that a connection was closed.
+type Gone struct {
+	Conn ConnID
+}
+
+// Passed reports that time has passed. It is due at NextWake.
+type Passed struct{}
+
+func (Sent) signal()    {}
+func (Acked) signal()   {}
+func (Settled) signal() {}
+func (Failed) signal()  {}
+func (Gone) signal()    {}
+func (Passed) signal()  {}
+
+// Action is an output of a Suspicion.
+type Action interface{ action() }
+
+// MarkSuspect tells that a connection must take no new work.
+type MarkSuspect struct {
+	Conn ConnID
+}
+
+// Query asks for the state of an attempt, on a new connection to the VM.
+type Query struct {
+	Attempt call.AttemptID
+	VM      call.VM
+	// Withdraw is set when an attempt that has not begun is to be
+	// withdrawn. Otherwise it may go on waiting.
+	Withdraw bool
+}
+
+// CloseConn closes a suspect connection that holds no more attempts.
+type CloseConn struct {
+	Conn ConnID
+}
+
+func (MarkSuspect) action() {}
+func (Query) action()       {}
+func (CloseConn) action()   {}
+
+// SuspicionLimits bounds a Suspicion. What exceeds them is not watched.
+type SuspicionLimits struct {
+	Conns    int
+	Attempts int
+}
+
+// DefaultSuspicionLimits returns the limits of one entry.
+func DefaultSuspicionLimits() SuspicionLimits {
+	return SuspicionLimits{Conns: 1 << 14, Attempts: 1 << 16}
+}
--- /dev/null
+++ b/withdrawal/watch.go
@@ -0,0 +1,288 @@
+package withdrawal
+
+import (
+	"slices"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/expiry"
+)
+
+// Bounds of the waiting times.
+const (
+	// minAckWait and maxAckWait bound the wait for an acknowledgement.
+	minAckWait = 100 * time.Millisecond
+	maxAckWait = 400 * time.Millisecond
+	// firstAckWait applies to a VM without measured round trips.
+	firstAckWait = 250 * time.Millisecond
+	// minPollWait and maxPollWait bound the time between two queries about
+	// one attempt.
+	minPollWait = 150 * time.Millisecond
+	maxPollWait = 2 * time.Second
+	// lateTolerance is the delay of a due Passed from which the process
+	// itself counts as having stalled.
+	lateTolerance = 25 * time.Millisecond
+	// maxStall bounds the time by which stalls put off a suspicion.
+	maxStall = 500 * time.Millisecond
+)
+
+// Suspicion finds connections that went silent, and attempts whose answers
+// were lost, at one entry. It is not safe for concurrent use.
+type Suspicion struct {
+	lim      SuspicionLimits
+	conns    map[ConnID]*conn
+	attempts map[call.AttemptID]*pending
+	vms      map[call.VM]*roundTrip
+	wakes    expiry.Queue[*pending]
+	// grace is the time before which nothing is suspected.
+	grace time.Time
+	acts  []Action
+}
+
+// conn is a connection with the attempts that it holds, oldest first.
+type conn struct {
+	id      ConnID
+	vm      call.VM
+	suspect bool
+	holds   []*pending
+}
+
+// pending is an attempt without an answer.
+type pending struct {
+	id       call.AttemptID
+	conn     *conn
+	vm       call.VM
+	sent     time.Time
+	acked    bool
+	expected time.Duration
+	poll     time.Duration
+	deadline time.Time
+	item     expiry.Item[*pending]
+}
+
+// NewSuspicion returns a Suspicion without connections.
+func NewSuspicion(lim SuspicionLimits) *Suspicion {
+	return &Suspicion{
+		lim:      lim,
+		conns:    make(map[ConnID]*conn),
+		attempts: make(map[call.AttemptID]*pending),
+		vms:      make(map[call.VM]*roundTrip),
+	}
+}
+
+// NextWake returns the time at which Passed is due.
+func (su *Suspicion) NextWake() (time.Time, bool) {
+	at, ok := su.wakes.Next()
+	if ok && at.Before(su.grace) {
+		return su.grace, true
+	}
+	return at, ok
+}
+
+// Suspect reports whether the connection must take no new work.
+func (su *Suspicion) Suspect(id ConnID) bool {
+	cn := su.conns[id]
+	return cn != nil && cn.suspect
+}
+
+// Step applies sg at the time now. The result is valid until the next Step.
+func (su *Suspicion) Step(now time.Time, sg Signal) []Action {
+	su.acts = su.acts[:0]
+	switch sg := sg.(type) {
+	case Sent:
+		su.sent(now, sg)
+	case Acked:
+		su.acked(now, sg.Attempt)
+	case Settled:
+		su.settled(sg.Attempt)
+	case Failed:
+		su.failed(now, sg.Attempt)
+	case Gone:
+		su.gone(now, sg.Conn)
+	case Passed:
+		su.passed(now)
+	}
+	return su.acts
+}
+
+func (su *Suspicion) sent(now time.Time, sg Sent) {
+	cn := su.connect(sg.Conn, sg.VM)
+	if cn == nil || su.attempts[sg.Attempt] != nil || len(su.attempts) >= su.lim.Attempts {
+		return
+	}
+	pe := &pending{
+		id:       sg.Attempt,
+		conn:     cn,
+		vm:       cn.vm,
+		sent:     now,
+		expected: sg.Expected,
+		deadline: sg.Deadline,
+	}
+	pe.item.Value = pe
+	su.attempts[pe.id] = pe
+	cn.holds = append(cn.holds, pe)
+	su.wake(pe, now.Add(su.vms[cn.vm].wait()))
+}
+
+// connect returns the connection, and adds it if there is room.
+func (su *Suspicion) connect(id ConnID, vm call.VM) *conn {
+	if cn := su.conns[id]; cn != nil {
+		return cn
+	}
+	if len(su.conns) >= su.lim.Conns {
+		return nil
+	}
+	cn := &conn{id: id, vm: vm}
+	su.conns[id] = cn
+	rt := su.vms[vm]
+	if rt == nil {
+		rt = &roundTrip{}
+		su.vms[vm] = rt
+	}
+	rt.conns++
+	return cn
+}
+
+func (su *Suspicion) acked(now time.Time, id call.AttemptID) {
+	pe := su.attempts[id]
+	if pe == nil || pe.acked {
+		return
+	}
+	pe.acked = true
+	if rt := su.vms[pe.vm]; rt != nil {
+		rt.sample(now.Sub(pe.sent))
+	}
+	if pe.conn == nil || pe.conn.suspect {
+		return
+	}
+	su.wake(pe, now.Add(su.pollWait(pe)))
+}
+
+func (su *Suspicion) settled(id call.AttemptID) {
+	pe := su.attempts[id]
+	if pe == nil {
+		return
+	}
+	delete(su.attempts, id)
+	su.wakes.Remove(&pe.item)
+	su.leave(pe)
+}
+
+// leave takes the attempt off its connection, and closes a suspect one that
+// holds no more.
+func (su *Suspicion) leave(pe *pending) {
+	cn := pe.conn
+	if cn == nil {
+		return
+	}
+	pe.conn = nil
+	if i := slices.Index(cn.holds, pe); i >= 0 {
+		cn.holds = slices.Delete(cn.holds, i, i+1)
+	}
+	if cn.suspect && len(cn.holds) == 0 {
+		su.acts = append(su.acts, CloseConn{Conn: cn.id})
+	}
+}
+
+func (su *Suspicion) failed(now time.Time, id call.AttemptID) {
+	pe := su.attempts[id]
+	if pe == nil {
+		return
+	}
+	su.leave(pe)
+	su.query(now, pe)
+}
+
+func (su *Suspicion) gone(now time.Time, id ConnID) {
+	cn := su.conns[id]
+	if cn == nil {
+		return
+	}
+	delete(su.conns, id)
+	for _, pe := range cn.holds {
+		pe.conn = nil
+		su.query(now, pe)
+	}
+	rt := su.vms[cn.vm]
+	if rt.conns--; rt.conns == 0 {
+		delete(su.vms, cn.vm)
+	}
+}
+
+func (su *Suspicion) passed(now time.Time) {
+	if su.stalled(now) {
+		return
+	}
+	for {
+		pe, ok := su.wakes.PopBefore(now)
+		if !ok {
+			return
+		}
+		su.overdue(now, pe)
+	}
+}
+
+// stalled reports whether the process woke up late, or did so a moment ago:
+// acknowledgements may wait to be read.
+func (su *Suspicion) stalled(now time.Time) bool {
+	at, ok := su.NextWake()
+	if !ok {
+		return false
+	}
+	first, _ := su.wakes.Next()
+	late := now.Sub(at)
+	if late > lateTolerance && now.Sub(first) < maxStall {
+		su.grace = now.Add(minAckWait / 2)
+	}
+	return now.Before(su.grace)
+}
+
+func (su *Suspicion) overdue(now time.Time, pe *pending) {
+	switch cn := pe.conn; {
+	case !now.Before(pe.deadline):
+		delete(su.attempts, pe.id)
+		su.leave(pe)
+	case pe.acked || cn == nil || cn.suspect:
+		su.query(now, pe)
+	default:
+		su.suspect(now, cn)
+	}
+}
+
+// suspect withdraws all attempts of a connection.
+func (su *Suspicion) suspect(now time.Time, cn *conn) {
+	cn.suspect = true
+	su.acts = append(su.acts, MarkSuspect{Conn: cn.id})
+	for _, pe := range cn.holds {
+		su.query(now, pe)
+	}
+}
+
+func (su *Suspicion) query(now time.Time, pe *pending) {
+	su.acts = append(su.acts, Query{
+		Attempt:  pe.id,
+		VM:       pe.vm,
+		Withdraw: pe.conn == nil || pe.conn.suspect,
+	})
+	su.wake(pe, now.Add(su.pollWait(pe)))
+}
+
+// pollWait returns the time until the next query about the attempt, which
+// doubles each time.
+func (su *Suspicion) pollWait(pe *pending) time.Duration {
+	if pe.poll == 0 {
+		pe.poll = min(max(2*pe.expected, minPollWait), maxPollWait)
+		return pe.poll
+	}
+	pe.poll = min(2*pe.poll, maxPollWait)
+	return pe.poll
+}
+
+// wake sets the next time for the attempt, which is its deadline at the
+// latest.
+func (su *Suspicion) wake(pe *pending, at time.Time) {
+	if at.After(pe.deadline) {
+		at = pe.deadline
+	}
+	su.wakes.Set(&pe.item, at)
+}
