--- /dev/null
+++ b/internal/standin/send.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/header"
+)
+
+// runRoot sends a root until its whole answer arrives, or patience or resends
+// are used up.
+func (cr *Caller) runRoot(ctx context.Context, rt Root, rng *rand.Rand) {
+	ctx, cancel := context.WithDeadline(ctx, rt.Arrived.Add(cr.opt.Patience))
+	defer cancel()
+	request := call.NewRequestID(rng)
+	for number := 1; number <= 1+cr.opt.Resends; number++ {
+		sn, pause := cr.send(ctx, rt, request, number, rng)
+		cr.opt.Recorder.addSend(sn)
+		if sn.Verdict == Whole {
+			rt.Whole = ctx.Err() == nil
+			break
+		}
+		if !cr.opt.HonourRetryAfter || pause == 0 {
+			pause = time.Duration(rng.Int64N(int64(cr.opt.Pause) + 1))
+		}
+		if number <= cr.opt.Resends && !wait(ctx, pause) {
+			break
+		}
+	}
+	rt.Ended = time.Now()
+	cr.opt.Recorder.addRoot(rt)
+}
+
+// send sends a root once. It returns what became of it and the pause that the
+// answer asks for.
+func (cr *Caller) send(ctx context.Context, rt Root, request call.RequestID, number int, rng *rand.Rand) (Send, time.Duration) {
+	pt := cr.opt.Pattern
+	sn := Send{Root: rt.ID, Number: number, Class: pt.Class, Importance: pt.Importance, Sent: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, cr.opt.SendTimeout)
+	defer cancel()
+	path := pt.Path + "/" + strconv.FormatUint(uint64(rt.ID), 16)
+	body := bytes.Repeat([]byte{'x'}, pt.BodyBytes)
+	target := cr.opt.Targets[rng.IntN(len(cr.opt.Targets))]
+	req, err := http.NewRequestWithContext(ctx, pt.Method, target+path, bytes.NewReader(body))
+	if err != nil {
+		sn.Ended = time.Now()
+		return sn, 0
+	}
+	cr.headers(req.Header, rt, request, number)
+	res, err := cr.opt.Client.Do(req)
+	if err != nil {
+		sn.Ended = time.Now()
+		return sn, 0
+	}
+	defer drain(res.Body)
+	sn.Status = res.StatusCode
+	sn.Outcome = call.ParseOutcome(res.Header.Get(header.Outcome))
+	sn.Verdict = readAnswer(res, digestOf(pt.Method, path, rt.ID, body), pt.AnswerBytes)
+	sn.Ended = time.Now()
+	seconds, _ := strconv.Atoi(res.Header.Get(header.RetryAfter))
+	return sn, time.Duration(seconds) * time.Second
+}
+
+func (cr *Caller) headers(hd http.Header, rt Root, request call.RequestID, number int) {
+	trace{root: rt.ID, send: number}.write(hd)
+	hd.Set(header.Request, request.String())
+	hd.Set(header.Resend, strconv.Itoa(number-1))
+	hd.Set(header.DeadlineMS, strconv.FormatInt(cr.opt.SendTimeout.Milliseconds(), 10))
+	if cr.opt.Pattern.Keyed {
+		hd.Set(header.Key, request.String())
+	}
+}
