Test retry over a tree of ledgers; let a root request keep the odd retry

Cause: a request with one retry left carried it down, so that the loss of a VM left its entry without any. Change: the account of a root request keeps the odd retry, that of an attempt passes it on. Property test over three ledgers with lost, doubled and reordered messages, upstream repeats and caller resends; scripts; Example. Checked by switching off, one at a time: deduction of the escrow, single credit, the share of the first send, payment of numbered and of same-node resends, refusal of a doubled attempt, refusal after close, recognition of repeats. Each turned TestTreeStaysWithinTotal red. Clearing the escrow at close and refusing credit after it each cover the other's absence.

--- a/retry/account.go
+++ b/retry/account.go
@@ -49,10 +49,14 @@
 	return true
 }
 
-// send moves the larger half of the allowance to the attempt: retries next
-// to a failure repeat less work than those above it.
+// send moves half of the allowance to the attempt. A root request keeps the
+// odd one, since its retry makes up for any loss below it. An attempt passes
+// the odd one on, since a retry next to a failure repeats the least work.
 func (ac *account) send(at call.AttemptID, limit int) Allowance {
-	carry := ac.left - ac.left/2
+	carry := ac.left / 2
+	if !ac.id.root {
+		carry = ac.left - carry
+	}
 	if carry == 0 || len(ac.sends) >= limit || ac.find(at) >= 0 {
 		return 0
 	}
