--- a/internal/attempt/http.go
+++ b/internal/attempt/http.go
@@ -46,16 +46,16 @@
 func FromRequest(req *http.Request, now time.Time) (*Attempt, error) {
 	var pr parser
 	at := &Attempt{
-		Service:     call.Service(req.Header.Get(header.Service)),
-		Importance:  call.Importance(pr.integer(req.Header, header.Importance, int64(call.MaxImportance))),
-		Depth:       call.Depth(pr.integer(req.Header, header.Depth, 255)),
-		Deadline:    now.Add(time.Duration(pr.integer(req.Header, header.DeadlineMS, 1<<32)) * time.Millisecond),
-		Allowance:   int(pr.integer(req.Header, header.Allowance, 1<<16)),
-		Idempotent:  req.Header.Get(header.Idempotent) == "true",
-		MaxAnswer:   pr.integer(req.Header, header.MaxAnswer, 1<<40),
-		Method:      req.Method,
-		URI:         strings.TrimPrefix(req.RequestURI, PathPrefix),
-		Header:      PassOn(req.Header),
+		Service:    call.Service(req.Header.Get(header.Service)),
+		Importance: call.Importance(pr.integer(req.Header, header.Importance, int64(call.MaxImportance))),
+		Depth:      call.Depth(pr.integer(req.Header, header.Depth, 255)),
+		Deadline:   now.Add(time.Duration(pr.integer(req.Header, header.DeadlineMS, 1<<32)) * time.Millisecond),
+		Allowance:  int(pr.integer(req.Header, header.Allowance, 1<<16)),
+		Idempotent: req.Header.Get(header.Idempotent) == "true",
+		MaxAnswer:  pr.integer(req.Header, header.MaxAnswer, 1<<40),
+		Method:     req.Method,
+		URI:        strings.TrimPrefix(req.RequestURI, PathPrefix),
+		Header:     PassOn(req.Header),
 	}
 	var err error
 	if at.ID, err = call.ParseAttemptID(req.Header.Get(header.Attempt)); err != nil {
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,209 @@
+// Package entry takes requests from callers and from the upstream beside the
+// node, sends attempts to the guards of the service and answers with one
+// outcome.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/flight"
+	"camphortrail/internal/guard"
+	"camphortrail/internal/header"
+	"camphortrail/internal/peer"
+	"camphortrail/internal/tree"
+	"camphortrail/retry"
+	"camphortrail/route"
+	"camphortrail/schema"
+)
+
+// Reasons of refusals and of unknown outcomes.
+const (
+	ReasonNoConfiguration = "no-configuration"
+	ReasonNoService       = "no-service"
+	ReasonTooLarge        = "request-too-large"
+	ReasonIncomplete      = "request-incomplete"
+	ReasonNoKey           = "idempotency-key-missing"
+	ReasonBadHeader       = "bad-header"
+	ReasonRetryTotal      = "retry-total"
+	ReasonStopping        = "stopping"
+	ReasonNoUpstream      = "no-upstream"
+	ReasonOverload        = "overload"
+	ReasonDeadline        = "deadline"
+	ReasonLost            = "answer-lost"
+	ReasonClaimHeld       = "key-in-progress"
+	ReasonClaimFinished   = "key-finished"
+	ReasonClaimMismatch   = "key-of-another-request"
+	ReasonClaims          = "claims-unavailable"
+)
+
+// Claimer claims idempotency keys.
+type Claimer interface {
+	Do(ctx context.Context, op *schema.ClaimOperation) (*schema.ClaimResult, error)
+}
+
+// Options describe an entry.
+type Options struct {
+	VM     call.VM
+	Trees  *tree.Trees
+	Guard  *guard.Guard
+	Pool   *peer.Pool
+	Claims Claimer
+	Domain call.FailureDomain
+	Seed   uint64
+	// HopRetries, if set, replaces the retry policy by this number of
+	// retries at each hop, without a total, and switches shedding off.
+	HopRetries int
+	Metrics    *metrics.Set
+}
+
+// Entry takes requests. Its methods are safe for concurrent use.
+type Entry struct {
+	opt      Options
+	config   atomic.Pointer[config.Compiled]
+	stopping atomic.Bool
+	active   flight.Counter
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	routes    *route.Table
+	ratios    map[call.Service]*retry.Ratio
+	addresses map[call.VM]string
+}
+
+// New returns an entry without a configuration.
+func New(opt Options) *Entry {
+	rng := rand.New(rand.NewPCG(opt.Seed, ^opt.Seed))
+	return &Entry{
+		opt:       opt,
+		rng:       rng,
+		routes:    route.New(route.Settings{Domain: opt.Domain}, rng),
+		ratios:    make(map[call.Service]*retry.Ratio),
+		addresses: make(map[call.VM]string),
+	}
+}
+
+// SetConfiguration brings a configuration into force.
+func (en *Entry) SetConfiguration(cd *config.Compiled) {
+	en.mu.Lock()
+	for _, svc := range cd.Services {
+		rt := en.ratios[svc.Name]
+		if rt == nil {
+			rt = retry.NewRatio(retry.Percent(svc.RetryRatio))
+			en.ratios[svc.Name] = rt
+		}
+		rt.SetPercent(retry.Percent(svc.RetryRatio))
+	}
+	en.mu.Unlock()
+	en.config.Store(cd)
+}
+
+// Route applies an event to the routing table.
+func (en *Entry) Route(ev route.Event) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.routes.Step(time.Now(), ev)
+}
+
+// SetAddress states the peer address of a VM.
+func (en *Entry) SetAddress(vm call.VM, address string) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.addresses[vm] = address
+}
+
+// Upstreams returns the routing table.
+func (en *Entry) Upstreams() map[call.Service][]route.Entry {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	all := make(map[call.Service][]route.Entry)
+	for _, svc := range en.routes.Services() {
+		all[svc] = en.routes.VMs(time.Now(), svc)
+	}
+	return all
+}
+
+// Stop refuses new requests of callers. Calls of the upstream beside the node
+// go on.
+func (en *Entry) Stop() { en.stopping.Store(true) }
+
+// Wait waits until no request is handled any more, or until ctx ends.
+func (en *Entry) Wait(ctx context.Context) error { return en.active.Wait(ctx) }
+
+// ServeHTTP answers one request.
+func (en *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	en.active.Enter()
+	defer en.active.Exit()
+	begun := time.Now()
+	rq, an := en.accept(r, begun)
+	if an == nil {
+		an = en.serve(r.Context(), rq)
+	}
+	if en.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	en.write(w, rq, an)
+	en.observe(rq, an, time.Since(begun))
+}
+
+// accept returns the request, or the answer to one that is refused.
+func (en *Entry) accept(r *http.Request, now time.Time) (*request, *attempt.Answer) {
+	cd := en.config.Load()
+	if cd == nil {
+		return nil, attempt.Refusal(ReasonNoConfiguration, time.Second)
+	}
+	if en.stopping.Load() && r.Header.Get(header.Attempt) == "" {
+		return nil, attempt.Refusal(ReasonStopping, time.Second)
+	}
+	return en.newRequest(r, cd, now)
+}
+
+func (en *Entry) write(w http.ResponseWriter, rq *request, an *attempt.Answer) {
+	hd := w.Header()
+	for name, values := range an.Header {
+		hd[name] = values
+	}
+	hd.Set(header.Outcome, an.Outcome.String())
+	if rq != nil {
+		hd.Set(header.Request, rq.id.String())
+	}
+	if an.Reason != "" {
+		hd.Set(header.Reason, an.Reason)
+	}
+	if an.RetryAfter > 0 {
+		hd.Set(header.RetryAfterMS, strconv.FormatInt(an.RetryAfter.Milliseconds(), 10))
+		hd.Set(header.RetryAfter, strconv.Itoa(int((an.RetryAfter+time.Second-1)/time.Second)))
+	}
+	hd.Set("Content-Length", strconv.Itoa(len(an.Body)))
+	w.WriteHeader(an.Status)
+	_, _ = w.Write(an.Body)
+}
+
+// observe counts the request in the histogram of its class and outcome.
+func (en *Entry) observe(rq *request, an *attempt.Answer, took time.Duration) {
+	if en.opt.Metrics == nil {
+		return
+	}
+	var class call.Class
+	if rq != nil {
+		class = rq.kind.Class
+	}
+	name := `camphortrail_request_duration_seconds{class="` + string(class) + `",outcome="` + an.Outcome.String() + `"}`
+	en.opt.Metrics.GetOrCreateHistogram(name).Update(took.Seconds())
+}
+
+func (en *Entry) newRequestID() call.RequestID {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return call.NewRequestID(en.rng)
+}
--- /dev/null
+++ b/internal/entry/keyed.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/schema"
+)
+
+const (
+	claimRetryAfter = 300 * time.Millisecond
+	// completeTimeout bounds the recording of an answer after it was given.
+	completeTimeout = 5 * time.Second
+)
+
+// serveKeyed claims the idempotency key of a request that has one, and serves
+// the request.
+func (en *Entry) serveKeyed(ctx context.Context, rq *request) *attempt.Answer {
+	if rq.key == "" || rq.kind.Idempotent || en.opt.Claims == nil {
+		return en.serveAttempts(ctx, rq)
+	}
+	op := en.claim(rq)
+	rs, err := en.opt.Claims.Do(ctx, op)
+	if err != nil {
+		// The claim may have been granted: a resend is refused until this
+		// one is released.
+		en.finish(op, schema.ClaimOperation_KIND_RELEASE, nil)
+		return en.giveUp(rq, ReasonClaims, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
+	}
+	switch rs.GetState() {
+	case schema.ClaimResult_STATE_GRANTED:
+		op.Epoch = rs.GetEpoch()
+	case schema.ClaimResult_STATE_FINISHED:
+		return en.finished(rq, rs)
+	case schema.ClaimResult_STATE_HELD:
+		rq.history.Resent = true
+		return en.giveUp(rq, ReasonClaimHeld, http.StatusConflict, en.jitter(claimRetryAfter))
+	case schema.ClaimResult_STATE_MISMATCH:
+		return refusal(ReasonClaimMismatch, http.StatusUnprocessableEntity)
+	default:
+		return en.giveUp(rq, ReasonClaims, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
+	}
+	rq.history.Resent = false
+	an := en.serveAttempts(ctx, rq)
+	switch an.Outcome {
+	case call.Done:
+		en.finish(op, schema.ClaimOperation_KIND_COMPLETE, an)
+	case call.NotRun:
+		en.finish(op, schema.ClaimOperation_KIND_RELEASE, nil)
+	default:
+		en.finish(op, schema.ClaimOperation_KIND_COMPLETE, nil)
+	}
+	return an
+}
+
+// claim returns the operation that claims the key of a request.
+func (en *Entry) claim(rq *request) *schema.ClaimOperation {
+	id := en.newAttemptID()
+	digest := sha256.New()
+	digest.Write([]byte(rq.method + " " + rq.uri + "\n"))
+	digest.Write(rq.body)
+	return &schema.ClaimOperation{
+		Kind:       schema.ClaimOperation_KIND_CLAIM,
+		Tenant:     string(rq.tenant),
+		Key:        rq.key,
+		AttemptId:  id[:],
+		Digest:     digest.Sum(nil),
+		RetentionS: uint32(rq.kind.KeyRetention / time.Second),
+	}
+}
+
+// finished answers a request whose key has been executed before.
+func (en *Entry) finished(rq *request, rs *schema.ClaimResult) *attempt.Answer {
+	if rec := rs.GetAnswer(); rec != nil {
+		return attempt.FromRecord(rec)
+	}
+	rq.history.Resent = true
+	return en.giveUp(rq, ReasonClaimFinished, http.StatusConflict, 0)
+}
+
+// finish ends a claim in the background. A claim that cannot be ended expires.
+func (en *Entry) finish(claim *schema.ClaimOperation, kind schema.ClaimOperation_Kind, an *attempt.Answer) {
+	op := &schema.ClaimOperation{
+		Kind: kind, Tenant: claim.GetTenant(), Key: claim.GetKey(), AttemptId: claim.GetAttemptId(),
+		Epoch: claim.GetEpoch(), Digest: claim.GetDigest(), RetentionS: claim.GetRetentionS(),
+	}
+	if an != nil {
+		op.Answer = an.Record()
+	}
+	en.active.Enter()
+	go func() {
+		defer en.active.Exit()
+		ctx, stop := context.WithTimeout(context.Background(), completeTimeout)
+		defer stop()
+		if op.GetEpoch() == 0 && !en.learnEpoch(ctx, claim, op) {
+			return
+		}
+		_, _ = en.opt.Claims.Do(ctx, op)
+	}()
+}
+
+// learnEpoch repeats a claim whose result was lost, and reports whether it was
+// granted.
+func (en *Entry) learnEpoch(ctx context.Context, claim, op *schema.ClaimOperation) bool {
+	rs, err := en.opt.Claims.Do(ctx, claim)
+	if err != nil || rs.GetState() != schema.ClaimResult_STATE_GRANTED {
+		return false
+	}
+	op.Epoch = rs.GetEpoch()
+	return true
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"encoding/binary"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/header"
+	"camphortrail/internal/tree"
+	"camphortrail/retry"
+	"camphortrail/withdrawal"
+)
+
+// request is one request at its entry node.
+type request struct {
+	kind       *config.Kind
+	tenant     call.Tenant
+	id         call.RequestID
+	account    retry.AccountID
+	importance call.Importance
+	depth      call.Depth
+	deadline   time.Time
+	// parent is the inbound attempt that the request is a call of, if known.
+	parent *tree.Inbound
+	// orphan says that the request names a parent that does not run here.
+	orphan bool
+	resend uint32
+
+	method string
+	uri    string
+	header http.Header
+	body   []byte
+	key    string
+
+	history withdrawal.History
+	// attempts counts what was sent.
+	attempts int
+	overload bool
+}
+
+// newRequest describes a request from a caller, or from the upstream beside
+// the node. It returns a refusal if the request is not acceptable.
+func (en *Entry) newRequest(r *http.Request, cd *config.Compiled, now time.Time) (*request, *attempt.Answer) {
+	kind, ok := cd.Match(r.Method, r.URL.Path)
+	if !ok {
+		return nil, refusal(ReasonNoService, http.StatusNotFound)
+	}
+	body, err := attempt.ReadBody(r.Body, r.ContentLength, kind.MaxRequest)
+	switch {
+	case err == attempt.ErrTooLarge:
+		return nil, refusal(ReasonTooLarge, http.StatusRequestEntityTooLarge)
+	case err != nil:
+		return nil, refusal(ReasonIncomplete, http.StatusBadRequest)
+	}
+	rq := &request{
+		kind: kind, tenant: cd.Tenant, importance: kind.Importance, deadline: now.Add(kind.Deadline),
+		method: r.Method, uri: r.URL.RequestURI(), header: attempt.PassOn(r.Header), body: body,
+		key: r.Header.Get(header.Key),
+	}
+	rq.history.Idempotent = kind.Idempotent
+	if rq.key == "" && kind.KeyRequired {
+		return nil, refusal(ReasonNoKey, http.StatusBadRequest)
+	}
+	if text := r.Header.Get(header.Attempt); text != "" {
+		return rq, en.adopt(rq, text)
+	}
+	return rq, en.root(rq, r.Header, now)
+}
+
+// adopt makes the request a call of the inbound attempt that it names.
+func (en *Entry) adopt(rq *request, text string) *attempt.Answer {
+	id, err := call.ParseAttemptID(text)
+	if err != nil {
+		return refusal(ReasonBadHeader, http.StatusBadRequest)
+	}
+	rq.account = retry.OfAttempt(id)
+	in, ok := en.opt.Trees.Inbound(id)
+	if !ok {
+		rq.orphan = true
+		rq.id = en.newRequestID()
+		return nil
+	}
+	rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
+	if in.Deadline.Before(rq.deadline) {
+		rq.deadline = in.Deadline
+	}
+	return nil
+}
+
+// root reads what a caller says about its request.
+func (en *Entry) root(rq *request, hd http.Header, now time.Time) *attempt.Answer {
+	switch text := hd.Get(header.Request); {
+	case text != "":
+		id, err := call.ParseRequestID(text)
+		if err != nil {
+			return refusal(ReasonBadHeader, http.StatusBadRequest)
+		}
+		rq.id = id
+	case rq.key != "":
+		rq.id = keyedID(rq.tenant, rq.key)
+	default:
+		rq.id = en.newRequestID()
+	}
+	rq.account = retry.OfRequest(rq.id)
+	if text := hd.Get(header.Resend); text != "" {
+		n, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return refusal(ReasonBadHeader, http.StatusBadRequest)
+		}
+		rq.resend = uint32(n)
+	}
+	if text := hd.Get(header.DeadlineMS); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return refusal(ReasonBadHeader, http.StatusBadRequest)
+		}
+		if own := now.Add(time.Duration(ms) * time.Millisecond); own.Before(rq.deadline) {
+			rq.deadline = own
+		}
+	}
+	// A request with a key may have been sent before unless the caller says
+	// that it was not.
+	maybeResent := rq.resend > 0 || rq.key != "" && hd.Get(header.Resend) == ""
+	rq.history.Resent = maybeResent && hd.Get(header.Earlier) != call.NotRun.String()
+	return nil
+}
+
+// keyedID returns the same request id for each send of an idempotency key.
+func keyedID(tenant call.Tenant, key string) (id call.RequestID) {
+	binary.BigEndian.PutUint64(id[:8], xxhash.Sum64String(string(tenant)+"\x00"+key))
+	binary.BigEndian.PutUint64(id[8:], xxhash.Sum64String(key+"\x00"+string(tenant)))
+	return id
+}
+
+// digest identifies the request among the calls of one parent.
+func (rq *request) digest() retry.Digest {
+	return retry.DigestOf(rq.kind.Service, rq.method, rq.uri, xxhash.Sum64(rq.body))
+}
+
+// attempt returns a new attempt of the request.
+func (rq *request) attempt(id call.AttemptID) *attempt.Attempt {
+	return &attempt.Attempt{
+		ID: id, Request: rq.id, Service: rq.kind.Service, Importance: rq.importance, Depth: rq.depth,
+		Deadline: rq.deadline, Idempotent: rq.kind.Idempotent, MaxAnswer: rq.kind.MaxAnswer,
+		Method: rq.method, URI: rq.uri, Header: rq.header, Body: rq.body,
+	}
+}
+
+func refusal(reason string, status int) *attempt.Answer {
+	an := attempt.Refusal(reason, 0)
+	an.Status = status
+	return an
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/guard"
+	"camphortrail/internal/peer"
+	"camphortrail/retry"
+	"camphortrail/route"
+	"camphortrail/withdrawal"
+)
+
+// maxReroutes bounds the attempts of one request that are turned away before
+// they reach an upstream's guard.
+const maxReroutes = 3
+
+// serve answers a request within its deadline.
+func (en *Entry) serve(ctx context.Context, rq *request) *attempt.Answer {
+	ctx, stop := context.WithDeadline(ctx, rq.deadline)
+	defer stop()
+	if rq.parent != nil {
+		rq.parent.BeginCall(time.Now())
+	}
+	an := en.open(rq)
+	if an == nil {
+		an = en.serveKeyed(ctx, rq)
+	}
+	if rq.parent != nil {
+		rq.parent.EndCall(time.Now(), rq.overload && an.Failed())
+	} else if !rq.orphan {
+		en.opt.Trees.Step(time.Now(), retry.Close{Account: rq.account})
+	}
+	return an
+}
+
+// open charges the request to its retry account. It returns an answer if the
+// request must not be sent.
+func (en *Entry) open(rq *request) *attempt.Answer {
+	if en.opt.HopRetries > 0 {
+		return nil
+	}
+	now := time.Now()
+	var rs retry.Result
+	if rq.parent != nil || rq.orphan {
+		rs = en.opt.Trees.Step(now, retry.Call{Account: rq.account, Digest: rq.digest()})
+	} else {
+		rs = en.opt.Trees.Step(now, retry.OpenRequest{
+			Request: rq.id, Total: retry.Allowance(rq.kind.RetryTotal), Resend: rq.resend, Deadline: rq.deadline,
+		})
+	}
+	switch rs.Decision {
+	case retry.FirstSend:
+		return nil
+	case retry.Charged:
+		rq.history.Resent = true
+		return nil
+	default:
+		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.resend > 0
+		return en.giveUp(rq, ReasonRetryTotal, http.StatusServiceUnavailable, 0)
+	}
+}
+
+// giveUp returns the answer to a request for which nothing more is done.
+func (en *Entry) giveUp(rq *request, reason string, status int, retryAfter time.Duration) *attempt.Answer {
+	an := attempt.Broken(reason, status)
+	an.Outcome, an.RetryAfter = rq.history.Outcome(), retryAfter
+	return an
+}
+
+// serveAttempts sends attempts until one brings the answer, or none may be
+// sent any more.
+func (en *Entry) serveAttempts(ctx context.Context, rq *request) *attempt.Answer {
+	var exclude []call.VM
+	for {
+		now := time.Now()
+		if ctx.Err() != nil || !now.Before(rq.deadline) {
+			return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
+		}
+		vm, address, err := en.choose(now, rq, exclude)
+		if err != nil {
+			return en.unroutable(rq, err)
+		}
+		rs := en.send(ctx, rq, vm, address)
+		advice := rq.history.Advice()
+		switch {
+		case advice == withdrawal.Deliver && !en.mendable(rq, rs.Answer):
+			en.succeed(rq, rs.Answer)
+			return rs.Answer
+		case advice == withdrawal.GiveUp || advice == withdrawal.Wait:
+			return en.lost(ctx, rq, rs)
+		}
+		exclude = append(exclude, vm)
+		if !en.mayRetry(rq, rs) {
+			return en.exhausted(ctx, rq, rs)
+		}
+	}
+}
+
+// choose returns the VM for the next attempt.
+func (en *Entry) choose(now time.Time, rq *request, exclude []call.VM) (call.VM, string, error) {
+	want := route.Request{
+		Service: rq.kind.Service, Importance: rq.importance, Cohort: rq.id.Cohort(), Exclude: exclude,
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	vm, err := en.routes.Choose(now, want)
+	if err != nil {
+		return "", "", err
+	}
+	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm})
+	return vm, en.addresses[vm], nil
+}
+
+// unroutable answers a request for which there is no VM.
+func (en *Entry) unroutable(rq *request, err error) *attempt.Answer {
+	if errors.Is(err, route.ErrShed) {
+		rq.overload = true
+		return en.giveUp(rq, ReasonOverload, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
+	}
+	return en.giveUp(rq, ReasonNoUpstream, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
+}
+
+const shedRetryAfter = 500 * time.Millisecond
+
+// jitter returns a time between half and one and a half of the mean.
+func (en *Entry) jitter(mean time.Duration) time.Duration {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return mean/2 + time.Duration(en.rng.Int64N(int64(mean)))
+}
+
+// send sends one attempt and records what is known of it.
+func (en *Entry) send(ctx context.Context, rq *request, vm call.VM, address string) peer.Result {
+	at := rq.attempt(en.newAttemptID())
+	carried := en.opt.Trees.Step(time.Now(), retry.Send{Account: rq.account, Attempt: at.ID})
+	at.Allowance = int(carried.Allowance)
+	rq.history.Sent(at.ID)
+	rq.attempts++
+	begun := time.Now()
+	var rs peer.Result
+	if vm == en.opt.VM {
+		rs = en.sendLocal(ctx, at)
+	} else {
+		rs = en.opt.Pool.Send(ctx, vm, address, at, 0)
+	}
+	en.settle(rq, vm, at, rs, time.Since(begun))
+	return rs
+}
+
+// sendLocal hands the attempt to the guard of the same node.
+func (en *Entry) sendLocal(ctx context.Context, at *attempt.Attempt) peer.Result {
+	at.Stamp = en.opt.Guard.Stamp()
+	an := en.opt.Guard.Handle(ctx, at)
+	rs := peer.Result{Answer: an, Sent: true, State: withdrawal.Unknown}
+	switch an.Outcome {
+	case call.Done:
+		rs.State = withdrawal.Finished
+	case call.NotRun:
+		rs.State = withdrawal.Dequeued
+	}
+	return rs
+}
+
+// settle brings the result of an attempt to the history, the retry account and
+// the routing table.
+func (en *Entry) settle(rq *request, vm call.VM, at *attempt.Attempt, rs peer.Result, took time.Duration) {
+	now := time.Now()
+	done := rs.Answer != nil && rs.Answer.Outcome == call.Done
+	rq.history.Learn(at.ID, rs.State, done)
+	switch {
+	case rs.State.NotRun():
+		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
+	case rs.Answer != nil:
+		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(rs.Answer.Unused)})
+	default:
+		en.opt.Trees.Step(now, retry.Lost{Account: rq.account, Attempt: at.ID})
+	}
+	if rs.Answer == nil {
+		en.Route(route.Failed{Service: rq.kind.Service, VM: vm, Latency: took, Cancelled: rs.State == withdrawal.Dequeued && rs.Sent})
+		return
+	}
+	rq.overload = rs.Answer.Overload
+	en.Route(route.Answered{
+		Service: rq.kind.Service, VM: vm, Latency: took, Outcome: rs.Answer.Outcome,
+		Level: rs.Answer.Level, Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
+	})
+}
+
+func (en *Entry) newAttemptID() call.AttemptID {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return call.NewAttemptID(en.rng)
+}
+
+// mendable reports whether another attempt may bring a better answer than this
+// complete one.
+func (en *Entry) mendable(rq *request, an *attempt.Answer) bool {
+	return rq.kind.Idempotent && an.Failed() && !an.Overload
+}
+
+// mayRetry charges another attempt, and reports whether it may be sent.
+func (en *Entry) mayRetry(rq *request, rs peer.Result) bool {
+	if en.opt.HopRetries > 0 {
+		return rq.attempts <= en.opt.HopRetries
+	}
+	if rs.Answer != nil && rs.Answer.Outcome == call.Done && rs.Answer.Overload {
+		return false
+	}
+	if rq.attempts > maxReroutes && rs.State.NotRun() {
+		return false
+	}
+	now := time.Now()
+	en.mu.Lock()
+	rt := en.ratios[rq.kind.Service]
+	allowed := rt == nil || rt.Allow(now)
+	en.mu.Unlock()
+	return allowed && en.opt.Trees.Step(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
+}
+
+// succeed counts a success of the service.
+func (en *Entry) succeed(rq *request, an *attempt.Answer) {
+	if an.Failed() {
+		return
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if rt := en.ratios[rq.kind.Service]; rt != nil {
+		rt.Success(time.Now())
+	}
+}
+
+// lost answers a request of which an attempt may have run.
+func (en *Entry) lost(ctx context.Context, rq *request, rs peer.Result) *attempt.Answer {
+	if ctx.Err() != nil {
+		return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
+	}
+	if rs.Answer != nil {
+		return en.giveUp(rq, rs.Answer.Reason, rs.Answer.Status, rs.Answer.RetryAfter)
+	}
+	return en.giveUp(rq, ReasonLost, http.StatusBadGateway, 0)
+}
+
+// exhausted answers a request for which no further attempt is allowed.
+func (en *Entry) exhausted(ctx context.Context, rq *request, rs peer.Result) *attempt.Answer {
+	if rs.Answer != nil && rs.Answer.Outcome == call.Done {
+		return rs.Answer
+	}
+	if rs.Answer == nil || rs.Answer.Outcome == call.Unknown {
+		return en.lost(ctx, rq, rs)
+	}
+	status := rs.Answer.Status
+	if rs.Answer.Reason == guard.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return en.giveUp(rq, rs.Answer.Reason, status, rs.Answer.RetryAfter)
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -13,6 +13,7 @@
 	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
+	"camphortrail/internal/flight"
 	"camphortrail/internal/tree"
 	"camphortrail/membership"
 	"camphortrail/retry"
@@ -27,11 +28,13 @@
 	ReasonFull      = "full"
 	ReasonBroken    = "broken-answer"
 	ReasonDeadline  = "deadline"
+	ReasonService   = "wrong-service"
 )
 
 const (
 	fullRetryAfter = 500 * time.Millisecond
 	cancelTimeout  = time.Second
+	fifoRunLimit   = time.Minute
 )
 
 // Options describe a guard.
@@ -55,7 +58,8 @@
 	duty     *duty
 	client   *http.Client
 	upstream atomic.Pointer[membership.Upstream]
-	active   sync.WaitGroup
+	fifo     bool
+	active   flight.Counter
 
 	mu       sync.Mutex
 	registry *withdrawal.Registry[*attempt.Answer]
@@ -70,6 +74,7 @@
 	return &Guard{
 		trees:    opt.Trees,
 		duty:     newDuty(mc),
+		fifo:     opt.FIFO,
 		client:   newClient(),
 		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
@@ -115,9 +120,8 @@
 
 func (gd *Guard) level() call.Level { return call.Level(gd.duty.level.Load()) }
 
-// Wait waits until no attempt is handled any more. No attempt may arrive
-// meanwhile.
-func (gd *Guard) Wait() { gd.active.Wait() }
+// Wait waits until no attempt is handled any more, or until ctx ends.
+func (gd *Guard) Wait(ctx context.Context) error { return gd.active.Wait(ctx) }
 
 // Stamp returns the stamp of the guard at present.
 func (gd *Guard) Stamp() withdrawal.Stamp {
@@ -129,8 +133,8 @@
 // Handle runs an attempt and returns its answer. When ctx ends, waiting work is
 // refused and running idempotent work is aborted.
 func (gd *Guard) Handle(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
-	gd.active.Add(1)
-	defer gd.active.Done()
+	gd.active.Enter()
+	defer gd.active.Exit()
 	an := gd.begin(at)
 	if an == nil {
 		an = gd.admit(ctx, at)
@@ -141,7 +145,10 @@
 
 // begin registers the attempt. It returns an answer if that is refused.
 func (gd *Guard) begin(at *attempt.Attempt) *attempt.Answer {
-	rs := gd.step(withdrawal.Begin[*attempt.Answer]{Attempt: at.ID, Stamp: at.Stamp, Idempotent: at.Idempotent})
+	if up := gd.upstream.Load(); up != nil && up.Service != at.Service {
+		return attempt.Refusal(ReasonService, 0)
+	}
+	rs := gd.step(withdrawal.Begin[*attempt.Answer]{Attempt: at.ID, Stamp: at.Stamp})
 	switch rs.Decision {
 	case withdrawal.Accepted:
 		return nil
@@ -164,7 +171,7 @@
 
 // admit asks for admission and runs the attempt once it is granted.
 func (gd *Guard) admit(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
-	runCtx, abort := context.WithDeadline(context.WithoutCancel(ctx), at.Deadline)
+	runCtx, abort := context.WithDeadline(context.WithoutCancel(ctx), gd.runDeadline(at))
 	defer abort()
 	tk := &ticket{verdict: make(chan verdict, 1), abort: abort}
 	arrival := admission.Arrive{
@@ -187,6 +194,15 @@
 	return gd.execute(runCtx, at)
 }
 
+// runDeadline returns the time at which a running attempt is given up. Without
+// the admission policy the deadline is not known to the upstream.
+func (gd *Guard) runDeadline(at *attempt.Attempt) time.Time {
+	if gd.fifo {
+		return time.Now().Add(fifoRunLimit)
+	}
+	return at.Deadline
+}
+
 // cancel tells the admission duty that nobody waits for the attempt.
 func (gd *Guard) cancel(id call.AttemptID) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -16,6 +16,9 @@
 	// Resend is the number of times that the caller has sent the request
 	// before.
 	Resend = "Camphortrail-Resend"
+	// Earlier is "not-run" when all earlier sends of the request were
+	// answered with that outcome.
+	Earlier = "Camphortrail-Earlier"
 	// DeadlineMS is the remaining time of a request, in milliseconds.
 	DeadlineMS = "Camphortrail-Deadline-Ms"
 	// Key is the idempotency key of a non-idempotent request.
--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,18 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"camphortrail/internal/entry"
+)
+
+// claimClient claims idempotency keys at the control replicas.
+type claimClient interface {
+	entry.Claimer
+	Run(ctx context.Context) error
+}
+
+// newClaims returns the client for the control replicas, or nil if there are
+// none.
+func newClaims([]string, *http.Client) claimClient { return nil }
--- /dev/null
+++ b/internal/node/handlers.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/guard"
+	"camphortrail/internal/header"
+	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
+	"camphortrail/withdrawal"
+)
+
+// maxPeerBody bounds the body of an attempt; the entry applies the bound of the
+// configuration.
+const maxPeerBody = 1 << 30
+
+func (nd *Node) peerHandler() http.Handler {
+	mux := chi.NewRouter()
+	mux.HandleFunc(attempt.PathPrefix+"/*", nd.serveAttempt)
+	path, handler := schemaconnect.NewPeerHandler(&peerService{nd})
+	mux.Mount(path, handler)
+	return mux
+}
+
+func (nd *Node) localHandler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { nd.metrics.WritePrometheus(w) })
+	mux.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.Mount("/", nd.announce.Handler())
+	return mux
+}
+
+// serveAttempt acknowledges an attempt of another entry, runs it and answers.
+func (nd *Node) serveAttempt(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	at, err := attempt.FromRequest(r, now)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(header.Stamp, nd.guard.Stamp().String())
+	w.WriteHeader(http.StatusProcessing)
+	at.Body, err = attempt.ReadBody(r.Body, r.ContentLength, maxPeerBody)
+	an := attempt.Refusal("request-incomplete", 0)
+	if err == nil {
+		an = nd.guard.Handle(r.Context(), at)
+	}
+	w.Header().Set(header.Stamp, nd.guard.Stamp().String())
+	if err := an.Write(w, at.ID); err != nil {
+		nd.log.WithError(err).Debug("answer not taken")
+	}
+}
+
+// peerService serves the calls of other processes.
+type peerService struct{ nd *Node }
+
+func (ps *peerService) Withdraw(_ context.Context, rq *connect.Request[schema.WithdrawRequest]) (*connect.Response[schema.WithdrawResponse], error) {
+	rs := &schema.WithdrawResponse{Stamp: ps.nd.guard.Stamp().String()}
+	if rq.Msg.GetStamp() == "" {
+		return connect.NewResponse(rs), nil
+	}
+	if len(rq.Msg.GetAttemptId()) != len(call.AttemptID{}) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, call.ErrBadID)
+	}
+	sp, err := withdrawal.ParseStamp(rq.Msg.GetStamp())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	res := ps.nd.guard.Withdraw(call.AttemptID(rq.Msg.GetAttemptId()), sp, rq.Msg.GetInspect())
+	rs.State = schema.AttemptState(res.State)
+	if res.Kept {
+		rs.Answer = res.Answer.Record()
+	}
+	return connect.NewResponse(rs), nil
+}
+
+func (ps *peerService) Fetch(_ context.Context, rq *connect.Request[schema.FetchRequest]) (*connect.Response[schema.FetchResponse], error) {
+	revision, cfg := ps.nd.rollout.Current()
+	rs := &schema.FetchResponse{Revision: revision}
+	if revision > rq.Msg.GetHaveRevision() {
+		rs.Configuration = cfg
+	}
+	return connect.NewResponse(rs), nil
+}
+
+func (ps *peerService) Drain(_ context.Context, rq *connect.Request[schema.DrainRequest]) (*connect.Response[schema.DrainResponse], error) {
+	if rq.Msg.GetResume() {
+		ps.nd.announce.Resume()
+	} else {
+		ps.nd.announce.Drain()
+	}
+	ld := ps.nd.guard.Load()
+	return connect.NewResponse(&schema.DrainResponse{InFlight: uint32(ld.Running + ld.Waiting)}), nil
+}
+
+func (ps *peerService) Status(context.Context, *connect.Request[schema.StatusRequest]) (*connect.Response[schema.StatusResponse], error) {
+	nd := ps.nd
+	revision, _ := nd.rollout.Current()
+	rs := &schema.StatusResponse{Name: nd.set.GetName(), FailureDomain: nd.set.GetFailureDomain(), Revision: revision}
+	if revision > 0 {
+		rs.InForceS = uint64(time.Since(nd.rollout.Since()).Seconds())
+	}
+	ld := nd.guard.Load()
+	for _, me := range nd.gossip.Members() {
+		for _, up := range me.Upstreams {
+			st := &schema.UpstreamStatus{
+				Vm: string(me.Name), FailureDomain: string(me.FailureDomain), Service: string(up.Service),
+				State: me.State.String(), Slots: up.Slots,
+			}
+			if up.Draining {
+				st.State = "draining"
+			}
+			if string(me.Name) == nd.set.GetName() {
+				st.Running, st.Waiting, st.Level = uint32(ld.Running), uint32(ld.Waiting), uint32(ld.Level)
+			}
+			rs.Upstreams = append(rs.Upstreams, st)
+		}
+	}
+	return connect.NewResponse(rs), nil
+}
+
+// exportMetrics adds the present work of the guard to the metrics.
+func (nd *Node) exportMetrics() {
+	gauge := func(name string, value func(guard.Load) int) *metrics.Gauge {
+		return nd.metrics.NewGauge(name, func() float64 { return float64(value(nd.guard.Load())) })
+	}
+	gauge("camphortrail_guard_slots", func(ld guard.Load) int { return ld.Slots })
+	gauge("camphortrail_guard_running", func(ld guard.Load) int { return ld.Running })
+	gauge("camphortrail_guard_waiting", func(ld guard.Load) int { return ld.Waiting })
+	gauge("camphortrail_guard_level", func(ld guard.Load) int { return int(ld.Level) })
+	nd.metrics.NewGauge("camphortrail_configuration_revision", func() float64 {
+		revision, _ := nd.rollout.Current()
+		return float64(revision)
+	})
+	nd.metrics.NewGauge("camphortrail_unwatched_attempt_events", func() float64 { return float64(nd.pool.Dropped()) })
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,219 @@
+// Package node runs the process beside an upstream: it takes requests, guards
+// the upstream, and takes part in membership and configuration.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/internal/announce"
+	"camphortrail/internal/entry"
+	"camphortrail/internal/gossip"
+	"camphortrail/internal/guard"
+	"camphortrail/internal/peer"
+	"camphortrail/internal/rollout"
+	"camphortrail/internal/tree"
+	"camphortrail/membership"
+	"camphortrail/retry"
+	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
+	"camphortrail/withdrawal"
+)
+
+// Policy says which overload decisions are in force.
+type Policy uint8
+
+// The policies.
+const (
+	// FullPolicy is the policy of the system.
+	FullPolicy Policy = iota
+	// BaselinePolicy takes work in the order of arrival without bound, with
+	// a number of retries at each hop and no shedding. Measurements compare
+	// with it.
+	BaselinePolicy
+)
+
+const baselineHopRetries = 3
+
+// Options vary a node.
+type Options struct {
+	Policy Policy
+	// Seed makes choices repeatable. Zero draws one.
+	Seed uint64
+	Log  log.Interface
+}
+
+// Node is the process beside one upstream.
+type Node struct {
+	set     *schema.Settings
+	log     log.Interface
+	metrics *metrics.Set
+
+	callers, peers, local net.Listener
+	guard                 *guard.Guard
+	entry                 *entry.Entry
+	pool                  *peer.Pool
+	gossip                *gossip.Gossip
+	rollout               *rollout.Rollout
+	announce              *announce.Announce
+	claims                claimClient
+	notices               <-chan gossip.Notice
+	rpc                   *http.Client
+}
+
+// New opens the addresses of the settings and returns a node that is ready to
+// run.
+func New(set *schema.Settings, opt Options) (*Node, error) {
+	nd := &Node{set: set, log: opt.Log, metrics: metrics.NewSet()}
+	if nd.log == nil {
+		nd.log = log.Log
+	}
+	nd.log = nd.log.WithFields(log.Fields{"vm": set.GetName(), "failure-domain": set.GetFailureDomain()})
+	seed := opt.Seed
+	if seed == 0 {
+		seed = randomNumber()
+	}
+	if err := nd.listen(); err != nil {
+		nd.Close()
+		return nil, err
+	}
+	trees := tree.New(retry.DefaultLimits())
+	nd.rpc = &http.Client{Transport: peer.NewTransport()}
+	nd.guard = guard.New(guard.Options{
+		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed,
+		Incarnation: withdrawal.Incarnation(randomNumber()),
+	})
+	nd.pool = peer.New(nd.connState)
+	eopt := entry.Options{
+		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
+		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics,
+	}
+	if opt.Policy == BaselinePolicy {
+		eopt.HopRetries = baselineHopRetries
+	}
+	controls := controlAddresses(set)
+	if nd.claims = newClaims(controls, nd.rpc); nd.claims != nil {
+		eopt.Claims = nd.claims
+	}
+	nd.entry = entry.New(eopt)
+	nd.announce = announce.New(time.Now, nd.upstreamsChanged)
+	if err := nd.join(controls); err != nil {
+		nd.Close()
+		return nil, err
+	}
+	nd.exportMetrics()
+	return nd, nil
+}
+
+// listen opens the TCP addresses.
+func (nd *Node) listen() error {
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&nd.callers, nd.set.GetCallerAddress()},
+		{&nd.peers, nd.set.GetPeerAddress()},
+		{&nd.local, nd.set.GetLocalAddress()},
+	} {
+		ln, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return errors.Wrap(err, "node "+nd.set.GetName())
+		}
+		*open.listener = ln
+	}
+	return nil
+}
+
+// join sets membership and configuration up.
+func (nd *Node) join(controls []string) error {
+	conn, err := net.ListenPacket("udp", nd.peers.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "node "+nd.set.GetName())
+	}
+	nd.gossip, err = gossip.New(gossip.Settings{
+		Deployment: call.Tenant(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
+		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
+		Address: nd.peers.Addr().String(), Contacts: nd.set.GetFirstContacts(),
+	}, conn)
+	if err != nil {
+		conn.Close()
+		return err
+	}
+	nd.notices = nd.gossip.Subscribe()
+	nd.rollout, err = rollout.New(rollout.Settings{
+		Deployment: call.Tenant(nd.set.GetDeployment()), DataFolder: nd.set.GetDataFolder(), Controls: controls,
+		Control: func(address string) rollout.Fetcher {
+			return schemaconnect.NewControlClient(nd.rpc, "http://"+address)
+		},
+		Peer: func(address string) rollout.Fetcher {
+			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address)
+		},
+		Hints: nd.gossip.Hints(), Peers: nd.nodeAddresses, OnChange: nd.configure,
+	})
+	return err
+}
+
+// configure brings a configuration into force.
+func (nd *Node) configure(revision uint64, cfg *schema.Configuration) error {
+	cd, err := config.Compile(cfg, revision)
+	if err != nil {
+		return err
+	}
+	nd.entry.SetConfiguration(cd)
+	nd.gossip.SetRevision(revision)
+	nd.log.WithFields(log.Fields{"revision": revision, "version": cfg.GetVersion()}).Info("configuration in force")
+	return nil
+}
+
+// upstreamsChanged takes what the upstream beside the node announced.
+func (nd *Node) upstreamsChanged(ups []membership.Upstream) {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	var up *membership.Upstream
+	if len(ups) > 0 {
+		up = &ups[0]
+	}
+	if err := nd.guard.SetUpstream(ctx, up); err != nil {
+		nd.log.WithError(err).Error("announcement not taken")
+	}
+	nd.gossip.Announce(ups)
+}
+
+func controlAddresses(set *schema.Settings) []string {
+	var addresses []string
+	for _, replica := range set.GetControlReplicas() {
+		addresses = append(addresses, replica.GetAddress())
+	}
+	return addresses
+}
+
+// Addresses returns the addresses that the node listens on.
+func (nd *Node) Addresses() (callers, peers, local string) {
+	return nd.callers.Addr().String(), nd.peers.Addr().String(), nd.local.Addr().String()
+}
+
+// Close closes the addresses of a node that does not run.
+func (nd *Node) Close() {
+	for _, ln := range []net.Listener{nd.callers, nd.peers, nd.local} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// randomNumber returns a random number other than 0.
+func randomNumber() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// spreadTime is the time for which a stopping node goes on refusing new
+	// work, until the others have learned that it leaves.
+	spreadTime = 1500 * time.Millisecond
+	// finishTime bounds the wait for work in flight at a stop.
+	finishTime = 60 * time.Second
+	// maxStreams is the number of attempts at a time on one connection.
+	maxStreams = 10000
+)
+
+// Run runs the node until ctx ends, and then stops it: new work is refused,
+// work in flight is finished, and the other processes are told.
+func (nd *Node) Run(ctx context.Context) error {
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	group, duties := errgroup.WithContext(duties)
+	for _, duty := range []func(context.Context) error{
+		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announce.Run, nd.routing, nd.claimDuty,
+	} {
+		group.Go(func() error { return ended(duties, duty(duties)) })
+	}
+	servers := nd.servers()
+	for server, ln := range servers {
+		group.Go(func() error { return served(server.Serve(ln)) })
+	}
+	nd.log.Info("node started")
+	select {
+	case <-ctx.Done():
+		nd.stop(duties, servers)
+	case <-duties.Done():
+		closeAll(servers)
+	}
+	endDuties()
+	err := group.Wait()
+	nd.log.Info("node stopped")
+	return err
+}
+
+// ended turns the end of a duty's context into no error.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// claimDuty runs the client of the claims, if there are control replicas.
+func (nd *Node) claimDuty(ctx context.Context) error {
+	if nd.claims == nil {
+		return nil
+	}
+	return nd.claims.Run(ctx)
+}
+
+func (nd *Node) servers() map[*http.Server]net.Listener {
+	var h2c http.Protocols
+	h2c.SetHTTP1(true)
+	h2c.SetUnencryptedHTTP2(true)
+	return map[*http.Server]net.Listener{
+		{Handler: nd.entry}: nd.callers,
+		{Handler: nd.peerHandler(), Protocols: &h2c, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}}: nd.peers,
+		{Handler: nd.localHandler()}: nd.local,
+	}
+}
+
+// stop ends the node without cutting work in flight off.
+func (nd *Node) stop(ctx context.Context, servers map[*http.Server]net.Listener) {
+	nd.log.Info("node stopping")
+	nd.announce.Drain()
+	nd.entry.Stop()
+	ctx, cancel := context.WithTimeout(ctx, spreadTime+finishTime)
+	defer cancel()
+	select {
+	case <-time.After(spreadTime):
+	case <-ctx.Done():
+	}
+	if err := nd.guard.Wait(ctx); err != nil {
+		nd.log.WithError(err).Warn("attempts cut off")
+	}
+	if err := nd.entry.Wait(ctx); err != nil {
+		nd.log.WithError(err).Warn("requests cut off")
+	}
+	if err := nd.gossip.Leave(ctx); err != nil {
+		nd.log.WithError(err).Warn("departure not told")
+	}
+	for server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			nd.log.WithError(err).Warn("connections cut off")
+		}
+	}
+}
+
+func closeAll(servers map[*http.Server]net.Listener) {
+	for server := range servers {
+		server.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/withdrawal"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// pingTimeout and pingInterval find connections that went silent while
+	// no attempt is on them.
+	pingInterval = 5 * time.Second
+	pingTimeout  = 2 * time.Second
+	idleExpiry   = time.Minute
+)
+
+// conn is one connection to a guard. Attempts share it as HTTP/2 streams.
+type conn struct {
+	id        withdrawal.ConnID
+	vm        call.VM
+	address   string
+	transport *http.Transport
+	suspect   bool
+}
+
+// NewTransport returns a transport for HTTP/2 without encryption between
+// processes of the system.
+func NewTransport() *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, address)
+		},
+		Protocols:          &protocols,
+		DisableCompression: true,
+		IdleConnTimeout:    idleExpiry,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}
+}
+
+// current returns the connection for new attempts to the VM, and makes one if
+// there is none at the address.
+func (pl *Pool) current(vm call.VM, address string) *conn {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	cn := pl.conns[vm]
+	if cn != nil && !cn.suspect && cn.address == address {
+		return cn
+	}
+	if cn != nil {
+		cn.suspect = true
+	}
+	pl.nextConn++
+	cn = &conn{id: pl.nextConn, vm: vm, address: address, transport: NewTransport()}
+	pl.conns[vm] = cn
+	pl.all[cn.id] = cn
+	return cn
+}
+
+// markSuspect keeps new attempts off a connection.
+func (pl *Pool) markSuspect(id withdrawal.ConnID) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	cn := pl.all[id]
+	if cn == nil {
+		return
+	}
+	cn.suspect = true
+	if pl.conns[cn.vm] == cn {
+		delete(pl.conns, cn.vm)
+	}
+}
+
+// closeConn closes a connection that holds no more attempts.
+func (pl *Pool) closeConn(id withdrawal.ConnID) {
+	pl.mu.Lock()
+	cn := pl.all[id]
+	delete(pl.all, id)
+	pl.mu.Unlock()
+	if cn != nil {
+		cn.transport.CloseIdleConnections()
+	}
+}
+
+// Forget closes the connection to a VM that is gone.
+func (pl *Pool) Forget(vm call.VM) {
+	pl.mu.Lock()
+	cn := pl.conns[vm]
+	delete(pl.conns, vm)
+	delete(pl.stamps, vm)
+	pl.mu.Unlock()
+	if cn == nil {
+		return
+	}
+	pl.closeConn(cn.id)
+	pl.signals.Offer(withdrawal.Gone{Conn: cn.id})
+}
+
+// closeAll closes all connections.
+func (pl *Pool) closeAll() {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for _, cn := range pl.all {
+		cn.transport.CloseIdleConnections()
+	}
+	clear(pl.all)
+	clear(pl.conns)
+}
--- /dev/null
+++ b/internal/peer/query.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/header"
+	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
+	"camphortrail/withdrawal"
+)
+
+// trace follows one exchange: whether any byte was sent, and when the guard
+// acknowledged it.
+type trace struct {
+	pool  *Pool
+	vm    call.VM
+	id    call.AttemptID
+	wrote atomic.Bool
+}
+
+func (tr *trace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { tr.wrote.Store(true) },
+		Got1xxResponse: tr.acknowledged,
+	})
+}
+
+func (tr *trace) begun() bool { return tr.wrote.Load() }
+
+func (tr *trace) acknowledged(status int, hd textproto.MIMEHeader) error {
+	if status == http.StatusProcessing {
+		tr.pool.keepStamp(tr.vm, hd.Get(header.Stamp))
+		tr.pool.signal(withdrawal.Acked{Attempt: tr.id})
+	}
+	return nil
+}
+
+func (pl *Pool) keepStamp(vm call.VM, text string) {
+	sp, err := withdrawal.ParseStamp(text)
+	if err != nil {
+		return
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if old, ok := pl.stamps[vm]; !ok || sp.Later(old.value) {
+		pl.stamps[vm] = stamp{value: sp, received: time.Now()}
+	}
+}
+
+// freshStamp returns a recent stamp of the guard, and asks for one if there is
+// none.
+func (pl *Pool) freshStamp(ctx context.Context, vm call.VM, address string) (withdrawal.Stamp, error) {
+	pl.mu.Lock()
+	sp, ok := pl.stamps[vm]
+	pl.mu.Unlock()
+	if ok && time.Since(sp.received) < stampLife {
+		return sp.value, nil
+	}
+	rs, err := pl.ask(ctx, vm, address, &schema.WithdrawRequest{AttemptId: make([]byte, 16), Inspect: true})
+	if err != nil {
+		return withdrawal.Stamp{}, ErrNoStamp
+	}
+	return withdrawal.ParseStamp(rs.GetStamp())
+}
+
+// ask sends a withdrawal on the current connection to the VM.
+func (pl *Pool) ask(ctx context.Context, vm call.VM, address string, rq *schema.WithdrawRequest) (*schema.WithdrawResponse, error) {
+	ctx, stop := context.WithTimeout(ctx, queryTimeout)
+	defer stop()
+	cn := pl.current(vm, address)
+	client := schemaconnect.NewPeerClient(&http.Client{Transport: cn.transport}, "http://"+address)
+	rs, err := client.Withdraw(ctx, connect.NewRequest(rq))
+	if err != nil {
+		pl.markSuspect(cn.id)
+		pl.onState(vm, true)
+		return nil, err
+	}
+	pl.keepStamp(vm, rs.Msg.GetStamp())
+	pl.onState(vm, false)
+	return rs.Msg, nil
+}
+
+// query asks the guard for the state of an attempt, and delivers it if it is
+// final.
+func (pl *Pool) query(ctx context.Context, qu withdrawal.Query) {
+	pe := pl.lookup(qu.Attempt)
+	if pe == nil {
+		return
+	}
+	rs, err := pl.ask(ctx, qu.VM, pe.address, &schema.WithdrawRequest{
+		AttemptId: qu.Attempt[:], Stamp: pe.stamp.String(), Inspect: !qu.Withdraw,
+	})
+	if err != nil {
+		if pe.idempotent {
+			pe.deliver(Result{State: withdrawal.Unknown, Sent: true})
+		}
+		return
+	}
+	switch st := withdrawal.State(rs.GetState()); st {
+	case withdrawal.Queued, withdrawal.Running, withdrawal.Unseen:
+		// Suspicion asks again later.
+	case withdrawal.Finished:
+		if rec := rs.GetAnswer(); rec != nil {
+			pe.deliver(answered(attempt.FromRecord(rec)))
+			return
+		}
+		pe.deliver(Result{State: st, Sent: true})
+	default:
+		pe.deliver(Result{State: st, Sent: true})
+	}
+}
