Add the command line, the demonstration and operators' client

Change: cmd/camphortrail with node, control, check, apply, show, drain, demo and measure; internal/operator (apply that follows the leader, show, drain); internal/deployment (control replicas, nodes and stand-ins on loopback in one process) and internal/demo on top of it, with the examples embedded.

--- a/cmd/camphortrail/main.go
+++ b/cmd/camphortrail/main.go
@@ -1,4 +1,67 @@
 // Command camphortrail runs and operates the processes of the system.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// ctx ends with SIGINT or SIGTERM.
+var ctx context.Context
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var stop context.CancelFunc
+	ctx, stop = signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	log.SetHandler(jsonlog.New(os.Stderr))
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	for _, cm := range []struct {
+		name, short, long string
+		data              any
+	}{
+		{"node", "Run the node beside an upstream", "Runs the node beside an upstream until SIGTERM.", &nodeCommand{}},
+		{"control", "Run a control replica", "Runs a control replica until SIGTERM.", &controlCommand{}},
+		{"check", "Check a folder of files", "Checks a configuration, and the settings beside it, without applying it.", &checkCommand{}},
+		{"apply", "Apply a configuration", "Applies all files of a folder as one configuration.", &applyCommand{}},
+		{"show", "Show what is in force", "Shows revisions in force, upstreams by service and state, and control replicas.", &showCommand{}},
+		{"drain", "Drain the upstream beside a node", "Makes the upstream beside a node take no new work.", &drainCommand{}},
+		{"demo", "Run an example deployment", "Runs an example deployment on loopback with real requests, within 30 s.", &demoCommand{}},
+		{"measure", "Measure a scenario", "Runs a scenario with both arms and prints a JSON object for each.", &measureCommand{}},
+	} {
+		if _, err := parser.AddCommand(cm.name, cm.short, cm.long, cm.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+	}
+	_, err := parser.Parse()
+	return status(err)
+}
+
+// status prints an error and returns the exit status for it.
+func status(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return 2
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return 1
+}
--- /dev/null
+++ b/cmd/camphortrail/measure.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"os"
+
+	"camphortrail/internal/demo"
+	"camphortrail/internal/measure"
+)
+
+type demoCommand struct{}
+
+// Execute runs the demonstration.
+func (cm *demoCommand) Execute([]string) error { return demo.Run(ctx, os.Stdout) }
+
+type measureCommand struct {
+	Arguments struct {
+		Scenario string `positional-arg-name:"SCENARIO" description:"surge, slow-deep, silent or latency"`
+	} `positional-args:"true" required:"true"`
+	Seconds int    `long:"seconds" default:"30" description:"length of the run over all arms, in seconds"`
+	Seed    uint64 `long:"seed" default:"1" description:"seed of arrivals and choices"`
+}
+
+// Execute runs a scenario.
+func (cm *measureCommand) Execute([]string) error {
+	return measure.Run(ctx, measure.Options{
+		Scenario: cm.Arguments.Scenario, Seconds: cm.Seconds, Seed: cm.Seed,
+	}, os.Stdout)
+}
--- /dev/null
+++ b/cmd/camphortrail/operate.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/config"
+	"camphortrail/internal/operator"
+	"camphortrail/internal/peer"
+	"camphortrail/schema"
+)
+
+// configurationFolder is the folder of the configuration within the folder of a
+// deployment; settingsFolder is that of the settings.
+const (
+	configurationFolder = "configuration"
+	settingsFolder      = "settings"
+)
+
+// folderArgument names a folder of files.
+type folderArgument struct {
+	Arguments struct {
+		Folder string `positional-arg-name:"FOLDER" description:"folder of the configuration, or of a deployment with the folders configuration and settings"`
+	} `positional-args:"true" required:"true"`
+}
+
+// load reads the configuration of the folder.
+func (fa *folderArgument) load() (*schema.Configuration, error) {
+	folder := fa.Arguments.Folder
+	inner := filepath.Join(folder, configurationFolder)
+	if st, err := os.Stat(inner); err == nil && st.IsDir() {
+		folder = inner
+	}
+	return config.Load(folder)
+}
+
+// timeoutFlag bounds a command.
+type timeoutFlag struct {
+	Timeout time.Duration `long:"timeout" default:"10s" description:"time after which the command gives up"`
+}
+
+func (tf *timeoutFlag) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, tf.Timeout)
+}
+
+func newClient(controls []string) *operator.Client {
+	return &operator.Client{HTTP: &http.Client{Transport: peer.NewTransport()}, Controls: controls}
+}
+
+type checkCommand struct{ folderArgument }
+
+// Execute checks a folder.
+func (cm *checkCommand) Execute([]string) error {
+	cfg, err := cm.load()
+	if err != nil {
+		return err
+	}
+	paths, err := filepath.Glob(filepath.Join(cm.Arguments.Folder, settingsFolder, "*.json"))
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	for _, path := range paths {
+		if _, err := config.LoadSettings(path); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("accepted: deployment %s, version %d, %d services, %d settings\n",
+		cfg.GetDeployment(), cfg.GetVersion(), len(cfg.GetServices()), len(paths))
+	return nil
+}
+
+type applyCommand struct {
+	folderArgument
+	timeoutFlag
+	Control []string `long:"control" required:"true" value-name:"IP:PORT" description:"peer address of a control replica; may be repeated"`
+}
+
+// Execute applies a folder.
+func (cm *applyCommand) Execute([]string) error {
+	cfg, err := cm.load()
+	if err != nil {
+		return err
+	}
+	ctx, stop := cm.context()
+	defer stop()
+	rs, err := newClient(cm.Control).Apply(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("accepted: version %d is revision %d\n", cfg.GetVersion(), rs.GetRevision())
+	return nil
+}
+
+type showCommand struct {
+	timeoutFlag
+	Node    string   `long:"node" required:"true" value-name:"IP:PORT" description:"peer address of any node"`
+	Control []string `long:"control" value-name:"IP:PORT" description:"peer address of a control replica; may be repeated"`
+	JSON    bool     `long:"json" description:"print one JSON object"`
+	Details bool     `long:"details" description:"print a line for each node and upstream after the summary"`
+}
+
+// Execute shows a deployment.
+func (cm *showCommand) Execute([]string) error {
+	ctx, stop := cm.context()
+	defer stop()
+	rp, err := newClient(cm.Control).Show(ctx, cm.Node)
+	if err != nil {
+		return err
+	}
+	if cm.JSON {
+		return json.NewEncoder(os.Stdout).Encode(rp)
+	}
+	if err := rp.Summary(os.Stdout); err != nil || !cm.Details {
+		return err
+	}
+	return rp.Details(os.Stdout)
+}
+
+type drainCommand struct {
+	timeoutFlag
+	Node   string `long:"node" required:"true" value-name:"IP:PORT" description:"peer address of the node"`
+	Resume bool   `long:"resume" description:"take new work again"`
+}
+
+// Execute drains the upstream beside a node.
+func (cm *drainCommand) Execute([]string) error {
+	ctx, stop := cm.context()
+	defer stop()
+	inFlight, err := newClient(nil).Drain(ctx, cm.Node, cm.Resume)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("in flight: %d\n", inFlight)
+	return nil
+}
--- /dev/null
+++ b/cmd/camphortrail/process.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"camphortrail/config"
+	"camphortrail/internal/control"
+	"camphortrail/internal/node"
+
+	"github.com/apex/log"
+)
+
+// settingsFlag names the settings of a process.
+type settingsFlag struct {
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings of this process"`
+}
+
+type nodeCommand struct{ settingsFlag }
+
+// Execute runs a node.
+func (cm *nodeCommand) Execute([]string) error {
+	set, err := config.LoadSettings(cm.Settings)
+	if err != nil {
+		return err
+	}
+	nd, err := node.New(set, node.Options{Log: log.Log})
+	if err != nil {
+		return err
+	}
+	return nd.Run(ctx)
+}
+
+type controlCommand struct{ settingsFlag }
+
+// Execute runs a control replica.
+func (cm *controlCommand) Execute([]string) error {
+	set, err := config.LoadSettings(cm.Settings)
+	if err != nil {
+		return err
+	}
+	co, err := control.New(set, control.Options{Log: log.Log, Validate: config.Check})
+	if err != nil {
+		return err
+	}
+	return co.Run(ctx)
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,282 @@
+// Package demo runs an example deployment with real requests and checks what
+// came of them.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/examples"
+	"camphortrail/internal/deployment"
+	"camphortrail/internal/standin"
+	"camphortrail/schema"
+)
+
+// ErrFailed is returned when a check of the demonstration did not hold.
+var ErrFailed = errors.New("demo: a check did not hold")
+
+const (
+	exampleFolder = "lombardy"
+	readyTimeout  = 10 * time.Second
+	callerTime    = 4 * time.Second
+	sendTimeout   = 3 * time.Second
+	patience      = 5 * time.Second
+	slots         = 20
+	serviceTime   = 2 * time.Millisecond
+	seed          = 1
+)
+
+// Totals is the last line of the demonstration.
+type Totals struct {
+	Requests int    `json:"requests"`
+	Done     int    `json:"done"`
+	NotRun   int    `json:"not-run"`
+	Unknown  int    `json:"unknown"`
+	Revision uint64 `json:"revision"`
+}
+
+// Run runs the demonstration and writes a table and the totals to w.
+func Run(ctx context.Context, w io.Writer) error {
+	folder, err := os.MkdirTemp("", "camphortrail-demo-")
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	defer os.RemoveAll(folder)
+	if err := unpack(folder); err != nil {
+		return err
+	}
+	cfg, err := config.Load(filepath.Join(folder, exampleFolder, "configuration"))
+	if err != nil {
+		return err
+	}
+	rec := standin.NewRecorder()
+	dp, err := deployment.Start(ctx, deployment.Options{
+		Name: call.Tenant(cfg.GetDeployment()), Folder: filepath.Join(folder, "data"), Controls: 1,
+		Places: places(cfg, rec), Seed: seed,
+	})
+	if err != nil {
+		return err
+	}
+	defer dp.Stop()
+	fmt.Fprintf(w, "deployment %s: 1 control replica, %d nodes in 2 failure domains\n", cfg.GetDeployment(), len(dp.Nodes))
+	revision, err := apply(ctx, dp, cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "version %d is in force everywhere as revision %d\n", cfg.GetVersion(), revision)
+	send(ctx, dp, cfg, rec)
+	after, err := restartControl(ctx, dp)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "control replica started again on its data folder: revision %d\n\n", after)
+	totals, ok := report(w, cfg, rec.Log())
+	totals.Revision = after
+	if err := json.NewEncoder(w).Encode(totals); err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	if !ok || after != revision || dp.Err() != nil {
+		return errors.Wrapf(ErrFailed, "revision %d before and %d after; process error %v", revision, after, dp.Err())
+	}
+	return nil
+}
+
+// unpack writes the example to a folder.
+func unpack(folder string) error {
+	return errors.Wrap(fs.WalkDir(examples.Files, exampleFolder, func(path string, en fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if en.IsDir() {
+			return os.MkdirAll(filepath.Join(folder, path), 0o755)
+		}
+		content, err := examples.Files.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(folder, path), content, 0o644)
+	}), "demo")
+}
+
+// places returns one upstream of each service in each of two failure domains.
+func places(cfg *schema.Configuration, rec *standin.Recorder) []deployment.Place {
+	var all []deployment.Place
+	for _, fd := range cfg.GetFailureDomains()[:2] {
+		for _, svc := range cfg.GetServices() {
+			all = append(all, deployment.Place{
+				VM:     call.VM(fd.GetName() + "-" + svc.GetName() + "-1"),
+				Domain: call.FailureDomain(fd.GetName()),
+				Upstream: standin.UpstreamOptions{
+					Service: call.Service(svc.GetName()), Slots: slots, Connections: 300,
+					Work: serviceTime, Calls: calls, Recorder: rec,
+				},
+			})
+		}
+	}
+	return all
+}
+
+// calls are the calls that the upstreams make of one another.
+var calls = []standin.Call{
+	{Method: "GET", From: "/sportello/tags", To: "/emissione/tags"},
+	{Method: "GET", From: "/emissione/tags", To: "/planimetrie/places"},
+	{Method: "GET", From: "/planimetrie/places", To: "/cassa/payments"},
+	{Method: "POST", From: "/sportello/tags", To: "/emissione/tags"},
+	{Method: "POST", From: "/emissione/tags", To: "/cassa/charges"},
+	{Method: "POST", From: "/sportello/cancellations", To: "/emissione/cancellations"},
+	{Method: "POST", From: "/emissione/cancellations", To: "/cassa/refunds"},
+	{Method: "GET", From: "/sportello/tag-lists", To: "/emissione/tag-lists"},
+	{Method: "GET", From: "/emissione/tag-lists", To: "/cassa/payment-lists"},
+	{Method: "PUT", From: "/sportello/plans", To: "/planimetrie/plans"},
+}
+
+// apply applies the configuration and waits until it is in force everywhere.
+func apply(ctx context.Context, dp *deployment.Deployment, cfg *schema.Configuration) (uint64, error) {
+	ctx, stop := context.WithTimeout(ctx, readyTimeout)
+	defer stop()
+	rs, err := dp.Client.Apply(ctx, cfg)
+	if err != nil {
+		return 0, err
+	}
+	return rs.GetRevision(), dp.WaitReady(ctx, rs.GetRevision())
+}
+
+// send sends requests of each kind of the first service from callers.
+func send(ctx context.Context, dp *deployment.Deployment, cfg *schema.Configuration, rec *standin.Recorder) {
+	client := standin.NewClient()
+	defer client.CloseIdleConnections()
+	done := make(chan struct{})
+	kinds := cfg.GetServices()[0].GetRequests()
+	for i, kind := range kinds {
+		cr := standin.NewCaller(standin.CallerOptions{
+			Pattern:     pattern(cfg, kind),
+			Phases:      []standin.Phase{{Length: callerTime, Rate: 40}},
+			Targets:     dp.CallerURLs(),
+			SendTimeout: sendTimeout, Patience: patience, Resends: 1, Pause: 100 * time.Millisecond,
+			HonourRetryAfter: true, Outstanding: 200, Seed: seed + uint64(i),
+			FirstRoot: standin.RootID(1 + i*1_000_000), Recorder: rec, Client: client,
+		})
+		go func() {
+			cr.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range kinds {
+		<-done
+	}
+}
+
+func pattern(cfg *schema.Configuration, kind *schema.RequestKind) standin.Pattern {
+	pt := standin.Pattern{
+		Class: call.Class(kind.GetClass()), Method: kind.GetMethod(), Path: kind.GetPathPrefix(),
+		Keyed: kind.GetKeyRequired(),
+	}
+	if kind.GetMethod() != "GET" {
+		pt.BodyBytes = 2000
+	}
+	for _, cl := range cfg.GetClasses() {
+		if cl.GetName() == kind.GetClass() {
+			pt.Importance = call.Importance(cl.GetImportance())
+		}
+	}
+	return pt
+}
+
+// restartControl stops the control replica, starts it again on its folder and
+// returns the revision that it comes back with.
+func restartControl(ctx context.Context, dp *deployment.Deployment) (uint64, error) {
+	dp.StopControl(0)
+	if err := dp.StartControl(0); err != nil {
+		return 0, err
+	}
+	ctx, stop := context.WithTimeout(ctx, readyTimeout)
+	defer stop()
+	return dp.Client.Revision(ctx)
+}
+
+// report writes a line for each class and returns the totals, and whether all
+// checks held.
+func report(w io.Writer, cfg *schema.Configuration, lg standin.Log) (Totals, bool) {
+	var totals Totals
+	ok := true
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, "CLASS\tREQUESTS\tWHOLE\tSENDS\tDONE\tNOT-RUN\tUNKNOWN\tFOREIGN OR PARTIAL")
+	for _, cl := range cfg.GetClasses() {
+		ct := count(lg, call.Class(cl.GetName()))
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", cl.GetName(), ct.roots, ct.whole, ct.sends,
+			ct.outcomes[call.Done], ct.outcomes[call.NotRun], ct.outcomes[call.Unknown], ct.mixed)
+		totals.Requests += ct.sends
+		totals.Done += ct.outcomes[call.Done]
+		totals.NotRun += ct.outcomes[call.NotRun]
+		totals.Unknown += ct.outcomes[call.Unknown]
+		ok = ok && ct.whole > 0 && ct.outcomes[call.Done] > 0 && ct.mixed == 0
+	}
+	tw.Flush()
+	if double := doubleEffects(lg); double > 0 {
+		fmt.Fprintf(w, "idempotency keys that ran twice on one service: %d\n", double)
+		ok = false
+	}
+	fmt.Fprintln(w)
+	return totals, ok
+}
+
+// counts sums up one class.
+type counts struct {
+	roots, whole, sends, mixed int
+	outcomes                   map[call.Outcome]int
+}
+
+func count(lg standin.Log, class call.Class) counts {
+	ct := counts{outcomes: make(map[call.Outcome]int)}
+	for _, rt := range lg.Roots {
+		if rt.Class == class {
+			ct.roots++
+			if rt.Whole {
+				ct.whole++
+			}
+		}
+	}
+	for _, sd := range lg.Sends {
+		if sd.Class != class {
+			continue
+		}
+		ct.sends++
+		ct.outcomes[sd.Outcome]++
+		if sd.Verdict == standin.Partial || sd.Verdict == standin.Foreign {
+			ct.mixed++
+		}
+	}
+	return ct
+}
+
+// doubleEffects returns the number of idempotency keys that ran more than once
+// on one service.
+func doubleEffects(lg standin.Log) int {
+	type effect struct {
+		service call.Service
+		key     string
+	}
+	runs := make(map[effect]int)
+	double := 0
+	for _, rn := range lg.Runs {
+		if rn.Key == "" || rn.Idempotent {
+			continue
+		}
+		ef := effect{rn.Service, rn.Key}
+		if runs[ef]++; runs[ef] == 2 {
+			double++
+		}
+	}
+	return double
+}
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,243 @@
+// Package deployment runs control replicas, nodes and stand-in upstreams of a
+// whole deployment in one process on loopback, for demonstrations,
+// measurements and tests.
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/internal/control"
+	"camphortrail/internal/node"
+	"camphortrail/internal/operator"
+	"camphortrail/internal/peer"
+	"camphortrail/internal/standin"
+	"camphortrail/schema"
+)
+
+// Place is an upstream VM with the node beside it.
+type Place struct {
+	VM       call.VM
+	Domain   call.FailureDomain
+	Upstream standin.UpstreamOptions
+}
+
+// Options describe a deployment.
+type Options struct {
+	Name call.Tenant
+	// Folder holds the data folders of the control replicas.
+	Folder   string
+	Controls int
+	Places   []Place
+	Policy   node.Policy
+	Seed     uint64
+	Log      log.Interface
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	opt      Options
+	ctx      context.Context
+	cancel   context.CancelFunc
+	controls []*schema.Settings
+	running  []*process
+	Nodes    []*node.Node
+	stops    []*process
+	Upstream []*standin.Upstream
+	Client   *operator.Client
+	group    sync.WaitGroup
+
+	mu  sync.Mutex
+	err error
+}
+
+// process is something that runs until it is stopped.
+type process struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (pr *process) stop() {
+	pr.cancel()
+	<-pr.done
+}
+
+const loopback = "127.0.0.1:0"
+
+// Start starts a deployment. It ends with ctx or Stop.
+func Start(ctx context.Context, opt Options) (*Deployment, error) {
+	if opt.Log == nil {
+		opt.Log = &log.Logger{Handler: discard.Default, Level: log.FatalLevel}
+	}
+	dp := &Deployment{opt: opt, Client: &operator.Client{HTTP: &http.Client{Transport: peer.NewTransport()}}}
+	dp.ctx, dp.cancel = context.WithCancel(ctx)
+	if err := dp.startControls(); err != nil {
+		dp.Stop()
+		return nil, err
+	}
+	var contacts []string
+	for i, pl := range opt.Places {
+		if err := dp.startPlace(i, pl, contacts); err != nil {
+			dp.Stop()
+			return nil, err
+		}
+		if _, peers, _ := dp.Nodes[i].Addresses(); len(contacts) < 3 {
+			contacts = append(contacts, peers)
+		}
+	}
+	return dp, nil
+}
+
+// run runs a process in the background until it is stopped.
+func (dp *Deployment) run(name string, body func(context.Context) error) *process {
+	ctx, cancel := context.WithCancel(dp.ctx)
+	pr := &process{cancel: cancel, done: make(chan struct{})}
+	dp.group.Go(func() {
+		defer close(pr.done)
+		if err := body(ctx); err != nil && ctx.Err() == nil {
+			dp.mu.Lock()
+			dp.err = errors.Wrap(err, name)
+			dp.mu.Unlock()
+		}
+	})
+	return pr
+}
+
+// Err returns the last error of a process that ended by itself.
+func (dp *Deployment) Err() error {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	return dp.err
+}
+
+func (dp *Deployment) startControls() error {
+	var replicas []*schema.ControlReplica
+	for i := range dp.opt.Controls {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		replicas = append(replicas, &schema.ControlReplica{Name: fmt.Sprintf("control-%d", i+1), Address: address})
+		dp.Client.Controls = append(dp.Client.Controls, address)
+	}
+	for _, replica := range replicas {
+		dp.controls = append(dp.controls, &schema.Settings{
+			Name: replica.GetName(), Deployment: string(dp.opt.Name), FailureDomain: "control",
+			PeerAddress: replica.GetAddress(), DataFolder: filepath.Join(dp.opt.Folder, replica.GetName()),
+			ControlReplicas: replicas,
+		})
+	}
+	dp.running = make([]*process, len(dp.controls))
+	for i := range dp.controls {
+		if err := dp.StartControl(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartControl starts control replica i on its data folder.
+func (dp *Deployment) StartControl(i int) error {
+	co, err := control.New(dp.controls[i], control.Options{Log: dp.opt.Log, Validate: config.Check})
+	if err != nil {
+		return err
+	}
+	dp.running[i] = dp.run(dp.controls[i].GetName(), co.Run)
+	return nil
+}
+
+// StopControl stops control replica i.
+func (dp *Deployment) StopControl(i int) { dp.running[i].stop() }
+
+// startPlace starts a node and the upstream beside it.
+func (dp *Deployment) startPlace(i int, pl Place, contacts []string) error {
+	nd, err := node.New(&schema.Settings{
+		Name: string(pl.VM), Deployment: string(dp.opt.Name), FailureDomain: string(pl.Domain),
+		CallerAddress: loopback, PeerAddress: loopback, LocalAddress: loopback,
+		FirstContacts: contacts, ControlReplicas: dp.replicas(),
+	}, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log})
+	if err != nil {
+		return err
+	}
+	dp.Nodes = append(dp.Nodes, nd)
+	dp.stops = append(dp.stops, dp.run(string(pl.VM), nd.Run))
+	callers, _, local := nd.Addresses()
+	uopt := pl.Upstream
+	uopt.VM, uopt.Node, uopt.Local = string(pl.VM), "http://"+callers, "http://"+local
+	up, err := standin.NewUpstream(uopt)
+	if err != nil {
+		return err
+	}
+	dp.Upstream = append(dp.Upstream, up)
+	dp.run("upstream of "+string(pl.VM), up.Run)
+	return nil
+}
+
+// StopNode stops node i as planned and waits for its end.
+func (dp *Deployment) StopNode(i int) { dp.stops[i].stop() }
+
+func (dp *Deployment) replicas() []*schema.ControlReplica {
+	if len(dp.controls) == 0 {
+		return nil
+	}
+	return dp.controls[0].GetControlReplicas()
+}
+
+// CallerURLs returns the base URLs of the nodes for callers.
+func (dp *Deployment) CallerURLs() []string {
+	var urls []string
+	for _, nd := range dp.Nodes {
+		callers, _, _ := nd.Addresses()
+		urls = append(urls, "http://"+callers)
+	}
+	return urls
+}
+
+// WaitReady waits until each node has the revision in force, knows all
+// upstreams and each upstream is announced, or until ctx ends.
+func (dp *Deployment) WaitReady(ctx context.Context, revision uint64) error {
+	for {
+		ready := 0
+		for _, nd := range dp.Nodes {
+			if nd.Ready(revision, len(dp.opt.Places)) {
+				ready++
+			}
+		}
+		if ready == len(dp.Nodes) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("deployment: %d of %d nodes are ready for revision %d", ready, len(dp.Nodes), revision)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Stop ends all processes and waits for them.
+func (dp *Deployment) Stop() {
+	dp.cancel()
+	dp.group.Wait()
+	dp.Client.HTTP.CloseIdleConnections()
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "deployment")
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -110,6 +110,10 @@
 	}
 	ld := nd.guard.Load()
 	for _, me := range nd.gossip.Members() {
+		rs.Members = append(rs.Members, &schema.MemberStatus{
+			Name: string(me.Name), Address: me.Address.String(), FailureDomain: string(me.FailureDomain),
+			Role: string(me.Role), State: me.State.String(),
+		})
 		for _, up := range me.Upstreams {
 			st := &schema.UpstreamStatus{
 				Vm: string(me.Name), FailureDomain: string(me.FailureDomain), Service: string(up.Service),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,3 +217,16 @@
 	_, _ = rand.Read(b[:])
 	return binary.BigEndian.Uint64(b[:]) | 1
 }
+
+// Ready reports whether the revision, or a later one, is in force, and the
+// node knows at least the given number of upstreams.
+func (nd *Node) Ready(revision uint64, upstreams int) bool {
+	if have, _ := nd.rollout.Current(); have < revision {
+		return false
+	}
+	known := 0
+	for _, entries := range nd.entry.Upstreams() {
+		known += len(entries)
+	}
+	return known >= upstreams
+}
