Add the scenarios surge, slow-deep, silent and latency

measure.Run starts a control replica, nodes and stand-in upstreams in this process, drives them with callers and prints one line of JSON for each arm.

--- /dev/null
+++ b/internal/measure/latency.go
@@ -0,0 +1,155 @@
+package measure
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"camphortrail/internal/standin"
+)
+
+// The scenario latency compares calls straight to an upstream with calls
+// through an entry and a guard on two nodes, in turns, at half of the
+// upstream's capacity.
+const (
+	latencyScenario = "latency"
+	latencySlots    = 8
+	latencyWork     = 10 * time.Millisecond
+	latencyRate     = latencySlots * float64(time.Second) / float64(latencyWork) / 2
+	// latencySlice is the length of one turn.
+	latencySlice = 500 * time.Millisecond
+
+	p50 = 0.50
+	p99 = 0.99
+)
+
+// Ids of the first root of either way.
+const (
+	directRoots  standin.RootID = 1 * rootsPerStream
+	throughRoots standin.RootID = 2 * rootsPerStream
+)
+
+var lookupDeepest = standin.Pattern{
+	Class: lookup.Class, Importance: lookup.Importance, Method: lookup.Method,
+	Path: "/" + string(deepest) + "/" + kindName(lookup), AnswerBytes: answerBytes,
+}
+
+// latencyVMs returns an upstream and a second VM whose node is the entry.
+func latencyVMs() []standin.UpstreamOptions {
+	vm := standin.UpstreamOptions{Slots: latencySlots, Work: latencyWork, Connections: 1000, AnswerBytes: answerBytes}
+	entry, guard := vm, vm
+	entry.Service, entry.VM = front, string(front)+"-1"
+	guard.Service, guard.VM = deepest, string(deepest)+"-1"
+	return []standin.UpstreamOptions{entry, guard}
+}
+
+func runLatency(ctx context.Context, opt Options, w io.Writer) error {
+	for _, am := range arms {
+		fg, err := latencyArm(ctx, am, opt)
+		if err != nil {
+			return err
+		}
+		fg.Scenario, fg.Arm = opt.Scenario, am.name
+		if err := fg.write(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func latencyArm(ctx context.Context, am arm, opt Options) (Figures, error) {
+	ft, err := startFleet(ctx, fleetOptions{
+		configuration: configuration(), vms: latencyVMs(), policy: am.policy, seed: opt.Seed,
+	})
+	if err != nil {
+		return Figures{}, err
+	}
+	usable := time.Duration(opt.Seconds)*time.Second/time.Duration(len(arms)) - startupTime
+	settle := usable / 8
+	start := time.Now()
+	ft.takeTurns(ctx, settle, usable, opt.Seed)
+	if err := ft.stop(); err != nil {
+		return Figures{}, err
+	}
+	if ctx.Err() != nil {
+		return Figures{}, ctx.Err()
+	}
+	begin, end := start.Add(settle), start.Add(usable)
+	all := ft.recorder.Log()
+	through := only(&all, throughRoots)
+	tl := timeline{begin: begin, triggerStart: begin, triggerEnd: end, end: end}
+	fg := count(&through, tl, deepest, latencyRate/2)
+	fg.RecoveryMS = 0
+	direct := only(&all, directRoots)
+	ways := [2][]time.Duration{latencies(&through, begin), latencies(&direct, begin)}
+	low, high := added(ways[0], ways[1], p50), added(ways[0], ways[1], p99)
+	fg.AddedP50MS, fg.AddedP99MS = &low, &high
+	return fg, nil
+}
+
+// takeTurns runs the callers of both ways, one after the other in each turn.
+func (ft *fleet) takeTurns(ctx context.Context, settle, usable time.Duration, seed uint64) {
+	client := standin.NewClient()
+	defer client.Transport.(*http.Transport).CloseIdleConnections()
+	first := []standin.Phase{{Length: settle, Rate: latencyRate / 2}}
+	on, off := standin.Phase{Length: latencySlice, Rate: latencyRate}, standin.Phase{Length: latencySlice}
+	through, direct := first, first
+	for turn := settle; turn < usable; turn += 2 * latencySlice {
+		through = append(through[:len(through):len(through)], on, off)
+		direct = append(direct[:len(direct):len(direct)], off, on)
+	}
+	opt := standin.CallerOptions{
+		Pattern: lookupDeepest, SendTimeout: sendTimeout, Patience: patience,
+		Outstanding: outstanding, Seed: seed, Recorder: ft.recorder, Client: client,
+	}
+	var callers sync.WaitGroup
+	for _, way := range []struct {
+		first  standin.RootID
+		phases []standin.Phase
+		target string
+	}{
+		{directRoots, direct, "http://" + ft.upstreams[1].Address()},
+		{throughRoots, through, ft.callerURLs()[0]},
+	} {
+		opt.FirstRoot, opt.Phases, opt.Targets = way.first, way.phases, []string{way.target}
+		cr := standin.NewCaller(opt)
+		callers.Go(func() { cr.Run(ctx) })
+	}
+	callers.Wait()
+}
+
+// only returns the part of a log that belongs to one stream.
+func only(lg *standin.Log, first standin.RootID) standin.Log {
+	own := func(id standin.RootID) bool { return id >= first && id < first+rootsPerStream }
+	var part standin.Log
+	for _, rt := range lg.Roots {
+		if own(rt.ID) {
+			part.Roots = append(part.Roots, rt)
+		}
+	}
+	for _, sn := range lg.Sends {
+		if own(sn.Root) {
+			part.Sends = append(part.Sends, sn)
+		}
+	}
+	for _, rn := range lg.Runs {
+		if own(rn.Root) {
+			part.Runs = append(part.Runs, rn)
+		}
+	}
+	return part
+}
+
+// latencies returns the times that sends from begin on took to bring the whole
+// answer.
+func latencies(lg *standin.Log, begin time.Time) []time.Duration {
+	var list []time.Duration
+	for _, sn := range lg.Sends {
+		if sn.Verdict == standin.Whole && !sn.Sent.Before(begin) {
+			list = append(list, sn.Ended.Sub(sn.Sent))
+		}
+	}
+	return list
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -13,6 +15,9 @@
 // ErrUnknownScenario is returned for a scenario that does not exist.
 var ErrUnknownScenario = errors.New("measure: unknown scenario")
 
+// ErrTooShort is returned when the time does not suffice for both arms.
+var ErrTooShort = errors.New("measure: a scenario needs 12 seconds or more")
+
 // Options choose a measurement.
 type Options struct {
 	// Scenario is one of Scenarios.
@@ -23,10 +28,33 @@
 	Seed uint64
 }
 
-// DefaultSeconds is the time for both arms of a scenario.
-const DefaultSeconds = 36
+const (
+	// DefaultSeconds is the time for both arms of a scenario.
+	DefaultSeconds = 36
+	minSeconds     = 12
+)
+
+// Scenarios returns the names of the scenarios.
+func Scenarios() []string {
+	names := append(slices.Collect(maps.Keys(scenarios)), latencyScenario)
+	slices.Sort(names)
+	return names
+}
 
 // Run runs both arms of a scenario and writes one line of JSON for each.
-func Run(context.Context, Options, io.Writer) error {
-	return ErrUnknownScenario
+func Run(ctx context.Context, opt Options, w io.Writer) error {
+	if opt.Seconds == 0 {
+		opt.Seconds = DefaultSeconds
+	}
+	if opt.Seconds < minSeconds {
+		return ErrTooShort
+	}
+	if opt.Scenario == latencyScenario {
+		return runLatency(ctx, opt, w)
+	}
+	sc, ok := scenarios[opt.Scenario]
+	if !ok {
+		return errors.Wrap(ErrUnknownScenario, opt.Scenario)
+	}
+	return runScenario(ctx, sc, opt, w)
 }
--- /dev/null
+++ b/internal/measure/scenario_test.go
@@ -0,0 +1,154 @@
+package measure
+
+import (
+	"context"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/internal/standin"
+
+	"github.com/pkg/errors"
+)
+
+func TestConfigurationIsValid(t *testing.T) {
+	cd, err := config.Compile(configuration(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, pt := range []standin.Pattern{lookup, issue, list, lookupDeepest} {
+		kd, ok := cd.Match(pt.Method, pt.Path+"/1")
+		if !ok || kd.Class != pt.Class || kd.Importance != pt.Importance || kd.Idempotent != (pt.Method == "GET") {
+			t.Errorf("%s %s is of kind %+v", pt.Method, pt.Path, kd)
+		}
+	}
+}
+
+// TestDemand checks what the scenarios are defined by: normal demand fits, the
+// trigger does not, and important work alone always does.
+func TestDemand(t *testing.T) {
+	for name, sc := range scenarios {
+		var normal, trigger, important float64
+		for _, sm := range sc.streams {
+			normal += sm.normal
+			trigger += sm.trigger
+			if sm.pattern.Importance == lookup.Importance {
+				important += sm.trigger
+			}
+		}
+		if normal >= 0.75 || important*capacity > 0.8*sc.expected {
+			t.Errorf("%s: normal demand %v, important demand %v", name, normal, important)
+		}
+		if want := map[string]float64{"surge": 3, "slow-deep": 1.5, "silent": 0.7}[name]; trigger < want-1e-9 || trigger > want+1e-9 {
+			t.Errorf("%s: demand of the trigger is %v, want %v", name, trigger, want)
+		}
+	}
+}
+
+// TestDeepestBoundsTheCapacity checks that the services above could run more.
+func TestDeepestBoundsTheCapacity(t *testing.T) {
+	held, slots := make(map[call.Service]time.Duration), make(map[call.Service]int)
+	for _, vm := range vms() {
+		held[vm.Service], slots[vm.Service] = vm.Work, slots[vm.Service]+vm.Slots
+	}
+	above := time.Duration(0)
+	for _, service := range []call.Service{deepest, middle, front} {
+		above += held[service]
+		rate := float64(slots[service]) / above.Seconds()
+		if (service == deepest) != (rate <= capacity) {
+			t.Errorf("%s runs %v requests a second, capacity is %v", service, rate, float64(capacity))
+		}
+	}
+}
+
+func TestPlan(t *testing.T) {
+	pn := newPlan(36 * time.Second)
+	if total := pn.settle + pn.before + pn.trigger + pn.after; total != 16*time.Second || pn.trigger != 5*time.Second {
+		t.Errorf("plan = %+v", pn)
+	}
+	start := at(0)
+	tl := pn.timeline(start)
+	if tl.begin != at(2000) || tl.triggerStart != at(5000) || tl.triggerEnd != at(10000) || tl.end != at(16000) {
+		t.Errorf("timeline = %+v", tl)
+	}
+}
+
+func TestRunRefusesWrongOptions(t *testing.T) {
+	if err := Run(t.Context(), Options{Scenario: "none"}, io.Discard); !errors.Is(err, ErrUnknownScenario) {
+		t.Errorf("Run = %v, want ErrUnknownScenario", err)
+	}
+	if err := Run(t.Context(), Options{Scenario: "surge", Seconds: 1}, io.Discard); !errors.Is(err, ErrTooShort) {
+		t.Errorf("Run = %v, want ErrTooShort", err)
+	}
+	if want := []string{"latency", "silent", "slow-deep", "surge"}; !slices.Equal(Scenarios(), want) {
+		t.Errorf("Scenarios = %v, want %v", Scenarios(), want)
+	}
+}
+
+// echo serves connections that send back what they receive.
+func echo(t *testing.T) string {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			cn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer cn.Close()
+				_, _ = io.Copy(cn, cn)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// exchange sends a line and reports whether it came back before the deadline.
+func exchange(t *testing.T, cn net.Conn, wait time.Duration) bool {
+	t.Helper()
+	if _, err := cn.Write([]byte("line\n")); err != nil {
+		t.Fatal(err)
+	}
+	_ = cn.SetReadDeadline(time.Now().Add(wait))
+	buf := make([]byte, 5)
+	_, err := io.ReadFull(cn, buf)
+	return err == nil
+}
+
+func TestRelaySilencesOnlyEstablishedConnections(t *testing.T) {
+	rs := newRelays()
+	defer rs.close()
+	address, err := rs.to(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func() net.Conn {
+		cn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cn
+	}
+	old := dial()
+	defer old.Close()
+	if !exchange(t, old, 10*time.Second) {
+		t.Fatal("the relay does not pass bytes on")
+	}
+	rs.silence()
+	fresh := dial()
+	defer fresh.Close()
+	if exchange(t, old, 50*time.Millisecond) {
+		t.Error("an established connection still passes bytes on")
+	}
+	if !exchange(t, fresh, 10*time.Second) {
+		t.Error("a new connection does not pass bytes on")
+	}
+}
