Add the control replica

The daemon joins the log, the disk, the applied state and one sender for each other replica by rings, and serves Apply, Fetch, Claim, Exchange and ControlStatus. A stop hands the leadership over and answers what is in flight. Tests run one and three replicas on loopback: restarts, loss of the leader, racing operators, resent applies, a partition, lost disks.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,27 +1,42 @@
 // Package control is the daemon of a control replica: it keeps the replicated
 // log of configurations and claims, and serves them to operators and nodes.
+//
+// There is one goroutine for each duty: the log, the disk, the applied state,
+// and the messages to each other replica. Bounded rings join them.
 package control
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
 
+	"camphortrail/claim"
 	"camphortrail/quorum"
+	"camphortrail/ring"
 	"camphortrail/schema"
+	"camphortrail/store"
 )
 
-// ClaimTable decides on claims. All replicas apply the same operations in
-// the same order.
-type ClaimTable interface {
-	// Step applies an operation at the proposing leader's wall time.
-	Step(now time.Time, op *schema.ClaimOperation) *schema.ClaimResult
-	// Snapshot returns the content.
-	Snapshot() ([]byte, error)
-	// Restore replaces the content.
-	Restore(data []byte) error
-}
+const (
+	messageRingSize  = 4096
+	proposalRingSize = 4096
+	applyRingSize    = 4096
+	sendRingSize     = 1024
+	tickInterval     = 20 * time.Millisecond
+	// shutdownTimeout bounds the time for requests in flight at a stop.
+	shutdownTimeout = 5 * time.Second
+)
+
+// ErrNotListed is returned when the settings list control replicas without
+// this one.
+var ErrNotListed = errors.New("control: the replica is not listed in control-replicas")
 
 // Options are what a control replica needs besides its settings. All may be
 // left out.
@@ -30,24 +45,202 @@
 	Log log.Interface
 	// Validate refuses a configuration before it is proposed.
 	Validate func(*schema.Configuration) error
-	// Claims is the claim table. Without one claims are refused.
-	Claims ClaimTable
+	// Claims bounds the claim table, equally on all replicas. The default is
+	// claim.DefaultLimits.
+	Claims claim.Limits
 	// Timing overrides the timeouts of the replicated log.
 	Timing func(*quorum.Settings)
+
+	// wrap replaces the transport to another replica.
+	wrap func(quorum.Replica, http.RoundTripper) http.RoundTripper
 }
 
 // Control is one control replica.
-type Control struct{}
+type Control struct {
+	set       *schema.Settings
+	opt       Options
+	log       log.Interface
+	id        quorum.Replica
+	addresses map[quorum.Replica]string
+
+	store    *store.Store
+	machine  *quorum.Machine
+	state    *state
+	senders  map[quorum.Replica]*sender
+	waiters  *waiters
+	measures *measures
+	view     atomic.Pointer[view]
 
-// New opens the data folder and returns a replica that is ready to run.
+	listener net.Listener
+	local    net.Listener
+
+	messages    *ring.Ring[quorum.Event]
+	proposals   *ring.Ring[quorum.Event]
+	compactions *ring.Ring[quorum.Event]
+	writes      *ring.Ring[quorum.Persist]
+	written     *ring.Ring[quorum.Event]
+	applies     *ring.Ring[quorum.Action]
+}
+
+// New opens the data folder and the addresses, and returns a replica that is
+// ready to run.
 func New(set *schema.Settings, opt Options) (*Control, error) {
-	_, _ = set, opt
-	return &Control{}, nil
+	if opt.Log == nil {
+		opt.Log = &log.Logger{Handler: discard.New()}
+	}
+	if opt.Claims == (claim.Limits{}) {
+		opt.Claims = claim.DefaultLimits()
+	}
+	co := &Control{
+		set: set, opt: opt, id: quorum.Replica(set.GetName()),
+		log:         opt.Log.WithFields(log.Fields{"vm": set.GetName(), "duty": "control"}),
+		waiters:     newWaiters(),
+		messages:    ring.New[quorum.Event](messageRingSize),
+		proposals:   ring.New[quorum.Event](proposalRingSize),
+		compactions: ring.New[quorum.Event](1),
+		writes:      ring.New[quorum.Persist](1),
+		written:     ring.New[quorum.Event](1),
+		applies:     ring.New[quorum.Action](applyRingSize),
+	}
+	co.measures = newMeasures(co)
+	co.state = newState(co)
+	co.view.Store(&view{})
+	if err := co.findReplicas(); err != nil {
+		return nil, err
+	}
+	if err := co.open(); err != nil {
+		co.close()
+		return nil, err
+	}
+	return co, nil
+}
+
+// findReplicas reads the list of replicas; without one this is the only one.
+func (co *Control) findReplicas() error {
+	co.addresses = make(map[quorum.Replica]string)
+	for _, cr := range co.set.GetControlReplicas() {
+		co.addresses[quorum.Replica(cr.GetName())] = cr.GetAddress()
+	}
+	if len(co.addresses) == 0 {
+		co.addresses[co.id] = co.set.GetPeerAddress()
+	}
+	if _, ok := co.addresses[co.id]; !ok {
+		return errors.Wrap(ErrNotListed, string(co.id))
+	}
+	co.senders = make(map[quorum.Replica]*sender)
+	for id, address := range co.addresses {
+		if id != co.id {
+			co.senders[id] = newSender(co, id, address)
+		}
+	}
+	return nil
+}
+
+func (co *Control) open() error {
+	begin := time.Now()
+	incarnation := quorum.Incarnation(begin.UnixMilli())
+	st, found, re, err := store.Open(co.set.GetDataFolder(), incarnation)
+	if err != nil {
+		return err
+	}
+	co.store = st
+	co.report(re, found, time.Since(begin))
+	set := quorum.DefaultSettings(co.id, nil)
+	for id := range co.addresses {
+		set.Replicas = append(set.Replicas, id)
+	}
+	set.Seed = uint64(begin.UnixNano())
+	if co.opt.Timing != nil {
+		co.opt.Timing(&set)
+	}
+	co.machine = quorum.New(set, found)
+	if co.listener, err = net.Listen("tcp", co.set.GetPeerAddress()); err != nil {
+		return errors.Wrap(err, "control: peer address")
+	}
+	if address := co.set.GetLocalAddress(); address != "" {
+		if co.local, err = net.Listen("tcp", address); err != nil {
+			return errors.Wrap(err, "control: local address")
+		}
+	}
+	return nil
+}
+
+// report logs what was found in the data folder.
+func (co *Control) report(re store.Report, found quorum.State, took time.Duration) {
+	lg := co.log.WithFields(log.Fields{
+		"records": re.Records, "entries": len(found.Entries), "snapshot": uint64(found.Snapshot.Index),
+		"incarnation": uint64(found.Incarnation), "took-ms": took.Milliseconds(),
+	})
+	switch {
+	case re.Damage != "":
+		lg.WithField("damage", re.Damage).Error("data folder damaged; its files are set aside and the replica learns from the others")
+	case re.Fresh:
+		lg.Info("data folder is empty")
+	case re.CutBytes > 0:
+		lg.WithField("cut-bytes", re.CutBytes).Warn("unfinished record cut off the log")
+	default:
+		lg.Info("data folder read")
+	}
 }
 
 // Run serves until ctx ends. A leader then hands over its leadership, and
-// requests in flight are answered before Run returns.
+// requests in flight are answered before Run returns. It returns an error if
+// the disk fails.
 func (co *Control) Run(ctx context.Context) error {
-	<-ctx.Done()
+	defer co.close()
+	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	var duties sync.WaitGroup
+	duty := func(run func(context.Context) error) {
+		duties.Go(func() {
+			if err := run(inner); err != nil && inner.Err() == nil {
+				cancel(err)
+			}
+		})
+	}
+	left := make(chan struct{})
+	duty(func(inner context.Context) error { return co.runLog(inner, ctx.Done(), left) })
+	duty(co.runDisk)
+	duty(co.state.run)
+	for _, se := range co.senders {
+		duty(se.run)
+	}
+	servers := co.serve(duty)
+	select {
+	case <-left:
+	case <-inner.Done():
+		co.waiters.close()
+	}
+	co.shutdown(servers)
+	cancel(nil)
+	duties.Wait()
+	co.waiters.close()
+	if err := context.Cause(inner); !errors.Is(err, context.Canceled) {
+		co.log.WithError(err).Error("control replica failed")
+		return err
+	}
 	return nil
 }
+
+// shutdown ends the servers once the requests in flight are answered.
+func (co *Control) shutdown(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, sv := range servers {
+		if sv.Shutdown(ctx) != nil {
+			_ = sv.Close()
+		}
+	}
+}
+
+func (co *Control) close() {
+	if co.listener != nil {
+		_ = co.listener.Close()
+	}
+	if co.local != nil {
+		_ = co.local.Close()
+	}
+	if co.store != nil {
+		_ = co.store.Close()
+	}
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,363 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"camphortrail/internal/peer"
+	"camphortrail/quorum"
+	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
+)
+
+const (
+	deployment = "lombardy"
+	// patience bounds waiting for what must come; nothing relies on it
+	// being reached or not.
+	patience = 60 * time.Second
+)
+
+// fleet runs control replicas in this process.
+type fleet struct {
+	t         *testing.T
+	replicas  []*schema.ControlReplica
+	folders   []string
+	clients   []schemaconnect.ControlClient
+	cut       []atomic.Bool
+	stops     []func() error
+	transport *http.Transport
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	fl := &fleet{
+		t: t, stops: make([]func() error, size), cut: make([]atomic.Bool, size),
+		transport: peer.NewTransport(),
+	}
+	for i := range size {
+		address := freeAddress(t)
+		fl.replicas = append(fl.replicas, &schema.ControlReplica{Name: fmt.Sprintf("control-%d", i+1), Address: address})
+		fl.folders = append(fl.folders, t.TempDir())
+		fl.clients = append(fl.clients, schemaconnect.NewControlClient(&http.Client{Transport: fl.transport}, "http://"+address))
+	}
+	for i := range size {
+		fl.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range size {
+			fl.stop(i)
+		}
+		fl.transport.CloseIdleConnections()
+	})
+	return fl
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = li.Close() }()
+	return li.Addr().String()
+}
+
+// barrier fails the messages between replicas of which one is cut off.
+type barrier struct {
+	fl       *fleet
+	from, to int
+	next     http.RoundTripper
+}
+
+func (ba barrier) RoundTrip(rq *http.Request) (*http.Response, error) {
+	if ba.fl.cut[ba.from].Load() != ba.fl.cut[ba.to].Load() {
+		return nil, errors.New("cut off")
+	}
+	return ba.next.RoundTrip(rq)
+}
+
+func (fl *fleet) index(id quorum.Replica) int {
+	for i, cr := range fl.replicas {
+		if cr.GetName() == string(id) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (fl *fleet) start(i int) {
+	fl.t.Helper()
+	co, err := New(&schema.Settings{
+		Name: fl.replicas[i].GetName(), Deployment: deployment, PeerAddress: fl.replicas[i].GetAddress(),
+		DataFolder: fl.folders[i], ControlReplicas: fl.replicas,
+	}, Options{wrap: func(id quorum.Replica, next http.RoundTripper) http.RoundTripper {
+		return barrier{fl, i, fl.index(id), next}
+	}})
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- co.Run(ctx) }()
+	fl.stops[i] = func() error {
+		cancel()
+		return <-done
+	}
+}
+
+func (fl *fleet) stop(i int) {
+	fl.t.Helper()
+	if fl.stops[i] == nil {
+		return
+	}
+	if err := fl.stops[i](); err != nil {
+		fl.t.Errorf("%s: %v", fl.replicas[i].GetName(), err)
+	}
+	fl.stops[i] = nil
+}
+
+func configuration(version uint64, name string) *schema.Configuration {
+	return &schema.Configuration{
+		Deployment: deployment, Version: version,
+		Services: []*schema.Service{{Name: name}},
+	}
+}
+
+// until repeats until it succeeds.
+func (fl *fleet) until(what string, try func() bool) {
+	fl.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if try() {
+			return
+		}
+	}
+	fl.t.Fatalf("%s: not within %v", what, patience)
+}
+
+func (fl *fleet) apply(i int, cfg *schema.Configuration) *schema.ApplyResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	rs, err := fl.clients[i].Apply(ctx, connect.NewRequest(&schema.ApplyRequest{Configuration: cfg}))
+	if err != nil {
+		return &schema.ApplyResponse{Result: schema.ApplyResult_APPLY_RESULT_UNKNOWN, Reason: err.Error()}
+	}
+	return rs.Msg
+}
+
+// applyAnywhere applies at whichever replica leads, until the answer is known.
+func (fl *fleet) applyAnywhere(cfg *schema.Configuration) *schema.ApplyResponse {
+	fl.t.Helper()
+	var response *schema.ApplyResponse
+	fl.until("apply", func() bool {
+		for i := range fl.clients {
+			response = fl.apply(i, cfg)
+			switch response.GetResult() {
+			case schema.ApplyResult_APPLY_RESULT_NOT_LEADER, schema.ApplyResult_APPLY_RESULT_UNKNOWN:
+			default:
+				return true
+			}
+		}
+		return false
+	})
+	return response
+}
+
+func (fl *fleet) mustAccept(cfg *schema.Configuration) uint64 {
+	fl.t.Helper()
+	response := fl.applyAnywhere(cfg)
+	if response.GetResult() != schema.ApplyResult_APPLY_RESULT_ACCEPTED {
+		fl.t.Fatalf("version %d: %v", cfg.GetVersion(), response)
+	}
+	return response.GetRevision()
+}
+
+func (fl *fleet) fetch(i int) (*schema.FetchResponse, error) {
+	rs, err := fl.clients[i].Fetch(context.Background(), connect.NewRequest(&schema.FetchRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return rs.Msg, nil
+}
+
+// version returns the version that a current replica presents.
+func (fl *fleet) version() uint64 {
+	fl.t.Helper()
+	var version uint64
+	fl.until("fetch", func() bool {
+		for i := range fl.clients {
+			if rs, err := fl.fetch(i); err == nil {
+				version = rs.GetConfiguration().GetVersion()
+				return true
+			}
+		}
+		return false
+	})
+	return version
+}
+
+func (fl *fleet) status(i int) *schema.ControlStatusResponse {
+	rs, err := fl.clients[i].ControlStatus(context.Background(), connect.NewRequest(&schema.ControlStatusRequest{}))
+	if err != nil {
+		return &schema.ControlStatusResponse{}
+	}
+	return rs.Msg
+}
+
+func (fl *fleet) leader() int {
+	fl.t.Helper()
+	leader := -1
+	fl.until("leader", func() bool {
+		for i := range fl.clients {
+			if fl.status(i).GetCurrent() {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (fl *fleet) voters() {
+	fl.t.Helper()
+	fl.until("every replica a voter", func() bool {
+		for i := range fl.clients {
+			if role := fl.status(i).GetRole(); role != "leader" && role != "follower" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestOneReplica(t *testing.T) {
+	fl := newFleet(t, 1)
+	first := fl.mustAccept(configuration(1, "sportello"))
+	if again := fl.mustAccept(configuration(1, "sportello")); again != first {
+		t.Fatalf("same apply got revision %d, want %d", again, first)
+	}
+	fl.stop(0)
+	fl.start(0)
+	if got := fl.version(); got != 1 {
+		t.Fatalf("version %d after a restart, want 1", got)
+	}
+}
+
+func TestAcceptedOutlivesLeaders(t *testing.T) {
+	fl := newFleet(t, 3)
+	var first uint64
+	for version := uint64(1); version <= 4; version++ {
+		revision := fl.mustAccept(configuration(version, "cassa"))
+		if version == 1 {
+			first = revision
+		}
+		leader := fl.leader()
+		fl.stop(leader)
+		if got := fl.version(); got != version {
+			t.Fatalf("version %d in force after %d was accepted", got, version)
+		}
+		fl.start(leader)
+	}
+	if again := fl.mustAccept(configuration(1, "cassa")); again != first {
+		t.Fatalf("resent apply got revision %d, want %d", again, first)
+	}
+	if rs := fl.applyAnywhere(configuration(1, "other")); rs.GetResult() != schema.ApplyResult_APPLY_RESULT_STALE {
+		t.Fatalf("lower version with other content: %v", rs)
+	}
+	for i := range fl.clients {
+		fl.stop(i)
+	}
+	for i := range fl.clients {
+		fl.start(i)
+	}
+	if got := fl.version(); got != 4 {
+		t.Fatalf("version %d after all restarted, want 4", got)
+	}
+}
+
+func TestOneOfTheRacersWins(t *testing.T) {
+	fl := newFleet(t, 3)
+	fl.leader()
+	const racers = 8
+	responses := make([]*schema.ApplyResponse, racers)
+	var group sync.WaitGroup
+	for i := range racers {
+		group.Go(func() { responses[i] = fl.applyAnywhere(configuration(7, fmt.Sprint("racer-", i))) })
+	}
+	group.Wait()
+	accepted := 0
+	for _, rs := range responses {
+		switch rs.GetResult() {
+		case schema.ApplyResult_APPLY_RESULT_ACCEPTED:
+			accepted++
+		case schema.ApplyResult_APPLY_RESULT_CONFLICT:
+			if rs.GetReason() == "" || rs.GetVersionInForce() != 7 {
+				t.Fatalf("conflict does not name the winner: %v", rs)
+			}
+		default:
+			t.Fatalf("unexpected answer: %v", rs)
+		}
+	}
+	if accepted != 1 {
+		t.Fatalf("%d racers accepted, want 1", accepted)
+	}
+}
+
+func TestCutOffReplicaRefuses(t *testing.T) {
+	fl := newFleet(t, 3)
+	fl.mustAccept(configuration(1, "entrega"))
+	old := fl.leader()
+	fl.cut[old].Store(true)
+	fl.until("another leader", func() bool { return fl.leader() != old })
+	fl.mustAccept(configuration(2, "entrega"))
+	if rs, err := fl.fetch(old); connect.CodeOf(err) != connect.CodeUnavailable {
+		t.Fatalf("Fetch at the replica that is cut off = %v, %v; want unavailable", rs, err)
+	}
+	switch rs := fl.apply(old, configuration(3, "entrega")); rs.GetResult() {
+	case schema.ApplyResult_APPLY_RESULT_NOT_LEADER, schema.ApplyResult_APPLY_RESULT_UNKNOWN:
+	default:
+		t.Fatalf("Apply at the replica that is cut off = %v", rs)
+	}
+	fl.cut[old].Store(false)
+	want := fl.mustAccept(configuration(4, "entrega"))
+	fl.until("healed replica", func() bool { return fl.status(old).GetRevision() == want })
+}
+
+func TestLostDiskIsRepaired(t *testing.T) {
+	fl := newFleet(t, 3)
+	for round := range 3 {
+		version := uint64(round + 1)
+		fl.mustAccept(configuration(version, "fichas"))
+		fl.stop(round)
+		fl.folders[round] = t.TempDir()
+		fl.start(round)
+		fl.voters()
+		if got := fl.version(); got != version {
+			t.Fatalf("version %d in force, want %d", got, version)
+		}
+	}
+}
+
+func TestHundredsOfChangesThenRestart(t *testing.T) {
+	const changes = 500
+	fl := newFleet(t, 1)
+	for version := range uint64(changes) {
+		fl.mustAccept(configuration(version+1, "consulta"))
+	}
+	fl.stop(0)
+	begin := time.Now()
+	fl.start(0)
+	if got := fl.version(); got != changes {
+		t.Fatalf("version %d after the restart, want %d", got, changes)
+	}
+	t.Logf("current again %v after the restart with %d changes", time.Since(begin), changes)
+}
--- /dev/null
+++ b/internal/control/log.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"camphortrail/quorum"
+)
+
+// view is what other goroutines see of the machine.
+type view struct {
+	status quorum.Status
+	// until is the end of the lease, and applied the index that the state
+	// must have reached to be current.
+	until   time.Time
+	applied quorum.Index
+}
+
+// runLog drives the machine. Once stop ends it gives up the leadership, and
+// closes left when it has.
+func (co *Control) runLog(ctx context.Context, stop <-chan struct{}, left chan<- struct{}) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	leaving := false
+	for {
+		var ev quorum.Event
+		select {
+		case ev = <-co.written.Out():
+		case ev = <-co.messages.Out():
+		case ev = <-co.proposals.Out():
+		case ev = <-co.compactions.Out():
+		case <-ticker.C:
+			ev = quorum.Tick{}
+		case <-stop:
+			leaving, stop, ev = true, nil, quorum.Transfer{}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := co.step(ctx, ev); err != nil {
+			return err
+		}
+		if leaving && co.machine.Status().Role != quorum.Leader {
+			close(left)
+			leaving = false
+		}
+	}
+}
+
+func (co *Control) step(ctx context.Context, ev quorum.Event) error {
+	for _, ac := range co.machine.Step(time.Now(), ev) {
+		if err := co.carryOut(ctx, ac); err != nil {
+			return err
+		}
+	}
+	vi := &view{status: co.machine.Status()}
+	vi.until, vi.applied = co.machine.Lease()
+	co.view.Store(vi)
+	return nil
+}
+
+func (co *Control) carryOut(ctx context.Context, ac quorum.Action) error {
+	switch ac := ac.(type) {
+	case quorum.Send:
+		if !co.senders[quorum.Destination(ac.Message)].messages.Offer(ac.Message) {
+			co.measures.dropped.Inc()
+		}
+	case quorum.Persist:
+		return co.writes.Put(ctx, ac)
+	case quorum.Apply, quorum.Restore:
+		return co.applies.Put(ctx, ac)
+	case quorum.Rejected:
+		co.waiters.answer(ac.Proposal, rejection{err: ac.Err, leader: ac.Leader})
+	case quorum.RoleChanged:
+		co.log.WithFields(log.Fields{
+			"role": ac.Role.String(), "term": uint64(ac.Term), "leader": string(ac.Leader),
+		}).Info("role")
+	}
+	return nil
+}
+
+// runDisk writes and syncs what the machine asks for. A failed write ends the
+// replica: what it says about its disk would not be true any more.
+func (co *Control) runDisk(ctx context.Context) error {
+	for {
+		pe, err := co.writes.Take(ctx)
+		if err != nil {
+			return err
+		}
+		begin := time.Now()
+		if err := co.store.Save(pe); err != nil {
+			return err
+		}
+		co.measures.sync.UpdateDuration(begin)
+		if err := co.written.Put(ctx, quorum.Persisted{Number: pe.Number}); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/serve.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+
+	"camphortrail/schema/schemaconnect"
+)
+
+const (
+	maxRequestBytes   = 16 << 20
+	readHeaderTimeout = 5 * time.Second
+)
+
+// measures are the replica's metrics.
+type measures struct {
+	set     *metrics.Set
+	commit  *metrics.Histogram
+	sync    *metrics.Histogram
+	dropped *metrics.Counter
+	failed  *metrics.Counter
+}
+
+func newMeasures(co *Control) *measures {
+	set := metrics.NewSet()
+	me := &measures{
+		set:     set,
+		commit:  set.NewHistogram("camphortrail_control_commit_seconds"),
+		sync:    set.NewHistogram("camphortrail_control_sync_seconds"),
+		dropped: set.NewCounter("camphortrail_control_messages_dropped_total"),
+		failed:  set.NewCounter("camphortrail_control_exchanges_failed_total"),
+	}
+	set.NewGauge("camphortrail_control_commit_index", func() float64 {
+		return float64(co.view.Load().status.Commit)
+	})
+	set.NewGauge("camphortrail_control_revision", func() float64 {
+		return float64(co.state.current.Load().revision)
+	})
+	set.NewGauge("camphortrail_control_current", func() float64 {
+		if co.current(co.state.current.Load().applied) {
+			return 1
+		}
+		return 0
+	})
+	return me
+}
+
+// serve starts the servers, each as a duty.
+func (co *Control) serve(duty func(func(context.Context) error)) []*http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	mux := http.NewServeMux()
+	mux.Handle(schemaconnect.NewControlHandler(co, connect.WithReadMaxBytes(maxRequestBytes)))
+	servers := []*http.Server{{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}}
+	listeners := []net.Listener{co.listener}
+	if co.local != nil {
+		servers = append(servers, &http.Server{Handler: co.localHandler(), ReadHeaderTimeout: readHeaderTimeout})
+		listeners = append(listeners, co.local)
+	}
+	for i, sv := range servers {
+		duty(func(context.Context) error {
+			if err := sv.Serve(listeners[i]); err != http.ErrServerClosed {
+				return err
+			}
+			return nil
+		})
+	}
+	return servers
+}
+
+func (co *Control) localHandler() http.Handler {
+	ro := chi.NewRouter()
+	ro.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { co.measures.set.WritePrometheus(w) })
+	return ro
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/claim"
+	"camphortrail/quorum"
+	"camphortrail/schema"
+)
+
+const (
+	maxConfigurationBytes = 4 << 20
+	maxClaimOperations    = 4096
+)
+
+var (
+	errNotCurrent = errors.New("control: the replica can't prove that it is current")
+	errBusy       = errors.New("control: too many requests wait")
+	errUnknown    = errors.New("control: leadership was lost, the request may take effect or not")
+)
+
+// current reports whether the replica holds a lease, and a state read before
+// the call, up to the given index, is current.
+func (co *Control) current(applied quorum.Index) bool {
+	vi := co.view.Load()
+	return time.Now().Before(vi.until) && applied >= vi.applied
+}
+
+// leading reports whether the replica may accept proposals.
+func (co *Control) leading() bool { return time.Now().Before(co.view.Load().until) }
+
+// leaderAddress returns the address of another replica that leads, if known.
+func (co *Control) leaderAddress() string {
+	leader := co.view.Load().status.Leader
+	if leader == co.id {
+		return ""
+	}
+	return co.addresses[leader]
+}
+
+// propose has a command committed, and returns what became of it.
+func (co *Control) propose(ctx context.Context, cm *schema.Command) (answer, error) {
+	cm.ProposedUnixMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(cm)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	pr, wt := co.waiters.add()
+	if !co.proposals.Offer(quorum.Propose{Proposal: pr, Data: data}) {
+		co.waiters.remove(pr)
+		return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
+	}
+	select {
+	case an := <-wt.answer:
+		re, rejected := an.(rejection)
+		if rejected && errors.Is(re.err, quorum.ErrFull) {
+			return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
+		}
+		if !rejected {
+			co.measures.commit.UpdateDuration(wt.began)
+		}
+		return an, nil
+	case <-ctx.Done():
+		co.waiters.remove(pr)
+		return rejection{err: quorum.ErrUnknown}, nil
+	}
+}
+
+// Apply implements schemaconnect.ControlHandler.
+func (co *Control) Apply(ctx context.Context, rq *connect.Request[schema.ApplyRequest]) (*connect.Response[schema.ApplyResponse], error) {
+	response, err := co.applyConfiguration(ctx, rq.Msg.GetConfiguration())
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (co *Control) applyConfiguration(ctx context.Context, cfg *schema.Configuration) (*schema.ApplyResponse, error) {
+	if err := co.validate(cfg); err != nil {
+		return &schema.ApplyResponse{Result: schema.ApplyResult_APPLY_RESULT_INVALID, Reason: err.Error()}, nil
+	}
+	if !co.leading() {
+		return co.notLeader(), nil
+	}
+	an, err := co.propose(ctx, &schema.Command{Kind: &schema.Command_Configuration{Configuration: cfg}})
+	if err != nil {
+		return nil, err
+	}
+	switch an := an.(type) {
+	case decided:
+		return an.response, nil
+	case rejection:
+		if errors.Is(an.err, quorum.ErrNotLeader) {
+			return co.notLeader(), nil
+		}
+	}
+	return &schema.ApplyResponse{
+		Result: schema.ApplyResult_APPLY_RESULT_UNKNOWN, Reason: errUnknown.Error(), Leader: co.leaderAddress(),
+	}, nil
+}
+
+func (co *Control) notLeader() *schema.ApplyResponse {
+	return &schema.ApplyResponse{Result: schema.ApplyResult_APPLY_RESULT_NOT_LEADER, Leader: co.leaderAddress()}
+}
+
+func (co *Control) validate(cfg *schema.Configuration) error {
+	switch {
+	case cfg == nil || cfg.GetVersion() == 0:
+		return errors.New("a configuration with a version is required")
+	case cfg.GetDeployment() != co.set.GetDeployment():
+		return errors.Errorf("the configuration is for deployment %q, this is %q", cfg.GetDeployment(), co.set.GetDeployment())
+	case proto.Size(cfg) > maxConfigurationBytes:
+		return errors.Errorf("the configuration exceeds %d bytes", maxConfigurationBytes)
+	case co.opt.Validate != nil:
+		return co.opt.Validate(cfg)
+	}
+	return nil
+}
+
+// Fetch implements schemaconnect.ControlHandler.
+func (co *Control) Fetch(_ context.Context, rq *connect.Request[schema.FetchRequest]) (*connect.Response[schema.FetchResponse], error) {
+	now := co.state.current.Load()
+	if !co.current(now.applied) {
+		return nil, connect.NewError(connect.CodeUnavailable, errNotCurrent)
+	}
+	response := &schema.FetchResponse{Revision: uint64(now.revision)}
+	if response.Revision > rq.Msg.GetHaveRevision() {
+		response.Configuration = now.configuration
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Claim implements schemaconnect.ControlHandler.
+func (co *Control) Claim(ctx context.Context, rq *connect.Request[schema.ClaimRequest]) (*connect.Response[schema.ClaimResponse], error) {
+	operations := rq.Msg.GetOperations()
+	if err := checkOperations(operations); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	notLeader := connect.NewResponse(&schema.ClaimResponse{Leader: co.leaderAddress()})
+	if !co.leading() {
+		return notLeader, nil
+	}
+	an, err := co.propose(ctx, &schema.Command{
+		Kind: &schema.Command_Claims{Claims: &schema.ClaimBatch{Operations: operations}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	switch an := an.(type) {
+	case claimed:
+		return connect.NewResponse(&schema.ClaimResponse{Results: an.results}), nil
+	case rejection:
+		if errors.Is(an.err, quorum.ErrNotLeader) {
+			return notLeader, nil
+		}
+	}
+	return nil, connect.NewError(connect.CodeAborted, errUnknown)
+}
+
+func checkOperations(operations []*schema.ClaimOperation) error {
+	if len(operations) > maxClaimOperations {
+		return errors.Errorf("more than %d operations", maxClaimOperations)
+	}
+	for _, op := range operations {
+		if _, err := claim.FromSchema(op); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Exchange implements schemaconnect.ControlHandler.
+func (co *Control) Exchange(_ context.Context, rq *connect.Request[schema.ExchangeRequest]) (*connect.Response[schema.ExchangeResponse], error) {
+	if rq.Msg.GetDeployment() != co.set.GetDeployment() {
+		return nil, connect.NewError(connect.CodePermissionDenied, errors.Errorf("this is deployment %q", co.set.GetDeployment()))
+	}
+	for _, qm := range rq.Msg.GetMessages() {
+		msg, err := quorum.Decode(qm)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		if !co.messages.Offer(quorum.Receive{Message: msg}) {
+			co.measures.dropped.Inc()
+		}
+	}
+	return connect.NewResponse(new(schema.ExchangeResponse)), nil
+}
+
+// ControlStatus implements schemaconnect.ControlHandler.
+func (co *Control) ControlStatus(context.Context, *connect.Request[schema.ControlStatusRequest]) (*connect.Response[schema.ControlStatusResponse], error) {
+	now := co.state.current.Load()
+	vi := co.view.Load()
+	return connect.NewResponse(&schema.ControlStatusResponse{
+		Name:     string(co.id),
+		Role:     vi.status.Role.String(),
+		Leader:   string(vi.status.Leader),
+		Term:     uint64(vi.status.Term),
+		Commit:   uint64(vi.status.Commit),
+		Revision: uint64(now.revision),
+		Current:  co.current(now.applied),
+	}), nil
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/claim"
+	"camphortrail/config"
+	"camphortrail/quorum"
+	"camphortrail/schema"
+)
+
+const (
+	// maxVersions bounds the accepted versions that are remembered.
+	maxVersions = 1 << 16
+	// minCompactBytes is the size of the log that makes a snapshot worth
+	// its cost. A larger state waits for as many bytes as it has itself.
+	minCompactBytes = 8 << 20
+	entryBytes      = 64
+)
+
+// inForce is the configuration in force, after the log up to applied.
+type inForce struct {
+	revision      config.Revision
+	configuration *schema.Configuration
+	applied       quorum.Index
+}
+
+// state is the replicated state: accepted configurations and claims.
+type state struct {
+	co      *Control
+	history *config.History
+	claims  *claim.Table
+	unixMS  int64
+	current atomic.Pointer[inForce]
+	// logBytes counts what was applied since the last snapshot, and
+	// snapshotBytes is the size of that.
+	logBytes, snapshotBytes int
+}
+
+func newState(co *Control) *state {
+	st := &state{co: co, history: config.NewHistory(maxVersions, nil), claims: claim.New(co.opt.Claims)}
+	st.current.Store(&inForce{})
+	return st
+}
+
+// run applies committed entries.
+func (st *state) run(ctx context.Context) error {
+	for {
+		ac, err := st.co.applies.Take(ctx)
+		if err != nil {
+			return err
+		}
+		switch ac := ac.(type) {
+		case quorum.Apply:
+			err = st.apply(ac)
+		case quorum.Restore:
+			err = st.restore(ac.Snapshot)
+		}
+		if err != nil {
+			return err
+		}
+		if err := st.compact(); err != nil {
+			return err
+		}
+	}
+}
+
+func (st *state) apply(ap quorum.Apply) error {
+	cm := new(schema.Command)
+	if err := proto.Unmarshal(ap.Entry.Data, cm); err != nil {
+		return errors.Wrapf(err, "control: entry %d", ap.Entry.Index)
+	}
+	st.unixMS = max(st.unixMS, cm.GetProposedUnixMs())
+	now := *st.current.Load()
+	now.applied = ap.Entry.Index
+	var an answer
+	switch kind := cm.GetKind().(type) {
+	case *schema.Command_Configuration:
+		response, err := st.decide(&now, kind.Configuration)
+		if err != nil {
+			return err
+		}
+		an = decided{response}
+	case *schema.Command_Claims:
+		an = claimed{st.claim(kind.Claims)}
+	}
+	st.current.Store(&now)
+	st.logBytes += len(ap.Entry.Data) + entryBytes
+	if ap.Proposal != 0 {
+		st.co.waiters.answer(ap.Proposal, an)
+	}
+	return nil
+}
+
+// decide puts a configuration in force, or refuses it.
+func (st *state) decide(now *inForce, cfg *schema.Configuration) (*schema.ApplyResponse, error) {
+	dg, err := config.DigestOf(cfg)
+	if err != nil {
+		return nil, err
+	}
+	version, revision := config.Version(cfg.GetVersion()), config.Revision(now.applied)
+	response := &schema.ApplyResponse{}
+	switch de := st.history.Decide(version, revision, dg).(type) {
+	case config.Accept:
+		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_ACCEPTED, uint64(de.Revision)
+		if !de.Again {
+			now.revision, now.configuration = revision, cfg
+			st.co.log.WithFields(log.Fields{"version": uint64(version), "revision": uint64(revision)}).Info("configuration accepted")
+		}
+	case config.Conflict:
+		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_CONFLICT, uint64(de.Winner.Revision)
+		response.Reason = fmt.Sprintf("version %d is in force with other content (digest %x), accepted as revision %d",
+			de.Winner.Version, de.Winner.Digest[:4], de.Winner.Revision)
+	case config.Stale:
+		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_STALE, uint64(de.InForce.Revision)
+		response.Reason = fmt.Sprintf("version %d is in force since revision %d; version %d is lower",
+			de.InForce.Version, de.InForce.Revision, version)
+	}
+	if last, ok := st.history.Last(); ok {
+		response.VersionInForce = uint64(last.Version)
+	}
+	return response, nil
+}
+
+func (st *state) claim(batch *schema.ClaimBatch) []*schema.ClaimResult {
+	results := make([]*schema.ClaimResult, len(batch.GetOperations()))
+	now := time.UnixMilli(st.unixMS)
+	for i, msg := range batch.GetOperations() {
+		results[i] = new(schema.ClaimResult)
+		op, err := claim.FromSchema(msg)
+		if err != nil {
+			continue
+		}
+		if result, err := claim.ResultToSchema(st.claims.Step(now, op)); err == nil {
+			results[i] = result
+		}
+	}
+	return results
+}
+
+// compact takes a snapshot when the log has grown.
+func (st *state) compact() error {
+	if st.logBytes < max(minCompactBytes, st.snapshotBytes) {
+		return nil
+	}
+	now := st.current.Load()
+	cs := &schema.ControlState{
+		Revision: uint64(now.revision), Configuration: now.configuration,
+		Claims: st.claims.Snapshot(), UnixMs: st.unixMS,
+	}
+	for _, ac := range st.history.All() {
+		cs.Accepted = append(cs.Accepted, &schema.AcceptedVersion{
+			Version: uint64(ac.Version), Revision: uint64(ac.Revision), Digest: ac.Digest[:],
+		})
+	}
+	data, err := proto.Marshal(cs)
+	if err != nil {
+		return errors.Wrap(err, "control: snapshot")
+	}
+	if st.co.compactions.Offer(quorum.Compact{Index: now.applied, Data: data}) {
+		st.logBytes, st.snapshotBytes = 0, len(data)
+	}
+	return nil
+}
+
+func (st *state) restore(sn quorum.Snapshot) error {
+	cs := new(schema.ControlState)
+	if err := proto.Unmarshal(sn.Data, cs); err != nil {
+		return errors.Wrapf(err, "control: snapshot at %d", sn.Index)
+	}
+	claims, err := claim.Restore(cs.GetClaims(), st.co.opt.Claims)
+	if err != nil {
+		return err
+	}
+	accepted := make([]config.Accepted, len(cs.GetAccepted()))
+	for i, av := range cs.GetAccepted() {
+		accepted[i] = config.Accepted{Version: config.Version(av.GetVersion()), Revision: config.Revision(av.GetRevision())}
+		copy(accepted[i].Digest[:], av.GetDigest())
+	}
+	st.claims, st.history, st.unixMS = claims, config.NewHistory(maxVersions, accepted), cs.GetUnixMs()
+	st.logBytes, st.snapshotBytes = 0, len(sn.Data)
+	st.current.Store(&inForce{
+		revision:      config.Revision(cs.GetRevision()),
+		configuration: cs.GetConfiguration(),
+		applied:       sn.Index,
+	})
+	return nil
+}
--- a/quorum/lead.go
+++ b/quorum/lead.go
@@ -9,9 +9,10 @@
 // leadership is the state of a leader.
 type leadership struct {
 	since time.Time
-	// first is the index of the empty entry that began the term.
-	first Index
-	peers map[Replica]*peer
+	// first is the index of the empty entry that began the term, and data
+	// the last one before it that the state machine is told of.
+	first, data Index
+	peers       map[Replica]*peer
 	// waiting are the proposals that are not committed yet, in the order of
 	// their indexes.
 	waiting []waiting
@@ -49,7 +50,10 @@
 
 func (ma *Machine) becomeLeader() {
 	ma.role, ma.leader = Leader, ma.set.ID
-	ma.lead = leadership{since: ma.now, first: ma.log.last() + 1, peers: make(map[Replica]*peer)}
+	ma.lead = leadership{
+		since: ma.now, first: ma.log.last() + 1, data: ma.log.lastData(),
+		peers: make(map[Replica]*peer),
+	}
 	for _, id := range ma.peers {
 		ma.lead.peers[id] = &peer{next: ma.log.last() + 1, probing: true}
 	}
@@ -127,8 +131,9 @@
 }
 
 // Lease returns the time until which the machine is the leader with a lease
-// that a quorum confirmed, and the index that must have been applied before
-// the state may be presented as current. The time is zero for others.
+// that a quorum confirmed, and the index up to which the state machine must
+// have carried out Apply and Restore before its content may be presented as
+// current. The time is zero for others.
 func (ma *Machine) Lease() (until time.Time, applied Index) {
 	if ma.role != Leader || ma.lead.transfer.active || ma.commit < ma.lead.first {
 		return time.Time{}, 0
@@ -137,7 +142,7 @@
 	if !ok || at.IsZero() {
 		return time.Time{}, 0
 	}
-	return at.Add(ma.set.Lease), ma.lead.first
+	return at.Add(ma.set.Lease), ma.lead.data
 }
 
 // Current reports whether the machine holds a lease at now.
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -41,6 +41,17 @@
 	return lg.list[i-lg.base-1].Term
 }
 
+// lastData returns the index of the last entry of kind Data, or of the
+// snapshot.
+func (lg *entryLog) lastData() Index {
+	for i := lg.last(); i > lg.snap.Index; i-- {
+		if lg.entry(i).Kind == Data {
+			return i
+		}
+	}
+	return lg.snap.Index
+}
+
 // matches reports whether the entry at i has the given term.
 func (lg *entryLog) matches(i Index, term Term) bool {
 	return i >= lg.base && i <= lg.last() && lg.term(i) == term
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -104,6 +104,9 @@
 	if ma.blank() {
 		return
 	}
+	if len(ma.peers) == 0 {
+		ma.electionAt = ma.now
+	}
 	ma.heard = ma.now
 	if ma.log.snap.Index > 0 {
 		ma.act(Restore{ma.log.snap})
--- a/store/files.go
+++ b/store/files.go
@@ -4,6 +4,7 @@
 	"io"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -38,7 +39,11 @@
 	lock *os.File
 }
 
+// openFolder makes the folder if there is none, and locks it.
 func openFolder(path string) (*folder, error) {
+	if err := makeFolder(path); err != nil {
+		return nil, err
+	}
 	root, err := os.OpenRoot(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "store: data folder")
@@ -59,6 +64,21 @@
 	return &folder{root: root, lock: lock}, nil
 }
 
+func makeFolder(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return errors.Wrap(err, "store: data folder")
+	}
+	parent, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return errors.Wrap(err, "store: data folder")
+	}
+	defer func() { _ = parent.Close() }()
+	return errors.Wrap(parent.Sync(), "store: data folder")
+}
+
 func (fo *folder) List() ([]string, error) {
 	entries, err := fs.ReadDir(fo.root.FS(), ".")
 	if err != nil {
--- a/store/store.go
+++ b/store/store.go
@@ -48,7 +48,7 @@
 	failed      error
 }
 
-// Open takes ownership of the folder, which must exist, and returns the
+// Open takes ownership of the folder, made if there is none, and returns the
 // state found in it. If there is none or it is damaged, the state is blank,
 // and its incarnation is inc or higher.
 func Open(path string, inc quorum.Incarnation) (*Store, quorum.State, Report, error) {
