--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -99,6 +99,7 @@
 			a, b := host(t), host(t)
 			nw.broken[link{a, b}] = true
 			nw.broken[link{b, a}] = rapid.Bool().Draw(t, "both ways")
+			nw.run(time.Second)
 		},
 		"heal": func(*rapid.T) {
 			clear(nw.cut)
