--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,23 +29,25 @@
 
 // fleet runs control replicas in this process.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	replicas  []*schema.ControlReplica
 	folders   []string
 	clients   []schemaconnect.ControlClient
 	cut       []atomic.Bool
+	controls  []*Control
 	stops     []func() error
 	transport *http.Transport
 }
 
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t testing.TB, size int) *fleet {
 	t.Helper()
 	fl := &fleet{
-		t: t, stops: make([]func() error, size), cut: make([]atomic.Bool, size),
+		t: t, stops: make([]func() error, size), cut: make([]atomic.Bool, size), controls: make([]*Control, size),
 		transport: peer.NewTransport(),
 	}
+	number := fleets.Add(1)
 	for i := range size {
-		address := freeAddress(t)
+		address := freeAddress(t, number)
 		fl.replicas = append(fl.replicas, &schema.ControlReplica{Name: fmt.Sprintf("control-%d", i+1), Address: address})
 		fl.folders = append(fl.folders, t.TempDir())
 		fl.clients = append(fl.clients, schemaconnect.NewControlClient(&http.Client{Transport: fl.transport}, "http://"+address))
@@ -61,9 +64,16 @@
 	return fl
 }
 
-func freeAddress(t *testing.T) string {
+// fleets numbers the fleets of this process.
+var fleets atomic.Uint32
+
+// freeAddress returns an address whose port nothing else takes while a
+// replica is down: each fleet has a loopback address of its own.
+func freeAddress(t testing.TB, fleet uint32) string {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, 1+fleet%250)
+	li, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,6 +115,7 @@
 	if err != nil {
 		fl.t.Fatal(err)
 	}
+	fl.controls[i] = co
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- co.Run(ctx) }()
@@ -125,6 +136,14 @@
 	fl.stops[i] = nil
 }
 
+// kill ends a replica that the others see nothing of any more.
+func (fl *fleet) kill(i int) {
+	fl.t.Helper()
+	fl.cut[i].Store(true)
+	fl.stop(i)
+	fl.cut[i].Store(false)
+}
+
 func configuration(version uint64, name string) *schema.Configuration {
 	return &schema.Configuration{
 		Deployment: deployment, Version: version,
@@ -240,6 +259,7 @@
 }
 
 func TestOneReplica(t *testing.T) {
+	t.Parallel()
 	fl := newFleet(t, 1)
 	first := fl.mustAccept(configuration(1, "sportello"))
 	if again := fl.mustAccept(configuration(1, "sportello")); again != first {
@@ -253,6 +273,7 @@
 }
 
 func TestAcceptedOutlivesLeaders(t *testing.T) {
+	t.Parallel()
 	fl := newFleet(t, 3)
 	var first uint64
 	for version := uint64(1); version <= 4; version++ {
@@ -261,7 +282,11 @@
 			first = revision
 		}
 		leader := fl.leader()
-		fl.stop(leader)
+		if version%2 == 0 {
+			fl.kill(leader)
+		} else {
+			fl.stop(leader)
+		}
 		if got := fl.version(); got != version {
 			t.Fatalf("version %d in force after %d was accepted", got, version)
 		}
@@ -285,6 +310,7 @@
 }
 
 func TestOneOfTheRacersWins(t *testing.T) {
+	t.Parallel()
 	fl := newFleet(t, 3)
 	fl.leader()
 	const racers = 8
@@ -313,12 +339,15 @@
 }
 
 func TestCutOffReplicaRefuses(t *testing.T) {
+	t.Parallel()
 	fl := newFleet(t, 3)
 	fl.mustAccept(configuration(1, "entrega"))
 	old := fl.leader()
 	fl.cut[old].Store(true)
+	begin := time.Now()
 	fl.until("another leader", func() bool { return fl.leader() != old })
 	fl.mustAccept(configuration(2, "entrega"))
+	t.Logf("accepted again %v after the leader was cut off", time.Since(begin))
 	if rs, err := fl.fetch(old); connect.CodeOf(err) != connect.CodeUnavailable {
 		t.Fatalf("Fetch at the replica that is cut off = %v, %v; want unavailable", rs, err)
 	}
@@ -333,6 +362,7 @@
 }
 
 func TestLostDiskIsRepaired(t *testing.T) {
+	t.Parallel()
 	fl := newFleet(t, 3)
 	for round := range 3 {
 		version := uint64(round + 1)
@@ -348,6 +378,7 @@
 }
 
 func TestHundredsOfChangesThenRestart(t *testing.T) {
+	t.Parallel()
 	const changes = 500
 	fl := newFleet(t, 1)
 	for version := range uint64(changes) {
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -2,6 +2,10 @@
 
 import "slices"
 
+// maxHeld bounds the messages that wait for the disk. Further ones are lost,
+// as they may be on any link.
+const maxHeld = 4096
+
 // disk tracks what has been handed to the disk and what is on it.
 type disk struct {
 	number   uint64
@@ -95,6 +99,7 @@
 	switch {
 	case di.clean():
 		ma.act(Send{msg})
+	case len(di.held) == maxHeld:
 	case di.dirty:
 		di.held = append(di.held, held{di.number + 1, msg})
 	default:
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -219,12 +219,14 @@
 	Leader Replica
 	Commit Index
 	Last   Index
+	// Snapshot is the index of the latest snapshot.
+	Snapshot Index
 }
 
 // Status returns the machine's state.
 func (ma *Machine) Status() Status {
 	return Status{
 		Role: ma.shownRole(), Term: ma.term, Leader: ma.leader,
-		Commit: ma.commit, Last: ma.log.last(),
+		Commit: ma.commit, Last: ma.log.last(), Snapshot: ma.log.snap.Index,
 	}
 }
--- a/quorum/rules_test.go
+++ b/quorum/rules_test.go
@@ -257,3 +257,24 @@
 		}
 	}
 }
+
+// TestDoubledMessagesDoNotMultiply doubles every message while a replica
+// receives a snapshot in many parts; the network bounds what is on its way.
+func TestDoubledMessagesDoNotMultiply(t *testing.T) {
+	nw := newNetwork(t, 3, 1)
+	id, lost, _ := nw.detour(t)
+	for range 300 {
+		nw.propose(id)
+		nw.run(tick)
+	}
+	nw.compact(id)
+	nw.stop(lost)
+	nw.loseDisk(lost)
+	nw.heal()
+	nw.double = 100
+	nw.run(10 * time.Second)
+	if nw.learner(lost) {
+		t.Fatal("replica is still a learner")
+	}
+	nw.finish(t)
+}
