--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -15,7 +15,9 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"camphortrail/internal/peer"
 	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
 	"camphortrail/store"
 )
 
@@ -56,6 +58,42 @@
 	}
 }
 
+// TestStopWaitsForRequests stops a replica while it checks a configuration.
+func TestStopWaitsForRequests(t *testing.T) {
+	t.Parallel()
+	entered, release := make(chan struct{}), make(chan struct{})
+	address := freeAddress(t, fleets.Add(1))
+	co, err := New(&schema.Settings{
+		Name: "control-1", Deployment: deployment, PeerAddress: address, DataFolder: t.TempDir(),
+	}, Options{Validate: func(*schema.Configuration) error {
+		close(entered)
+		<-release
+		return nil
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- co.Run(ctx) }()
+	go func() {
+		<-entered
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		close(release)
+	}()
+	transport := peer.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := schemaconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+address)
+	rs, err := client.Apply(context.Background(), connect.NewRequest(&schema.ApplyRequest{Configuration: configuration(1, "cassa")}))
+	if err != nil || rs.Msg.GetResult() != schema.ApplyResult_APPLY_RESULT_NOT_LEADER {
+		t.Fatalf("request in flight at the stop: %v, %v; want an answer", rs, err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestFailedDiskEndsTheReplica(t *testing.T) {
 	t.Parallel()
 	co, err := New(&schema.Settings{
