--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -29,7 +29,11 @@
 	proposalRingSize = 4096
 	applyRingSize    = 4096
 	sendRingSize     = 1024
-	tickInterval     = 20 * time.Millisecond
+	// maxBacklog bounds the entries that wait for the applied state besides
+	// its ring; from refuseBacklog on new requests are refused.
+	maxBacklog    = 1 << 17
+	refuseBacklog = 1 << 14
+	tickInterval  = 20 * time.Millisecond
 	// shutdownTimeout bounds the time for requests in flight at a stop.
 	shutdownTimeout = 5 * time.Second
 )
@@ -80,6 +84,9 @@
 	writes      *ring.Ring[quorum.Persist]
 	written     *ring.Ring[quorum.Event]
 	applies     *ring.Ring[quorum.Action]
+	// backlog belongs to the log's goroutine; behind tells the others.
+	backlog []quorum.Action
+	behind  atomic.Bool
 }
 
 // New opens the data folder and the addresses, and returns a replica that is
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -25,6 +25,7 @@
 	defer ticker.Stop()
 	leaving := false
 	for {
+		co.drain()
 		var ev quorum.Event
 		select {
 		case ev = <-co.written.Out():
@@ -69,7 +70,7 @@
 	case quorum.Persist:
 		return co.writes.Put(ctx, ac)
 	case quorum.Apply, quorum.Restore:
-		return co.applies.Put(ctx, ac)
+		return co.hand(ctx, ac)
 	case quorum.Rejected:
 		co.waiters.answer(ac.Proposal, rejection{err: ac.Err, leader: ac.Leader})
 	case quorum.RoleChanged:
@@ -80,6 +81,31 @@
 	return nil
 }
 
+// hand passes an action to the applied state. While that is busy, as it is
+// when it takes a snapshot, actions wait here, so that the log goes on and a
+// leader is not lost.
+func (co *Control) hand(ctx context.Context, ac quorum.Action) error {
+	if len(co.backlog) == 0 && co.applies.Offer(ac) {
+		return nil
+	}
+	if len(co.backlog) >= maxBacklog {
+		if err := co.applies.Put(ctx, co.backlog[0]); err != nil {
+			return err
+		}
+		co.backlog = co.backlog[1:]
+	}
+	co.backlog = append(co.backlog, ac)
+	co.behind.Store(len(co.backlog) >= refuseBacklog)
+	return nil
+}
+
+func (co *Control) drain() {
+	for len(co.backlog) > 0 && co.applies.Offer(co.backlog[0]) {
+		co.backlog = co.backlog[1:]
+	}
+	co.behind.Store(len(co.backlog) >= refuseBacklog)
+}
+
 // runDisk writes and syncs what the machine asks for. A failed write ends the
 // replica: what it says about its disk would not be true any more.
 func (co *Control) runDisk(ctx context.Context) error {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if co.behind.Load() {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
+	}
 	pr, wt := co.waiters.add()
 	if !co.proposals.Offer(quorum.Propose{Proposal: pr, Data: data}) {
 		co.waiters.remove(pr)
--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -14,8 +14,10 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"camphortrail/internal/peer"
+	"camphortrail/quorum"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 	"camphortrail/store"
@@ -110,6 +112,56 @@
 	}
 }
 
+// TestLogGoesOnWhileTheStateIsBusy commits more than the ring of the applied
+// state holds while nothing takes from it.
+func TestLogGoesOnWhileTheStateIsBusy(t *testing.T) {
+	t.Parallel()
+	co, err := New(&schema.Settings{
+		Name: "control-1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
+	}, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer co.close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	duties.Go(func() { _ = co.runLog(ctx, nil, nil) })
+	duties.Go(func() { _ = co.runDisk(ctx) })
+	wait := func(what string, done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	wait("no leader", co.leading)
+	const count = applyRingSize + refuseBacklog
+	data, err := proto.Marshal(&schema.Command{Kind: &schema.Command_Claims{Claims: &schema.ClaimBatch{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var last waiter
+	for range count {
+		var pr quorum.Proposal
+		pr, last = co.waiters.add()
+		if err := co.proposals.Put(ctx, quorum.Propose{Proposal: pr, Data: data}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait("proposals not committed", func() bool { return co.view.Load().status.Commit >= count })
+	wait("requests not refused", co.behind.Load)
+	if !co.leading() {
+		t.Fatal("leadership lost")
+	}
+	duties.Go(func() { _ = co.state.run(ctx) })
+	if an, ok := (<-last.answer).(claimed); !ok {
+		t.Fatalf("last proposal answered with %+v", an)
+	}
+	cancel()
+	duties.Wait()
+}
+
 func TestSettingsMustListTheReplica(t *testing.T) {
 	t.Parallel()
 	_, err := New(&schema.Settings{
--- /dev/null
+++ b/store/bench_test.go
@@ -0,0 +1,50 @@
+package store
+
+import (
+	"testing"
+
+	"camphortrail/quorum"
+)
+
+// BenchmarkSave measures one synced write of an entry of 1 KiB.
+func BenchmarkSave(b *testing.B) {
+	st, _, _, err := Open(b.TempDir(), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = st.Close() }()
+	data := make([]byte, 1<<10)
+	next := quorum.Index(1)
+	for b.Loop() {
+		en := quorum.Entry{Index: next, Term: 1, Kind: quorum.Data, Data: data}
+		if err := st.Save(quorum.Persist{From: next, Entries: []quorum.Entry{en}}); err != nil {
+			b.Fatal(err)
+		}
+		next++
+	}
+}
+
+// BenchmarkOpen measures the recovery of a log of 8 MiB in 8,192 records.
+func BenchmarkOpen(b *testing.B) {
+	path := b.TempDir()
+	st, _, _, err := Open(path, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	data := make([]byte, 1<<10)
+	for i := range quorum.Index(8192) {
+		en := quorum.Entry{Index: i + 1, Term: 1, Kind: quorum.Data, Data: data}
+		if err := st.Save(quorum.Persist{From: i + 1, Entries: []quorum.Entry{en}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		if err := st.Close(); err != nil {
+			b.Fatal(err)
+		}
+		if st, _, _, err = Open(path, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = st.Close()
+}
