--- a/internal/control/claims_test.go
+++ b/internal/control/claims_test.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -159,10 +162,27 @@
 			}
 			group.Wait()
 			report(b, took)
+			b.ReportMetric(float64(len(took))/fl.syncs(), "claims/sync")
 		})
 	}
 }
 
+// syncs returns the number of writes that all replicas synced, each.
+func (fl *fleet) syncs() float64 {
+	var text bytes.Buffer
+	for _, co := range fl.controls {
+		co.measures.set.WritePrometheus(&text)
+	}
+	total := 0
+	for line := range strings.Lines(text.String()) {
+		if count, ok := strings.CutPrefix(line, "camphortrail_control_sync_seconds_count "); ok {
+			n, _ := strconv.Atoi(strings.TrimSpace(count))
+			total += n
+		}
+	}
+	return float64(total) / float64(len(fl.controls))
+}
+
 func report(b *testing.B, took []time.Duration) {
 	slices.Sort(took)
 	for name, percent := range map[string]int{"p50-ms": 50, "p99-ms": 99} {
