--- /dev/null
+++ b/internal/tree/tree_test.go
@@ -0,0 +1,37 @@
+package tree
+
+import (
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/retry"
+)
+
+func TestDownstreamCountsParallelCallsOnce(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	in := &Inbound{}
+	in.BeginCall(at(0))
+	in.BeginCall(at(5))
+	in.EndCall(at(10), false)
+	in.EndCall(at(20), true)
+	in.BeginCall(at(50))
+	waited, overload := in.Downstream(at(60))
+	if waited != 30*time.Millisecond || !overload {
+		t.Errorf("Downstream = %v, %v; want 30ms, true", waited, overload)
+	}
+}
+
+func TestInboundIsKnownWhileItRuns(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	id := call.AttemptID{1}
+	tr.Enter(&Inbound{ID: id})
+	if _, ok := tr.Inbound(id); !ok {
+		t.Error("running attempt is unknown")
+	}
+	tr.Exit(id)
+	if _, ok := tr.Inbound(id); ok {
+		t.Error("ended attempt is still known")
+	}
+}
