--- a/membership/machine.go
+++ b/membership/machine.go
@@ -20,10 +20,17 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/schema"
 )
 
-// TickInterval is the time between two Tick events.
-const TickInterval = 50 * time.Millisecond
+const (
+	// TickInterval is the time between two Tick events.
+	TickInterval = 50 * time.Millisecond
+
+	// A Machine that was not stepped for pauseThreshold counts as paused.
+	pauseThreshold = 10 * TickInterval
+	joinTime       = time.Minute
+)
 
 // Settings describe the process that a Machine speaks for.
 type Settings struct {
@@ -39,26 +46,191 @@
 	Contacts []netip.AddrPort
 }
 
+// Validate returns an error that wraps ErrMalformed if other processes would
+// refuse the record of this one.
+func (set Settings) Validate() error {
+	_, _, err := decodeMember(encodeMember(set.member(), true))
+	return err
+}
+
+func (set Settings) member() Member {
+	return Member{
+		Name:          set.Name,
+		Address:       set.Address,
+		FailureDomain: set.FailureDomain,
+		Role:          set.Role,
+		Incarnation:   set.Incarnation,
+		State:         Alive,
+	}
+}
+
 // Machine is the membership state of one process.
-type Machine struct{}
+type Machine struct {
+	set     Settings
+	rng     *rand.Rand
+	now     time.Time
+	actions []Action
+
+	tb       table
+	rumors   rumors
+	probes   probes
+	budget   budget
+	counters Counters
+
+	started     time.Time
+	lastTick    time.Time
+	joining     bool
+	nextOutlive time.Time
+	nextGossip  time.Time
+	nextCompare time.Time
+	nextContact time.Time
+
+	nextVerify time.Time
+	quietUntil time.Time
+	refuteAt   time.Time
+	restoring  restoring
+
+	revision     uint64
+	revisionSent int
+}
 
 // New returns a Machine that knows only itself and its contacts.
 func New(set Settings, rng *rand.Rand) *Machine {
-	return &Machine{}
+	return &Machine{
+		set:          set,
+		rng:          rng,
+		tb:           newTable(set.member()),
+		joining:      true,
+		revisionSent: urgentCopies,
+	}
 }
 
 // Step handles an event and returns what is to be done. The actions are valid
 // until the next Step.
 func (mc *Machine) Step(now time.Time, ev Event) []Action {
-	return nil
+	mc.begin(now)
+	switch ev := ev.(type) {
+	case Receive:
+		mc.receive(ev.Datagram)
+	case Tick:
+		mc.tick()
+	case AnnounceUpstreams:
+		mc.announce(ev.Upstreams)
+	case SetRevision:
+		mc.setRevision(ev.Revision)
+	case Leave:
+		mc.leave()
+	}
+	return mc.actions
+}
+
+// begin sets the time and discards the actions of the last step.
+func (mc *Machine) begin(now time.Time) {
+	mc.now = now
+	clear(mc.actions)
+	mc.actions = mc.actions[:0]
+	if mc.started.IsZero() {
+		mc.started = now
+		mc.lastTick = now
+		mc.budget.start(now)
+		mc.probes.next = now.Add(mc.jitter(probeInterval))
+	}
+}
+
+func (mc *Machine) act(ac Action) { mc.actions = append(mc.actions, ac) }
+
+// jitter returns a random time below d.
+func (mc *Machine) jitter(d time.Duration) time.Duration {
+	return time.Duration(mc.rng.Int64N(int64(d)))
+}
+
+// chance reports true with probability p.
+func (mc *Machine) chance(p float64) bool { return mc.rng.Float64() < p }
+
+func (mc *Machine) tick() {
+	mc.resume()
+	mc.lastTick = mc.now
+	mc.budget.refill(mc.now, mc.bytesPerSecond())
+	mc.expire()
+	mc.endProbes()
+	if mc.tb.self.State != Left {
+		mc.refuteDue()
+		mc.probe()
+		mc.retryDead()
+		mc.probeDomains()
+		mc.contact()
+		mc.catchUp()
+	}
+	mc.flush()
+	mc.gossip()
+}
+
+// resume puts off all judgement of others when this process was paused.
+func (mc *Machine) resume() {
+	gap := mc.now.Sub(mc.lastTick)
+	if gap < pauseThreshold {
+		return
+	}
+	mc.probes.clear()
+	for _, rec := range mc.tb.suspects.recs {
+		rec.due = rec.due.Add(gap)
+	}
+}
+
+// expire declares suspects dead and forgets members that are long gone.
+func (mc *Machine) expire() {
+	for i := mc.tb.suspects.len() - 1; i >= 0; i-- {
+		rec := mc.tb.suspects.recs[i]
+		if mc.now.Before(rec.due) {
+			continue
+		}
+		next := rec.Member
+		next.State = Dead
+		mc.update(rec, next)
+		rec.rumor.stop()
+		mc.act(Changed{Kind: Died, Member: next})
+	}
+	for i := mc.tb.gone.len() - 1; i >= 0; i-- {
+		if rec := mc.tb.gone.recs[i]; !mc.now.Before(rec.due) {
+			mc.tb.delete(rec)
+		}
+	}
+	if mc.joining && mc.now.Sub(mc.started) > joinTime {
+		mc.joining = false
+	}
+}
+
+// setRevision tells others at once that a higher revision is in force here.
+func (mc *Machine) setRevision(revision uint64) {
+	if revision <= mc.revision {
+		return
+	}
+	mc.revision = revision
+	mc.revisionSent = 0
+}
+
+// hint reports a higher revision at the sender of dg.
+func (mc *Machine) hint(dg *schema.Datagram, from netip.AddrPort) {
+	if dg.GetRevision() <= mc.revision {
+		return
+	}
+	mc.act(RevisionHint{Revision: dg.GetRevision(), From: dg.GetFrom(), Address: from})
 }
 
 // Self returns the record of this process.
-func (mc *Machine) Self() Member { return Member{} }
+func (mc *Machine) Self() Member { return mc.tb.self.Member }
 
 // Members calls yield with the record of each process known, this one
 // included, in no set order, until yield returns false. It is an iter.Seq.
-func (mc *Machine) Members(yield func(Member) bool) {}
+func (mc *Machine) Members(yield func(Member) bool) {
+	for _, dm := range mc.tb.domains {
+		for _, rec := range dm.all.recs {
+			if !yield(rec.Member) {
+				return
+			}
+		}
+	}
+}
 
 // Counters count events since the start of the Machine.
 type Counters struct {
@@ -77,4 +249,4 @@
 }
 
 // Counters returns the counters.
-func (mc *Machine) Counters() Counters { return Counters{} }
+func (mc *Machine) Counters() Counters { return mc.counters }
--- /dev/null
+++ b/membership/machine_test.go
@@ -0,0 +1,101 @@
+package membership_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/membership"
+	"camphortrail/schema"
+)
+
+func TestRefused(t *testing.T) {
+	member := &schema.Member{Name: "vm-9", Incarnation: 1, State: schema.Member_STATE_ALIVE, Address: "10.0.0.9:1", FailureDomain: "domain-0"}
+	change := func(f func(mb *schema.Member)) *schema.Datagram {
+		mb := proto.CloneOf(member)
+		f(mb)
+		return &schema.Datagram{Members: []*schema.Member{mb}}
+	}
+	refused := func(ct membership.Counters) uint64 {
+		return ct.RefusedDeployment + ct.RefusedMalformed + ct.RefusedTarget
+	}
+	for name, dg := range map[string]*schema.Datagram{
+		"deployment":     {Deployment: "other"},
+		"own address":    {FromAddress: address(0).String()},
+		"address":        {FromAddress: "vm-9:7000"},
+		"no name":        {From: "-"},
+		"wrong target":   {Kind: schema.Datagram_KIND_PROBE, Target: "vm-0001"},
+		"parts":          {Digests: []*schema.DomainDigest{{FailureDomain: "domain-0", Parts: []uint32{1}}}},
+		"domains":        {Digests: make([]*schema.DomainDigest, 100)},
+		"state":          change(func(mb *schema.Member) { mb.State = 9 }),
+		"member name":    change(func(mb *schema.Member) { mb.Name = strings.Repeat("x", 65) }),
+		"incarnation":    change(func(mb *schema.Member) { mb.Incarnation = 1 << 60 }),
+		"member address": change(func(mb *schema.Member) { mb.Address = "10.0.0.9" }),
+		"domain":         change(func(mb *schema.Member) { mb.FailureDomain = "" }),
+		"service":        change(func(mb *schema.Member) { mb.Upstreams = []*schema.AnnouncedUpstream{{}} }),
+		"upstreams":      change(func(mb *schema.Member) { mb.Upstreams = make([]*schema.AnnouncedUpstream, 9) }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			nw := newNetwork(1)
+			pr := nw.start("vm-0000", address(0), "domain-0")
+			good := &schema.Datagram{Deployment: "test", From: "vm-9", FromAddress: "10.0.0.9:1", Kind: schema.Datagram_KIND_UPDATES}
+			pr.Step(nw.now, membership.Receive{Datagram: good})
+			if n := refused(pr.Counters()); n != 0 {
+				t.Fatalf("a good datagram is refused, %+v", pr.Counters())
+			}
+			bad := proto.CloneOf(good)
+			proto.Merge(bad, dg)
+			if dg.From == "-" {
+				bad.From = ""
+			}
+			pr.Step(nw.now, membership.Receive{Datagram: bad})
+			if n := refused(pr.Counters()); n != 1 {
+				t.Errorf("%d datagrams refused, want 1: %+v", n, pr.Counters())
+			}
+			for mb := range pr.Members {
+				if mb.Name != "vm-0000" {
+					t.Errorf("knows %+v", mb)
+				}
+			}
+		})
+	}
+}
+
+// A clock that has gone back must not hide a new incarnation.
+func TestClockGoneBack(t *testing.T) {
+	nw := newNetwork(1)
+	nw.cluster(6, 2)
+	nw.settle(t, 10*time.Second)
+	old := nw.procs[address(3)].Self()
+	nw.stop(address(3))
+	nw.now, epochBack = nw.now.Add(time.Second), time.Hour
+	defer func() { epochBack = 0 }()
+	pr := nw.start(old.Name, address(30), "domain-0", address(0))
+	nw.settle(t, 10*time.Second)
+	if self := pr.Self(); self.Incarnation <= old.Incarnation || pr.Counters().Conflicts != 1 {
+		t.Errorf("incarnation %d after %d, %+v", self.Incarnation, old.Incarnation, pr.Counters())
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	nw := newNetwork(1)
+	pr := nw.start("vm-0000", address(0), "domain-0")
+	for i := 1; i <= 5000; i++ {
+		pr.Step(nw.now, membership.Receive{Datagram: &schema.Datagram{
+			Deployment: "test", From: "vm-9999", FromAddress: "10.0.0.9:1", Kind: schema.Datagram_KIND_UPDATES,
+			Members: []*schema.Member{{
+				Name: string(vmName(i)), Incarnation: 1, State: schema.Member_STATE_ALIVE,
+				Address: address(i).String(), FailureDomain: "domain-0",
+			}},
+		}})
+	}
+	n := 0
+	for range pr.Members {
+		n++
+	}
+	if n != 4096 || pr.Counters().RefusedFull != 5001-4096 {
+		t.Errorf("%d members, %+v", n, pr.Counters())
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -31,7 +31,7 @@
 // State is what a process is believed to be.
 type State uint8
 
-// The states. In equal incarnation and refutation, the higher one holds.
+// The states.
 const (
 	// Alive is the state of a member that answers probes.
 	Alive State = iota + 1
@@ -100,16 +100,3 @@
 		me.State == other.State && me.Announcement == other.Announcement &&
 		slices.Equal(me.Upstreams, other.Upstreams)
 }
-
-// supersedes reports whether the liveness of me holds over that of old, which
-// is of the same incarnation. A process that has left does not come back
-// within an incarnation.
-func (me Member) supersedes(old Member) bool {
-	if old.State == Left || me.State == Left {
-		return me.State == Left && old.State != Left
-	}
-	if me.Refutation != old.Refutation {
-		return me.Refutation > old.Refutation
-	}
-	return me.State > old.State
-}
--- /dev/null
+++ b/membership/merge.go
@@ -0,0 +1,320 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+const (
+	suspicionBase    = 2 * time.Second
+	suspicionPerBit  = 250 * time.Millisecond
+	conflictCooldown = time.Second
+	quietTime        = 2 * time.Second
+	refuteJitter     = time.Second
+)
+
+// suspicionTime grows with the time that an update takes to reach all.
+func (mc *Machine) suspicionTime() time.Duration {
+	return suspicionBase + time.Duration(bits.Len(uint(mc.tb.present.len())))*suspicionPerBit
+}
+
+// source says how records have come.
+type source struct {
+	// reconcile is set for records of a comparison of views.
+	reconcile bool
+	// trusted is set when life at the sender undoes a death that was declared
+	// here.
+	trusted bool
+	// mutual is set when the sender is unknown here, or is or lately was taken
+	// as dead.
+	mutual bool
+}
+
+// mergeAll takes over the records of a datagram. It reports whether one of
+// them is about this process and does not say what this process says.
+func (mc *Machine) mergeAll(src source, mbs []Member, full []bool) (wrong bool) {
+	for i, mb := range mbs {
+		if mb.Name == mc.tb.self.Name {
+			wrong = mc.hearOfSelf(mb, full[i], src) || wrong
+			continue
+		}
+		mc.merge(mb, full[i], src)
+	}
+	return wrong
+}
+
+func (mc *Machine) merge(mb Member, full bool, src source) {
+	rec := mc.tb.records[mb.Name]
+	switch {
+	case rec == nil && full && mb.State.Present():
+		mc.add(mb, src)
+	case rec == nil || mb.Incarnation < rec.Incarnation:
+	case mb.Incarnation > rec.Incarnation:
+		if full {
+			mc.replaceLife(rec, mb, src)
+		}
+	default:
+		mc.mergeLife(rec, mb, full, src)
+	}
+}
+
+// add takes over a member that was unknown.
+func (mc *Machine) add(mb Member, src source) {
+	if !mc.tb.hasRoom(mb) {
+		mc.counters.RefusedFull++
+		return
+	}
+	rec := &record{Member: mb, due: mc.now.Add(mc.suspicionTime())}
+	mc.tb.insert(rec)
+	mc.spreadLearned(rec, true, src)
+	mc.act(Changed{Kind: Joined, Member: rec.Member})
+}
+
+// replaceLife takes over a later incarnation of a known member.
+func (mc *Machine) replaceLife(rec *record, mb Member, src source) {
+	if !mc.tb.hasDomain(mb.FailureDomain) {
+		mc.counters.RefusedFull++
+		return
+	}
+	was := rec.State
+	mc.update(rec, mb)
+	mc.spreadLearned(rec, true, src)
+	switch {
+	case mb.State.Present():
+		mc.act(Changed{Kind: Joined, Member: rec.Member})
+	case was.Present():
+		mc.act(Changed{Kind: changeTo(mb.State), Member: rec.Member})
+	}
+}
+
+// mergeLife takes over what is newer about the same incarnation. Liveness and
+// announcement are ordered independently.
+func (mc *Machine) mergeLife(rec *record, mb Member, full bool, src source) {
+	next, was := rec.Member, rec.Member
+	if full && mb.Announcement > was.Announcement {
+		next.Announcement = mb.Announcement
+		next.Upstreams = mb.Upstreams
+	}
+	next.State, next.Refutation = mc.judge(rec, mb, src)
+	if next.State == was.State && next.Refutation == was.Refutation && next.Announcement == was.Announcement {
+		rec.hear(mb, full)
+		return
+	}
+	mc.update(rec, next)
+	mc.spreadLearned(rec, next.Announcement != was.Announcement, src)
+	mc.reportLife(was, rec)
+}
+
+// judge returns the liveness of rec after hearing mb, of the same incarnation.
+//
+// Suspicions and refutations hold everywhere. A death is declared by each
+// process for itself, when a suspicion ends there: the claim of another, or
+// the claim of life after a death, is verified by a probe.
+func (mc *Machine) judge(rec *record, mb Member, src source) (State, Refutation) {
+	refutation := max(rec.Refutation, mb.Refutation)
+	switch {
+	case rec.State == Left || mb.State == Left:
+		return Left, refutation
+	case mb.State == Dead:
+		if rec.State == Alive && mb.Refutation >= rec.Refutation {
+			mc.verify(rec)
+		}
+		return rec.State, refutation
+	case mb.Refutation > rec.Refutation:
+		return mb.State, refutation
+	case mb.Refutation < rec.Refutation:
+	case rec.State == Alive:
+		return mb.State, refutation
+	case rec.State == Dead && mb.State == Alive:
+		if src.trusted {
+			return Alive, refutation
+		}
+		mc.verify(rec)
+	}
+	return rec.State, refutation
+}
+
+// reportLife reports a change within an incarnation.
+func (mc *Machine) reportLife(was Member, rec *record) {
+	is := rec.Member
+	switch {
+	case was.State.Present() && !is.State.Present():
+		mc.act(Changed{Kind: changeTo(is.State), Member: is})
+	case !was.State.Present() && is.State.Present():
+		mc.act(Changed{Kind: Joined, Member: is})
+		mc.recheck(rec.domain)
+	case !is.State.Present():
+	case was.State == Alive && is.State == Suspect:
+		mc.act(Changed{Kind: Suspected, Member: is})
+		mc.explore(rec.domain)
+	case was.State != is.State || was.Announcement != is.Announcement:
+		mc.act(Changed{Kind: Updated, Member: is})
+	}
+	if is.Refutation > was.Refutation && was.State.Present() && !mc.wasDead(rec) {
+		mc.quietUntil = mc.now.Add(quietTime)
+	}
+}
+
+// hear notes that another process has sent what is being spread here.
+func (rec *record) hear(mb Member, full bool) {
+	same := mb.State == rec.State && mb.Refutation == rec.Refutation
+	if rec.rumor.full {
+		same = same && full && mb.Announcement == rec.Announcement
+	}
+	if same {
+		rec.rumor.heard++
+	}
+}
+
+func changeTo(st State) ChangeKind {
+	switch st {
+	case Suspect:
+		return Suspected
+	case Dead:
+		return Died
+	case Left:
+		return Departed
+	default:
+		return Updated
+	}
+}
+
+// update gives rec the content mb, and starts the time that its state may last.
+func (mc *Machine) update(rec *record, mb Member) {
+	if rec.State == Dead && mb.State.Present() {
+		rec.revived = mc.now
+	}
+	restart := rec.State != mb.State || rec.Incarnation != mb.Incarnation || rec.Refutation != mb.Refutation
+	mc.tb.replace(rec, mb)
+	if !restart {
+		return
+	}
+	switch mb.State {
+	case Suspect:
+		rec.due = mc.now.Add(mc.suspicionTime())
+	case Dead:
+		rec.due = mc.now.Add(deadRetention)
+	case Left:
+		rec.due = mc.now.Add(leftRetention)
+	}
+}
+
+// spreadLearned passes on what was learned from another process. A process
+// that is still catching up does not pass on what the others know already.
+// Deaths are not spread: suspicions are, and they end everywhere.
+func (mc *Machine) spreadLearned(rec *record, full bool, src source) {
+	if src.reconcile && mc.joining || rec.State == Dead {
+		return
+	}
+	mc.rumors.queue(rec, full)
+}
+
+// hearOfSelf compares a record of this process with what it says itself. It
+// reports whether the record is wrong.
+//
+// When a partition ends, each side takes the other as dead. Few processes
+// refute that then, to make the partition's end known, and the others are
+// restored without.
+func (mc *Machine) hearOfSelf(mb Member, full bool, src source) (wrong bool) {
+	self := mc.tb.self
+	if self.State == Left {
+		return mb.State != Left || mb.Incarnation != self.Incarnation
+	}
+	if mb.Incarnation < self.Incarnation {
+		return true
+	}
+	if mb.Incarnation > self.Incarnation || mc.conflicts(mb, full) {
+		mc.outlive(mb.Incarnation)
+		return true
+	}
+	if mb.State == Alive || mb.Refutation < self.Refutation {
+		return mb.Refutation != self.Refutation
+	}
+	if mb.State == Dead && src.mutual {
+		mc.refuteLater()
+		return false
+	}
+	mc.refute(mb.Refutation)
+	return true
+}
+
+// refute says that this process is alive after all.
+func (mc *Machine) refute(claim Refutation) {
+	mc.counters.Refutations++
+	mc.refuteAt = time.Time{}
+	mc.quietUntil = mc.now.Add(quietTime)
+	next := mc.tb.self.Member
+	next.Refutation = claim + 1
+	mc.tb.replace(mc.tb.self, next)
+	mc.rumors.queueFirst(mc.tb.self, false)
+}
+
+// refuteLater refutes a death that may be due to a partition, unless another
+// process on this side does so first.
+func (mc *Machine) refuteLater() {
+	if mc.refuteAt.IsZero() && !mc.now.Before(mc.quietUntil) {
+		mc.refuteAt = mc.now.Add(mc.jitter(refuteJitter))
+	}
+}
+
+func (mc *Machine) refuteDue() {
+	switch {
+	case mc.refuteAt.IsZero():
+	case mc.now.Before(mc.quietUntil):
+		mc.refuteAt = time.Time{}
+	case !mc.now.Before(mc.refuteAt):
+		mc.refute(mc.tb.self.Refutation)
+	}
+}
+
+// conflicts reports whether a record of the own incarnation can only come
+// from another process.
+func (mc *Machine) conflicts(mb Member, full bool) bool {
+	self := mc.tb.self
+	if mb.State == Left || mb.State == Alive && mb.Refutation > self.Refutation {
+		return true
+	}
+	return full && (mb.Address != self.Address || mb.Announcement > self.Announcement)
+}
+
+// outlive takes an incarnation higher than inc, at most once in a while, so
+// that two processes of one name do not outbid each other without end.
+func (mc *Machine) outlive(inc Incarnation) {
+	if mc.now.Before(mc.nextOutlive) || inc >= maxIncarnation {
+		return
+	}
+	mc.nextOutlive = mc.now.Add(conflictCooldown)
+	mc.counters.Conflicts++
+	next := mc.tb.self.Member
+	next.Incarnation = inc + 1
+	next.Refutation = 0
+	mc.tb.replace(mc.tb.self, next)
+	mc.rumors.queueFirst(mc.tb.self, true)
+}
+
+// announce replaces the announcement of this process.
+func (mc *Machine) announce(ups []Upstream) {
+	next := mc.tb.self.Member
+	ups = slices.DeleteFunc(slices.Clone(ups), func(up Upstream) bool { return up.Validate() != nil })
+	ups = ups[:min(len(ups), MaxUpstreams)]
+	if next.State == Left || slices.Equal(next.Upstreams, ups) {
+		return
+	}
+	next.Upstreams = ups
+	next.Announcement++
+	mc.tb.replace(mc.tb.self, next)
+	mc.rumors.queueFirst(mc.tb.self, true)
+}
+
+// leave says once that this process leaves.
+func (mc *Machine) leave() {
+	next := mc.tb.self.Member
+	if next.State == Left {
+		return
+	}
+	next.State = Left
+	mc.tb.replace(mc.tb.self, next)
+	mc.rumors.queueFirst(mc.tb.self, false)
+	mc.flush()
+}
--- /dev/null
+++ b/membership/network_test.go
@@ -0,0 +1,267 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/call"
+	"camphortrail/membership"
+	"camphortrail/schema"
+)
+
+const udpHeaderBytes = 28
+
+// epochBack is how far the clocks of processes that start are behind.
+var epochBack time.Duration
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+// process is one life of a Machine in a network.
+type process struct {
+	*membership.Machine
+	set    membership.Settings
+	paused bool
+	sent   int
+	got    int
+	hints  []membership.RevisionHint
+	last   map[call.VM]membership.Member
+}
+
+// delivery is a datagram under way, or a tick when dg is nil.
+type delivery struct {
+	at   time.Time
+	seq  int
+	to   netip.AddrPort
+	life *process
+	dg   *schema.Datagram
+}
+
+type queue []delivery
+
+func (qu queue) Len() int { return len(qu) }
+func (qu queue) Less(i, j int) bool {
+	if !qu[i].at.Equal(qu[j].at) {
+		return qu[i].at.Before(qu[j].at)
+	}
+	return qu[i].seq < qu[j].seq
+}
+func (qu queue) Swap(i, j int) { qu[i], qu[j] = qu[j], qu[i] }
+func (qu *queue) Push(x any)   { *qu = append(*qu, x.(delivery)) }
+func (qu *queue) Pop() any {
+	last := (*qu)[len(*qu)-1]
+	*qu = (*qu)[:len(*qu)-1]
+	return last
+}
+
+// network joins Machines in virtual time.
+type network struct {
+	rng     *rand.Rand
+	now     time.Time
+	seq     int
+	queue   queue
+	procs   map[netip.AddrPort]*process
+	order   []netip.AddrPort
+	loss    float64
+	double  float64
+	latency func() time.Duration
+	// cut reports whether no datagram gets from one to the other.
+	cut func(from, to *process) bool
+	// check sees each change.
+	check func(pr *process, ch membership.Changed)
+}
+
+func newNetwork(seed uint64) *network {
+	nw := &network{
+		rng:   rand.New(rand.NewPCG(seed, 0)),
+		now:   epoch,
+		procs: make(map[netip.AddrPort]*process),
+		cut:   func(_, _ *process) bool { return false },
+		check: func(*process, membership.Changed) {},
+	}
+	nw.latency = func() time.Duration {
+		return 500*time.Microsecond + time.Duration(nw.rng.Int64N(int64(3*time.Millisecond)))
+	}
+	return nw
+}
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000)
+}
+
+func vmName(n int) call.VM { return call.VM(fmt.Sprintf("vm-%04d", n)) }
+
+// start starts a process of name at an address, in place of one that is there.
+func (nw *network) start(name call.VM, addr netip.AddrPort, fd call.FailureDomain, contacts ...netip.AddrPort) *process {
+	set := membership.Settings{
+		Deployment:    "test",
+		Name:          name,
+		Address:       addr,
+		FailureDomain: fd,
+		Role:          membership.NodeRole,
+		Incarnation:   membership.Incarnation(nw.now.Add(-epochBack).UnixMilli()),
+		Contacts:      contacts,
+	}
+	pr := &process{set: set, last: make(map[call.VM]membership.Member)}
+	pr.Machine = membership.New(set, rand.New(rand.NewPCG(nw.rng.Uint64(), 0)))
+	if nw.procs[addr] == nil {
+		nw.order = append(nw.order, addr)
+	}
+	nw.procs[addr] = pr
+	phase := time.Duration(nw.rng.Int64N(int64(membership.TickInterval)))
+	nw.push(delivery{at: nw.now.Add(phase), life: pr})
+	return pr
+}
+
+// cluster starts n processes spread over a number of failure domains.
+func (nw *network) cluster(n, domains int) {
+	for i := range n {
+		fd := call.FailureDomain(fmt.Sprintf("domain-%d", i%domains))
+		nw.start(vmName(i), address(i), fd, address(0), address(1%n), address(2%n))
+		nw.run(20 * time.Millisecond)
+	}
+}
+
+func (nw *network) stop(addr netip.AddrPort) {
+	delete(nw.procs, addr)
+	nw.order = slices.DeleteFunc(nw.order, func(other netip.AddrPort) bool { return other == addr })
+}
+
+func (nw *network) push(dv delivery) {
+	nw.seq++
+	dv.seq = nw.seq
+	heap.Push(&nw.queue, dv)
+}
+
+// step hands an event to a process and carries out what it wants.
+func (nw *network) step(pr *process, ev membership.Event) {
+	for _, ac := range pr.Step(nw.now, ev) {
+		switch ac := ac.(type) {
+		case membership.SendDatagram:
+			nw.send(pr, ac)
+		case membership.Changed:
+			nw.check(pr, ac)
+			pr.last[ac.Member.Name] = ac.Member
+		case membership.RevisionHint:
+			pr.hints = append(pr.hints, ac)
+		}
+	}
+}
+
+func (nw *network) send(pr *process, ac membership.SendDatagram) {
+	size := proto.Size(ac.Datagram)
+	if size > 1200 {
+		panic(fmt.Sprintf("datagram of %d bytes", size))
+	}
+	pr.sent += size + udpHeaderBytes
+	to := nw.procs[ac.Address]
+	if to == nil || nw.cut(pr, to) || nw.rng.Float64() < nw.loss {
+		return
+	}
+	copies := 1
+	if nw.rng.Float64() < nw.double {
+		copies = 2
+	}
+	for range copies {
+		nw.push(delivery{at: nw.now.Add(nw.latency()), to: ac.Address, dg: ac.Datagram})
+	}
+}
+
+// run lets virtual time pass.
+func (nw *network) run(d time.Duration) {
+	end := nw.now.Add(d)
+	for len(nw.queue) > 0 && !nw.queue[0].at.After(end) {
+		dv := heap.Pop(&nw.queue).(delivery)
+		nw.now = dv.at
+		if dv.dg != nil {
+			nw.deliver(dv)
+			continue
+		}
+		if nw.procs[dv.life.set.Address] != dv.life {
+			continue
+		}
+		if !dv.life.paused {
+			nw.step(dv.life, membership.Tick{})
+		}
+		nw.push(delivery{at: nw.now.Add(membership.TickInterval), life: dv.life})
+	}
+	nw.now = end
+}
+
+func (nw *network) deliver(dv delivery) {
+	pr := nw.procs[dv.to]
+	if pr == nil || pr.paused {
+		return
+	}
+	pr.got += proto.Size(dv.dg) + udpHeaderBytes
+	nw.step(pr, membership.Receive{Datagram: dv.dg})
+}
+
+// each calls f with all processes in a fixed order.
+func (nw *network) each(f func(pr *process)) {
+	for _, addr := range nw.order {
+		f(nw.procs[addr])
+	}
+}
+
+// differences counts the views that differ from the processes that run, and
+// describes one.
+func (nw *network) differences() (n int, example string) {
+	live := make(map[call.VM]membership.Member)
+	nw.each(func(pr *process) {
+		if self := pr.Self(); self.State == membership.Alive {
+			live[self.Name] = self
+		}
+	})
+	nw.each(func(pr *process) {
+		if diff := differsFrom(pr, live); diff != "" {
+			n++
+			example = fmt.Sprintf("%s: %s", pr.Self().Name, diff)
+		}
+	})
+	return n, example
+}
+
+// differsFrom compares the alive members that pr sees with those that live.
+func differsFrom(pr *process, live map[call.VM]membership.Member) string {
+	seen := 0
+	for mb := range pr.Members {
+		want, ok := live[mb.Name]
+		if !mb.State.Present() && !ok {
+			continue
+		}
+		if !ok {
+			return fmt.Sprintf("%s is %s, but does not run", mb.Name, mb.State)
+		}
+		if !mb.Equal(want) {
+			return fmt.Sprintf("has %+v, want %+v", mb, want)
+		}
+		seen++
+	}
+	if pr.Self().State == membership.Alive && seen != len(live) {
+		return fmt.Sprintf("sees %d of %d", seen, len(live))
+	}
+	return ""
+}
+
+// settle runs until all views are right and returns the time that it took.
+func (nw *network) settle(t testing.TB, limit time.Duration) time.Duration {
+	t.Helper()
+	from := nw.now
+	for {
+		n, example := nw.differences()
+		if n == 0 {
+			return nw.now.Sub(from)
+		}
+		if nw.now.Sub(from) >= limit {
+			t.Fatalf("after %v %d views differ, such as %s", limit, n, example)
+		}
+		nw.run(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/membership/reconcile.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/call"
+	"camphortrail/schema"
+)
+
+const (
+	compareInterval     = time.Second
+	joinCompareInterval = 250 * time.Millisecond
+	// maxReconcileDatagrams bounds the records that are sent for a comparison.
+	maxReconcileDatagrams = 4
+
+	contactInterval    = 500 * time.Millisecond
+	contactsPerSecond  = 1.0
+	maxContactsAtATime = 3
+	introductions      = 8
+)
+
+// contact joins through the contacts, and probes those that are not present
+// now and then.
+func (mc *Machine) contact() {
+	if len(mc.set.Contacts) == 0 {
+		return
+	}
+	if mc.tb.present.len() > 0 {
+		if mc.chance(contactsPerSecond / float64(mc.tb.present.len()+1) * TickInterval.Seconds()) {
+			mc.join(1)
+		}
+		return
+	}
+	if mc.now.Before(mc.nextContact) {
+		return
+	}
+	mc.nextContact = mc.now.Add(contactInterval)
+	mc.join(maxContactsAtATime)
+}
+
+// join introduces this process to up to n contacts that are not present.
+func (mc *Machine) join(n int) {
+	for _, place := range mc.rng.Perm(len(mc.set.Contacts)) {
+		addr := mc.set.Contacts[place]
+		if n == 0 || addr == mc.tb.self.Address || mc.isPresent(addr) {
+			continue
+		}
+		n--
+		dg := mc.datagram(schema.Datagram_KIND_JOIN)
+		dg.Members = append(dg.Members, encodeMember(mc.tb.self.Member, true))
+		dg.Digests = mc.domainDigests()
+		mc.send(addr, dg)
+	}
+}
+
+func (mc *Machine) isPresent(addr netip.AddrPort) bool {
+	return slices.ContainsFunc(mc.tb.present.recs, func(rec *record) bool { return rec.Address == addr })
+}
+
+// welcome introduces a process that joins to some others, so that it does not
+// depend on its contacts alone, and compares views with it.
+func (mc *Machine) welcome(dg *schema.Datagram, from netip.AddrPort) {
+	answer := mc.datagram(schema.Datagram_KIND_UPDATES)
+	answer.Reconcile = true
+	packRecords(answer, append([]*record{mc.tb.self}, mc.pick(introductions, nil)...))
+	mc.send(from, answer)
+	mc.compareDigests(dg, from)
+}
+
+// catchUp compares views with one member after another while joining.
+func (mc *Machine) catchUp() {
+	if rec := mc.tb.present.random(mc.rng); mc.joining && rec != nil {
+		mc.compare(rec.Address)
+	}
+}
+
+// compare starts a comparison of views with another process.
+func (mc *Machine) compare(to netip.AddrPort) {
+	if mc.now.Before(mc.nextCompare) || !mc.budget.left() {
+		return
+	}
+	interval := compareInterval
+	if mc.joining {
+		interval = joinCompareInterval
+	}
+	mc.nextCompare = mc.now.Add(interval)
+	dg := mc.datagram(schema.Datagram_KIND_DIGEST)
+	dg.Digests = mc.domainDigests()
+	mc.send(to, dg)
+}
+
+func (mc *Machine) domainDigests() []*schema.DomainDigest {
+	dds := make([]*schema.DomainDigest, 0, len(mc.tb.domains))
+	for _, dm := range mc.tb.domains {
+		dds = append(dds, &schema.DomainDigest{FailureDomain: string(dm.name), Digest: dm.digest})
+	}
+	return dds
+}
+
+// compareDigests handles any step of a comparison: digests of failure domains
+// are answered with those of the parts of one that differs, and digests of
+// parts with the records in those that differ.
+func (mc *Machine) compareDigests(dg *schema.Datagram, from netip.AddrPort) {
+	dds := dg.GetDigests()
+	if len(dds) == 0 || len(dds[0].GetParts()) == 0 {
+		mc.answerDomains(dds, from)
+		return
+	}
+	mc.answerParts(dds[0], from)
+}
+
+func (mc *Machine) answerDomains(dds []*schema.DomainDigest, from netip.AddrPort) {
+	differing := mc.differing(dds)
+	if len(differing) == 0 {
+		return
+	}
+	dg := mc.datagram(schema.Datagram_KIND_DIGEST)
+	dg.Digests = append(dg.Digests, mc.partDigests(differing[0], false))
+	mc.send(from, dg)
+}
+
+// differing returns the failure domains whose digests differ, the own one
+// first and the others in random order.
+func (mc *Machine) differing(dds []*schema.DomainDigest) []call.FailureDomain {
+	theirs := make(map[call.FailureDomain]uint64, len(dds))
+	var names []call.FailureDomain
+	for _, dd := range dds {
+		name := call.FailureDomain(dd.GetFailureDomain())
+		theirs[name] = dd.GetDigest()
+		if dm := mc.tb.find(name); dm == nil && dd.GetDigest() != 0 {
+			names = append(names, name)
+		}
+	}
+	for _, dm := range mc.tb.domains {
+		if theirs[dm.name] != dm.digest {
+			names = append(names, dm.name)
+		}
+	}
+	mc.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	if own := slices.Index(names, mc.tb.self.FailureDomain); own > 0 {
+		names[0], names[own] = names[own], names[0]
+	}
+	return names
+}
+
+func (mc *Machine) partDigests(name call.FailureDomain, last bool) *schema.DomainDigest {
+	dd := &schema.DomainDigest{FailureDomain: string(name), Parts: make([]uint32, partCount), Last: last}
+	if dm := mc.tb.find(name); dm != nil {
+		dd.Digest = dm.digest
+		copy(dd.Parts, dm.parts[:])
+	}
+	return dd
+}
+
+// answerParts sends the records in the parts that differ, and asks for those
+// of the other process. One that is joining only asks.
+func (mc *Machine) answerParts(dd *schema.DomainDigest, from netip.AddrPort) {
+	name := call.FailureDomain(dd.GetFailureDomain())
+	if !dd.GetLast() {
+		dg := mc.datagram(schema.Datagram_KIND_DIGEST)
+		dg.Digests = append(dg.Digests, mc.partDigests(name, true))
+		mc.send(from, dg)
+	}
+	dm := mc.tb.find(name)
+	if dm == nil || mc.joining && !dd.GetLast() {
+		return
+	}
+	mc.sendRecords(mc.differingRecords(dm, dd.GetParts()), from, false)
+}
+
+func (mc *Machine) differingRecords(dm *domain, parts []uint32) []*record {
+	var recs []*record
+	for _, rec := range dm.all.recs {
+		if dm.parts[rec.part] != parts[rec.part] {
+			recs = append(recs, rec)
+		}
+	}
+	mc.rng.Shuffle(len(recs), func(i, j int) { recs[i], recs[j] = recs[j], recs[i] })
+	return recs
+}
+
+// sendRecords sends as many of the records as a few datagrams hold.
+func (mc *Machine) sendRecords(recs []*record, to netip.AddrPort, restore bool) {
+	for range maxReconcileDatagrams {
+		if len(recs) == 0 || !mc.budget.left() {
+			return
+		}
+		dg := mc.datagram(schema.Datagram_KIND_UPDATES)
+		dg.Reconcile = true
+		dg.Restore = restore
+		recs = packRecords(dg, recs)
+		mc.send(to, dg)
+	}
+}
+
+// packRecords fills the datagram and returns the records that are left.
+func packRecords(dg *schema.Datagram, recs []*record) []*record {
+	room := maxDatagramBytes - proto.Size(dg)
+	for i, rec := range recs {
+		msg := encodeMember(rec.Member, true)
+		room -= recordSize(msg)
+		if room < 0 {
+			return recs[i:]
+		}
+		dg.Members = append(dg.Members, msg)
+	}
+	return nil
+}
--- /dev/null
+++ b/membership/script_test.go
@@ -0,0 +1,181 @@
+package membership_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"camphortrail/call"
+	"camphortrail/membership"
+	"camphortrail/schema"
+)
+
+// script runs the commands of a file of testdata on one network.
+type script struct {
+	*network
+	changes map[membership.ChangeKind]int
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		sc := &script{network: newNetwork(1), changes: make(map[membership.ChangeKind]int)}
+		sc.check = func(_ *process, ch membership.Changed) { sc.changes[ch.Kind]++ }
+		datadriven.RunTest(t, path, sc.command)
+	})
+}
+
+func (sc *script) command(t *testing.T, td *datadriven.TestData) string {
+	var vm, domain, service, state string
+	var n, domains, from, loss int
+	td.MaybeScanArgs(t, "vm", &vm)
+	td.MaybeScanArgs(t, "domain", &domain)
+	td.MaybeScanArgs(t, "service", &service)
+	td.MaybeScanArgs(t, "state", &state)
+	td.MaybeScanArgs(t, "n", &n)
+	td.MaybeScanArgs(t, "domains", &domains)
+	td.MaybeScanArgs(t, "from", &from)
+	td.MaybeScanArgs(t, "loss-percent", &loss)
+	limit := scanTime(t, td)
+	switch td.Cmd {
+	case "cluster":
+		sc.loss = float64(loss) / 100
+		sc.cluster(n, domains)
+	case "run":
+		sc.run(limit)
+	case "settle":
+		return sc.settled(limit)
+	case "cut":
+		fd := call.FailureDomain(domain)
+		sc.cut = func(a, b *process) bool { return (a.set.FailureDomain == fd) != (b.set.FailureDomain == fd) }
+	case "cut-pair":
+		a, b := sc.process(t, vm), sc.procs[address(from)]
+		sc.cut = func(x, y *process) bool { return x == a && y == b || x == b && y == a }
+	case "heal":
+		sc.cut = func(_, _ *process) bool { return false }
+	case "pause":
+		sc.process(t, vm).paused = true
+	case "resume":
+		sc.process(t, vm).paused = false
+	case "crash":
+		sc.stop(sc.process(t, vm).set.Address)
+	case "start":
+		sc.start(call.VM(vm), address(n), call.FailureDomain(domain), address(0), address(1))
+	case "leave":
+		sc.step(sc.process(t, vm), membership.Leave{})
+	case "announce":
+		sc.step(sc.process(t, vm), membership.AnnounceUpstreams{Upstreams: []membership.Upstream{{
+			Service: call.Service(service), Slots: 35, Draining: td.HasArg("draining"),
+		}}})
+	case "revision":
+		sc.step(sc.process(t, vm), membership.SetRevision{Revision: uint64(n)})
+	case "hints":
+		return sc.hinted(uint64(n))
+	case "claim":
+		sc.claim(t, vm, from, state)
+	case "view":
+		return sc.view(t, from, vm)
+	case "changes":
+		return sc.changed()
+	default:
+		t.Fatalf("unknown command %s", td.Cmd)
+	}
+	return ""
+}
+
+func scanTime(t *testing.T, td *datadriven.TestData) time.Duration {
+	var text string
+	td.MaybeScanArgs(t, "time", &text)
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func (sc *script) process(t *testing.T, vm string) *process {
+	t.Helper()
+	for _, addr := range sc.order {
+		if pr := sc.procs[addr]; string(pr.set.Name) == vm {
+			return pr
+		}
+	}
+	t.Fatalf("no process %s", vm)
+	return nil
+}
+
+// settled says whether all views are right within the limit.
+func (sc *script) settled(limit time.Duration) string {
+	for end := sc.now.Add(limit); ; sc.run(100 * time.Millisecond) {
+		n, example := sc.differences()
+		if n == 0 {
+			return "settled"
+		}
+		if !sc.now.Before(end) {
+			return fmt.Sprintf("%d views differ, such as %s", n, example)
+		}
+	}
+}
+
+// claim hands a claim about vm, as if by an unknown process, to another.
+func (sc *script) claim(t *testing.T, vm string, to int, state string) {
+	self := sc.process(t, vm).Self()
+	value := schema.Member_State_value["STATE_"+strings.ToUpper(state)]
+	sc.step(sc.procs[address(to)], membership.Receive{Datagram: &schema.Datagram{
+		Deployment: "test", From: "vm-0001", FromAddress: address(1).String(),
+		Kind: schema.Datagram_KIND_UPDATES,
+		Members: []*schema.Member{{
+			Name: vm, Incarnation: uint64(self.Incarnation), State: schema.Member_State(value),
+		}},
+	}})
+}
+
+// view returns what the process with address number from knows of vm.
+func (sc *script) view(t *testing.T, from int, vm string) string {
+	pr := sc.procs[address(from)]
+	if pr == nil {
+		t.Fatalf("no process at address %d", from)
+	}
+	for mb := range pr.Members {
+		if string(mb.Name) != vm {
+			continue
+		}
+		text := fmt.Sprintf("%s at %s refutation=%d announcement=%d", mb.State, mb.Address, mb.Refutation, mb.Announcement)
+		for _, up := range mb.Upstreams {
+			text += fmt.Sprintf(" %s slots=%d draining=%t", up.Service, up.Slots, up.Draining)
+		}
+		return text
+	}
+	return "unknown"
+}
+
+// changed counts the changes since the last time, by kind.
+func (sc *script) changed() string {
+	var text []string
+	for kind := membership.Joined; kind <= membership.Departed; kind++ {
+		if sc.changes[kind] > 0 {
+			text = append(text, fmt.Sprintf("%s %d", kind, sc.changes[kind]))
+		}
+	}
+	clear(sc.changes)
+	return strings.Join(text, "\n")
+}
+
+// hinted counts the processes that have a hint of the revision.
+func (sc *script) hinted(revision uint64) string {
+	n := 0
+	sc.each(func(pr *process) {
+		for _, hint := range pr.hints {
+			if hint.Revision == revision {
+				n++
+				break
+			}
+		}
+	})
+	return fmt.Sprintf("%d of %d", n, len(sc.order))
+}
--- /dev/null
+++ b/membership/send.go
@@ -0,0 +1,140 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/schema"
+)
+
+const (
+	maxDatagramBytes = 1200
+	// udpHeaderBytes is the size of the IP and UDP headers.
+	udpHeaderBytes = 28
+
+	budgetBytesPerSecond = 3500
+	budgetBurstBytes     = 24 << 10
+	// joinBytesPerSecond is the rate of a process that is joining.
+	joinBytesPerSecond = 16 << 10
+
+	gossipInterval = 200 * time.Millisecond
+	gossipTargets  = 2
+)
+
+// budget is a token bucket for what can wait. Probes are charged to it and
+// always sent.
+type budget struct {
+	bytes float64
+	at    time.Time
+}
+
+func (bg *budget) start(now time.Time) {
+	bg.bytes = budgetBurstBytes
+	bg.at = now
+}
+
+func (bg *budget) refill(now time.Time, bytesPerSecond float64) {
+	bg.bytes += now.Sub(bg.at).Seconds() * bytesPerSecond
+	bg.bytes = min(bg.bytes, budgetBurstBytes)
+	bg.at = now
+}
+
+func (bg *budget) left() bool { return bg.bytes > 0 }
+
+func (mc *Machine) bytesPerSecond() float64 {
+	if mc.joining {
+		return joinBytesPerSecond
+	}
+	return budgetBytesPerSecond
+}
+
+// datagram returns a datagram from this process.
+func (mc *Machine) datagram(kind schema.Datagram_Kind) *schema.Datagram {
+	self := mc.tb.self
+	return &schema.Datagram{
+		Kind:            kind,
+		Deployment:      string(mc.set.Deployment),
+		From:            string(self.Name),
+		FromAddress:     self.Address.String(),
+		FromIncarnation: uint64(self.Incarnation),
+		Revision:        mc.revision,
+	}
+}
+
+// send sends a finished datagram.
+func (mc *Machine) send(to netip.AddrPort, dg *schema.Datagram) {
+	mc.budget.bytes -= float64(proto.Size(dg) + udpHeaderBytes)
+	mc.act(SendDatagram{Address: to, Datagram: dg})
+}
+
+// sendWith fills up the datagram with updates and sends it.
+func (mc *Machine) sendWith(to netip.AddrPort, dg *schema.Datagram) {
+	if mc.budget.left() {
+		mc.rumors.fill(dg, maxDatagramBytes-proto.Size(dg), 1, mc.transmissions())
+	}
+	mc.send(to, dg)
+}
+
+func (mc *Machine) transmissions() int { return transmissions(mc.tb.present.len() + 1) }
+
+// flush sends new updates, and a new revision, to a few members at once.
+func (mc *Machine) flush() {
+	copies := firstCopies
+	if mc.tb.self.State == Left {
+		copies = urgentCopies
+	}
+	fresh := mc.rumors.pending(0, 1) && (mc.budget.left() || mc.rumors.isFresh(mc.tb.self))
+	if fresh || mc.revisionSent == 0 {
+		mc.spread(copies)
+	}
+}
+
+// gossip sends recent updates again.
+func (mc *Machine) gossip() {
+	if mc.now.Before(mc.nextGossip) {
+		return
+	}
+	mc.nextGossip = mc.now.Add(gossipInterval)
+	recent := mc.rumors.pending(1, urgentCopies) && mc.budget.left()
+	if recent || mc.revisionSent < urgentCopies {
+		mc.spread(gossipTargets)
+	}
+}
+
+// spread sends one datagram of updates to a number of random members.
+func (mc *Machine) spread(copies int) {
+	copies = min(copies, mc.tb.present.len())
+	if copies == 0 {
+		return
+	}
+	dg := mc.datagram(schema.Datagram_KIND_UPDATES)
+	mc.rumors.fill(dg, maxDatagramBytes-proto.Size(dg), copies, mc.transmissions())
+	for _, rec := range mc.pick(copies, nil) {
+		mc.send(rec.Address, dg)
+	}
+	mc.revisionSent = min(mc.revisionSent+copies, urgentCopies)
+}
+
+// pick returns up to n different random members other than except.
+func (mc *Machine) pick(n int, except *record) []*record {
+	recs := mc.tb.present.recs
+	picked := make([]*record, 0, n)
+	if len(recs) <= n+1 {
+		for _, rec := range recs {
+			if rec != except && len(picked) < n {
+				picked = append(picked, rec)
+			}
+		}
+		return picked
+	}
+	for len(picked) < n {
+		rec := mc.tb.present.random(mc.rng)
+		if rec != except && !slices.Contains(picked, rec) {
+			picked = append(picked, rec)
+		}
+	}
+	return picked
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,277 @@
+package membership
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"camphortrail/call"
+)
+
+const (
+	maxRecords        = 4096
+	maxFailureDomains = 24
+	partCount         = 32
+
+	deadRetention = 2 * time.Hour
+	leftRetention = 10 * time.Minute
+)
+
+// record is a member with the bookkeeping of the local table.
+type record struct {
+	Member
+	domain *domain
+	// hash is the share of the record in the digests, 0 unless present.
+	hash uint64
+	part int
+	// due is the end of a suspicion, or of the retention of a member that is
+	// not present.
+	due time.Time
+	// told is when the member was last told that it is not taken as alive.
+	told time.Time
+	// revived is when the member was last found not to be dead.
+	revived time.Time
+	rumor   rumor
+
+	all, present, domainPresent, suspects, gone int
+}
+
+// domain holds the records of one failure domain.
+type domain struct {
+	name    call.FailureDomain
+	digest  uint64
+	parts   [partCount]uint32
+	all     list
+	present list
+	// recheck is due when a dead member came back, and explore when a member
+	// is suspected.
+	recheck occasion
+	explore occasion
+}
+
+// occasion is something to do once, soon, and not again for a while.
+type occasion struct {
+	at       time.Time
+	earliest time.Time
+}
+
+// plan sets the time, unless that was done within the interval.
+func (oc *occasion) plan(now time.Time, delay, interval time.Duration) {
+	if now.Before(oc.earliest) {
+		return
+	}
+	oc.at = now.Add(delay)
+	oc.earliest = now.Add(interval)
+}
+
+// due reports once that the time has come.
+func (oc *occasion) due(now time.Time) bool {
+	if oc.at.IsZero() || now.Before(oc.at) {
+		return false
+	}
+	oc.at = time.Time{}
+	return true
+}
+
+// list is an unordered set of records with constant-time removal. at returns
+// the place of a record in this list.
+type list struct {
+	recs []*record
+	at   func(*record) *int
+}
+
+func (ls *list) add(rec *record) {
+	*ls.at(rec) = len(ls.recs)
+	ls.recs = append(ls.recs, rec)
+}
+
+func (ls *list) remove(rec *record) {
+	place, last := *ls.at(rec), len(ls.recs)-1
+	ls.recs[place] = ls.recs[last]
+	*ls.at(ls.recs[place]) = place
+	ls.recs[last] = nil
+	ls.recs = ls.recs[:last]
+}
+
+func (ls *list) random(rng *rand.Rand) *record {
+	if len(ls.recs) == 0 {
+		return nil
+	}
+	return ls.recs[rng.IntN(len(ls.recs))]
+}
+
+func (ls *list) len() int { return len(ls.recs) }
+
+// table holds all records. The lists leave out the process itself, except for
+// the list of all records of a failure domain.
+type table struct {
+	self    *record
+	records map[call.VM]*record
+	domains []*domain
+	digest  uint64
+
+	present  list
+	suspects list
+	gone     list
+}
+
+func newTable(self Member) table {
+	tb := table{
+		records:  make(map[call.VM]*record),
+		present:  list{at: func(rec *record) *int { return &rec.present }},
+		suspects: list{at: func(rec *record) *int { return &rec.suspects }},
+		gone:     list{at: func(rec *record) *int { return &rec.gone }},
+	}
+	tb.self = &record{Member: self}
+	tb.insert(tb.self)
+	return tb
+}
+
+func (tb *table) find(name call.FailureDomain) *domain {
+	for _, dm := range tb.domains {
+		if dm.name == name {
+			return dm
+		}
+	}
+	return nil
+}
+
+func (tb *table) domain(name call.FailureDomain) *domain {
+	if dm := tb.find(name); dm != nil {
+		return dm
+	}
+	dm := &domain{
+		name:    name,
+		all:     list{at: func(rec *record) *int { return &rec.all }},
+		present: list{at: func(rec *record) *int { return &rec.domainPresent }},
+	}
+	tb.domains = append(tb.domains, dm)
+	return dm
+}
+
+// hasDomain reports whether the failure domain is known or can be added.
+func (tb *table) hasDomain(name call.FailureDomain) bool {
+	return tb.find(name) != nil || len(tb.domains) < maxFailureDomains
+}
+
+// hasRoom reports whether mb can be added, and evicts the absent member whose
+// retention ends first when the table is full.
+func (tb *table) hasRoom(mb Member) bool {
+	if !tb.hasDomain(mb.FailureDomain) {
+		return false
+	}
+	if len(tb.records) < maxRecords {
+		return true
+	}
+	var oldest *record
+	for _, rec := range tb.gone.recs {
+		if oldest == nil || rec.due.Before(oldest.due) {
+			oldest = rec
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	tb.delete(oldest)
+	return true
+}
+
+// insert adds a record that is not in the table.
+func (tb *table) insert(rec *record) {
+	rec.part = int(xxhash.Sum64String(string(rec.Name)) % partCount)
+	rec.domain = tb.domain(rec.FailureDomain)
+	rec.domain.all.add(rec)
+	tb.records[rec.Name] = rec
+	tb.enlist(rec)
+}
+
+// delete removes a record and all of its traces.
+func (tb *table) delete(rec *record) {
+	tb.unlist(rec)
+	rec.domain.all.remove(rec)
+	rec.rumor.stop()
+	delete(tb.records, rec.Name)
+	tb.sweep(rec.domain)
+}
+
+func (tb *table) sweep(dm *domain) {
+	if dm.all.len() > 0 {
+		return
+	}
+	for i := range tb.domains {
+		if tb.domains[i] == dm {
+			tb.domains = append(tb.domains[:i], tb.domains[i+1:]...)
+			return
+		}
+	}
+}
+
+// replace gives a record the content mb, and keeps the lists and digests.
+func (tb *table) replace(rec *record, mb Member) {
+	tb.unlist(rec)
+	rec.Member = mb
+	if rec.domain.name != mb.FailureDomain {
+		old := rec.domain
+		old.all.remove(rec)
+		rec.domain = tb.domain(mb.FailureDomain)
+		rec.domain.all.add(rec)
+		tb.sweep(old)
+	}
+	tb.enlist(rec)
+}
+
+func (tb *table) enlist(rec *record) {
+	if rec.State.Present() {
+		rec.hash = rec.digestHash()
+		tb.mix(rec)
+	}
+	if rec == tb.self {
+		return
+	}
+	if !rec.State.Present() {
+		tb.gone.add(rec)
+		return
+	}
+	tb.present.add(rec)
+	rec.domain.present.add(rec)
+	if rec.State == Suspect {
+		tb.suspects.add(rec)
+	}
+}
+
+func (tb *table) unlist(rec *record) {
+	tb.mix(rec)
+	rec.hash = 0
+	if rec == tb.self {
+		return
+	}
+	if !rec.State.Present() {
+		tb.gone.remove(rec)
+		return
+	}
+	tb.present.remove(rec)
+	rec.domain.present.remove(rec)
+	if rec.State == Suspect {
+		tb.suspects.remove(rec)
+	}
+}
+
+// mix adds the share of rec to the digests, or takes it out again.
+func (tb *table) mix(rec *record) {
+	tb.digest ^= rec.hash
+	rec.domain.digest ^= rec.hash
+	rec.domain.parts[rec.part] ^= uint32(rec.hash)
+}
+
+// digestHash is a hash of what processes have to agree on. Suspicion is left
+// out, since it ends by itself.
+func (rec *record) digestHash() uint64 {
+	buf := make([]byte, 0, 64+3*8)
+	buf = binary.BigEndian.AppendUint64(buf, uint64(rec.Incarnation))
+	buf = binary.BigEndian.AppendUint64(buf, uint64(rec.Refutation))
+	buf = binary.BigEndian.AppendUint64(buf, uint64(rec.Announcement))
+	buf = append(buf, rec.Name...)
+	return xxhash.Sum64(buf)
+}
