--- a/internal/standin/send.go
+++ b/internal/standin/send.go
@@ -12,8 +12,8 @@
 	"camphortrail/internal/header"
 )
 
-// runRoot sends a root until its whole answer arrives, or patience or resends
-// are used up.
+// runRoot sends a root until its whole answer arrives, patience or resends are
+// used up, or a resend might repeat an effect.
 func (cr *Caller) runRoot(ctx context.Context, rt Root, rng *rand.Rand) {
 	ctx, cancel := context.WithDeadline(ctx, rt.Arrived.Add(cr.opt.Patience))
 	defer cancel()
@@ -25,6 +25,9 @@
 			rt.Whole = ctx.Err() == nil
 			break
 		}
+		if !cr.mayResend(sn) {
+			break
+		}
 		if !cr.opt.HonourRetryAfter || pause == 0 {
 			pause = time.Duration(rng.Int64N(int64(cr.opt.Pause) + 1))
 		}
@@ -36,6 +39,12 @@
 	cr.opt.Recorder.addRoot(rt)
 }
 
+// mayResend reports whether a resend cannot repeat an effect: by the method, by
+// the key, or because the request was not run.
+func (cr *Caller) mayResend(sn Send) bool {
+	return cr.opt.Pattern.Method != http.MethodPost || cr.opt.Pattern.Keyed || sn.Outcome == call.NotRun
+}
+
 // send sends a root once. It returns what became of it and the pause that the
 // answer asks for.
 func (cr *Caller) send(ctx context.Context, rt Root, request call.RequestID, number int, rng *rand.Rand) (Send, time.Duration) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+func TestUnkeyedPostIsResentOnlyWhenNotRun(t *testing.T) {
+	rc := NewRecorder()
+	us := start(t, UpstreamOptions{Service: "cassa", Slots: 4, AnswerBytes: 100, Recorder: rc})
+	us.SetFault(Drop, 1)
+	opt := lookup(us, rc)
+	opt.Resends = 2
+	opt.Pattern.Method = "POST"
+	cr := NewCaller(opt)
+	cr.runRoot(t.Context(), Root{ID: 1, Arrived: time.Now()}, cr.arrivals)
+	if sends := rc.Log().Sends; len(sends) != 1 {
+		t.Errorf("%d sends after an unknown outcome, want 1", len(sends))
+	}
+	us.leaving.Store(true)
+	cr.runRoot(t.Context(), Root{ID: 2, Arrived: time.Now()}, cr.arrivals)
+	if sends := rc.Log().Sends; len(sends) != 4 {
+		t.Errorf("%d sends after outcomes not-run, want 3 more", len(sends)-1)
+	}
+}
+
 // TestSlots runs many requests in virtual time without sockets.
 func TestSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
