--- a/internal/measure/count.go
+++ b/internal/measure/count.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"camphortrail/call"
@@ -46,11 +48,31 @@
 // arrived during the trigger and were completed in time. It is 1 when there
 // were none.
 func importantShare(lg *standin.Log, tl timeline) float64 {
+	return share(lg, tl.triggerStart, tl.triggerEnd, highestImportance(lg))
+}
+
+func highestImportance(lg *standin.Log) call.Importance {
 	highest := call.Importance(0)
 	for _, rt := range lg.Roots {
 		highest = max(highest, rt.Importance)
 	}
-	return share(lg, tl.triggerStart, tl.triggerEnd, highest)
+	for _, sn := range lg.Sends {
+		highest = max(highest, sn.Importance)
+	}
+	return highest
+}
+
+// importantFailures counts the sends of the most important work that did not
+// bring the whole answer, by status, outcome and reason.
+func importantFailures(lg *standin.Log) map[string]int {
+	highest := highestImportance(lg)
+	failures := make(map[string]int)
+	for _, sn := range lg.Sends {
+		if sn.Importance == highest && sn.Verdict != standin.Whole {
+			failures[strings.TrimSpace(fmt.Sprintf("%d %v %s", sn.Status, sn.Outcome, sn.Reason))]++
+		}
+	}
+	return failures
 }
 
 // share returns the share of the root requests of at least the importance
@@ -99,11 +121,10 @@
 func orderViolations(lg *standin.Log, service call.Service) int {
 	sent := sendTimes(lg)
 	importance := make(map[standin.RootID]call.Importance, len(lg.Roots))
-	highest := call.Importance(0)
 	for _, sn := range lg.Sends {
 		importance[sn.Root] = sn.Importance
-		highest = max(highest, sn.Importance)
 	}
+	highest := highestImportance(lg)
 	var lesser []standin.Run
 	for _, rn := range lg.Runs {
 		if imp, ok := importance[rn.Root]; ok && rn.Service == service && imp < highest {
--- a/internal/measure/count_test.go
+++ b/internal/measure/count_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -155,6 +156,19 @@
 	}
 }
 
+func TestImportantFailures(t *testing.T) {
+	lg := &standin.Log{Sends: []standin.Send{
+		{Importance: 7, Verdict: standin.Whole},
+		{Importance: 7, Status: 503, Outcome: call.NotRun, Reason: "overload"},
+		{Importance: 7, Status: 503, Outcome: call.NotRun, Reason: "overload"},
+		{Importance: 7},
+		{Importance: 2, Status: 503},
+	}}
+	if got, want := importantFailures(lg), map[string]int{"503 not-run overload": 2, "0 unknown": 1}; !maps.Equal(got, want) {
+		t.Errorf("failures = %v, want %v", got, want)
+	}
+}
+
 func TestFalseNotRun(t *testing.T) {
 	for _, tt := range []struct {
 		name           string
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -45,6 +45,8 @@
 	// Status is 0 when no answer arrived.
 	Status  int
 	Outcome call.Outcome
+	// Reason is the reason that the answer states, or empty.
+	Reason  string
 	Verdict Verdict
 }
 
--- a/internal/standin/send.go
+++ b/internal/standin/send.go
@@ -69,6 +69,7 @@
 	defer drain(res.Body)
 	sn.Status = res.StatusCode
 	sn.Outcome = call.ParseOutcome(res.Header.Get(header.Outcome))
+	sn.Reason = res.Header.Get(header.Reason)
 	sn.Verdict = readAnswer(res, digestOf(pt.Method, path, rt.ID, body), pt.AnswerBytes)
 	sn.Ended = time.Now()
 	seconds, _ := strconv.Atoi(res.Header.Get(header.RetryAfter))
