Wait until every node serves before a measurement starts

The first seconds of a run counted refusals for want of a route. Readiness now takes a call to each service through each node; those calls are not counted. go test -race ./internal/measure passes.

--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -90,7 +90,7 @@
 	if ctx.Err() != nil {
 		return Figures{}, ctx.Err()
 	}
-	lg := ft.recorder.Log()
+	lg := ft.log()
 	fg := count(&lg, tl, deepest, sc.expected)
 	if sc.instant {
 		tl.triggerEnd = tl.triggerStart
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"camphortrail/call"
@@ -173,7 +174,8 @@
 	})
 }
 
-// ready waits until every node has the configuration and knows all upstreams.
+// ready waits until every node has the configuration, knows all upstreams and
+// serves calls to each service.
 func (ft *fleet) ready(ctx context.Context) error {
 	for _, nd := range ft.nodes {
 		_, peers, _ := nd.Addresses()
@@ -186,9 +188,39 @@
 			return err
 		}
 	}
+	for _, url := range ft.callerURLs() {
+		for _, service := range ft.services {
+			probe := url + "/" + string(service) + "/" + kindName(lookup) + "/0"
+			if err := poll(ctx, "wait for "+probe, func() bool { return succeeds(ctx, probe) }); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
+// succeeds reports whether a GET of the URL is answered with the status 200.
+func succeeds(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// log returns what was recorded, without the probes of ready, which belong to
+// no root.
+func (ft *fleet) log() standin.Log {
+	lg := ft.recorder.Log()
+	lg.Runs = slices.DeleteFunc(lg.Runs, func(rn standin.Run) bool { return rn.Root == 0 })
+	return lg
+}
+
 // poll repeats try until it reports true or ctx ends.
 func poll(ctx context.Context, what string, try func() bool) error {
 	ticker := time.NewTicker(readyPoll)
--- a/internal/measure/latency.go
+++ b/internal/measure/latency.go
@@ -77,7 +77,7 @@
 		return Figures{}, ctx.Err()
 	}
 	begin, end := start.Add(settle), start.Add(usable)
-	all := ft.recorder.Log()
+	all := ft.log()
 	through := only(&all, throughRoots)
 	tl := timeline{begin: begin, triggerStart: begin, triggerEnd: end, end: end}
 	fg := count(&through, tl, deepest, latencyRate/2)
