Tell refused calls from failed ones in stand-in upstreams

An upstream answered 503 for every failed call, so that a lost answer further down counted as a refusal for load.

--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"camphortrail/call"
 	"camphortrail/internal/node"
 	"camphortrail/internal/standin"
 )
@@ -93,6 +94,7 @@
 	lg := ft.log()
 	fg := count(&lg, tl, deepest, sc.expected)
 	if sc.instant {
+		fg.GoodputRatio = round(share(&lg, tl.triggerStart, tl.triggerEnd, call.MinImportance))
 		tl.triggerEnd = tl.triggerStart
 		fg.RecoveryMS = recovery(&lg, tl)
 	}
--- a/internal/measure/relay.go
+++ b/internal/measure/relay.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -136,6 +137,16 @@
 	return rl.address(), nil
 }
 
+// dial connects to the target through its relay.
+func (rs *relays) dial(ctx context.Context, network, target string) (net.Conn, error) {
+	address, err := rs.to(target)
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: relayDialTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
 func (rs *relays) silence() {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -44,8 +44,8 @@
 	expected float64
 	// trigger and relief start and end what goes wrong, beside demand.
 	trigger, relief func(*fleet)
-	// instant says that the trigger has no length: recovery counts from its
-	// start.
+	// instant says that the trigger has no length: goodput is compared with
+	// the requests that arrived, and recovery counts from the start.
 	instant bool
 	// relayed puts a relay between nodes.
 	relayed bool
--- a/internal/measure/scenario_test.go
+++ b/internal/measure/scenario_test.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"context"
 	"io"
 	"net"
 	"slices"
@@ -126,12 +125,9 @@
 func TestRelaySilencesOnlyEstablishedConnections(t *testing.T) {
 	rs := newRelays()
 	defer rs.close()
-	address, err := rs.to(echo(t))
-	if err != nil {
-		t.Fatal(err)
-	}
+	target := echo(t)
 	dial := func() net.Conn {
-		cn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+		cn, err := rs.dial(t.Context(), "tcp", target)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// TestFailedCalls checks the status that an upstream answers with when its own
+// call fails.
+func TestFailedCalls(t *testing.T) {
+	for _, tt := range []struct {
+		fault   Fault
+		leaving bool
+		want    int
+	}{
+		{NoFault, false, http.StatusOK},
+		{NoFault, true, http.StatusServiceUnavailable},
+		{Drop, false, http.StatusBadGateway},
+		{Truncate, false, http.StatusBadGateway},
+		{WrongAttempt, false, http.StatusBadGateway},
+	} {
+		upstreams := chain(t, NewRecorder(), "sportello", "cassa")
+		upstreams[1].SetFault(tt.fault, 1)
+		upstreams[1].leaving.Store(tt.leaving)
+		w := httptest.NewRecorder()
+		upstreams[0].ServeHTTP(w, httptest.NewRequest("GET", "/sportello", nil))
+		if w.Code != tt.want {
+			t.Errorf("fault %d, leaving %v: status %d, want %d", tt.fault, tt.leaving, w.Code, tt.want)
+		}
+	}
+}
+
 func TestResendsStopAtTheirBound(t *testing.T) {
 	rc := NewRecorder()
 	us := start(t, UpstreamOptions{Service: "cassa", Slots: 4, AnswerBytes: 100, Recorder: rc})
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -72,11 +72,11 @@
 		http.Error(w, "not run", http.StatusServiceUnavailable)
 		return
 	}
-	whole := us.run(ctx, jb)
+	status := us.run(ctx, jb)
 	us.release()
-	if !whole {
+	if status != http.StatusOK {
 		w.Header().Set(header.Attempt, jb.attempt)
-		http.Error(w, "a call failed", http.StatusServiceUnavailable)
+		http.Error(w, "not done", status)
 		return
 	}
 	answer := answerBody(digestOf(jb.method, jb.path, jb.root, jb.body), us.opt.AnswerBytes)
@@ -116,9 +116,9 @@
 	<-us.slots
 }
 
-// run does the work of a request and its calls, and reports whether all of it
-// was done. Only idempotent work is cut short when ctx ends.
-func (us *Upstream) run(ctx context.Context, jb *job) bool {
+// run does the work of a request and its calls, and returns the status of the
+// answer. Only idempotent work is cut short when ctx ends.
+func (us *Upstream) run(ctx context.Context, jb *job) int {
 	id := us.opt.Recorder.addRun(Run{
 		Service: us.opt.Service, VM: us.opt.VM,
 		Root: jb.root, Send: jb.send, Parent: jb.parent, Call: jb.call,
@@ -128,28 +128,32 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	if !wait(ctx, time.Duration(us.work.Load())) {
-		return false
+		return http.StatusGatewayTimeout
 	}
 	for i, cl := range us.opt.Calls {
 		path, ok := cl.target(jb.method, jb.path)
-		if ok && !us.call(ctx, jb, trace{root: jb.root, send: jb.send, parent: id, call: i}, path) {
-			return false
+		if !ok {
+			continue
+		}
+		tc := trace{root: jb.root, send: jb.send, parent: id, call: i}
+		if status := us.call(ctx, jb, tc, path); status != http.StatusOK {
+			return status
 		}
 	}
-	return true
+	return http.StatusOK
 }
 
 // callTimeout bounds a call; the node beside the upstream ends it earlier.
 const callTimeout = 15 * time.Second
 
-// call sends one request through the node and reports whether its whole
-// answer arrived.
-func (us *Upstream) call(ctx context.Context, jb *job, tc trace, path string) bool {
+// call sends one request through the node. It returns 200 for its whole
+// answer, 503 if it was refused, and 502 for all else.
+func (us *Upstream) call(ctx context.Context, jb *job, tc trace, path string) int {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, jb.method, us.opt.Node+path, bytes.NewReader(jb.body))
 	if err != nil {
-		return false
+		return http.StatusBadGateway
 	}
 	tc.write(req.Header)
 	if jb.attempt != "" {
@@ -160,10 +164,16 @@
 	}
 	res, err := us.client.Do(req)
 	if err != nil {
-		return false
+		return http.StatusBadGateway
 	}
 	defer drain(res.Body)
-	return readAnswer(res, digestOf(jb.method, path, jb.root, jb.body), us.opt.AnswerBytes) == Whole
+	if res.StatusCode == http.StatusServiceUnavailable {
+		return res.StatusCode
+	}
+	if readAnswer(res, digestOf(jb.method, path, jb.root, jb.body), us.opt.AnswerBytes) != Whole {
+		return http.StatusBadGateway
+	}
+	return http.StatusOK
 }
 
 func (us *Upstream) nextFault() Fault {
