Measure on package deployment

The measurement started its own control replica, nodes and upstreams; package deployment does the same for the demonstration, so the copy goes. go test -race ./internal/measure passes.

--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -128,7 +127,7 @@
 	var callers sync.WaitGroup
 	for i, sm := range streams {
 		cr := standin.NewCaller(standin.CallerOptions{
-			Pattern: sm.pattern, Phases: pn.phases(sm), Targets: slices.Clone(ft.callerURLs()),
+			Pattern: sm.pattern, Phases: pn.phases(sm), Targets: ft.CallerURLs(),
 			SendTimeout: sendTimeout, Patience: patience, Resends: resends, Pause: resendPause,
 			Outstanding: outstanding, Seed: seed, FirstRoot: standin.RootID(i+1) * rootsPerStream,
 			Recorder: ft.recorder, Client: client,
--- a/internal/measure/latency.go
+++ b/internal/measure/latency.go
@@ -110,8 +110,8 @@
 		phases []standin.Phase
 		target string
 	}{
-		{directRoots, direct, "http://" + ft.upstreams[1].Address()},
-		{throughRoots, through, ft.callerURLs()[0]},
+		{directRoots, direct, "http://" + ft.Upstream[1].Address()},
+		{throughRoots, through, ft.CallerURLs()[0]},
 	} {
 		opt.FirstRoot, opt.Phases, opt.Targets = way.first, way.phases, []string{way.target}
 		cr := standin.NewCaller(opt)
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	deployment  = "measure"
-	answerBytes = 512
-	bodyBytes   = 256
+	deploymentName = "measure"
+	answerBytes    = 512
+	bodyBytes      = 256
 
 	// deepSlots is the number of slots on each VM of the deepest service.
 	deepSlots = 8
@@ -132,8 +132,8 @@
 // configuration returns the configuration of the scenarios.
 func configuration() *schema.Configuration {
 	cfg := &schema.Configuration{
-		Deployment: deployment, Version: 1,
-		FailureDomains: []*schema.FailureDomain{{Name: domain, Region: deployment}},
+		Deployment: deploymentName, Version: 1,
+		FailureDomains: []*schema.FailureDomain{{Name: domain, Region: deploymentName}},
 	}
 	retries := map[call.Class]uint32{lookup.Class: 3, issue.Class: 2, list.Class: 1}
 	patterns := []standin.Pattern{lookup, issue, list}
