--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -4,10 +4,10 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
+	"camphortrail/call"
 	"camphortrail/internal/node"
 	"camphortrail/internal/standin"
 )
@@ -27,7 +27,7 @@
 }
 
 // startupTime is left for start and stop of a fleet.
-const startupTime = 2 * time.Second
+const startupTime = 3 * time.Second
 
 func newPlan(total time.Duration) plan {
 	usable := total/time.Duration(len(arms)) - startupTime
@@ -90,9 +90,10 @@
 	if ctx.Err() != nil {
 		return Figures{}, ctx.Err()
 	}
-	lg := ft.recorder.Log()
+	lg := ft.log()
 	fg := count(&lg, tl, deepest, sc.expected)
 	if sc.instant {
+		fg.GoodputRatio = round(share(&lg, tl.triggerStart, tl.triggerEnd, call.MinImportance))
 		tl.triggerEnd = tl.triggerStart
 		fg.RecoveryMS = recovery(&lg, tl)
 	}
@@ -126,7 +127,7 @@
 	var callers sync.WaitGroup
 	for i, sm := range streams {
 		cr := standin.NewCaller(standin.CallerOptions{
-			Pattern: sm.pattern, Phases: pn.phases(sm), Targets: slices.Clone(ft.callerURLs()),
+			Pattern: sm.pattern, Phases: pn.phases(sm), Targets: ft.CallerURLs(),
 			SendTimeout: sendTimeout, Patience: patience, Resends: resends, Pause: resendPause,
 			Outstanding: outstanding, Seed: seed, FirstRoot: standin.RootID(i+1) * rootsPerStream,
 			Recorder: ft.recorder, Client: client,
