Take time and digest of entries from the proposing leader

Claims expired by the leader's wall clock: one that is hours ahead would have ended them early. The time of the log goes by monotonic clocks now. The digest of a configuration is computed once, so that replicas with different libraries decide alike. A replica refuses the data folder of other replicas.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -42,6 +42,10 @@
 // this one.
 var ErrNotListed = errors.New("control: the replica is not listed in control-replicas")
 
+// ErrOtherReplicas is returned when the log in the data folder belongs to
+// other control replicas than the settings list.
+var ErrOtherReplicas = errors.New("control: the data folder belongs to other control-replicas")
+
 // Options are what a control replica needs besides its settings. All may be
 // left out.
 type Options struct {
@@ -152,6 +156,9 @@
 	}
 	co.store = st
 	co.report(re, found, time.Since(begin))
+	if err := co.checkVoters(found.Voters()); err != nil {
+		return err
+	}
 	set := quorum.DefaultSettings(co.id, nil)
 	for id := range co.addresses {
 		set.Replicas = append(set.Replicas, id)
@@ -172,6 +179,21 @@
 	return nil
 }
 
+func (co *Control) checkVoters(voters quorum.Voters) error {
+	if voters == nil {
+		return nil
+	}
+	for id := range voters {
+		if _, ok := co.addresses[id]; !ok {
+			return errors.Wrapf(ErrOtherReplicas, "%s is not listed", id)
+		}
+	}
+	if len(voters) != len(co.addresses) {
+		return errors.Wrapf(ErrOtherReplicas, "%d replicas listed, %d in the log", len(co.addresses), len(voters))
+	}
+	return nil
+}
+
 // report logs what was found in the data folder.
 func (co *Control) report(re store.Report, found quorum.State, took time.Duration) {
 	lg := co.log.WithFields(log.Fields{
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -272,6 +272,47 @@
 	}
 }
 
+func TestOtherReplicasAreRefused(t *testing.T) {
+	t.Parallel()
+	fl := newFleet(t, 1)
+	fl.mustAccept(configuration(1, "sportello"))
+	fl.stop(0)
+	for name, replicas := range map[string][]*schema.ControlReplica{
+		"more":  {{Name: "control-1"}, {Name: "control-2"}, {Name: "control-3"}},
+		"other": {{Name: "control-4"}},
+	} {
+		_, err := New(&schema.Settings{
+			Name: replicas[0].GetName(), DataFolder: fl.folders[0], ControlReplicas: replicas,
+		}, Options{})
+		if !errors.Is(err, ErrOtherReplicas) {
+			t.Errorf("%s replicas: New error = %v, want ErrOtherReplicas", name, err)
+		}
+	}
+}
+
+func TestClockGoesByMonotonicTime(t *testing.T) {
+	t.Parallel()
+	var ck clock
+	begin := time.Now()
+	if got := ck.now(begin); got != begin.UnixMilli() {
+		t.Fatalf("first time %d, want the wall time %d", got, begin.UnixMilli())
+	}
+	for _, tc := range []struct {
+		entry        int64
+		applied, ask time.Duration
+		want         int64
+	}{
+		{5000, 0, 2 * time.Second, 7000},
+		{4000, time.Second, 3 * time.Second, 8000},
+		{9000, 3 * time.Second, 3 * time.Second, 9000},
+	} {
+		ck.advance(begin.Add(tc.applied), tc.entry)
+		if got := ck.now(begin.Add(tc.ask)); got != tc.want {
+			t.Errorf("entry at %d: time %d after %v, want %d", tc.entry, got, tc.ask, tc.want)
+		}
+	}
+}
+
 func TestAcceptedOutlivesLeaders(t *testing.T) {
 	t.Parallel()
 	fl := newFleet(t, 3)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphortrail/claim"
+	"camphortrail/config"
 	"camphortrail/quorum"
 	"camphortrail/schema"
 )
@@ -45,7 +46,7 @@
 
 // propose has a command committed, and returns what became of it.
 func (co *Control) propose(ctx context.Context, cm *schema.Command) (answer, error) {
-	cm.ProposedUnixMs = time.Now().UnixMilli()
+	cm.LogUnixMs = co.state.clock.now(time.Now())
 	data, err := proto.Marshal(cm)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
@@ -90,7 +91,13 @@
 	if !co.leading() {
 		return co.notLeader(), nil
 	}
-	an, err := co.propose(ctx, &schema.Command{Kind: &schema.Command_Configuration{Configuration: cfg}})
+	dg, err := config.DigestOf(cfg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	an, err := co.propose(ctx, &schema.Command{
+		Kind: &schema.Command_Configuration{Configuration: cfg}, Digest: dg[:],
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -37,7 +37,7 @@
 	co      *Control
 	history *config.History
 	claims  *claim.Table
-	unixMS  int64
+	clock   clock
 	current atomic.Pointer[inForce]
 	// logBytes counts what was applied since the last snapshot, and
 	// snapshotBytes is the size of that.
@@ -77,17 +77,13 @@
 	if err := proto.Unmarshal(ap.Entry.Data, cm); err != nil {
 		return errors.Wrapf(err, "control: entry %d", ap.Entry.Index)
 	}
-	st.unixMS = max(st.unixMS, cm.GetProposedUnixMs())
+	st.clock.advance(time.Now(), cm.GetLogUnixMs())
 	now := *st.current.Load()
 	now.applied = ap.Entry.Index
 	var an answer
 	switch kind := cm.GetKind().(type) {
 	case *schema.Command_Configuration:
-		response, err := st.decide(&now, kind.Configuration)
-		if err != nil {
-			return err
-		}
-		an = decided{response}
+		an = decided{st.decide(&now, kind.Configuration, digestOf(cm))}
 	case *schema.Command_Claims:
 		an = claimed{st.claim(kind.Claims)}
 	}
@@ -99,12 +95,13 @@
 	return nil
 }
 
+func digestOf(cm *schema.Command) (dg config.Digest) {
+	copy(dg[:], cm.GetDigest())
+	return dg
+}
+
 // decide puts a configuration in force, or refuses it.
-func (st *state) decide(now *inForce, cfg *schema.Configuration) (*schema.ApplyResponse, error) {
-	dg, err := config.DigestOf(cfg)
-	if err != nil {
-		return nil, err
-	}
+func (st *state) decide(now *inForce, cfg *schema.Configuration, dg config.Digest) *schema.ApplyResponse {
 	version, revision := config.Version(cfg.GetVersion()), config.Revision(now.applied)
 	response := &schema.ApplyResponse{}
 	switch de := st.history.Decide(version, revision, dg).(type) {
@@ -126,12 +123,12 @@
 	if last, ok := st.history.Last(); ok {
 		response.VersionInForce = uint64(last.Version)
 	}
-	return response, nil
+	return response
 }
 
 func (st *state) claim(batch *schema.ClaimBatch) []*schema.ClaimResult {
 	results := make([]*schema.ClaimResult, len(batch.GetOperations()))
-	now := time.UnixMilli(st.unixMS)
+	now := time.UnixMilli(st.clock.last())
 	for i, msg := range batch.GetOperations() {
 		results[i] = new(schema.ClaimResult)
 		op, err := claim.FromSchema(msg)
@@ -153,7 +150,7 @@
 	now := st.current.Load()
 	cs := &schema.ControlState{
 		Revision: uint64(now.revision), Configuration: now.configuration,
-		Claims: st.claims.Snapshot(), UnixMs: st.unixMS,
+		Claims: st.claims.Snapshot(), LogUnixMs: st.clock.last(),
 	}
 	for _, ac := range st.history.All() {
 		cs.Accepted = append(cs.Accepted, &schema.AcceptedVersion{
@@ -184,7 +181,8 @@
 		accepted[i] = config.Accepted{Version: config.Version(av.GetVersion()), Revision: config.Revision(av.GetRevision())}
 		copy(accepted[i].Digest[:], av.GetDigest())
 	}
-	st.claims, st.history, st.unixMS = claims, config.NewHistory(maxVersions, accepted), cs.GetUnixMs()
+	st.claims, st.history = claims, config.NewHistory(maxVersions, accepted)
+	st.clock.advance(time.Now(), cs.GetLogUnixMs())
 	st.logBytes, st.snapshotBytes = 0, len(sn.Data)
 	st.current.Store(&inForce{
 		revision:      config.Revision(cs.GetRevision()),
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -101,6 +102,16 @@
 	Entries     []Entry
 }
 
+// Voters returns the latest voters in the log, or nil.
+func (st State) Voters() Voters {
+	for _, en := range slices.Backward(st.Entries) {
+		if en.Kind == Change {
+			return en.Voters
+		}
+	}
+	return st.Snapshot.Voters
+}
+
 // Settings configures a Machine.
 type Settings struct {
 	ID Replica
