--- a/quorum/network_test.go
+++ b/quorum/network_test.go
@@ -41,6 +41,8 @@
 	up     bool
 	paused bool
 	list   []accepted
+	// rate is the speed of the host's clock in percent.
+	rate int
 }
 
 type link struct{ from, to quorum.Replica }
@@ -55,6 +57,7 @@
 type network struct {
 	t       fataler
 	rng     *rand.Rand
+	begin   time.Time
 	now     time.Time
 	ids     []quorum.Replica
 	hosts   map[quorum.Replica]*host
@@ -78,7 +81,7 @@
 
 func newNetwork(t fataler, size int, seed uint64) *network {
 	nw := &network{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), begin: time.Unix(1000, 0), now: time.Unix(1000, 0),
 		hosts: make(map[quorum.Replica]*host), cut: make(map[quorum.Replica]bool),
 		open: make(map[quorum.Proposal]string), broken: make(map[link]bool),
 	}
@@ -90,7 +93,7 @@
 		set.Seed = seed + uint64(i)
 		set.MaxMessageBytes = 24
 		set.MaxInFlight = 3
-		nw.hosts[id] = &host{set: set}
+		nw.hosts[id] = &host{set: set, rate: 100}
 		nw.loseDisk(id)
 		nw.start(id)
 	}
@@ -134,9 +137,14 @@
 	}
 }
 
+// clock returns the time on a host's clock.
+func (nw *network) clock(ho *host) time.Time {
+	return nw.begin.Add(nw.now.Sub(nw.begin) * time.Duration(ho.rate) / 100)
+}
+
 func (nw *network) step(id quorum.Replica, ev quorum.Event) {
 	ho := nw.hosts[id]
-	for _, ac := range slices.Clone(ho.ma.Step(nw.now, ev)) {
+	for _, ac := range slices.Clone(ho.ma.Step(nw.clock(ho), ev)) {
 		switch ac := ac.(type) {
 		case quorum.Send:
 			nw.send(ac.Message)
@@ -231,7 +239,7 @@
 	current := 0
 	for _, id := range nw.ids {
 		ho := nw.hosts[id]
-		if !ho.up || !ho.ma.Current(nw.now) {
+		if !ho.up || !ho.ma.Current(nw.clock(ho)) {
 			continue
 		}
 		current++
@@ -327,7 +335,7 @@
 
 func (nw *network) leader() (quorum.Replica, bool) {
 	for _, id := range nw.ids {
-		if ho := nw.hosts[id]; ho.up && !ho.paused && ho.ma.Current(nw.now) {
+		if ho := nw.hosts[id]; ho.up && !ho.paused && ho.ma.Current(nw.clock(ho)) {
 			return id, true
 		}
 	}
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -20,12 +20,16 @@
 // TestAcceptedEntriesStay runs replicas under faults and checks that accepted
 // entries are never lost or reordered, that all replicas apply the same, that
 // a replica with a lease knows all answered entries, and that the replicas
-// recover once the faults end.
+// recover once the faults end. Clocks run at rates that differ by up to a
+// quarter.
 func TestAcceptedEntriesStay(t *testing.T) {
 	var total, refused int
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "size")
+		size := rapid.SampledFrom([]int{1, 2, 3, 3, 4, 5}).Draw(t, "size")
 		nw := newNetwork(t, size, rapid.Uint64().Draw(t, "seed"))
+		for _, id := range nw.ids {
+			nw.hosts[id].rate = rapid.IntRange(88, 112).Draw(t, "rate")
+		}
 		if rapid.Bool().Draw(t, "settled") {
 			nw.run(3 * time.Second)
 		}
