--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -97,7 +97,7 @@
 // ready to run.
 func New(set *schema.Settings, opt Options) (*Control, error) {
 	if opt.Log == nil {
-		opt.Log = &log.Logger{Handler: discard.New()}
+		opt.Log = discardLog()
 	}
 	if opt.Claims == (claim.Limits{}) {
 		opt.Claims = claim.DefaultLimits()
@@ -126,6 +126,8 @@
 	return co, nil
 }
 
+func discardLog() log.Interface { return &log.Logger{Handler: discard.New()} }
+
 // findReplicas reads the list of replicas; without one this is the only one.
 func (co *Control) findReplicas() error {
 	co.addresses = make(map[quorum.Replica]string)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -147,6 +147,17 @@
 	if st.logBytes < max(minCompactBytes, st.snapshotBytes) {
 		return nil
 	}
+	data, err := st.snapshot()
+	if err != nil {
+		return err
+	}
+	if st.co.compactions.Offer(quorum.Compact{Index: st.current.Load().applied, Data: data}) {
+		st.logBytes, st.snapshotBytes = 0, len(data)
+	}
+	return nil
+}
+
+func (st *state) snapshot() ([]byte, error) {
 	now := st.current.Load()
 	cs := &schema.ControlState{
 		Revision: uint64(now.revision), Configuration: now.configuration,
@@ -158,13 +169,7 @@
 		})
 	}
 	data, err := proto.Marshal(cs)
-	if err != nil {
-		return errors.Wrap(err, "control: snapshot")
-	}
-	if st.co.compactions.Offer(quorum.Compact{Index: now.applied, Data: data}) {
-		st.logBytes, st.snapshotBytes = 0, len(data)
-	}
-	return nil
+	return data, errors.Wrap(err, "control: snapshot")
 }
 
 func (st *state) restore(sn quorum.Snapshot) error {
