--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -30,6 +30,7 @@
 // fleet runs control replicas in this process.
 type fleet struct {
 	t         testing.TB
+	opt       Options
 	replicas  []*schema.ControlReplica
 	folders   []string
 	clients   []schemaconnect.ControlClient
@@ -40,9 +41,14 @@
 }
 
 func newFleet(t testing.TB, size int) *fleet {
+	t.Helper()
+	return newFleetWith(t, size, Options{})
+}
+
+func newFleetWith(t testing.TB, size int, opt Options) *fleet {
 	t.Helper()
 	fl := &fleet{
-		t: t, stops: make([]func() error, size), cut: make([]atomic.Bool, size), controls: make([]*Control, size),
+		t: t, opt: opt, stops: make([]func() error, size), cut: make([]atomic.Bool, size), controls: make([]*Control, size),
 		transport: peer.NewTransport(),
 	}
 	number := fleets.Add(1)
@@ -106,12 +112,17 @@
 
 func (fl *fleet) start(i int) {
 	fl.t.Helper()
+	opt := fl.opt
+	opt.wrap = func(id quorum.Replica, next http.RoundTripper) http.RoundTripper {
+		if fl.opt.wrap != nil {
+			next = fl.opt.wrap(id, next)
+		}
+		return barrier{fl, i, fl.index(id), next}
+	}
 	co, err := New(&schema.Settings{
 		Name: fl.replicas[i].GetName(), Deployment: deployment, PeerAddress: fl.replicas[i].GetAddress(),
 		DataFolder: fl.folders[i], ControlReplicas: fl.replicas,
-	}, Options{wrap: func(id quorum.Replica, next http.RoundTripper) http.RoundTripper {
-		return barrier{fl, i, fl.index(id), next}
-	}})
+	}, opt)
 	if err != nil {
 		fl.t.Fatal(err)
 	}
