Close connections that failed between replicas

goleak found connections that were given up but stayed open until a ping or the idle timeout ended them.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,8 +59,10 @@
 	// Timing overrides the timeouts of the replicated log.
 	Timing func(*quorum.Settings)
 
-	// wrap replaces the transport to another replica.
+	// wrap replaces the transport to another replica, and dial what makes
+	// its connections.
 	wrap func(quorum.Replica, http.RoundTripper) http.RoundTripper
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Control is one control replica.
@@ -102,6 +104,9 @@
 	if opt.Claims == (claim.Limits{}) {
 		opt.Claims = claim.DefaultLimits()
 	}
+	if opt.dial == nil {
+		opt.dial = (&net.Dialer{Timeout: exchangeTimeout}).DialContext
+	}
 	co := &Control{
 		set: set, opt: opt, id: quorum.Replica(set.GetName()),
 		log:         opt.Log.WithFields(log.Fields{"vm": set.GetName(), "duty": "control"}),
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,33 +28,55 @@
 type sender struct {
 	co        *Control
 	id        quorum.Replica
-	address   string
 	messages  *ring.Ring[quorum.Message]
 	transport *http.Transport
 	client    schemaconnect.ControlClient
 	reachable bool
+
+	// mu guards conns, the connections in use.
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
 func newSender(co *Control, id quorum.Replica, address string) *sender {
 	se := &sender{
-		co: co, id: id, address: address, reachable: true,
+		co: co, id: id, reachable: true,
 		messages: ring.New[quorum.Message](sendRingSize),
 	}
-	se.connect()
+	se.transport = peer.NewTransport()
+	se.transport.DialContext = se.dial
+	var rt http.RoundTripper = se.transport
+	if co.opt.wrap != nil {
+		rt = co.opt.wrap(id, rt)
+	}
+	se.client = schemaconnect.NewControlClient(&http.Client{Transport: rt}, "http://"+address)
 	return se
 }
 
-func (se *sender) connect() {
-	se.transport = peer.NewTransport()
-	var rt http.RoundTripper = se.transport
-	if se.co.opt.wrap != nil {
-		rt = se.co.opt.wrap(se.id, rt)
+func (se *sender) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := se.co.opt.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.conns = append(se.conns, conn)
+	return conn, nil
+}
+
+// disconnect closes the connections in use.
+func (se *sender) disconnect() {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	for _, conn := range se.conns {
+		_ = conn.Close()
 	}
-	se.client = schemaconnect.NewControlClient(&http.Client{Transport: rt}, "http://"+se.address)
+	se.conns = nil
 }
 
 func (se *sender) run(ctx context.Context) error {
-	defer func() { se.transport.CloseIdleConnections() }()
+	defer se.disconnect()
+	defer se.transport.CloseIdleConnections()
 	for {
 		msg, err := se.messages.Take(ctx)
 		if err != nil {
@@ -103,7 +127,6 @@
 	}
 	if err != nil {
 		se.co.measures.failed.Inc()
-		se.transport.CloseIdleConnections()
-		se.connect()
+		se.disconnect()
 	}
 }
--- a/internal/control/silent_test.go
+++ b/internal/control/silent_test.go
@@ -78,11 +78,9 @@
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	t.Parallel()
 	mc := new(muteConns)
-	fl := newFleetWith(t, 3, Options{wrap: func(_ quorum.Replica, rt http.RoundTripper) http.RoundTripper {
-		transport := rt.(*http.Transport)
-		transport.DialContext = mc.dial
-		transport.HTTP2 = nil
-		return transport
+	fl := newFleetWith(t, 3, Options{dial: mc.dial, wrap: func(_ quorum.Replica, rt http.RoundTripper) http.RoundTripper {
+		rt.(*http.Transport).HTTP2 = nil
+		return rt
 	}})
 	for version := uint64(1); version <= 3; version++ {
 		fl.mustAccept(configuration(version, "cassa"))
