Admit, queue and refuse by importance

Cause: an upstream VM needs one place that decides what runs. Change: running work is bounded by the learned limit; waiting work by the estimated time to start it; the lowest rank is refused first, and with it all less important work until a slot is free and nothing waits. Slots are kept for more important work while such work runs. The low quantile of recent service times decides what cannot end before its deadline.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,6 +1,11 @@
 // Package admission decides which attempts run on one upstream VM, which
 // wait and which are refused. Under overload the least important work is
 // refused first.
+//
+// An overload begins when an attempt is refused for lack of capacity
+// (Reason.Load), and lasts until, at the end of a Step, fewer attempts run
+// than may run and none waits. While it lasts, no attempt that is less
+// important than one so refused waits or starts.
 package admission
 
 import (
@@ -14,10 +19,12 @@
 // Settings tune a Machine. Zero fields take the defaults.
 type Settings struct {
 	// TargetWait bounds the estimated time in which all waiting work is
-	// started (default 50 ms).
+	// started (default 50 ms). The mean service time takes its place if that
+	// is longer, up to half of MaxWait.
 	TargetWait time.Duration
 	// MaxWait is the longest time for which an attempt waits (default
-	// 100 ms).
+	// 500 ms). An attempt waits for twice the estimated time, and for half
+	// of the time that its deadline leaves.
 	MaxWait time.Duration
 	// MaxWaiting bounds the number of waiting attempts (default 4096).
 	MaxWaiting int
@@ -33,40 +40,121 @@
 	Limit limit.Settings
 }
 
+func (st Settings) withDefaults() Settings {
+	setDefault(&st.TargetWait, 50*time.Millisecond)
+	setDefault(&st.MaxWait, 500*time.Millisecond)
+	setDefault(&st.MaxWaiting, 4096)
+	setDefault(&st.MaxSlots, 4096)
+	setDefault(&st.RetryAfter, 200*time.Millisecond)
+	setDefault(&st.MaxRetryAfter, 2*time.Second)
+	return st
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
 // Machine admits work to one upstream VM. It is not safe for concurrent use.
 type Machine struct {
-	st  Settings
-	rng *rand.Rand
-	lm  *limit.Limit
+	st    Settings
+	rng   *rand.Rand
+	lm    *limit.Limit
+	epoch time.Time
+
+	slots   int
+	leaving bool
+
+	tasks    []task
+	free     []int32
+	ids      index
+	waiting  queue
+	running  [call.MaxImportance + 1]int
+	total    int
+	arrivals uint64
+	es       estimate
+	ov       overload
+	out      output
 }
 
 // New returns a machine without an upstream. Jitter is drawn from rng.
 func New(st Settings, rng *rand.Rand) *Machine {
-	return &Machine{st: st, rng: rng, lm: limit.New(st.Limit)}
+	return &Machine{
+		st:  st.withDefaults(),
+		rng: rng,
+		lm:  limit.New(st.Limit),
+		ids: newIndex(rng.Uint64()),
+	}
 }
 
 // Step applies an event at the time now, which never runs backwards. The
 // returned actions are valid until the next Step.
-func (mc *Machine) Step(_ time.Time, _ Event) []Action { return nil }
+func (mc *Machine) Step(now time.Time, ev Event) []Action {
+	if mc.epoch.IsZero() {
+		mc.epoch = now
+	}
+	mc.out.reset()
+	mc.ov.rotate(now)
+	mc.expire(now)
+	switch ev := ev.(type) {
+	case Announce:
+		mc.announce(now, ev)
+	case Leave:
+		mc.leaving = true
+		mc.refuseWaiting(Leaving)
+	case Resume:
+		mc.leaving = false
+	case Arrive:
+		mc.arrive(now, &ev)
+	case Finish:
+		mc.finish(now, ev)
+	case Cancel:
+		mc.cancel(ev.ID)
+	case Tick:
+	}
+	mc.dispatch(now)
+	mc.trim(now)
+	if mc.ov.on && mc.waiting.len() == 0 && mc.total < mc.lm.Current(now) {
+		mc.ov.end()
+	}
+	return mc.out.actions
+}
 
 // Level returns the level below which work is refused at present, and zero
 // when there is no overload.
-func (mc *Machine) Level() call.Level { return 0 }
+func (mc *Machine) Level() call.Level {
+	if mc.waiting.len() == 0 {
+		return mc.ov.level(maxLevel)
+	}
+	_, worst := mc.waiting.worstTask()
+	return mc.ov.level(worst.level())
+}
 
 // Running returns the number of attempts that run.
-func (mc *Machine) Running() int { return 0 }
+func (mc *Machine) Running() int { return mc.total }
 
 // Waiting returns the number of attempts that wait.
-func (mc *Machine) Waiting() int { return 0 }
+func (mc *Machine) Waiting() int { return mc.waiting.len() }
 
 // Slots returns the announced slots, and zero without an upstream.
-func (mc *Machine) Slots() int { return 0 }
+func (mc *Machine) Slots() int { return mc.slots }
 
 // Limit returns the number of attempts that may run at once at the time now.
 func (mc *Machine) Limit(now time.Time) int { return mc.lm.Current(now) }
 
 // Leaving reports whether all new work is refused because of Leave.
-func (mc *Machine) Leaving() bool { return false }
+func (mc *Machine) Leaving() bool { return mc.leaving }
 
 // NextWake returns the time at which Tick is due, and false if it is not.
-func (mc *Machine) NextWake(_ time.Time) (time.Time, bool) { return time.Time{}, false }
+func (mc *Machine) NextWake(now time.Time) (time.Time, bool) {
+	if mc.waiting.len() == 0 {
+		return time.Time{}, false
+	}
+	_, giveUp := mc.waiting.firstExpiry()
+	due := mc.epoch.Add(giveUp)
+	if warm := now.Add(warmUpTick); mc.lm.Current(now) < mc.slots && warm.Before(due) {
+		return warm, true
+	}
+	return due, true
+}
--- a/admission/event.go
+++ b/admission/event.go
@@ -34,7 +34,8 @@
 	Importance call.Importance
 	Cohort     call.Cohort
 	Depth      call.Depth
-	Deadline   time.Time
+	// Deadline is the time at which the caller gives up; zero means never.
+	Deadline time.Time
 	// Abortable says that Cancel may abort the attempt while it runs.
 	Abortable bool
 }
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,92 @@
+package admission
+
+import (
+	"time"
+
+	"camphortrail/call"
+)
+
+const (
+	cohortGroups    = 16
+	cohortsPerGroup = 256 / cohortGroups
+	depthShift      = 40
+	cohortShift     = depthShift + 8
+	importanceShift = cohortShift + 8
+	arrivalMask     = 1<<depthShift - 1
+)
+
+// rank orders waiting tasks: the highest rank starts first, the lowest one is
+// refused first. It holds importance, cohort, depth and the number of the
+// arrival.
+type rank uint64
+
+func rankOf(ar *Arrive, arrival uint64) rank {
+	return rank(ar.Importance)<<importanceShift | rank(ar.Cohort)<<cohortShift |
+		rank(ar.Depth)<<depthShift | rank(arrival&arrivalMask)
+}
+
+func (rk rank) importance() call.Importance { return call.Importance(rk >> importanceShift) }
+
+func (rk rank) level() call.Level { return call.Level(rk >> cohortShift) }
+
+// queue holds the waiting tasks by rank and by the time at which they give
+// up.
+type queue struct {
+	best, worst, expiry heap
+	// counts holds the number of tasks by importance, and groups by group of
+	// cohorts too.
+	counts [call.MaxImportance + 1]int
+	groups [call.MaxImportance + 1][cohortGroups]int
+}
+
+func (qu *queue) len() int { return qu.best.len() }
+
+func (qu *queue) push(task int32, rk rank, giveUp time.Duration) {
+	qu.best.push(task, ^uint64(rk))
+	qu.worst.push(task, uint64(rk))
+	qu.expiry.push(task, uint64(giveUp))
+	qu.count(rk, 1)
+}
+
+func (qu *queue) remove(task int32, rk rank) {
+	qu.best.remove(task)
+	qu.worst.remove(task)
+	qu.expiry.remove(task)
+	qu.count(rk, -1)
+}
+
+func (qu *queue) count(rk rank, change int) {
+	level := rk.level()
+	qu.counts[level.Importance()] += change
+	qu.groups[level.Importance()][level.Cohort()/cohortsPerGroup] += change
+}
+
+// ahead returns the number of tasks that start before a new one of the given
+// level, up to the size of a group of cohorts.
+func (qu *queue) ahead(lv call.Level) (n int) {
+	for imp := lv.Importance() + 1; imp <= call.MaxImportance; imp++ {
+		n += qu.counts[imp]
+	}
+	for group := int(lv.Cohort()/cohortsPerGroup) + 1; group < cohortGroups; group++ {
+		n += qu.groups[lv.Importance()][group]
+	}
+	return n
+}
+
+// bestTask returns the task of the highest rank.
+func (qu *queue) bestTask() (task int32, rk rank) {
+	en := qu.best.first()
+	return en.task, rank(^en.key)
+}
+
+// worstTask returns the task of the lowest rank.
+func (qu *queue) worstTask() (task int32, rk rank) {
+	en := qu.worst.first()
+	return en.task, rank(en.key)
+}
+
+// firstExpiry returns the task that gives up first.
+func (qu *queue) firstExpiry() (task int32, giveUp time.Duration) {
+	en := qu.expiry.first()
+	return en.task, time.Duration(en.key)
+}
--- /dev/null
+++ b/admission/step.go
@@ -0,0 +1,270 @@
+package admission
+
+import (
+	"time"
+
+	"camphortrail/call"
+)
+
+const (
+	// warmUpTick is the time between two looks at a limit that rises.
+	warmUpTick = 10 * time.Millisecond
+	// headroomDivisor bounds the slots kept for more important work, as a
+	// share of the limit.
+	headroomDivisor = 32
+	// headroomPerRunning is the number of more important attempts that run
+	// for each slot kept.
+	headroomPerRunning = 6
+)
+
+// task is an attempt that waits or runs.
+type task struct {
+	id        call.AttemptID
+	rk        rank
+	deadline  time.Time
+	started   time.Time
+	running   bool
+	abortable bool
+}
+
+func (mc *Machine) announce(now time.Time, ev Announce) {
+	if ev.Restarted {
+		mc.lm.Restart()
+		mc.es = estimate{}
+	}
+	mc.slots = min(max(ev.Slots, 0), mc.st.MaxSlots)
+	mc.lm.Announce(now, mc.slots, ev.WarmUp)
+	if mc.slots == 0 {
+		mc.refuseWaiting(NoUpstream)
+	}
+}
+
+func (mc *Machine) arrive(now time.Time, ar *Arrive) {
+	if _, known := mc.ids.get(ar.ID); known {
+		return
+	}
+	ar.Importance = min(max(ar.Importance, call.MinImportance), call.MaxImportance)
+	if rs := mc.unfit(now, ar); rs != 0 {
+		mc.refuse(ar.ID, rs)
+		return
+	}
+	if ar.Importance < mc.ov.barred {
+		mc.ov.this.refused++
+		mc.refuse(ar.ID, Overload)
+		return
+	}
+	mc.enqueue(now, ar)
+}
+
+// unfit returns the reason for which the attempt is refused whatever the load
+// is, or zero.
+func (mc *Machine) unfit(now time.Time, ar *Arrive) Reason {
+	switch {
+	case mc.slots == 0:
+		return NoUpstream
+	case mc.leaving:
+		return Leaving
+	}
+	spare := mc.spare(now, ar.Importance, ar.Deadline)
+	if spare < 0 {
+		return Deadline
+	}
+	if mc.total >= mc.lm.Current(now) && spare < mc.wait(now, 1) {
+		return Deadline
+	}
+	return 0
+}
+
+// enqueue lets the attempt wait, if its deadline allows. Dispatch and trim
+// follow.
+func (mc *Machine) enqueue(now time.Time, ar *Arrive) {
+	mc.arrivals++
+	rk := rankOf(ar, mc.arrivals)
+	spare := mc.spare(now, ar.Importance, ar.Deadline)
+	if mc.total >= mc.lm.Current(now) && spare < mc.wait(now, mc.waiting.ahead(rk.level())+1) {
+		mc.refuseLoad(ar.ID, rk.importance(), Overload)
+		return
+	}
+	patience := min(2*mc.target(), mc.st.MaxWait, spare/2)
+	at := mc.newTask()
+	mc.tasks[at] = task{id: ar.ID, rk: rk, deadline: ar.Deadline, abortable: ar.Abortable}
+	mc.ids.put(ar.ID, at)
+	mc.waiting.push(at, rk, now.Add(patience).Sub(mc.epoch))
+}
+
+func (mc *Machine) finish(now time.Time, ev Finish) {
+	at, ok := mc.ids.get(ev.ID)
+	if !ok || !mc.tasks[at].running {
+		return
+	}
+	tk := &mc.tasks[at]
+	imp, held := tk.rk.importance(), now.Sub(tk.started)
+	mc.lm.Observe(now, max(held-ev.Downstream, 0), mc.total, ev.OK)
+	mc.es.add(now, imp, held, ev.OK)
+	mc.running[imp]--
+	mc.total--
+	mc.release(at)
+}
+
+func (mc *Machine) cancel(id call.AttemptID) {
+	at, ok := mc.ids.get(id)
+	if !ok {
+		return
+	}
+	tk := &mc.tasks[at]
+	if !tk.running {
+		mc.drop(at)
+		mc.refuse(id, Cancelled)
+		return
+	}
+	if tk.abortable {
+		tk.abortable = false
+		mc.out.abort(id)
+	}
+}
+
+// dispatch starts waiting attempts while slots are free for them.
+func (mc *Machine) dispatch(now time.Time) {
+	limit := mc.lm.Current(now)
+	for mc.waiting.len() > 0 && mc.total < limit {
+		at, rk := mc.waiting.bestTask()
+		if mc.total+mc.headroom(rk.importance(), limit) >= limit {
+			return
+		}
+		tk := &mc.tasks[at]
+		if mc.spare(now, rk.importance(), tk.deadline) < 0 {
+			mc.refuseWaiter(at, Overload)
+			continue
+		}
+		mc.waiting.remove(at, rk)
+		tk.running, tk.started = true, now
+		mc.running[rk.importance()]++
+		mc.total++
+		mc.ov.start(rk.level())
+		mc.out.start(tk.id)
+	}
+}
+
+// headroom returns the number of slots kept for work that is more important
+// than imp. It follows the work of that kind that runs, so that no slot is
+// kept when there is none.
+func (mc *Machine) headroom(imp call.Importance, limit int) int {
+	higher := 0
+	for above := imp + 1; above <= call.MaxImportance; above++ {
+		higher += mc.running[above]
+	}
+	return min(higher/headroomPerRunning, (limit+headroomDivisor-1)/headroomDivisor)
+}
+
+// trim refuses the least important waiting attempts beyond what can start
+// within the target.
+func (mc *Machine) trim(now time.Time) {
+	for mc.waiting.len() > mc.st.MaxWaiting {
+		at, _ := mc.waiting.worstTask()
+		mc.refuseWaiter(at, Full)
+	}
+	for mc.waiting.len() > 1 && mc.wait(now, mc.waiting.len()) > mc.target() {
+		at, _ := mc.waiting.worstTask()
+		mc.refuseWaiter(at, Overload)
+	}
+}
+
+// expire refuses the attempts that waited too long.
+func (mc *Machine) expire(now time.Time) {
+	for mc.waiting.len() > 0 {
+		at, giveUp := mc.waiting.firstExpiry()
+		if now.Sub(mc.epoch) < giveUp {
+			return
+		}
+		mc.refuseWaiter(at, Overload)
+	}
+}
+
+// target returns the time within which all waiting work should start.
+func (mc *Machine) target() time.Duration {
+	return max(mc.st.TargetWait, min(mc.es.mean, mc.st.MaxWait/2))
+}
+
+// serviceTime returns the mean service time, or a guess before the first
+// attempt has ended.
+func (mc *Machine) serviceTime() time.Duration {
+	if mc.es.mean == 0 {
+		return mc.st.TargetWait
+	}
+	return mc.es.mean
+}
+
+// wait estimates the time until n waiting attempts have started.
+func (mc *Machine) wait(now time.Time, n int) time.Duration {
+	return mc.serviceTime() * time.Duration(n) / time.Duration(max(mc.lm.Current(now), 1))
+}
+
+// spare returns the time by which an attempt may still be late in starting.
+func (mc *Machine) spare(now time.Time, imp call.Importance, deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return 2 * mc.st.MaxWait
+	}
+	return deadline.Sub(now) - mc.es.low[imp].current(now)
+}
+
+func (mc *Machine) refuseWaiting(rs Reason) {
+	for mc.waiting.len() > 0 {
+		at, _ := mc.waiting.bestTask()
+		id := mc.tasks[at].id
+		mc.drop(at)
+		mc.refuse(id, rs)
+	}
+}
+
+// refuseWaiter refuses a waiting attempt for lack of capacity.
+func (mc *Machine) refuseWaiter(at int32, rs Reason) {
+	tk := mc.tasks[at]
+	mc.drop(at)
+	mc.refuseLoad(tk.id, tk.rk.importance(), rs)
+}
+
+// refuseLoad refuses an attempt for lack of capacity, and with it all less
+// important ones that wait.
+func (mc *Machine) refuseLoad(id call.AttemptID, imp call.Importance, rs Reason) {
+	mc.ov.refuse(imp)
+	mc.refuse(id, rs)
+	for mc.waiting.len() > 0 {
+		at, rk := mc.waiting.worstTask()
+		if rk.importance() >= mc.ov.barred {
+			return
+		}
+		less := mc.tasks[at].id
+		mc.drop(at)
+		mc.ov.this.refused++
+		mc.refuse(less, Overload)
+	}
+}
+
+func (mc *Machine) refuse(id call.AttemptID, rs Reason) {
+	after := time.Duration(0)
+	if rs != Cancelled {
+		after = mc.ov.retryAfter(mc.rng, mc.st.RetryAfter, mc.st.MaxRetryAfter)
+	}
+	mc.out.refuse(id, rs, after)
+}
+
+// drop removes a waiting attempt.
+func (mc *Machine) drop(at int32) {
+	mc.waiting.remove(at, mc.tasks[at].rk)
+	mc.release(at)
+}
+
+func (mc *Machine) newTask() int32 {
+	if last := len(mc.free) - 1; last >= 0 {
+		at := mc.free[last]
+		mc.free = mc.free[:last]
+		return at
+	}
+	mc.tasks = append(mc.tasks, task{})
+	return int32(len(mc.tasks) - 1)
+}
+
+func (mc *Machine) release(at int32) {
+	mc.ids.remove(mc.tasks[at].id)
+	mc.free = append(mc.free, at)
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -174,7 +174,7 @@
 		lm.judge(now, mean)
 	case span < maxWindow && (!whole || lm.win.count < judgedSamples):
 		return
-	case lm.win.count >= judgedSamples && lm.binding() && !now.Before(lm.holdUntil) && lm.steady(mean):
+	case lm.win.count >= judgedSamples && lm.binding() && !now.Before(lm.holdUntil) && lm.steady(mean) && lm.trialTime(span) <= maxTrial:
 		lm.decrease(now, mean)
 	}
 	lm.lastMean = mean
@@ -222,6 +222,12 @@
 	lm.ref = reference{}
 }
 
+// trialTime estimates the duration of a trial from the calls in the window,
+// which was collected over span.
+func (lm *Limit) trialTime(span time.Duration) time.Duration {
+	return settleLatencies*lm.win.mean() + trialSamples*span/time.Duration(lm.win.count)
+}
+
 // binding reports whether the limit was nearly used up in the window.
 func (lm *Limit) binding() bool {
 	return float64(lm.win.peak) >= lm.learned*bindingPercent/100
--- a/limit/window.go
+++ b/limit/window.go
@@ -15,6 +15,9 @@
 	// batchSamples is the number of calls whose mean is a candidate for the
 	// minimum.
 	batchSamples = 64
+	// maxTrial bounds the estimated time of a trial. A longer one loses more
+	// throughput than a lower limit is worth.
+	maxTrial = time.Second
 	// maxWindow is the longest time over which samples are collected.
 	maxWindow = 500 * time.Millisecond
 )
