Choose VMs by two random choices, failure domain and level

Cause: an entry needs a VM for each attempt without any exchange of load between nodes. Change: two random choices over (outstanding + 1) x latency / slots among the VMs that are reachable and admit the level, own failure domain first, then own region; VMs that fail in a row are left out for a time; work is shed when all reachable VMs returned a higher level.

--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,57 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+)
+
+// largeTable holds 1,100 VMs in 28 services and 5 failure domains.
+func largeTable() *Table {
+	tb := New(Settings{Domain: "d0"}, testRand())
+	tb.Step(epoch, Near{Domains: []call.FailureDomain{"d1", "d2"}})
+	for i := range 1100 {
+		tb.Step(epoch, Upsert{
+			VM: call.VM(fmt.Sprintf("vm-%d", i)), Service: call.Service(fmt.Sprintf("service-%d", i%28)),
+			Domain: call.FailureDomain(fmt.Sprintf("d%d", i/28%5)), Slots: 60,
+		})
+	}
+	return tb
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, bm := range []struct {
+		name  string
+		level call.Level
+		gap   time.Duration
+	}{
+		{"admitted", 0, time.Nanosecond},
+		{"shed", call.LevelOf(7, 0), time.Nanosecond},
+		{"shed-rarely", call.LevelOf(7, 0), 100 * time.Microsecond},
+	} {
+		b.Run(bm.name, func(b *testing.B) {
+			tb := largeTable()
+			services := tb.Services()
+			now := epoch
+			for _, service := range services {
+				for _, en := range tb.VMs(now, service) {
+					tb.Step(now, Sent{Service: service, VM: en.VM})
+					tb.Step(now, Answered{Service: service, VM: en.VM, Latency: time.Millisecond, Outcome: call.Done, Level: bm.level})
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(bm.gap)
+				rq := Request{Service: services[i%len(services)], Importance: 3, Cohort: call.Cohort(i)}
+				if vm, err := tb.Choose(now, rq); err == nil {
+					tb.Step(now, Sent{Service: rq.Service, VM: vm})
+					tb.Step(now, Answered{
+						Service: rq.Service, VM: vm, Latency: time.Millisecond, Outcome: call.Done, Level: bm.level,
+					})
+				}
+			}
+		})
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -5,6 +5,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"camphortrail/call"
@@ -40,6 +42,20 @@
 	ProbeInterval time.Duration
 }
 
+func (st Settings) withDefaults() Settings {
+	setDefault(&st.MaxUpstreams, 8192)
+	setDefault(&st.LevelLife, 250*time.Millisecond)
+	setDefault(&st.TrickleInterval, 25*time.Millisecond)
+	setDefault(&st.ProbeInterval, time.Second)
+	return st
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
 // Request describes the attempt that needs a VM.
 type Request struct {
 	Service    call.Service
@@ -51,20 +67,43 @@
 
 // Table holds the upstreams by service. It is not safe for concurrent use.
 type Table struct {
-	st  Settings
-	rng *rand.Rand
+	st       Settings
+	rng      *rand.Rand
+	epoch    time.Time
+	near     map[call.FailureDomain]bool
+	services map[call.Service]*service
+	count    int
 }
 
 // New returns an empty table. Choices are drawn from rng.
-func New(st Settings, rng *rand.Rand) *Table { return &Table{st: st, rng: rng} }
-
-// Step applies an event at the time now, which never runs backwards.
-func (tb *Table) Step(_ time.Time, _ Event) {}
+func New(st Settings, rng *rand.Rand) *Table {
+	return &Table{st: st.withDefaults(), rng: rng, services: make(map[call.Service]*service)}
+}
 
-// Choose returns the VM for an attempt at the time now. It returns
-// ErrNoUpstream or ErrShed if there is none. The caller reports the attempt
-// by Sent.
-func (tb *Table) Choose(_ time.Time, _ Request) (call.VM, error) { return "", ErrNoUpstream }
+// Step applies an event at the time at, which never runs backwards.
+func (tb *Table) Step(at time.Time, ev Event) {
+	now := tb.instant(at)
+	switch ev := ev.(type) {
+	case Upsert:
+		tb.upsert(now, ev)
+	case Remove:
+		tb.remove(ev)
+	case Suspect:
+		tb.suspect(ev.VM, true)
+	case Alive:
+		tb.suspect(ev.VM, false)
+	case Near:
+		tb.setNear(ev.Domains)
+	case Sent:
+		if _, up := tb.find(ev.Service, ev.VM); up != nil {
+			up.outstanding++
+		}
+	case Answered:
+		tb.answered(now, ev)
+	case Failed:
+		tb.failed(now, ev)
+	}
+}
 
 // Entry describes an upstream for operators.
 type Entry struct {
@@ -79,8 +118,31 @@
 	Level       call.Level
 }
 
-// VMs returns the upstreams of a service at the time now, ordered by name.
-func (tb *Table) VMs(_ time.Time, _ call.Service) []Entry { return nil }
+// VMs returns the upstreams of a service at the time at, ordered by name.
+func (tb *Table) VMs(at time.Time, service call.Service) []Entry {
+	sv := tb.services[service]
+	if sv == nil {
+		return nil
+	}
+	now := tb.instant(at)
+	entries := make([]Entry, 0, len(sv.byVM))
+	for _, up := range sv.byVM {
+		entries = append(entries, Entry{
+			VM: up.vm, Domain: up.domain, Slots: up.slots, Draining: up.draining, Suspect: up.suspect,
+			Ejected: up.ejected(now), Outstanding: up.outstanding,
+			Latency: time.Duration(up.currentLatency(now, sv.latency)), Level: up.currentLevel(now, tb.st.LevelLife),
+		})
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return entries
+}
 
 // Services returns the names of all services, ordered.
-func (tb *Table) Services() []call.Service { return nil }
+func (tb *Table) Services() []call.Service {
+	names := make([]call.Service, 0, len(tb.services))
+	for name := range tb.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
