Count outstanding attempts by importance

Change: an attempt is compared by the outstanding attempts of its importance or above, and a guard that refuses a part of that importance comes last. Events may carry the importance; without it an attempt counts for all.

--- a/route/choose.go
+++ b/route/choose.go
@@ -77,14 +77,35 @@
 	return up.usable(sl.now) && sl.admits(up) && sl.allowed(up)
 }
 
-// better returns the upstream with the lower score.
+// better returns the upstream with the lower score. One that refuses a part
+// of the work of this importance comes after one that does not.
 func (sl *selection) better(a, b *upstream) *upstream {
-	if a == nil || (b != nil && b.score(sl.now, sl.sv.latency) < a.score(sl.now, sl.sv.latency)) {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	if pressedA, pressedB := sl.pressed(a), sl.pressed(b); pressedA != pressedB {
+		if pressedA {
+			return b
+		}
+		return a
+	}
+	if sl.score(b) < sl.score(a) {
 		return b
 	}
 	return a
 }
 
+func (sl *selection) pressed(up *upstream) bool {
+	return up.currentLevel(sl.now, sl.tb.st.LevelLife).Importance() >= sl.level.Importance()
+}
+
+func (sl *selection) score(up *upstream) float64 {
+	return up.score(sl.now, min(sl.level.Importance(), call.MaxImportance), sl.sv.latency)
+}
+
 // pair returns the better of two random upstreams of the list that fit, or
 // nil if none does.
 func (sl *selection) pair(list []*upstream, fits func(*upstream) bool) *upstream {
--- a/route/event.go
+++ b/route/event.go
@@ -40,16 +40,19 @@
 type Near struct{ Domains []call.FailureDomain }
 
 // Sent reports that an attempt was sent. Exactly one Answered or Failed
-// follows.
+// follows, with equal importance.
 type Sent struct {
 	Service call.Service
 	VM      call.VM
+	// Importance is that of the attempt; zero counts as the highest.
+	Importance call.Importance
 }
 
 // Answered reports the answer to an attempt.
 type Answered struct {
-	Service call.Service
-	VM      call.VM
+	Service    call.Service
+	VM         call.VM
+	Importance call.Importance
 	// Latency is the time since Sent.
 	Latency time.Duration
 	Outcome call.Outcome
@@ -61,8 +64,9 @@
 
 // Failed reports an attempt without an answer from its guard.
 type Failed struct {
-	Service call.Service
-	VM      call.VM
+	Service    call.Service
+	VM         call.VM
+	Importance call.Importance
 	// Latency is the time since Sent.
 	Latency time.Duration
 	// Cancelled says that the attempt was given up by the own side, so that
--- a/route/route.go
+++ b/route/route.go
@@ -96,7 +96,7 @@
 		tb.setNear(ev.Domains)
 	case Sent:
 		if _, up := tb.find(ev.Service, ev.VM); up != nil {
-			up.outstanding++
+			up.count(ev.Importance, 1)
 		}
 	case Answered:
 		tb.answered(now, ev)
@@ -129,7 +129,7 @@
 	for _, up := range sv.byVM {
 		entries = append(entries, Entry{
 			VM: up.vm, Domain: up.domain, Slots: up.slots, Draining: up.draining, Suspect: up.suspect,
-			Ejected: up.ejected(now), Outstanding: up.outstanding,
+			Ejected: up.ejected(now), Outstanding: up.outstanding[0],
 			Latency: time.Duration(up.currentLatency(now, sv.latency)), Level: up.currentLevel(now, tb.st.LevelLife),
 		})
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -141,7 +141,7 @@
 	if up == nil {
 		return
 	}
-	up.release()
+	up.count(ev.Importance, -1)
 	up.level, up.levelAt = ev.Level, now
 	sv.lv.answered(now, ev.Level)
 	up.failures, up.ejectedUntil = 0, never
@@ -159,7 +159,7 @@
 	if up == nil {
 		return
 	}
-	up.release()
+	up.count(ev.Importance, -1)
 	if ev.Cancelled {
 		return
 	}
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -40,7 +40,9 @@
 	incarnation uint64
 	warmUp      time.Duration
 	since       instant
-	outstanding int
+	// outstanding counts the attempts without an answer, by lowest
+	// importance: less important ones do not delay an attempt.
+	outstanding [call.MaxImportance + 1]int
 	// latency is the moving mean of the answers, in nanoseconds.
 	latency   float64
 	latencyAt instant
@@ -52,7 +54,15 @@
 	lastChosen   instant
 }
 
-func (up *upstream) release() { up.outstanding = max(up.outstanding-1, 0) }
+// count adds change to the outstanding attempts of an importance.
+func (up *upstream) count(imp call.Importance, change int) {
+	if imp == 0 || imp > call.MaxImportance {
+		imp = call.MaxImportance
+	}
+	for at := range up.outstanding[:imp+1] {
+		up.outstanding[at] = max(up.outstanding[at]+change, 0)
+	}
+}
 
 // ejected reports whether the VM is left out because of failures. After its
 // time it gets one attempt at once until the first answer.
@@ -60,7 +70,7 @@
 	if now < up.ejectedUntil {
 		return true
 	}
-	return up.failures >= ejectFailures && up.ejectedUntil != never && up.outstanding > 0
+	return up.failures >= ejectFailures && up.ejectedUntil != never && up.outstanding[0] > 0
 }
 
 // usable reports whether the VM is reachable and takes new work.
@@ -98,10 +108,10 @@
 }
 
 // score estimates how late an attempt would be answered, for comparison.
-func (up *upstream) score(now instant, service float64) float64 {
+func (up *upstream) score(now instant, imp call.Importance, service float64) float64 {
 	weight := float64(up.slots)
 	if since := now.since(up.since); since < up.warmUp {
 		weight *= warmUpStart + (1-warmUpStart)*float64(since)/float64(up.warmUp)
 	}
-	return float64(up.outstanding+1) * up.currentLatency(now, service) / weight
+	return float64(up.outstanding[imp]+1) * up.currentLatency(now, service) / weight
 }
