Return pressure, and spill over before work is refused

The level rises only when work is refused. An entry prefers a VM of its region that would start the attempt at once, by this pressure and by its own outstanding attempts against the slots. Domains count as the own region until Near names them. A fault is mended on the way: the kept lowest level of a service was not dropped when a VM was removed or failed, so that up to 1 ms later work was called shed where no VM was reachable.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -131,6 +131,11 @@
 	return mc.ov.level(worst.level())
 }
 
+// Pressure returns the highest level of work that waited for a fifth
+// of TargetWait or more before it started, or was refused for lack of capacity,
+// in the last 50 ms to 100 ms. Work of a higher level starts at once.
+func (mc *Machine) Pressure() call.Level { return mc.ov.pressure() }
+
 // Running returns the number of attempts that run.
 func (mc *Machine) Running() int { return mc.total }
 
--- a/admission/overload.go
+++ b/admission/overload.go
@@ -28,6 +28,9 @@
 type admitted struct {
 	lowest           call.Level
 	started, refused int
+	// delayed is the highest level that started late or was refused for lack
+	// of capacity.
+	delayed call.Level
 }
 
 func (ov *overload) rotate(now time.Time) {
@@ -42,15 +45,19 @@
 	ov.this, ov.from = admitted{lowest: maxLevel}, now
 }
 
-func (ov *overload) start(lv call.Level) {
+func (ov *overload) start(lv call.Level, late bool) {
+	if late {
+		ov.this.delayed = max(ov.this.delayed, lv)
+	}
 	ov.this.started++
 	ov.this.lowest = min(ov.this.lowest, lv)
 }
 
-func (ov *overload) refuse(imp call.Importance) {
+func (ov *overload) refuse(lv call.Level) {
 	ov.this.refused++
+	ov.this.delayed = max(ov.this.delayed, lv)
 	ov.on = true
-	ov.barred = max(ov.barred, imp)
+	ov.barred = max(ov.barred, lv.Importance())
 }
 
 func (ov *overload) end() {
@@ -71,6 +78,9 @@
 	return max(lowest, barred)
 }
 
+// pressure returns the highest level that was delayed lately.
+func (ov *overload) pressure() call.Level { return max(ov.this.delayed, ov.last.delayed) }
+
 // retryAfter returns a jittered time that grows with the ratio of refused to
 // started work.
 func (ov *overload) retryAfter(rng *rand.Rand, base, limit time.Duration) time.Duration {
--- a/admission/step.go
+++ b/admission/step.go
@@ -9,6 +9,8 @@
 const (
 	// warmUpTick is the time between two looks at a limit that rises.
 	warmUpTick = 10 * time.Millisecond
+	// lateDivisor is the part of TargetWait after which a start is late.
+	lateDivisor = 5
 	// headroomDivisor bounds the slots kept for more important work, as a
 	// share of the limit.
 	headroomDivisor = 32
@@ -22,6 +24,7 @@
 	id        call.AttemptID
 	rk        rank
 	deadline  time.Time
+	arrived   time.Time
 	started   time.Time
 	running   bool
 	abortable bool
@@ -82,12 +85,12 @@
 	rk := rankOf(ar, mc.arrivals)
 	spare := mc.spare(now, ar.Importance, ar.Deadline)
 	if mc.total >= mc.lm.Current(now) && spare < mc.wait(now, mc.waiting.ahead(rk.level())+1) {
-		mc.refuseLoad(ar.ID, rk.importance(), Overload)
+		mc.refuseLoad(ar.ID, rk.level(), Overload)
 		return
 	}
 	patience := min(2*mc.target(), mc.st.MaxWait, spare/2)
 	at := mc.newTask()
-	mc.tasks[at] = task{id: ar.ID, rk: rk, deadline: ar.Deadline, abortable: ar.Abortable}
+	mc.tasks[at] = task{id: ar.ID, rk: rk, deadline: ar.Deadline, arrived: now, abortable: ar.Abortable}
 	mc.ids.put(ar.ID, at)
 	mc.waiting.push(at, rk, now.Add(patience).Sub(mc.epoch))
 }
@@ -140,7 +143,7 @@
 		tk.running, tk.started = true, now
 		mc.running[rk.importance()]++
 		mc.total++
-		mc.ov.start(rk.level())
+		mc.ov.start(rk.level(), now.Sub(tk.arrived) >= mc.st.TargetWait/lateDivisor)
 		mc.out.start(tk.id)
 	}
 }
@@ -220,13 +223,13 @@
 func (mc *Machine) refuseWaiter(at int32, rs Reason) {
 	tk := mc.tasks[at]
 	mc.drop(at)
-	mc.refuseLoad(tk.id, tk.rk.importance(), rs)
+	mc.refuseLoad(tk.id, tk.rk.level(), rs)
 }
 
 // refuseLoad refuses an attempt for lack of capacity, and with it all less
 // important ones that wait.
-func (mc *Machine) refuseLoad(id call.AttemptID, imp call.Importance, rs Reason) {
-	mc.ov.refuse(imp)
+func (mc *Machine) refuseLoad(id call.AttemptID, lv call.Level, rs Reason) {
+	mc.ov.refuse(lv)
 	mc.refuse(id, rs)
 	for mc.waiting.len() > 0 {
 		at, rk := mc.waiting.worstTask()
--- a/route/choose.go
+++ b/route/choose.go
@@ -33,15 +33,17 @@
 	now := tb.instant(at)
 	sl := selection{tb: tb, sv: sv, now: now, level: call.LevelOf(rq.Importance, rq.Cohort), exclude: rq.Exclude}
 	sv.dm.note(now, rq.Importance)
-	if len(rq.Exclude) == 0 && sv.lowestLevel(now, tb.st.LevelLife) > sl.level {
+	level, pressure := sv.lowest(now, tb.st.LevelLife)
+	if len(rq.Exclude) == 0 && level > sl.level {
 		if sl.passed = sl.trickle(rq.Importance); !sl.passed {
 			return "", ErrShed
 		}
 	}
 	up := sl.probe(rq.Importance)
-	for tr := ownDomain; up == nil && tr < tierCount; tr++ {
-		up = sl.pair(sv.tiers[tr], sl.admitted)
+	if pressure < sl.level {
+		up = sl.first(up, elsewhere, sl.undelayed)
 	}
+	up = sl.first(up, tierCount, sl.admitted)
 	if up == nil {
 		var err error
 		if up, err = sl.fallback(rq.Importance); err != nil {
@@ -77,8 +79,22 @@
 	return up.usable(sl.now) && sl.admits(up) && sl.allowed(up)
 }
 
-// better returns the upstream with the lower score. One that refuses a part
-// of the work of this importance comes after one that does not.
+// undelayed reports whether the VM would start the attempt at once.
+func (sl *selection) undelayed(up *upstream) bool {
+	return up.outstanding[sl.importance()] < up.slots &&
+		up.currentPressure(sl.now, sl.tb.st.LevelLife) < sl.level && sl.admitted(up)
+}
+
+// first returns up, or else an upstream of the first tier before end that has
+// one that fits.
+func (sl *selection) first(up *upstream, end tier, fits func(*upstream) bool) *upstream {
+	for tr := ownDomain; up == nil && tr < end; tr++ {
+		up = sl.pair(sl.sv.tiers[tr], fits)
+	}
+	return up
+}
+
+// better returns the upstream with the lower score.
 func (sl *selection) better(a, b *upstream) *upstream {
 	switch {
 	case a == nil:
@@ -86,24 +102,18 @@
 	case b == nil:
 		return a
 	}
-	if pressedA, pressedB := sl.pressed(a), sl.pressed(b); pressedA != pressedB {
-		if pressedA {
-			return b
-		}
-		return a
-	}
 	if sl.score(b) < sl.score(a) {
 		return b
 	}
 	return a
 }
 
-func (sl *selection) pressed(up *upstream) bool {
-	return up.currentLevel(sl.now, sl.tb.st.LevelLife).Importance() >= sl.level.Importance()
+func (sl *selection) score(up *upstream) float64 {
+	return up.score(sl.now, sl.importance(), sl.sv.latency)
 }
 
-func (sl *selection) score(up *upstream) float64 {
-	return up.score(sl.now, min(sl.level.Importance(), call.MaxImportance), sl.sv.latency)
+func (sl *selection) importance() call.Importance {
+	return min(sl.level.Importance(), call.MaxImportance)
 }
 
 // pair returns the better of two random upstreams of the list that fit, or
--- a/route/event.go
+++ b/route/event.go
@@ -58,6 +58,9 @@
 	Outcome call.Outcome
 	// Level is the admission level that the guard returned.
 	Level call.Level
+	// Pressure is the level up to which work was delayed at the guard, if it
+	// returned one.
+	Pressure call.Level
 	// Overload says that the guard refused the attempt for overload.
 	Overload bool
 }
--- a/route/route.go
+++ b/route/route.go
@@ -95,9 +95,7 @@
 	case Near:
 		tb.setNear(ev.Domains)
 	case Sent:
-		if _, up := tb.find(ev.Service, ev.VM); up != nil {
-			up.count(ev.Importance, 1)
-		}
+		tb.sent(ev)
 	case Answered:
 		tb.answered(now, ev)
 	case Failed:
--- a/route/shed.go
+++ b/route/shed.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"camphortrail/call"
@@ -58,53 +59,54 @@
 	return true
 }
 
-// lowestAge is the time for which the lowest level is not computed again.
-const lowestAge = time.Millisecond
+const (
+	// lowestAge is the time for which the lowest level is not computed again.
+	lowestAge = time.Millisecond
+	maxLevel  = call.Level(math.MaxUint16)
+)
 
-// lowest keeps the lowest level of the reachable VMs of a service.
+// lowest keeps the lowest level and pressure of the reachable VMs of a
+// service.
 type lowest struct {
-	level call.Level
-	at    instant
-	// levelAt is the time of the last answer with a level.
-	levelAt instant
+	level    call.Level
+	pressure call.Level
+	at       instant
+	// inForceAt is the time of the last answer with a level or pressure.
+	inForceAt instant
 }
 
-func (lo *lowest) answered(now instant, lv call.Level) {
-	if lv > 0 {
-		lo.levelAt = now
+func (lo *lowest) answered(now instant, up *upstream) {
+	if up.level > 0 || up.pressure > 0 {
+		lo.inForceAt = now
 	}
-	if lv < lo.level {
+	if up.level < lo.level || up.pressure < lo.pressure {
 		lo.forget()
 	}
 }
 
-func (lo *lowest) forget() { lo.level, lo.at = 0, never }
+func (lo *lowest) forget() { lo.level, lo.pressure, lo.at = 0, 0, never }
 
-// lowestLevel returns the lowest level of the reachable VMs, or zero if there
-// is none.
-func (sv *service) lowestLevel(now instant, life time.Duration) call.Level {
+// lowest returns the lowest level and pressure of the reachable VMs; both are
+// zero if there is none.
+func (sv *service) lowest(now instant, life time.Duration) (level, pressure call.Level) {
 	lo := &sv.lv
-	if now.since(lo.levelAt) >= life {
-		return 0
+	if now.since(lo.inForceAt) >= life {
+		return 0, 0
 	}
 	if now.since(lo.at) < lowestAge {
-		return lo.level
+		return lo.level, lo.pressure
 	}
-	found := false
-	lo.level, lo.at = 0, now
+	lo.level, lo.pressure, lo.at = maxLevel, maxLevel, now
 	for _, list := range sv.tiers {
 		for _, up := range list {
-			if !up.usable(now) {
-				continue
-			}
-			lv := up.currentLevel(now, life)
-			if !found || lv < lo.level {
-				lo.level, found = lv, true
-			}
-			if lv == 0 {
-				return 0
+			if up.usable(now) {
+				lo.level = min(lo.level, up.currentLevel(now, life))
+				lo.pressure = min(lo.pressure, up.currentPressure(now, life))
 			}
 		}
 	}
-	return lo.level
+	if lo.level == maxLevel {
+		lo.level, lo.pressure = 0, 0
+	}
+	return lo.level, lo.pressure
 }
--- a/route/table.go
+++ b/route/table.go
@@ -43,7 +43,7 @@
 	switch {
 	case domain == tb.st.Domain:
 		return ownDomain
-	case tb.near[domain]:
+	case tb.near == nil || tb.near[domain]:
 		return ownRegion
 	default:
 		return elsewhere
@@ -90,6 +90,7 @@
 }
 
 func (sv *service) leave(up *upstream) {
+	sv.lv.forget()
 	list := sv.tiers[up.tier]
 	at := slices.Index(list, up)
 	sv.tiers[up.tier] = slices.Delete(list, at, at+1)
@@ -136,14 +137,25 @@
 	}
 }
 
+func (tb *Table) sent(ev Sent) {
+	sv, up := tb.find(ev.Service, ev.VM)
+	if up == nil {
+		return
+	}
+	up.count(ev.Importance, 1)
+	if up.failures >= ejectFailures {
+		sv.lv.forget()
+	}
+}
+
 func (tb *Table) answered(now instant, ev Answered) {
 	sv, up := tb.find(ev.Service, ev.VM)
 	if up == nil {
 		return
 	}
 	up.count(ev.Importance, -1)
-	up.level, up.levelAt = ev.Level, now
-	sv.lv.answered(now, ev.Level)
+	up.level, up.pressure, up.levelAt = ev.Level, ev.Pressure, now
+	sv.lv.answered(now, up)
 	up.failures, up.ejectedUntil = 0, never
 	// A refusal is quick whatever the upstream's load is.
 	if ev.Overload || ev.Outcome == call.NotRun {
@@ -163,6 +175,7 @@
 	if ev.Cancelled {
 		return
 	}
+	sv.lv.forget()
 	up.failures++
 	up.addLatency(now, max(float64(ev.Latency), failurePenalty*up.currentLatency(now, sv.latency)), sv.latency)
 	if up.failures < ejectFailures || !sv.mayEject(now) {
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -47,6 +47,7 @@
 	latency   float64
 	latencyAt instant
 	level     call.Level
+	pressure  call.Level
 	levelAt   instant
 	// failures counts the last failures in a row.
 	failures     int
@@ -85,6 +86,18 @@
 	return up.level
 }
 
+// currentPressure returns the level up to which work would be delayed. A
+// level counts for the whole importance that it is part of.
+func (up *upstream) currentPressure(now instant, life time.Duration) call.Level {
+	if now.since(up.levelAt) >= life {
+		return 0
+	}
+	if up.level == 0 {
+		return up.pressure
+	}
+	return max(up.pressure, call.LevelOf(up.level.Importance(), math.MaxUint8))
+}
+
 // currentLatency returns the latency, drawn to that of the service while no
 // answer comes.
 func (up *upstream) currentLatency(now instant, service float64) float64 {
