--- /dev/null
+++ b/internal/claims/batch.go
@@ -0,0 +1,100 @@
+package claims
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"camphortrail/schema"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+)
+
+// Errors of one call to a replica.
+var (
+	errNoLeader  = errors.New("replica knows no leader")
+	errNotLeader = errors.New("replica is not the leader")
+	errBadAnswer = errors.New("answer does not fit the batch")
+)
+
+// send has a batch applied and answers its jobs. The batch is sent again
+// until a replica applies it: equal operations of an attempt have the same
+// result.
+func (cl *Client) send(ctx context.Context, batch []*job) {
+	if len(batch) == 0 {
+		return
+	}
+	req := &schema.ClaimRequest{}
+	for _, jb := range batch {
+		req.Operations = append(req.Operations, jb.op)
+	}
+	results, err := cl.apply(ctx, req)
+	for i, jb := range batch {
+		if err != nil {
+			jb.done <- answer{err: errors.Wrap(ErrUnavailable, err.Error())}
+			continue
+		}
+		jb.done <- answer{res: results[i]}
+	}
+}
+
+// apply calls one replica after the other until the batch is applied.
+func (cl *Client) apply(ctx context.Context, req *schema.ClaimRequest) ([]*schema.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	defer cancel()
+	pause := minPause
+	for {
+		results, err := cl.call(ctx, req)
+		switch {
+		case err == nil:
+			return results, nil
+		case errors.Is(err, errNotLeader):
+			// The hint may be wrong in turn.
+		default:
+			cl.leader = (cl.leader + 1) % max(1, len(cl.replicas))
+		}
+		if !sleep(ctx, pause) {
+			return nil, err
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// call sends the batch to the supposed leader. With errNotLeader, another
+// replica has become the supposed leader.
+func (cl *Client) call(ctx context.Context, req *schema.ClaimRequest) ([]*schema.ClaimResult, error) {
+	if len(cl.replicas) == 0 {
+		return nil, errNoLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := cl.replicas[cl.leader].Claim(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	if results := res.Msg.GetResults(); len(results) == len(req.GetOperations()) {
+		return results, nil
+	}
+	if len(res.Msg.GetResults()) > 0 {
+		return nil, errBadAnswer
+	}
+	hint := slices.Index(cl.addresses, res.Msg.GetLeader())
+	if hint < 0 || hint == cl.leader {
+		return nil, errNoLeader
+	}
+	cl.leader = hint
+	return nil, errNotLeader
+}
+
+// sleep waits for d and reports whether ctx is still good.
+func sleep(ctx context.Context, d time.Duration) bool {
+	tm := time.NewTimer(d)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
