--- a/claim/effects_test.go
+++ b/claim/effects_test.go
@@ -155,7 +155,7 @@
 		t.Fatal(err)
 	}
 	if !bytes.Equal(tb.Snapshot(), data) || !bytes.Equal(tr.replica.Snapshot(), data) || tb.Bytes() != tr.leader.Bytes() {
-		t.Fatalf("snapshots differ:\n%s\n%s\n%s", data, tb.Snapshot(), tr.replica.Snapshot())
+		t.Fatalf("snapshots differ:\n%x\n%x\n%x", data, tb.Snapshot(), tr.replica.Snapshot())
 	}
 	tr.replica = tb
 }
--- a/claim/snapshot.go
+++ b/claim/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -10,49 +9,46 @@
 	"camphortrail/call"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 )
 
 // ErrBadSnapshot is returned for data that is not a snapshot of a table.
 var ErrBadSnapshot = errors.New("claim: not a snapshot of a table")
 
-// image is the form of a table in a snapshot. Times are Unix nanoseconds.
-type image struct {
-	Now     int64        `json:"now"`
-	Epoch   Epoch        `json:"epoch"`
-	Entries []entryImage `json:"entries"`
-}
+// Fields of a snapshot, which is encoded as a protobuf message. Times are in
+// Unix nanoseconds.
+const (
+	fieldNow   protowire.Number = 1
+	fieldEpoch protowire.Number = 2
+	fieldEntry protowire.Number = 3
+)
 
-// entryImage is the form of an entry in a snapshot. Keys and digests are
-// bytes, since they need not be UTF-8.
-type entryImage struct {
-	Tenant    []byte           `json:"tenant"`
-	Key       []byte           `json:"key"`
-	Digest    []byte           `json:"digest"`
-	Phase     phase            `json:"phase"`
-	Answered  bool             `json:"answered,omitempty"`
-	Epoch     Epoch            `json:"epoch"`
-	Holder    []byte           `json:"holder"`
-	Retention time.Duration    `json:"retention-ns,omitempty"`
-	Answer    []byte           `json:"answer"`
-	Past      []call.AttemptID `json:"past,omitempty"`
-	Wake      int64            `json:"wake"`
-}
+// Fields of an entry in a snapshot.
+const (
+	fieldTenant     protowire.Number = 1
+	fieldKey        protowire.Number = 2
+	fieldDigest     protowire.Number = 3
+	fieldPhase      protowire.Number = 4
+	fieldAnswered   protowire.Number = 5
+	fieldEntryEpoch protowire.Number = 6
+	fieldHolder     protowire.Number = 7
+	fieldRetention  protowire.Number = 8
+	fieldAnswer     protowire.Number = 9
+	fieldPast       protowire.Number = 10
+	fieldWake       protowire.Number = 11
+)
 
 // Snapshot returns the table as bytes. Equal tables give equal bytes.
 func (tb *Table) Snapshot() []byte {
 	all := slices.SortedFunc(maps.Values(tb.entries), func(a, b *entry) int {
-		return cmp.Or(
-			cmp.Compare(a.name.tenant, b.name.tenant),
-			cmp.Compare(a.name.key, b.name.key),
-		)
+		return cmp.Compare(a.epoch, b.epoch)
 	})
-	img := image{Now: unixNano(tb.now), Epoch: tb.epoch}
+	data := appendNumber(nil, fieldNow, uint64(unixNano(tb.now)))
+	data = appendNumber(data, fieldEpoch, uint64(tb.epoch))
+	var buf []byte
 	for _, en := range all {
-		img.Entries = append(img.Entries, en.image())
-	}
-	data, err := json.Marshal(img)
-	if err != nil {
-		panic(err)
+		buf = en.encode(buf[:0])
+		data = appendBytes(data, fieldEntry, buf)
 	}
 	return data
 }
@@ -60,53 +56,120 @@
 // Restore returns the table of a snapshot. The limits must be those of the
 // table that the snapshot was taken of. It fails with ErrBadSnapshot.
 func Restore(data []byte, lim Limits) (*Table, error) {
-	var img image
-	if err := json.Unmarshal(data, &img); err != nil {
-		return nil, errors.Wrap(ErrBadSnapshot, err.Error())
-	}
 	tb := New(lim)
-	tb.now = fromUnixNano(img.Now)
-	tb.epoch = img.Epoch
-	for _, ei := range img.Entries {
-		en := ei.entry()
-		if tb.entries[en.name] != nil || en.phase > finished || en.epoch > tb.epoch {
-			return nil, errors.Wrapf(ErrBadSnapshot, "entry %q", en.name.key)
+	ok := fields(data, func(num protowire.Number, n uint64, b []byte) bool {
+		switch num {
+		case fieldNow:
+			tb.now = fromUnixNano(int64(n))
+		case fieldEpoch:
+			tb.epoch = Epoch(n)
+		case fieldEntry:
+			return tb.restore(b)
 		}
-		tb.insert(en)
-		tb.wake(en, fromUnixNano(ei.Wake))
+		return true
+	})
+	if !ok || len(data) == 0 {
+		return nil, errors.WithStack(ErrBadSnapshot)
 	}
 	return tb, nil
 }
 
-func (en *entry) image() entryImage {
-	return entryImage{
-		Tenant:    []byte(en.name.tenant),
-		Key:       []byte(en.name.key),
-		Digest:    []byte(en.digest),
-		Phase:     en.phase,
-		Answered:  en.answered,
-		Epoch:     en.epoch,
-		Holder:    en.holder[:],
-		Retention: en.retention,
-		Answer:    en.answer,
-		Past:      en.past,
-		Wake:      unixNano(en.wake),
+// restore adds an encoded entry, and reports whether it fits the table.
+func (tb *Table) restore(data []byte) bool {
+	en := &entry{}
+	if !en.decode(data) || tb.entries[en.name] != nil || en.phase > finished || en.epoch > tb.epoch {
+		return false
+	}
+	tb.insert(en)
+	tb.wake(en, en.wake)
+	return true
+}
+
+func (en *entry) encode(data []byte) []byte {
+	data = appendBytes(data, fieldTenant, []byte(en.name.tenant))
+	data = appendBytes(data, fieldKey, []byte(en.name.key))
+	data = appendBytes(data, fieldDigest, []byte(en.digest))
+	data = appendNumber(data, fieldPhase, uint64(en.phase))
+	data = appendNumber(data, fieldAnswered, protowire.EncodeBool(en.answered))
+	data = appendNumber(data, fieldEntryEpoch, uint64(en.epoch))
+	data = appendBytes(data, fieldHolder, en.holder[:])
+	data = appendNumber(data, fieldRetention, uint64(en.retention))
+	if en.answer != nil {
+		data = appendBytes(data, fieldAnswer, en.answer)
+	}
+	for _, at := range en.past {
+		data = appendBytes(data, fieldPast, at[:])
 	}
+	return appendNumber(data, fieldWake, uint64(unixNano(en.wake)))
 }
 
-func (ei *entryImage) entry() *entry {
-	en := &entry{
-		name:      name{call.Tenant(ei.Tenant), Key(ei.Key)},
-		digest:    Digest(ei.Digest),
-		phase:     ei.Phase,
-		answered:  ei.Answered,
-		epoch:     ei.Epoch,
-		retention: ei.Retention,
-		answer:    ei.Answer,
-		past:      ei.Past,
+func (en *entry) decode(data []byte) bool {
+	return fields(data, func(num protowire.Number, n uint64, b []byte) bool {
+		switch num {
+		case fieldTenant:
+			en.name.tenant = call.Tenant(b)
+		case fieldKey:
+			en.name.key = Key(b)
+		case fieldDigest:
+			en.digest = Digest(b)
+		case fieldPhase:
+			en.phase = phase(n)
+		case fieldAnswered:
+			en.answered = protowire.DecodeBool(n)
+		case fieldEntryEpoch:
+			en.epoch = Epoch(n)
+		case fieldHolder:
+			return copy(en.holder[:], b) == len(en.holder)
+		case fieldRetention:
+			en.retention = time.Duration(n)
+		case fieldAnswer:
+			en.answer = slices.Clone(b)
+		case fieldPast:
+			var at call.AttemptID
+			en.past = append(en.past, at)
+			return copy(en.past[len(en.past)-1][:], b) == len(at)
+		case fieldWake:
+			en.wake = fromUnixNano(int64(n))
+		}
+		return true
+	})
+}
+
+func appendNumber(data []byte, num protowire.Number, n uint64) []byte {
+	data = protowire.AppendTag(data, num, protowire.VarintType)
+	return protowire.AppendVarint(data, n)
+}
+
+func appendBytes(data []byte, num protowire.Number, b []byte) []byte {
+	data = protowire.AppendTag(data, num, protowire.BytesType)
+	return protowire.AppendBytes(data, b)
+}
+
+// fields calls visit for each field of a message, and reports whether the
+// message is whole and visit accepted all of them.
+func fields(data []byte, visit func(num protowire.Number, n uint64, b []byte) bool) bool {
+	for len(data) > 0 {
+		num, kind, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return false
+		}
+		data = data[size:]
+		var n uint64
+		var b []byte
+		switch kind {
+		case protowire.VarintType:
+			n, size = protowire.ConsumeVarint(data)
+		case protowire.BytesType:
+			b, size = protowire.ConsumeBytes(data)
+		default:
+			return false
+		}
+		if size < 0 || !visit(num, n, b) {
+			return false
+		}
+		data = data[size:]
 	}
-	copy(en.holder[:], ei.Holder)
-	return en
+	return true
 }
 
 // unixNano returns the time in nanoseconds, and zero for the zero time.
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -13,6 +13,7 @@
 	"camphortrail/schema"
 
 	"github.com/cockroachdb/datadriven"
+	"google.golang.org/protobuf/encoding/protowire"
 )
 
 var states = map[claim.State]string{
@@ -97,20 +98,22 @@
 	tb := claim.New(small)
 	tb.Step(epoch, claim.Claim{Tenant: "t", Key: "k"})
 	data := tb.Snapshot()
-	twice := strings.Replace(string(data), `"entries":[`, `"entries":[`+entries(string(data))+`,`, 1)
-	for _, bad := range []string{"", "{", string(data[:len(data)/2]), twice} {
-		if _, err := claim.Restore([]byte(bad), small); !errors.Is(err, claim.ErrBadSnapshot) {
-			t.Errorf("Restore(%q) error = %v, want ErrBadSnapshot", bad, err)
+	entry := data
+	for range 2 {
+		_, _, size := protowire.ConsumeField(entry)
+		entry = entry[size:]
+	}
+	bad := [][]byte{nil, []byte("{"), entry, append(data[:len(data):len(data)], entry...)}
+	for size := len(data) - len(entry) + 1; size < len(data); size++ {
+		bad = append(bad, data[:size])
+	}
+	for _, bad := range bad {
+		if _, err := claim.Restore(bad, small); !errors.Is(err, claim.ErrBadSnapshot) {
+			t.Errorf("Restore(%x) error = %v, want ErrBadSnapshot", bad, err)
 		}
 	}
 }
 
-// entries returns the text of the entries in a snapshot.
-func entries(data string) string {
-	_, rest, _ := strings.Cut(data, `"entries":[`)
-	return strings.TrimSuffix(rest, "]}")
-}
-
 func ExampleTable() {
 	tb := claim.New(claim.DefaultLimits())
 	now := time.Unix(1_000_000, 0)
--- /dev/null
+++ b/retry/bench_test.go
@@ -0,0 +1,33 @@
+package retry_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/retry"
+)
+
+// BenchmarkLedger takes one inbound attempt with two calls, one of them
+// retried, from opening to closing; accounts expire along the way.
+func BenchmarkLedger(b *testing.B) {
+	lg := retry.New(retry.DefaultLimits())
+	now := epoch
+	b.ReportAllocs()
+	for n := range uint64(b.N) {
+		now = now.Add(time.Millisecond)
+		var at, down call.AttemptID
+		binary.BigEndian.PutUint64(at[:], n)
+		binary.BigEndian.PutUint64(down[8:], n)
+		ac := retry.OfAttempt(at)
+		lg.Step(now, retry.OpenAttempt{Attempt: at, Allowance: 3, Deadline: now.Add(10 * time.Second)})
+		lg.Step(now, retry.Call{Account: ac, Digest: 1})
+		lg.Step(now, retry.Send{Account: ac, Attempt: down})
+		lg.Step(now, retry.Return{Account: ac, Attempt: down, Unused: 2})
+		lg.Step(now, retry.Retry{Account: ac})
+		lg.Step(now, retry.Call{Account: ac, Digest: 2})
+		lg.Step(now, retry.Close{Account: ac})
+	}
+	b.ReportMetric(float64(lg.Len()), "accounts")
+}
--- /dev/null
+++ b/withdrawal/bench_test.go
@@ -0,0 +1,43 @@
+package withdrawal_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/withdrawal"
+)
+
+// BenchmarkRegistry takes one attempt from its arrival to its answer;
+// attempts expire along the way.
+func BenchmarkRegistry(b *testing.B) {
+	rg := withdrawal.NewRegistry[[]byte](1, epoch, withdrawal.DefaultLimits())
+	now := epoch
+	answer := make([]byte, 100)
+	b.ReportAllocs()
+	for n := range uint64(b.N) {
+		now = now.Add(time.Millisecond)
+		var at call.AttemptID
+		binary.BigEndian.PutUint64(at[:], n)
+		rg.Step(now, withdrawal.Begin[[]byte]{Attempt: at, Stamp: rg.Stamp(now)})
+		rg.Step(now, withdrawal.Start[[]byte]{Attempt: at})
+		rg.Step(now, withdrawal.Finish[[]byte]{Attempt: at, Answer: answer, Bytes: len(answer)})
+	}
+	b.ReportMetric(float64(rg.Len()), "attempts")
+}
+
+// BenchmarkSuspicion takes one attempt from sending to its answer.
+func BenchmarkSuspicion(b *testing.B) {
+	su := withdrawal.NewSuspicion(withdrawal.DefaultSuspicionLimits())
+	now := epoch
+	b.ReportAllocs()
+	for n := range uint64(b.N) {
+		now = now.Add(time.Millisecond)
+		var at call.AttemptID
+		binary.BigEndian.PutUint64(at[:], n)
+		su.Step(now, withdrawal.Sent{Conn: 1, Attempt: at, VM: "v", Deadline: now.Add(time.Second)})
+		su.Step(now, withdrawal.Acked{Attempt: at})
+		su.Step(now, withdrawal.Settled{Attempt: at})
+	}
+}
