Report memory for each account and attempt in the benchmarks

Cause: docs/CAPACITY.md needs slopes of memory. Change: BenchmarkLedger and BenchmarkRegistry report heap bytes.

--- a/retry/bench_test.go
+++ b/retry/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"runtime"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 // BenchmarkLedger takes one inbound attempt with two calls, one of them
 // retried, from opening to closing; accounts expire along the way.
 func BenchmarkLedger(b *testing.B) {
+	before := heap()
 	lg := retry.New(retry.DefaultLimits())
 	now := epoch
 	b.ReportAllocs()
@@ -29,5 +31,13 @@
 		lg.Step(now, retry.Call{Account: ac, Digest: 2})
 		lg.Step(now, retry.Close{Account: ac})
 	}
-	b.ReportMetric(float64(lg.Len()), "accounts")
+	b.ReportMetric(float64(heap()-before)/float64(lg.Len()), "heap-B/account")
+}
+
+// heap returns the bytes in use on the heap.
+func heap() uint64 {
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
 }
--- a/withdrawal/bench_test.go
+++ b/withdrawal/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"runtime"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 // BenchmarkRegistry takes one attempt from its arrival to its answer;
 // attempts expire along the way.
 func BenchmarkRegistry(b *testing.B) {
+	before := heap()
 	rg := withdrawal.NewRegistry[[]byte](1, epoch, withdrawal.DefaultLimits())
 	now := epoch
 	answer := make([]byte, 100)
@@ -24,7 +26,7 @@
 		rg.Step(now, withdrawal.Start[[]byte]{Attempt: at})
 		rg.Step(now, withdrawal.Finish[[]byte]{Attempt: at, Answer: answer, Bytes: len(answer)})
 	}
-	b.ReportMetric(float64(rg.Len()), "attempts")
+	b.ReportMetric(float64(heap()-before)/float64(rg.Len()), "heap-B/attempt")
 }
 
 // BenchmarkSuspicion takes one attempt from sending to its answer.
@@ -41,3 +43,11 @@
 		su.Step(now, withdrawal.Settled{Attempt: at})
 	}
 }
+
+// heap returns the bytes in use on the heap.
+func heap() uint64 {
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
+}
