Forget idle connections in Suspicion; learn the time until answers

Cause: connections were forgotten only with Gone, which the pool does not send for connections that it closes, so the table filled up for good. With Expected zero, as the pool gives it, every attempt open for 150 ms after its acknowledgement was asked about, which adds calls under overload. Change: a connection is forgotten when it holds no attempts; measurements stay with the VM, bounded and for ten minutes. The first question about an answer comes after twice the VM's mean time until an answer, 500 ms if there is none. SuspicionLimits.Conns is replaced by VMs. Checked: without forgetting, TestSilentConnections is red.

--- a/withdrawal/suspicion.go
+++ b/withdrawal/suspicion.go
@@ -17,7 +17,8 @@
 	Conn    ConnID
 	Attempt call.AttemptID
 	VM      call.VM
-	// Expected is the usual time until the answer, or zero if not known.
+	// Expected is the usual time until the answer. Zero stands for the mean
+	// of the latest answers of the VM.
 	Expected time.Duration
 	Deadline time.Time
 }
@@ -70,7 +71,8 @@
 	Withdraw bool
 }
 
-// CloseConn closes a suspect connection that holds no more attempts.
+// CloseConn closes a suspect connection that holds no more attempts. The
+// connection is forgotten, and needs no Gone.
 type CloseConn struct {
 	Conn ConnID
 }
@@ -79,13 +81,13 @@
 func (Query) action()       {}
 func (CloseConn) action()   {}
 
-// SuspicionLimits bounds a Suspicion. What exceeds them is not watched.
+// SuspicionLimits bounds a Suspicion. Attempts beyond them are not watched.
 type SuspicionLimits struct {
-	Conns    int
+	VMs      int
 	Attempts int
 }
 
 // DefaultSuspicionLimits returns the limits of one entry.
 func DefaultSuspicionLimits() SuspicionLimits {
-	return SuspicionLimits{Conns: 1 << 14, Attempts: 1 << 16}
+	return SuspicionLimits{VMs: 1 << 12, Attempts: 1 << 16}
 }
--- a/withdrawal/suspicion_test.go
+++ b/withdrawal/suspicion_test.go
@@ -47,7 +47,8 @@
 }
 
 // TestSuspicion runs the scripts; each line is a signal, "after" with timely
-// wake-ups, or "stall" with a single late one.
+// wake-ups, or "stall" with a single late one. "sent" expects an answer in
+// 200 ms, "slow" has no expectation.
 func TestSuspicion(t *testing.T) {
 	datadriven.Walk(t, "testdata/suspicion", func(t *testing.T, path string) {
 		var out strings.Builder
@@ -88,6 +89,8 @@
 		bn.step(withdrawal.Acked{Attempt: attempt(args[1])})
 	case "settled":
 		bn.step(withdrawal.Settled{Attempt: attempt(args[1])})
+	case "slow":
+		bn.step(withdrawal.Sent{Conn: conn, Attempt: attempt(args[2]), VM: "v", Deadline: bn.now.Add(5 * time.Second)})
 	case "failed":
 		bn.step(withdrawal.Failed{Attempt: attempt(args[1])})
 	case "gone":
@@ -141,6 +144,9 @@
 			} else {
 				opened[id] = bn.now
 			}
+			if bn.su.Conns() > len(opened) {
+				t.Fatalf("%d connections held with %d attempts open", bn.su.Conns(), len(opened))
+			}
 			bn.pass(time.Duration(rapid.IntRange(0, 50).Draw(t, "pause ms")) * time.Millisecond)
 			for conn, at := range firstLost {
 				if bn.now.Sub(at) > 500*time.Millisecond && !suspected[conn] {
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -19,6 +19,11 @@
 	// one attempt.
 	minPollWait = 150 * time.Millisecond
 	maxPollWait = 2 * time.Second
+	// firstPollWait applies to a VM without measured answers.
+	firstPollWait = 500 * time.Millisecond
+	// idleLife is the time for which the round trip to a VM is remembered
+	// after its last use.
+	idleLife = 10 * time.Minute
 	// lateTolerance is the delay of a due Passed from which the process
 	// itself counts as having stalled.
 	lateTolerance = 25 * time.Millisecond
@@ -33,16 +38,18 @@
 	conns    map[ConnID]*conn
 	attempts map[call.AttemptID]*pending
 	vms      map[call.VM]*roundTrip
+	idle     expiry.Queue[*roundTrip]
 	wakes    expiry.Queue[*pending]
 	// grace is the time before which nothing is suspected.
 	grace time.Time
 	acts  []Action
 }
 
-// conn is a connection with the attempts that it holds, oldest first.
+// conn is a connection with the attempts that it holds, oldest first. It is
+// forgotten when it holds none.
 type conn struct {
 	id      ConnID
-	vm      call.VM
+	trip    *roundTrip
 	suspect bool
 	holds   []*pending
 }
@@ -51,7 +58,7 @@
 type pending struct {
 	id       call.AttemptID
 	conn     *conn
-	vm       call.VM
+	trip     *roundTrip
 	sent     time.Time
 	acked    bool
 	expected time.Duration
@@ -79,22 +86,26 @@
 	return at, ok
 }
 
-// Suspect reports whether the connection must take no new work.
+// Suspect reports whether the connection is suspect and still holds attempts.
 func (su *Suspicion) Suspect(id ConnID) bool {
 	cn := su.conns[id]
 	return cn != nil && cn.suspect
 }
 
+// Conns returns the number of connections that hold attempts.
+func (su *Suspicion) Conns() int { return len(su.conns) }
+
 // Step applies sg at the time now. The result is valid until the next Step.
 func (su *Suspicion) Step(now time.Time, sg Signal) []Action {
 	su.acts = su.acts[:0]
+	su.expire(now)
 	switch sg := sg.(type) {
 	case Sent:
 		su.sent(now, sg)
 	case Acked:
 		su.acked(now, sg.Attempt)
 	case Settled:
-		su.settled(sg.Attempt)
+		su.settled(now, sg.Attempt)
 	case Failed:
 		su.failed(now, sg.Attempt)
 	case Gone:
@@ -106,14 +117,14 @@
 }
 
 func (su *Suspicion) sent(now time.Time, sg Sent) {
-	cn := su.connect(sg.Conn, sg.VM)
-	if cn == nil || su.attempts[sg.Attempt] != nil || len(su.attempts) >= su.lim.Attempts {
+	if su.attempts[sg.Attempt] != nil || len(su.attempts) >= su.lim.Attempts {
 		return
 	}
+	cn := su.connect(now, sg.Conn, sg.VM)
 	pe := &pending{
 		id:       sg.Attempt,
 		conn:     cn,
-		vm:       cn.vm,
+		trip:     cn.trip,
 		sent:     now,
 		expected: sg.Expected,
 		deadline: sg.Deadline,
@@ -121,25 +132,17 @@
 	pe.item.Value = pe
 	su.attempts[pe.id] = pe
 	cn.holds = append(cn.holds, pe)
-	su.wake(pe, now.Add(su.vms[cn.vm].wait()))
+	su.wake(pe, now.Add(cn.trip.wait()))
 }
 
-// connect returns the connection, and adds it if there is room.
-func (su *Suspicion) connect(id ConnID, vm call.VM) *conn {
-	if cn := su.conns[id]; cn != nil {
-		return cn
-	}
-	if len(su.conns) >= su.lim.Conns {
-		return nil
-	}
-	cn := &conn{id: id, vm: vm}
-	su.conns[id] = cn
-	rt := su.vms[vm]
-	if rt == nil {
-		rt = &roundTrip{}
-		su.vms[vm] = rt
+// connect returns the connection, and adds it if it is new.
+func (su *Suspicion) connect(now time.Time, id ConnID, vm call.VM) *conn {
+	rt := su.trip(now, vm)
+	cn := su.conns[id]
+	if cn == nil {
+		cn = &conn{id: id, trip: rt}
+		su.conns[id] = cn
 	}
-	rt.conns++
 	return cn
 }
 
@@ -149,21 +152,26 @@
 		return
 	}
 	pe.acked = true
-	if rt := su.vms[pe.vm]; rt != nil {
-		rt.sample(now.Sub(pe.sent))
-	}
+	pe.trip.sample(now.Sub(pe.sent))
 	if pe.conn == nil || pe.conn.suspect {
 		return
 	}
 	su.wake(pe, now.Add(su.pollWait(pe)))
 }
 
-func (su *Suspicion) settled(id call.AttemptID) {
+func (su *Suspicion) settled(now time.Time, id call.AttemptID) {
 	pe := su.attempts[id]
 	if pe == nil {
 		return
 	}
-	delete(su.attempts, id)
+	if pe.acked {
+		pe.trip.answered(now.Sub(pe.sent))
+	}
+	su.drop(pe)
+}
+
+func (su *Suspicion) drop(pe *pending) {
+	delete(su.attempts, pe.id)
 	su.wakes.Remove(&pe.item)
 	su.leave(pe)
 }
@@ -179,7 +187,11 @@
 	if i := slices.Index(cn.holds, pe); i >= 0 {
 		cn.holds = slices.Delete(cn.holds, i, i+1)
 	}
-	if cn.suspect && len(cn.holds) == 0 {
+	if len(cn.holds) > 0 {
+		return
+	}
+	delete(su.conns, cn.id)
+	if cn.suspect {
 		su.acts = append(su.acts, CloseConn{Conn: cn.id})
 	}
 }
@@ -203,10 +215,6 @@
 		pe.conn = nil
 		su.query(now, pe)
 	}
-	rt := su.vms[cn.vm]
-	if rt.conns--; rt.conns == 0 {
-		delete(su.vms, cn.vm)
-	}
 }
 
 func (su *Suspicion) passed(now time.Time) {
@@ -240,8 +248,7 @@
 func (su *Suspicion) overdue(now time.Time, pe *pending) {
 	switch cn := pe.conn; {
 	case !now.Before(pe.deadline):
-		delete(su.attempts, pe.id)
-		su.leave(pe)
+		su.drop(pe)
 	case pe.acked || cn == nil || cn.suspect:
 		su.query(now, pe)
 	default:
@@ -261,7 +268,7 @@
 func (su *Suspicion) query(now time.Time, pe *pending) {
 	su.acts = append(su.acts, Query{
 		Attempt:  pe.id,
-		VM:       pe.vm,
+		VM:       pe.trip.vm,
 		Withdraw: pe.conn == nil || pe.conn.suspect,
 	})
 	su.wake(pe, now.Add(su.pollWait(pe)))
@@ -271,7 +278,7 @@
 // doubles each time.
 func (su *Suspicion) pollWait(pe *pending) time.Duration {
 	if pe.poll == 0 {
-		pe.poll = min(max(2*pe.expected, minPollWait), maxPollWait)
+		pe.poll = min(pe.trip.pollWait(pe.expected), maxPollWait)
 		return pe.poll
 	}
 	pe.poll = min(2*pe.poll, maxPollWait)
