Give both ways of the scenario latency the same arrivals

Callers of one seed now share them, and the upstream has 16 slots for more samples. go test -race of both packages passes.

--- a/internal/measure/latency.go
+++ b/internal/measure/latency.go
@@ -11,11 +11,11 @@
 )
 
 // The scenario latency compares calls straight to an upstream with calls
-// through an entry and a guard on two nodes, in turns, at half of the
-// upstream's capacity.
+// through an entry and a guard on two nodes, in turns and with the same
+// arrivals, at half of the upstream's capacity.
 const (
 	latencyScenario = "latency"
-	latencySlots    = 8
+	latencySlots    = 16
 	latencyWork     = 10 * time.Millisecond
 	latencyRate     = latencySlots * float64(time.Second) / float64(latencyWork) / 2
 	// latencySlice is the length of one turn.
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -49,8 +49,9 @@
 	HonourRetryAfter bool
 	// Outstanding bounds the roots in flight; an arrival above it fails.
 	Outstanding int
-	// Seed drives arrivals and choices. FirstRoot is the id of the first
-	// root; ids of callers that share a Recorder must not overlap.
+	// Seed drives arrivals, which are the same for the same seed and phases,
+	// and choices. FirstRoot is the id of the first root; ids of callers that
+	// share a Recorder must not overlap.
 	Seed      uint64
 	FirstRoot RootID
 	Recorder  *Recorder
@@ -70,7 +71,7 @@
 	if opt.Client == nil {
 		opt.Client = NewClient()
 	}
-	return &Caller{opt: opt, arrivals: rand.New(rand.NewPCG(opt.Seed, uint64(opt.FirstRoot)))}
+	return &Caller{opt: opt, arrivals: rand.New(rand.NewPCG(opt.Seed, 0))}
 }
 
 // NewClient returns an HTTP client for callers, which may share it.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,12 +1,14 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -298,3 +300,26 @@
 	// true
 	// <nil> 1
 }
+
+func TestArrivalsFollowTheSeed(t *testing.T) {
+	gaps := func(seed uint64, first RootID) []time.Duration {
+		rc := NewRecorder()
+		opt := lookup(start(t, UpstreamOptions{Service: "cassa", Slots: 4, AnswerBytes: 100, Recorder: rc}), rc)
+		opt.Seed, opt.FirstRoot = seed, first
+		NewCaller(opt).Run(t.Context())
+		roots := rc.Log().Roots
+		slices.SortFunc(roots, func(a, b Root) int { return cmp.Compare(a.ID, b.ID) })
+		var list []time.Duration
+		for i := 1; i < len(roots); i++ {
+			list = append(list, roots[i].Arrived.Sub(roots[i-1].Arrived))
+		}
+		return list
+	}
+	one := gaps(1, 1)
+	if same := gaps(1, 5000); len(one) == 0 || !slices.Equal(one, same) {
+		t.Errorf("gaps %v and %v of one seed differ", one, same)
+	}
+	if other := gaps(2, 1); slices.Equal(one, other) {
+		t.Errorf("gaps of two seeds are equal: %v", other)
+	}
+}
