Add the scenarios rollout and failover

Two operators race for each version and resend it while all nodes are watched; failover also stops one control replica after the other. Counted: winners, answers that change, reverts, versions not in force, and the times until accepted and in force.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -42,6 +42,8 @@
 	policy        node.Policy
 	seed          uint64
 	relayed       bool
+	// controls is the number of control replicas; 0 means 1.
+	controls int
 }
 
 // startFleet starts a deployment and waits until every node serves.
@@ -58,7 +60,7 @@
 		places = append(places, deployment.Place{VM: call.VM(vm.VM), Domain: domain, Upstream: vm})
 	}
 	ft.Deployment, err = deployment.Start(ctx, deployment.Options{
-		Name: deploymentName, Folder: folder, Controls: 1, Places: places, Policy: opt.policy, Seed: opt.seed,
+		Name: deploymentName, Folder: folder, Controls: max(1, opt.controls), Places: places, Policy: opt.policy, Seed: opt.seed,
 	})
 	if err != nil {
 		_ = os.RemoveAll(folder)
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -36,12 +36,13 @@
 
 // Scenarios returns the names of the scenarios.
 func Scenarios() []string {
-	names := append(slices.Collect(maps.Keys(scenarios)), latencyScenario)
+	names := append(slices.Collect(maps.Keys(scenarios)), latencyScenario, rolloutScenario, failoverScenario)
 	slices.Sort(names)
 	return names
 }
 
-// Run runs both arms of a scenario and writes one line of JSON for each.
+// Run runs a scenario and writes one line of JSON for each arm. The scenarios
+// of configuration have one arm only.
 func Run(ctx context.Context, opt Options, w io.Writer) error {
 	if opt.Seconds == 0 {
 		opt.Seconds = DefaultSeconds
@@ -49,8 +50,11 @@
 	if opt.Seconds < minSeconds {
 		return ErrTooShort
 	}
-	if opt.Scenario == latencyScenario {
+	switch opt.Scenario {
+	case latencyScenario:
 		return runLatency(ctx, opt, w)
+	case rolloutScenario, failoverScenario:
+		return runChanges(ctx, opt, w)
 	}
 	sc, ok := scenarios[opt.Scenario]
 	if !ok {
