Connect the claims of idempotency keys to the control replicas

Change: the node makes its client when control replicas are in the settings. Conclusion: keyed requests are claimed before their first attempt.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"camphortrail/internal/claims"
 	"camphortrail/internal/entry"
 )
 
@@ -15,4 +16,9 @@
 
 // newClaims returns the client for the control replicas, or nil if there are
 // none.
-func newClaims([]string, *http.Client) claimClient { return nil }
+func newClaims(controls []string, rpc *http.Client) claimClient {
+	if len(controls) == 0 {
+		return nil
+	}
+	return claims.NewClient(controls, rpc)
+}
