Keep an upstream's failing answer while a better one is tried

Change: the request keeps its latest whole answer and gives it when nothing more is done. The demonstration takes the request kinds of sportello by name.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -28,6 +28,7 @@
 
 const (
 	exampleFolder = "lombardy"
+	frontService  = "sportello"
 	readyTimeout  = 10 * time.Second
 	callerTime    = 4 * time.Second
 	sendTimeout   = 3 * time.Second
@@ -157,7 +158,7 @@
 	client := standin.NewClient()
 	defer client.CloseIdleConnections()
 	done := make(chan struct{})
-	kinds := cfg.GetServices()[0].GetRequests()
+	kinds := frontKinds(cfg)
 	for i, kind := range kinds {
 		cr := standin.NewCaller(standin.CallerOptions{
 			Pattern:     pattern(cfg, kind),
@@ -177,6 +178,16 @@
 	}
 }
 
+// frontKinds returns the request kinds of the service that callers use.
+func frontKinds(cfg *schema.Configuration) []*schema.RequestKind {
+	for _, svc := range cfg.GetServices() {
+		if svc.GetName() == frontService {
+			return svc.GetRequests()
+		}
+	}
+	return nil
+}
+
 func pattern(cfg *schema.Configuration, kind *schema.RequestKind) standin.Pattern {
 	pt := standin.Pattern{
 		Class: call.Class(kind.GetClass()), Method: kind.GetMethod(), Path: kind.GetPathPrefix(),
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -39,6 +39,8 @@
 	key    string
 
 	history withdrawal.History
+	// answer is the latest whole answer of an upstream.
+	answer *attempt.Answer
 	// attempts counts what was sent.
 	attempts int
 	overload bool
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -66,8 +66,12 @@
 	}
 }
 
-// giveUp returns the answer to a request for which nothing more is done.
+// giveUp returns the answer to a request for which nothing more is done: a
+// failing one of an upstream if there was one.
 func (en *Entry) giveUp(rq *request, reason string, status int, retryAfter time.Duration) *attempt.Answer {
+	if rq.answer != nil {
+		return rq.answer
+	}
 	an := attempt.Broken(reason, status)
 	an.Outcome, an.RetryAfter = rq.history.Outcome(), retryAfter
 	return an
@@ -87,12 +91,14 @@
 			return en.unroutable(rq, err)
 		}
 		rs := en.send(ctx, rq, vm, address)
-		advice := rq.history.Advice()
-		switch {
-		case advice == withdrawal.Deliver && !en.mendable(rq, rs.Answer):
-			en.succeed(rq, rs.Answer)
-			return rs.Answer
-		case advice == withdrawal.GiveUp || advice == withdrawal.Wait:
+		if rs.Answer != nil && rs.Answer.Outcome == call.Done {
+			rq.answer = rs.Answer
+			if !en.mendable(rq, rs.Answer) {
+				en.succeed(rq, rs.Answer)
+				return rs.Answer
+			}
+		}
+		if advice := rq.history.Advice(); advice == withdrawal.GiveUp || advice == withdrawal.Wait {
 			return en.lost(ctx, rq, rs)
 		}
 		exclude = append(exclude, vm)
@@ -248,9 +254,6 @@
 
 // exhausted answers a request for which no further attempt is allowed.
 func (en *Entry) exhausted(ctx context.Context, rq *request, rs peer.Result) *attempt.Answer {
-	if rs.Answer != nil && rs.Answer.Outcome == call.Done {
-		return rs.Answer
-	}
 	if rs.Answer == nil || rs.Answer.Outcome == call.Unknown {
 		return en.lost(ctx, rq, rs)
 	}
