Follow the configuration from control, peers and the local copy

Follower decides from whom to fetch and what may be in force. It asks the process that hinted, two at a time, so that a revision spreads as a tree of fetches from those that have it; at a start it takes the highest of control and peers and waits out a hint of a newer one. The local copy is replaced by a synced rename and has a checksum.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -3,15 +3,37 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"camphortrail/call"
 	"camphortrail/membership"
+	"camphortrail/ring"
 	"camphortrail/schema"
 )
 
+const (
+	// CheckInterval is the usual time between two unprompted fetches.
+	CheckInterval = 10 * time.Second
+
+	tickInterval   = 25 * time.Millisecond
+	peersInterval  = time.Second
+	fetchTimeout   = 2 * time.Second
+	resultCapacity = 16
+)
+
+// ErrOtherDeployment is returned for a configuration that is meant for another
+// deployment.
+var ErrOtherDeployment = errors.New("rollout: configuration of another deployment")
+
 // Fetcher is the part of the clients of peers and control replicas that
 // Rollout needs.
 type Fetcher interface {
@@ -31,8 +53,7 @@
 	Peer    func(address string) Fetcher
 	// Hints are hints of higher revisions.
 	Hints <-chan membership.RevisionHint
-	// Peers returns the addresses of some present nodes, own failure domain
-	// first.
+	// Peers returns the addresses of some present nodes.
 	Peers func() []string
 	// OnChange is called with each revision that comes into force, in
 	// ascending order, by one goroutine. An error refuses the configuration:
@@ -41,27 +62,222 @@
 	// Check is the time between two unprompted fetches. Zero stands for
 	// CheckInterval.
 	Check time.Duration
+	// Log and Metrics are optional.
+	Log     log.Interface
+	Metrics *metrics.Set
 }
 
-// CheckInterval is the usual time between two unprompted fetches.
-const CheckInterval = 10 * time.Second
+// inForce is a configuration and when it came into force.
+type inForce struct {
+	revision uint64
+	cfg      *schema.Configuration
+	since    time.Time
+}
 
 // Rollout follows the configuration for one node. Its methods are safe for
 // concurrent use.
-type Rollout struct{}
+type Rollout struct {
+	set      Settings
+	follower *Follower
+	copy     *localCopy
+	current  atomic.Pointer[inForce]
+	ready    chan struct{}
+	results  *ring.Ring[Event]
+	fetches  sync.WaitGroup
+
+	refused    *metrics.Counter
+	failed     *metrics.Counter
+	copyErrors *metrics.Counter
+}
 
-// New returns a Rollout with nothing in force.
-func New(set Settings) (*Rollout, error) { return &Rollout{}, nil }
+// New returns a Rollout with nothing in force. It fails if the data folder
+// cannot be opened.
+func New(set Settings) (*Rollout, error) {
+	if set.Check == 0 {
+		set.Check = CheckInterval
+	}
+	if set.Log == nil {
+		set.Log = log.Log
+	}
+	if set.Metrics == nil {
+		set.Metrics = metrics.NewSet()
+	}
+	ro := &Rollout{
+		set:        set,
+		follower:   NewFollower(set.Controls, set.Check, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		ready:      make(chan struct{}),
+		results:    ring.New[Event](resultCapacity),
+		refused:    set.Metrics.NewCounter("camphortrail_configurations_refused_total"),
+		failed:     set.Metrics.NewCounter("camphortrail_configuration_fetches_failed_total"),
+		copyErrors: set.Metrics.NewCounter("camphortrail_configuration_copy_errors_total"),
+	}
+	if set.DataFolder == "" {
+		return ro, nil
+	}
+	var err error
+	ro.copy, err = openCopy(set.DataFolder)
+	return ro, err
+}
 
-// Run follows the configuration until ctx ends.
-func (ro *Rollout) Run(ctx context.Context) error { return nil }
+// Run follows the configuration until ctx ends. It is to be called once.
+func (ro *Rollout) Run(ctx context.Context) error {
+	defer ro.close()
+	ro.load(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var peers []string
+	var peersAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if now := time.Now(); now.Sub(peersAt) >= peersInterval {
+				peersAt = now
+				peers = ro.set.Peers()
+			}
+			ro.step(ctx, Tick{Peers: peers})
+		case hi := <-ro.set.Hints:
+			ro.step(ctx, Hinted{Revision: hi.Revision, Source: ro.source(hi.Address.String())})
+		case ev := <-ro.results.Out():
+			ro.step(ctx, ev)
+		}
+	}
+}
+
+func (ro *Rollout) close() {
+	ro.fetches.Wait()
+	if ro.copy != nil {
+		_ = ro.copy.close()
+	}
+}
+
+// source tells control replicas from peers by their address.
+func (ro *Rollout) source(address string) Source {
+	if slices.Contains(ro.set.Controls, address) {
+		return Source{Kind: ControlSource, Address: address}
+	}
+	return Source{Kind: PeerSource, Address: address}
+}
+
+// load hands the local copy to the follower. One that is damaged or of another
+// deployment counts as none.
+func (ro *Rollout) load(ctx context.Context) {
+	if ro.copy == nil {
+		return
+	}
+	revision, cfg, err := ro.copy.read()
+	if err == nil && cfg != nil {
+		err = ro.checkDeployment(cfg)
+	}
+	if err != nil {
+		ro.copyErrors.Inc()
+		ro.set.Log.WithError(err).Warn("local copy of the configuration is not used")
+		return
+	}
+	if cfg != nil {
+		ro.step(ctx, Loaded{Revision: revision, Configuration: cfg})
+	}
+}
+
+func (ro *Rollout) checkDeployment(cfg *schema.Configuration) error {
+	if cfg.GetDeployment() != string(ro.set.Deployment) {
+		return ErrOtherDeployment
+	}
+	return nil
+}
+
+// step hands an event to the follower and carries out its actions.
+func (ro *Rollout) step(ctx context.Context, ev Event) {
+	for _, ac := range slices.Clone(ro.follower.Step(time.Now(), ev)) {
+		switch ac := ac.(type) {
+		case Fetch:
+			ro.fetches.Go(func() { ro.fetch(ctx, ac) })
+		case Adopt:
+			ro.step(ctx, ro.adopt(ac))
+		}
+	}
+}
+
+// fetch asks a source and reports the result to the follower.
+func (ro *Rollout) fetch(ctx context.Context, ac Fetch) {
+	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	ev, err := ro.ask(fetchCtx, ac)
+	if err != nil {
+		ro.failed.Inc()
+		ev = Failed{Source: ac.Source}
+	}
+	_ = ro.results.Put(ctx, ev)
+}
+
+func (ro *Rollout) ask(ctx context.Context, ac Fetch) (Event, error) {
+	client := ro.set.Peer
+	if ac.Source.Kind == ControlSource {
+		client = ro.set.Control
+	}
+	res, err := client(ac.Source.Address).Fetch(ctx, connect.NewRequest(&schema.FetchRequest{HaveRevision: ac.Have}))
+	if err != nil {
+		return nil, err
+	}
+	ev := Fetched{Source: ac.Source, Revision: res.Msg.GetRevision(), Configuration: res.Msg.GetConfiguration()}
+	if ev.Configuration == nil {
+		return ev, nil
+	}
+	if err := ro.checkDeployment(ev.Configuration); err != nil {
+		ro.refused.Inc()
+		return nil, err
+	}
+	return ev, nil
+}
+
+// adopt puts a configuration in force. It is saved before, so that a restart
+// does not go back behind it.
+func (ro *Rollout) adopt(ac Adopt) Event {
+	ro.save(ac.Revision, ac.Configuration)
+	if err := ro.set.OnChange(ac.Revision, ac.Configuration); err != nil {
+		ro.refused.Inc()
+		ro.set.Log.WithError(err).WithField("revision", ac.Revision).Error("configuration refused")
+		if cur := ro.current.Load(); cur != nil {
+			ro.save(cur.revision, cur.cfg)
+		}
+		return Rejected{Revision: ac.Revision}
+	}
+	first := ro.current.Swap(&inForce{revision: ac.Revision, cfg: ac.Configuration, since: time.Now()}) == nil
+	if first {
+		close(ro.ready)
+	}
+	return Adopted{Revision: ac.Revision}
+}
+
+func (ro *Rollout) save(revision uint64, cfg *schema.Configuration) {
+	if ro.copy == nil {
+		return
+	}
+	if err := ro.copy.write(revision, cfg); err != nil {
+		ro.copyErrors.Inc()
+		ro.set.Log.WithError(err).Error("local copy of the configuration is not written")
+	}
+}
 
 // Current returns the configuration in force, or revision 0 and nil before
 // there is one. The configuration must not be changed.
-func (ro *Rollout) Current() (revision uint64, cfg *schema.Configuration) { return 0, nil }
+func (ro *Rollout) Current() (revision uint64, cfg *schema.Configuration) {
+	cur := ro.current.Load()
+	if cur == nil {
+		return 0, nil
+	}
+	return cur.revision, cur.cfg
+}
 
 // Ready is closed when the first revision is in force.
-func (ro *Rollout) Ready() <-chan struct{} { return nil }
+func (ro *Rollout) Ready() <-chan struct{} { return ro.ready }
 
 // Since returns the time at which the current revision came into force.
-func (ro *Rollout) Since() time.Time { return time.Time{} }
+func (ro *Rollout) Since() time.Time {
+	cur := ro.current.Load()
+	if cur == nil {
+		return time.Time{}
+	}
+	return cur.since
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,211 @@
+package rollout
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"camphortrail/membership"
+	"camphortrail/schema"
+)
+
+const (
+	peerAddress    = "10.0.0.2:7000"
+	controlAddress = "10.0.0.9:7000"
+)
+
+// fakeSource answers with a configuration, or fails when it has no deployment.
+type fakeSource struct {
+	mu         sync.Mutex
+	revision   uint64
+	deployment string
+}
+
+func (fs *fakeSource) set(revision uint64, deployment string) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.revision, fs.deployment = revision, deployment
+}
+
+func (fs *fakeSource) Fetch(_ context.Context, rq *connect.Request[schema.FetchRequest]) (*connect.Response[schema.FetchResponse], error) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	if fs.deployment == "" {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("cut off"))
+	}
+	rs := &schema.FetchResponse{Revision: fs.revision}
+	if fs.revision > rq.Msg.GetHaveRevision() {
+		rs.Configuration = &schema.Configuration{Deployment: fs.deployment, Version: fs.revision}
+	}
+	return connect.NewResponse(rs), nil
+}
+
+// bench is a Rollout with one control replica and one peer.
+type bench struct {
+	control, peer fakeSource
+	hints         chan membership.RevisionHint
+	folder        string
+	refuse        uint64
+	seen          []uint64
+}
+
+func (be *bench) run(t *testing.T) (*Rollout, context.CancelFunc) {
+	t.Helper()
+	ro, err := New(Settings{
+		Deployment: "lombardy",
+		DataFolder: be.folder,
+		Controls:   []string{controlAddress},
+		Control:    func(string) Fetcher { return &be.control },
+		Peer:       func(string) Fetcher { return &be.peer },
+		Hints:      be.hints,
+		Peers:      func() []string { return []string{peerAddress} },
+		OnChange: func(revision uint64, cfg *schema.Configuration) error {
+			if revision == be.refuse {
+				return errors.New("not understood")
+			}
+			if cfg.GetVersion() != revision {
+				t.Errorf("version %d with revision %d", cfg.GetVersion(), revision)
+			}
+			be.seen = append(be.seen, revision)
+			return nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := ro.Run(ctx); err != nil {
+			t.Errorf("Run() = %v", err)
+		}
+	}()
+	return ro, func() {
+		cancel()
+		<-done
+	}
+}
+
+func (be *bench) hint(revision uint64) {
+	be.hints <- membership.RevisionHint{Revision: revision, Address: netip.MustParseAddrPort(peerAddress)}
+}
+
+func revisionAfter(ro *Rollout, d time.Duration) uint64 {
+	time.Sleep(d)
+	synctest.Wait()
+	revision, _ := ro.Current()
+	return revision
+}
+
+func TestRollout(t *testing.T) {
+	be := &bench{folder: t.TempDir()}
+	wantAfter := func(t *testing.T, ro *Rollout, d time.Duration, want uint64) {
+		t.Helper()
+		if got := revisionAfter(ro, d); got != want {
+			t.Errorf("revision %d after %v, want %d", got, d, want)
+		}
+	}
+	for _, stage := range []struct {
+		name string
+		run  func(t *testing.T, ro *Rollout)
+	}{
+		{"control is followed, and hints", func(t *testing.T, ro *Rollout) {
+			be.control.set(3, "lombardy")
+			wantAfter(t, ro, time.Second, 3)
+			be.peer.set(4, "lombardy")
+			be.hint(4)
+			wantAfter(t, ro, time.Second, 4)
+			be.peer.set(2, "lombardy")
+			wantAfter(t, ro, time.Minute, 4)
+		}},
+		{"a newer peer goes before the copy", func(t *testing.T, ro *Rollout) {
+			be.control.set(0, "")
+			be.peer.set(6, "lombardy")
+			wantAfter(t, ro, time.Second, 0)
+			wantAfter(t, ro, 4*time.Second, 6)
+		}},
+		{"the copy serves when nobody answers", func(t *testing.T, ro *Rollout) {
+			be.peer.set(0, "")
+			wantAfter(t, ro, 2*time.Second, 0)
+			wantAfter(t, ro, 4*time.Second, 6)
+		}},
+		{"the copy does not serve while a peer hints at a newer one", func(t *testing.T, ro *Rollout) {
+			be.hint(8)
+			wantAfter(t, ro, 8*time.Second, 0)
+			wantAfter(t, ro, 10*time.Second, 6)
+		}},
+		{"other deployments and unusable configurations are refused", func(t *testing.T, ro *Rollout) {
+			be.control.set(6, "lombardy")
+			wantAfter(t, ro, time.Second, 6)
+			be.peer.set(9, "mexico")
+			be.hint(9)
+			wantAfter(t, ro, time.Second, 6)
+			be.refuse = 10
+			be.control.set(10, "lombardy")
+			wantAfter(t, ro, time.Minute, 6)
+			be.control.set(11, "lombardy")
+			wantAfter(t, ro, time.Minute, 11)
+			if ro.refused.Get() < 2 {
+				t.Errorf("%d refused", ro.refused.Get())
+			}
+		}},
+	} {
+		t.Run(stage.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				be.hints = make(chan membership.RevisionHint, 8)
+				ro, stop := be.run(t)
+				defer stop()
+				stage.run(t, ro)
+			})
+		})
+	}
+	if want := []uint64{3, 4, 6, 6, 6, 6, 11}; !slices.Equal(be.seen, want) {
+		t.Errorf("in force were %v, want %v", be.seen, want)
+	}
+}
+
+func TestCopyDamage(t *testing.T) {
+	folder := t.TempDir()
+	lc, err := openCopy(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, cfg, err := lc.read(); cfg != nil || err != nil {
+		t.Fatalf("read() of nothing = %v, %v", cfg, err)
+	}
+	for revision := uint64(1); revision <= 2; revision++ {
+		if err := lc.write(revision, &schema.Configuration{Deployment: "lombardy", Version: revision}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if revision, cfg, err := lc.read(); revision != 2 || cfg.GetVersion() != 2 || err != nil {
+		t.Fatalf("read() = %d, %v, %v", revision, cfg, err)
+	}
+	path := filepath.Join(folder, copyName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole {
+		bad := append([]byte(nil), whole...)
+		bad[i] ^= 1
+		for _, data := range [][]byte{bad, whole[:i]} {
+			if err := os.WriteFile(path, data, fileMode); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, err := lc.read(); !errors.Is(err, ErrDamaged) {
+				t.Fatalf("read() of %x = %v", data, err)
+			}
+		}
+	}
+}
