Let the upstream beside a node announce itself

An announcement is a lease of 6 s, to be repeated every 2 s. One that lapses counts as draining first and as gone after another lease, so that a pause of the upstream does not lose it. Draining lasts over repeated announcements until it is taken back or another instance announces. Refusals name field, value and reason. The schema gains the instance and the refusal.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -1,32 +1,127 @@
 // Package announce lets the upstream beside a node announce itself over HTTP.
+//
+// POST /announce registers an upstream, and is to be repeated as the answer
+// says. POST /drain starts to leave, DELETE /drain takes that back, and DELETE
+// /announce leaves. The last three are for the service of the body, or for all
+// upstreams when there is no body.
 package announce
 
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/call"
 	"camphortrail/membership"
+	"camphortrail/schema"
 )
 
+const expireInterval = 500 * time.Millisecond
+
 // Announce takes announcements of the upstreams beside one node.
-type Announce struct{}
+type Announce struct {
+	now      func() time.Time
+	onChange func([]membership.Upstream)
+
+	mu     sync.Mutex
+	leases leases
+}
 
 // New returns an Announce without upstreams. It calls onChange with the whole
 // set after each change, one call at a time.
 func New(now func() time.Time, onChange func([]membership.Upstream)) *Announce {
-	return &Announce{}
+	return &Announce{now: now, onChange: onChange}
 }
 
-// Handler returns the handler of POST /announce, POST /drain and
-// DELETE /announce.
-func (an *Announce) Handler() http.Handler { return nil }
+// Handler returns the handler of the requests.
+func (an *Announce) Handler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Post("/announce", an.announce)
+	mux.Delete("/announce", an.forService(func(svc call.Service) bool { return an.leases.leave(svc) }))
+	mux.Post("/drain", an.forService(func(svc call.Service) bool { return an.leases.drain(svc, true) }))
+	mux.Delete("/drain", an.forService(func(svc call.Service) bool { return an.leases.drain(svc, false) }))
+	return mux
+}
 
 // Run ends announcements that are not repeated in time, until ctx ends.
-func (an *Announce) Run(ctx context.Context) error { return nil }
+func (an *Announce) Run(ctx context.Context) error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			an.change(func() bool { return an.leases.expire(an.now()) })
+		}
+	}
+}
 
 // Drain marks all upstreams as draining, as if they had asked for it.
-func (an *Announce) Drain() {}
+func (an *Announce) Drain() { an.change(func() bool { return an.leases.stop(true) }) }
 
 // Resume takes Drain back.
-func (an *Announce) Resume() {}
+func (an *Announce) Resume() { an.change(func() bool { return an.leases.stop(false) }) }
+
+// change changes the leases and tells of it.
+func (an *Announce) change(change func() (changed bool)) {
+	an.mu.Lock()
+	defer an.mu.Unlock()
+	if change() {
+		an.onChange(an.leases.upstreams())
+	}
+}
+
+func (an *Announce) announce(w http.ResponseWriter, r *http.Request) {
+	msg, bad := decode(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if bad != nil {
+		answer(w, http.StatusBadRequest, bad.message())
+		return
+	}
+	up, bad := check(msg)
+	if bad != nil {
+		answer(w, http.StatusBadRequest, bad.message())
+		return
+	}
+	ok := false
+	an.change(func() (changed bool) {
+		changed, ok = an.leases.announce(an.now(), up, msg.GetInstance())
+		return changed
+	})
+	if !ok {
+		answer(w, http.StatusBadRequest, &schema.AnnounceError{
+			Field: "service", Value: msg.GetService(), Reason: "the node has as many upstreams as it can announce",
+		})
+		return
+	}
+	answer(w, http.StatusOK, &schema.AnnounceAnswer{RepeatWithinMs: uint32(RepeatWithin / time.Millisecond)})
+}
+
+// forService returns a handler that changes the lease of one service or all.
+func (an *Announce) forService(change func(svc call.Service) (changed bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		msg, bad := decode(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if bad != nil {
+			answer(w, http.StatusBadRequest, bad.message())
+			return
+		}
+		an.change(func() bool { return change(call.Service(msg.GetService())) })
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, msg proto.Message) {
+	data, err := protojson.Marshal(msg)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/announce/request.go
@@ -0,0 +1,108 @@
+package announce
+
+import (
+	"encoding/json"
+	"io"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"camphortrail/call"
+	"camphortrail/membership"
+	"camphortrail/schema"
+)
+
+const (
+	maxBodyBytes   = 64 << 10
+	maxSlots       = 100_000
+	maxConnections = 1_000_000
+	maxWarmUp      = time.Hour
+)
+
+// problem describes a field of a request that is refused.
+type problem struct{ field, value, reason string }
+
+func (pr *problem) message() *schema.AnnounceError {
+	return &schema.AnnounceError{Field: pr.field, Value: pr.value, Reason: pr.reason}
+}
+
+// decode reads a request body. An empty one is an empty announcement.
+func decode(body io.Reader) (*schema.AnnouncedUpstream, *problem) {
+	msg := new(schema.AnnouncedUpstream)
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, &problem{field: "body", reason: err.Error()}
+	}
+	if len(data) == 0 {
+		return msg, nil
+	}
+	if err := protojson.Unmarshal(data, msg); err != nil {
+		return nil, locate(data, err)
+	}
+	return msg, nil
+}
+
+// locate finds the field that makes data unreadable.
+func locate(data []byte, cause error) *problem {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return &problem{field: "body", reason: "not a JSON object"}
+	}
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		one, err := json.Marshal(map[string]json.RawMessage{name: fields[name]})
+		if err != nil {
+			continue
+		}
+		if protojson.Unmarshal(one, new(schema.AnnouncedUpstream)) == nil {
+			continue
+		}
+		if schema.File_membership_proto.Messages().ByName("AnnouncedUpstream").Fields().ByJSONName(name) == nil {
+			return &problem{field: name, value: string(fields[name]), reason: "unknown field"}
+		}
+		return &problem{field: name, value: string(fields[name]), reason: "wrong type or out of range"}
+	}
+	return &problem{field: "body", reason: strings.ReplaceAll(cause.Error(), "\u00a0", " ")}
+}
+
+// check validates an announcement.
+func check(msg *schema.AnnouncedUpstream) (membership.Upstream, *problem) {
+	up := membership.Upstream{
+		Service:     call.Service(msg.GetService()),
+		Slots:       msg.GetSlots(),
+		Connections: msg.GetConnections(),
+		WarmUp:      time.Duration(msg.GetWarmUpMs()) * time.Millisecond,
+		Draining:    msg.GetDraining(),
+		Address:     msg.GetAddress(),
+	}
+	if err := up.Validate(); err != nil {
+		return up, &problem{"service", msg.GetService(), "must have 1 to 64 bytes"}
+	}
+	if _, err := netip.ParseAddrPort(up.Address); err != nil {
+		return up, &problem{"address", up.Address, "must be IP:port"}
+	}
+	for _, bound := range []struct {
+		field      string
+		value, max uint32
+		min        uint32
+	}{
+		{"slots", up.Slots, maxSlots, 1},
+		{"connections", up.Connections, maxConnections, 1},
+		{"warm-up-ms", msg.GetWarmUpMs(), uint32(maxWarmUp / time.Millisecond), 0},
+	} {
+		if bound.value < bound.min || bound.value > bound.max {
+			return up, &problem{bound.field, number(bound.value), "must be from " + number(bound.min) + " to " + number(bound.max)}
+		}
+	}
+	return up, nil
+}
+
+func number(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
