Keep the capacity of stand-in upstreams at its nominal value

Timers fire late by a millisecond, so that 8 slots of 40 ms ran below their 200 requests a second, and goodput was measured against more than there was. A pacer asks for less by the mean lag. go test -race ./internal/standin passes.

--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -56,6 +56,7 @@
 	server   *http.Server
 	client   *http.Client
 	slots    chan struct{}
+	pacer    pacer
 
 	work    atomic.Int64
 	fault   atomic.Uint32
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -127,7 +127,7 @@
 	if !jb.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	if !wait(ctx, time.Duration(us.work.Load())) {
+	if !us.pacer.wait(ctx, time.Duration(us.work.Load())) {
 		return http.StatusGatewayTimeout
 	}
 	for i, cl := range us.opt.Calls {
