--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -14,8 +14,12 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
+	"camphortrail/internal/peer"
+	"camphortrail/quorum"
 	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
 	"camphortrail/store"
 )
 
@@ -56,6 +60,42 @@
 	}
 }
 
+// TestStopWaitsForRequests stops a replica while it checks a configuration.
+func TestStopWaitsForRequests(t *testing.T) {
+	t.Parallel()
+	entered, release := make(chan struct{}), make(chan struct{})
+	address := freeAddress(t, fleets.Add(1))
+	co, err := New(&schema.Settings{
+		Name: "control-1", Deployment: deployment, PeerAddress: address, DataFolder: t.TempDir(),
+	}, Options{Validate: func(*schema.Configuration) error {
+		close(entered)
+		<-release
+		return nil
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- co.Run(ctx) }()
+	go func() {
+		<-entered
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		close(release)
+	}()
+	transport := peer.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := schemaconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+address)
+	rs, err := client.Apply(context.Background(), connect.NewRequest(&schema.ApplyRequest{Configuration: configuration(1, "cassa")}))
+	if err != nil || rs.Msg.GetResult() != schema.ApplyResult_APPLY_RESULT_NOT_LEADER {
+		t.Fatalf("request in flight at the stop: %v, %v; want an answer", rs, err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestFailedDiskEndsTheReplica(t *testing.T) {
 	t.Parallel()
 	co, err := New(&schema.Settings{
@@ -72,6 +112,56 @@
 	}
 }
 
+// TestLogGoesOnWhileTheStateIsBusy commits more than the ring of the applied
+// state holds while nothing takes from it.
+func TestLogGoesOnWhileTheStateIsBusy(t *testing.T) {
+	t.Parallel()
+	co, err := New(&schema.Settings{
+		Name: "control-1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
+	}, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer co.close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	duties.Go(func() { _ = co.runLog(ctx, nil, nil) })
+	duties.Go(func() { _ = co.runDisk(ctx) })
+	wait := func(what string, done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	wait("no leader", co.leading)
+	const count = applyRingSize + refuseBacklog
+	data, err := proto.Marshal(&schema.Command{Kind: &schema.Command_Claims{Claims: &schema.ClaimBatch{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var last waiter
+	for range count {
+		var pr quorum.Proposal
+		pr, last = co.waiters.add()
+		if err := co.proposals.Put(ctx, quorum.Propose{Proposal: pr, Data: data}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait("proposals not committed", func() bool { return co.view.Load().status.Commit >= count })
+	wait("requests not refused", co.behind.Load)
+	if !co.leading() {
+		t.Fatal("leadership lost")
+	}
+	duties.Go(func() { _ = co.state.run(ctx) })
+	if an, ok := (<-last.answer).(claimed); !ok {
+		t.Fatalf("last proposal answered with %+v", an)
+	}
+	cancel()
+	duties.Wait()
+}
+
 func TestSettingsMustListTheReplica(t *testing.T) {
 	t.Parallel()
 	_, err := New(&schema.Settings{
