Break ties between VMs at random, look at short lists as a whole

Cause: a look at all VMs of a list took the first one when scores were equal, so that many entries would prefer the same VM; and the latency of a VM that is a little quicker decided every choice of an idle entry. Change: the pair is in random order and scores within 10% count as equal. Lists of up to 4 are looked at as a whole, and 4 random draws precede that in longer ones.

--- a/route/choose.go
+++ b/route/choose.go
@@ -10,7 +10,10 @@
 const (
 	// drawAttempts is the number of random draws for two candidates before
 	// all upstreams are looked at.
-	drawAttempts = 8
+	drawAttempts = 4
+	// similarScore is the ratio of two scores down to which they count as
+	// equal.
+	similarScore = 0.9
 	// probeShare is the number of choices for each probe of a VM that was
 	// not chosen for long.
 	probeShare = 32
@@ -94,7 +97,9 @@
 	return up
 }
 
-// better returns the upstream with the lower score.
+// better returns the upstream with the clearly lower score, or a. Callers
+// that choose at random put a random one first, so that many entries do not
+// all prefer the VM that is a little quicker.
 func (sl *selection) better(a, b *upstream) *upstream {
 	switch {
 	case a == nil:
@@ -102,7 +107,7 @@
 	case b == nil:
 		return a
 	}
-	if sl.score(b) < sl.score(a) {
+	if sl.score(b) < similarScore*sl.score(a) {
 		return b
 	}
 	return a
@@ -119,8 +124,8 @@
 // pair returns the better of two random upstreams of the list that fit, or
 // nil if none does.
 func (sl *selection) pair(list []*upstream, fits func(*upstream) bool) *upstream {
-	if len(list) == 0 {
-		return nil
+	if len(list) <= drawAttempts {
+		return sl.scan(list, fits)
 	}
 	var first *upstream
 	for range drawAttempts {
@@ -151,6 +156,9 @@
 			pick[at] = up
 		}
 	}
+	if sl.tb.rng.IntN(2) == 0 {
+		pick[0], pick[1] = pick[1], pick[0]
+	}
 	return sl.better(pick[0], pick[1])
 }
 
