Take a leaving guard out at its first refusal

Cause: an entry went on choosing a VM that leaves until gossip said so. Change: Answered.Leaving marks the VM as draining until its next Upsert.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -9,6 +9,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -41,21 +42,15 @@
 }
 
 func (st Settings) withDefaults() Settings {
-	setDefault(&st.TargetWait, 50*time.Millisecond)
-	setDefault(&st.MaxWait, 500*time.Millisecond)
-	setDefault(&st.MaxWaiting, 4096)
-	setDefault(&st.MaxSlots, 4096)
-	setDefault(&st.RetryAfter, 200*time.Millisecond)
-	setDefault(&st.MaxRetryAfter, 2*time.Second)
+	st.TargetWait = cmp.Or(st.TargetWait, 50*time.Millisecond)
+	st.MaxWait = cmp.Or(st.MaxWait, 500*time.Millisecond)
+	st.MaxWaiting = cmp.Or(st.MaxWaiting, 4096)
+	st.MaxSlots = cmp.Or(st.MaxSlots, 4096)
+	st.RetryAfter = cmp.Or(st.RetryAfter, 200*time.Millisecond)
+	st.MaxRetryAfter = cmp.Or(st.MaxRetryAfter, 2*time.Second)
 	return st
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Machine admits work to one upstream VM. It is not safe for concurrent use.
 type Machine struct {
 	st    Settings
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -3,7 +3,10 @@
 // its own latency shows that it runs more than it can.
 package limit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// warmUpStartPercent is the share of the slots at the start of a warm-up.
@@ -50,21 +53,15 @@
 }
 
 func (st Settings) withDefaults() Settings {
-	setDefault(&st.Floor, 2)
-	setDefault(&st.FloorPercent, 25)
-	setDefault(&st.Interval, 40*time.Millisecond)
-	setDefault(&st.MinWindow, 30*time.Second)
-	setDefault(&st.TolerancePercent, 250)
-	setDefault(&st.HoldOff, 2*time.Second)
+	st.Floor = cmp.Or(st.Floor, 2)
+	st.FloorPercent = cmp.Or(st.FloorPercent, 25)
+	st.Interval = cmp.Or(st.Interval, 40*time.Millisecond)
+	st.MinWindow = cmp.Or(st.MinWindow, 30*time.Second)
+	st.TolerancePercent = cmp.Or(st.TolerancePercent, 250)
+	st.HoldOff = cmp.Or(st.HoldOff, 2*time.Second)
 	return st
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Limit is a concurrency limit. It is not safe for concurrent use.
 type Limit struct {
 	st       Settings
--- a/route/event.go
+++ b/route/event.go
@@ -63,6 +63,9 @@
 	Pressure call.Level
 	// Overload says that the guard refused the attempt for overload.
 	Overload bool
+	// Leaving says that the guard refused the attempt because its upstream
+	// takes no new work. The VM counts as draining until its next Upsert.
+	Leaving bool
 }
 
 // Failed reports an attempt without an answer from its guard.
--- a/route/route.go
+++ b/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -43,19 +44,13 @@
 }
 
 func (st Settings) withDefaults() Settings {
-	setDefault(&st.MaxUpstreams, 8192)
-	setDefault(&st.LevelLife, 250*time.Millisecond)
-	setDefault(&st.TrickleInterval, 25*time.Millisecond)
-	setDefault(&st.ProbeInterval, time.Second)
+	st.MaxUpstreams = cmp.Or(st.MaxUpstreams, 8192)
+	st.LevelLife = cmp.Or(st.LevelLife, 250*time.Millisecond)
+	st.TrickleInterval = cmp.Or(st.TrickleInterval, 25*time.Millisecond)
+	st.ProbeInterval = cmp.Or(st.ProbeInterval, time.Second)
 	return st
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Request describes the attempt that needs a VM.
 type Request struct {
 	Service    call.Service
--- a/route/script_test.go
+++ b/route/script_test.go
@@ -56,7 +56,7 @@
 	case "answer":
 		sc.tb.Step(sc.now, Answered{Service: testService, VM: call.VM(vm), Outcome: call.Done, Latency: span, Level: call.Level(level)})
 	case "refuse":
-		sc.tb.Step(sc.now, Answered{Service: testService, VM: call.VM(vm), Outcome: call.NotRun, Level: call.Level(level), Overload: true})
+		sc.tb.Step(sc.now, Answered{Service: testService, VM: call.VM(vm), Outcome: call.NotRun, Level: call.Level(level), Overload: !td.HasArg("leaving"), Leaving: td.HasArg("leaving")})
 	case "fail":
 		sc.tb.Step(sc.now, Failed{Service: testService, VM: call.VM(vm), Latency: span, Cancelled: td.HasArg("cancelled")})
 	case "pass":
--- a/route/table.go
+++ b/route/table.go
@@ -156,6 +156,10 @@
 	up.count(ev.Importance, -1)
 	up.level, up.pressure, up.levelAt = ev.Level, ev.Pressure, now
 	sv.lv.answered(now, up)
+	if ev.Leaving {
+		up.draining = true
+		sv.lv.forget()
+	}
 	up.failures, up.ejectedUntil = 0, never
 	// A refusal is quick whatever the upstream's load is.
 	if ev.Overload || ev.Outcome == call.NotRun {
