--- a/internal/control/silent_test.go
+++ b/internal/control/silent_test.go
@@ -74,13 +74,15 @@
 }
 
 // TestSilentConnectionsAreReplaced makes all connections between the replicas
-// go silent for good. Pings are off, so that only the senders can notice.
+// go silent for good. Pings and the idle timeout are off, so that only the
+// senders can notice.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	t.Parallel()
 	mc := new(muteConns)
 	fl := newFleetWith(t, 3, Options{dial: mc.dial, wrap: func(_ quorum.Replica, rt http.RoundTripper) http.RoundTripper {
-		rt.(*http.Transport).HTTP2 = nil
-		return rt
+		transport := rt.(*http.Transport)
+		transport.HTTP2, transport.IdleConnTimeout = nil, 0
+		return transport
 	}})
 	for version := uint64(1); version <= 3; version++ {
 		fl.mustAccept(configuration(version, "cassa"))
