Begin a warm-up again after a VM has drained

Cause: an upstream that restarts beside a node that goes on keeps its incarnation, and got its full share at once. Change: the warm-up also begins when the VM no longer drains and when its duration changes.

--- a/route/event.go
+++ b/route/event.go
@@ -17,7 +17,8 @@
 	Domain  call.FailureDomain
 	Slots   int
 	// WarmUp is the duration of a cold start. It begins when the VM is first
-	// seen and with each new incarnation.
+	// seen, with each new incarnation, when the VM no longer drains, and when
+	// the duration changes.
 	WarmUp      time.Duration
 	Draining    bool
 	Incarnation uint64
--- a/route/table.go
+++ b/route/table.go
@@ -66,6 +66,9 @@
 	if up.since == never || ev.Incarnation > up.incarnation {
 		*up = upstream{vm: ev.VM, incarnation: ev.Incarnation, since: now, lastChosen: now}
 	}
+	if (up.draining && !ev.Draining) || up.warmUp != ev.WarmUp {
+		up.since = now
+	}
 	up.domain, up.tier = ev.Domain, tb.tierOf(ev.Domain)
 	up.slots, up.warmUp, up.draining = max(ev.Slots, 1), ev.WarmUp, ev.Draining
 	sv.join(up)
