--- a/route/table.go
+++ b/route/table.go
@@ -185,7 +185,8 @@
 	sv.lv.forget()
 	up.failures++
 	up.addLatency(now, max(float64(ev.Latency), failurePenalty*up.currentLatency(now, sv.latency)), sv.latency)
-	if up.failures < ejectFailures || !sv.mayEject(now) {
+	silent := now.since(up.levelAt) >= ejectSilence
+	if up.failures < ejectFailures || !silent || !sv.mayEject(now) {
 		return
 	}
 	backoff := min(minEjection<<min(up.failures-ejectFailures, maxDoublings), maxEjection)
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -21,9 +21,12 @@
 	failurePenalty = 2
 	// ejectFailures is the number of failures in a row that eject a VM.
 	ejectFailures = 3
-	minEjection   = 100 * time.Millisecond
-	maxEjection   = 2 * time.Second
-	maxDoublings  = 5
+	// ejectSilence is the time without any answer that ejects a VM, since
+	// attempts also fail at one that is only slow.
+	ejectSilence = 100 * time.Millisecond
+	minEjection  = 100 * time.Millisecond
+	maxEjection  = 2 * time.Second
+	maxDoublings = 5
 	// warmUpStart is the share of the slots counted at the start of a
 	// warm-up.
 	warmUpStart = 0.1
@@ -48,7 +51,8 @@
 	latencyAt instant
 	level     call.Level
 	pressure  call.Level
-	levelAt   instant
+	// levelAt is the time of the last answer.
+	levelAt instant
 	// failures counts the last failures in a row.
 	failures     int
 	ejectedUntil instant
