--- /dev/null
+++ b/internal/control/log.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"camphortrail/quorum"
+)
+
+// view is what other goroutines see of the machine.
+type view struct {
+	status quorum.Status
+	// until is the end of the lease, and applied the index that the state
+	// must have reached to be current.
+	until   time.Time
+	applied quorum.Index
+}
+
+// runLog drives the machine. Once stop ends it gives up the leadership, and
+// closes left when it has.
+func (co *Control) runLog(ctx context.Context, stop <-chan struct{}, left chan<- struct{}) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	leaving := false
+	for {
+		co.drain()
+		var ev quorum.Event
+		select {
+		case ev = <-co.written.Out():
+		case ev = <-co.messages.Out():
+		case ev = <-co.proposals.Out():
+		case ev = <-co.compactions.Out():
+		case <-ticker.C:
+			ev = quorum.Tick{}
+		case <-stop:
+			leaving, stop, ev = true, nil, quorum.Transfer{}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := co.step(ctx, ev); err != nil {
+			return err
+		}
+		if leaving && co.machine.Status().Role != quorum.Leader {
+			close(left)
+			leaving = false
+		}
+	}
+}
+
+func (co *Control) step(ctx context.Context, ev quorum.Event) error {
+	for _, ac := range co.machine.Step(time.Now(), ev) {
+		if err := co.carryOut(ctx, ac); err != nil {
+			return err
+		}
+	}
+	vi := &view{status: co.machine.Status()}
+	vi.until, vi.applied = co.machine.Lease()
+	co.view.Store(vi)
+	return nil
+}
+
+func (co *Control) carryOut(ctx context.Context, ac quorum.Action) error {
+	switch ac := ac.(type) {
+	case quorum.Send:
+		if !co.senders[quorum.Destination(ac.Message)].messages.Offer(ac.Message) {
+			co.measures.dropped.Inc()
+		}
+	case quorum.Persist:
+		return co.writes.Put(ctx, ac)
+	case quorum.Apply, quorum.Restore:
+		return co.hand(ctx, ac)
+	case quorum.Rejected:
+		co.waiters.answer(ac.Proposal, rejection{err: ac.Err, leader: ac.Leader})
+	case quorum.RoleChanged:
+		co.log.WithFields(log.Fields{
+			"role": ac.Role.String(), "term": uint64(ac.Term), "leader": string(ac.Leader),
+		}).Info("role")
+	}
+	return nil
+}
+
+// hand passes an action to the applied state. While that is busy, as it is
+// when it takes a snapshot, actions wait here, so that the log goes on and a
+// leader is not lost.
+func (co *Control) hand(ctx context.Context, ac quorum.Action) error {
+	if len(co.backlog) == 0 && co.applies.Offer(ac) {
+		return nil
+	}
+	if len(co.backlog) >= maxBacklog {
+		if err := co.applies.Put(ctx, co.backlog[0]); err != nil {
+			return err
+		}
+		co.backlog = co.backlog[1:]
+	}
+	co.backlog = append(co.backlog, ac)
+	co.behind.Store(len(co.backlog) >= refuseBacklog)
+	return nil
+}
+
+func (co *Control) drain() {
+	for len(co.backlog) > 0 && co.applies.Offer(co.backlog[0]) {
+		co.backlog = co.backlog[1:]
+	}
+	co.behind.Store(len(co.backlog) >= refuseBacklog)
+}
+
+// runDisk writes and syncs what the machine asks for. A failed write ends the
+// replica: what it says about its disk would not be true any more.
+func (co *Control) runDisk(ctx context.Context) error {
+	for {
+		pe, err := co.writes.Take(ctx)
+		if err != nil {
+			return err
+		}
+		begin := time.Now()
+		if err := co.store.Save(pe); err != nil {
+			return err
+		}
+		co.measures.sync.UpdateDuration(begin)
+		if err := co.written.Put(ctx, quorum.Persisted{Number: pe.Number}); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,156 @@
+package measure
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/internal/deployment"
+	"camphortrail/internal/node"
+	"camphortrail/internal/standin"
+	"camphortrail/schema"
+)
+
+const (
+	domain       = "milano-nord"
+	anyPort      = "127.0.0.1:0"
+	readyTimeout = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+// ErrNotReady is returned when a deployment does not come up in time.
+var ErrNotReady = errors.New("measure: the deployment is not ready")
+
+// fleet is a deployment in this process, and what its stand-ins record.
+type fleet struct {
+	*deployment.Deployment
+	recorder *standin.Recorder
+	relays   *relays
+	services []call.Service
+	folder   string
+}
+
+// fleetOptions describe a fleet.
+type fleetOptions struct {
+	configuration *schema.Configuration
+	vms           []standin.UpstreamOptions
+	policy        node.Policy
+	seed          uint64
+	relayed       bool
+	// controls is the number of control replicas; 0 means 1.
+	controls int
+}
+
+// startFleet starts a deployment and waits until every node serves.
+func startFleet(ctx context.Context, opt fleetOptions) (*fleet, error) {
+	folder, err := os.MkdirTemp("", "camphortrail-measure-")
+	if err != nil {
+		return nil, errors.Wrap(err, "start fleet")
+	}
+	ft := &fleet{recorder: standin.NewRecorder(), relays: newRelays(), folder: folder}
+	var places []deployment.Place
+	for _, vm := range opt.vms {
+		vm.Recorder = ft.recorder
+		ft.services = append(ft.services, vm.Service)
+		places = append(places, deployment.Place{VM: call.VM(vm.VM), Domain: domain, Upstream: vm})
+	}
+	ft.Deployment, err = deployment.Start(ctx, deployment.Options{
+		Name: deploymentName, Folder: folder, Controls: max(1, opt.controls), Places: places, Policy: opt.policy, Seed: opt.seed,
+	})
+	if err != nil {
+		_ = os.RemoveAll(folder)
+		return nil, err
+	}
+	if err := ft.ready(ctx, opt.configuration); err != nil {
+		_ = ft.stop()
+		return nil, err
+	}
+	return ft, nil
+}
+
+// stop ends everything and removes the data folder.
+func (ft *fleet) stop() error {
+	ft.Stop()
+	ft.relays.close()
+	err := ft.Err()
+	if removal := os.RemoveAll(ft.folder); err == nil {
+		err = removal
+	}
+	return errors.Wrap(err, "stop fleet")
+}
+
+// ready applies the configuration and waits until every node has it, knows all
+// upstreams and serves calls to each service.
+func (ft *fleet) ready(ctx context.Context, cfg *schema.Configuration) error {
+	ctx, stop := context.WithTimeout(ctx, readyTimeout)
+	defer stop()
+	rs, err := ft.Client.Apply(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	if err := ft.WaitReady(ctx, rs.GetRevision()); err != nil {
+		return err
+	}
+	for _, url := range ft.CallerURLs() {
+		for _, service := range ft.services {
+			probe := url + "/" + string(service) + "/" + kindName(lookup) + "/0"
+			if err := poll(ctx, "wait for "+probe, func() bool { return succeeds(ctx, probe) }); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// succeeds reports whether a GET of the URL is answered with the status 200.
+func succeeds(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// poll repeats try until it reports true or ctx ends.
+func poll(ctx context.Context, what string, try func() bool) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !try() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ErrNotReady, what)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// log returns what was recorded, without the probes of ready, which belong to
+// no root.
+func (ft *fleet) log() standin.Log {
+	lg := ft.recorder.Log()
+	lg.Runs = slices.DeleteFunc(lg.Runs, func(rn standin.Run) bool { return rn.Root == 0 })
+	return lg
+}
+
+// setWork changes the time that requests of a service take.
+func (ft *fleet) setWork(service call.Service, d time.Duration) {
+	for i, us := range ft.Upstream {
+		if ft.services[i] == service {
+			us.SetWork(d)
+		}
+	}
+}
+
+// silence makes all established connections between nodes go silent.
+func (ft *fleet) silence() { ft.relays.silence() }
--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"camphortrail/internal/claims"
+	"camphortrail/internal/entry"
+)
+
+// claimClient claims idempotency keys at the control replicas.
+type claimClient interface {
+	entry.Claimer
+	Run(ctx context.Context) error
+}
+
+// newClaims returns the client for the control replicas, or nil if there are
+// none.
+func newClaims(controls []string, rpc *http.Client) claimClient {
+	if len(controls) == 0 {
+		return nil
+	}
+	return claims.NewClient(controls, rpc)
+}
