Measure non-idempotent work with idempotency keys

Claims are connected to the control replicas, so the class issue carries keys and its callers resend it like all others.

--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -64,7 +64,7 @@
 	}
 	issue = standin.Pattern{
 		Class: "issue", Importance: 4, Method: "POST", Path: "/sportello/issues",
-		BodyBytes: bodyBytes, AnswerBytes: answerBytes,
+		Keyed: true, BodyBytes: bodyBytes, AnswerBytes: answerBytes,
 	}
 	list = standin.Pattern{
 		Class: "list", Importance: 1, Method: "GET", Path: "/sportello/lists", AnswerBytes: answerBytes,
@@ -147,7 +147,7 @@
 		for _, pt := range patterns {
 			sv.Requests = append(sv.Requests, &schema.RequestKind{
 				Name: kindName(pt), Method: pt.Method, PathPrefix: "/" + string(service) + "/" + kindName(pt),
-				Class: string(pt.Class), Idempotent: pt.Method == "GET",
+				Class: string(pt.Class), Idempotent: pt.Method == "GET", KeyRequired: pt.Keyed,
 				DeadlineMs: uint32(patience.Milliseconds()), RetryTotal: retries[pt.Class],
 			})
 		}
--- a/internal/measure/scenario_test.go
+++ b/internal/measure/scenario_test.go
@@ -21,7 +21,7 @@
 	}
 	for _, pt := range []standin.Pattern{lookup, issue, list, lookupDeepest} {
 		kd, ok := cd.Match(pt.Method, pt.Path+"/1")
-		if !ok || kd.Class != pt.Class || kd.Importance != pt.Importance || kd.Idempotent != (pt.Method == "GET") {
+		if !ok || kd.Class != pt.Class || kd.Importance != pt.Importance || kd.Idempotent != (pt.Method == "GET") || kd.KeyRequired != pt.Keyed {
 			t.Errorf("%s %s is of kind %+v", pt.Method, pt.Path, kd)
 		}
 	}
