Fail the scenario silent when no connection goes silent

A trial whose nodes did not use the relays reported a recovery of 0 ms. The scenario now ends with an error in that case, which is what it does until nodes can be given a dialer. go test -race ./internal/measure passes.

--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -77,14 +77,14 @@
 	}
 	pn := newPlan(time.Duration(opt.Seconds) * time.Second)
 	tl := pn.timeline(time.Now())
-	disturbed := make(chan struct{})
-	go func() {
-		defer close(disturbed)
-		ft.disturb(ctx, sc, tl)
-	}()
+	disturbed := make(chan error, 1)
+	go func() { disturbed <- ft.disturb(ctx, sc, tl) }()
 	ft.callAll(ctx, sc.streams, pn, opt.Seed)
-	<-disturbed
-	if err := ft.stop(); err != nil {
+	err = <-disturbed
+	if failure := ft.stop(); err == nil {
+		err = failure
+	}
+	if err != nil {
 		return Figures{}, err
 	}
 	if ctx.Err() != nil {
@@ -101,20 +101,24 @@
 }
 
 // disturb starts and ends what goes wrong.
-func (ft *fleet) disturb(ctx context.Context, sc scenario, tl timeline) {
+func (ft *fleet) disturb(ctx context.Context, sc scenario, tl timeline) error {
 	for _, step := range []struct {
 		at time.Time
-		do func(*fleet)
+		do func(*fleet) error
 	}{{tl.triggerStart, sc.trigger}, {tl.triggerEnd, sc.relief}} {
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-time.After(time.Until(step.at)):
 		}
-		if step.do != nil {
-			step.do(ft)
+		if step.do == nil {
+			continue
+		}
+		if err := step.do(ft); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // rootsPerStream keeps the root ids of streams apart.
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -144,13 +144,14 @@
 }
 
 // setWork changes the time that requests of a service take.
-func (ft *fleet) setWork(service call.Service, d time.Duration) {
+func (ft *fleet) setWork(service call.Service, d time.Duration) error {
 	for i, us := range ft.Upstream {
 		if ft.services[i] == service {
 			us.SetWork(d)
 		}
 	}
+	return nil
 }
 
 // silence makes all established connections between nodes go silent.
-func (ft *fleet) silence() { ft.relays.silence() }
+func (ft *fleet) silence() error { return ft.relays.silence() }
--- a/internal/measure/relay.go
+++ b/internal/measure/relay.go
@@ -12,6 +12,10 @@
 
 const relayDialTimeout = time.Second
 
+// ErrNoConnection is returned when there is no connection between nodes that
+// could go silent.
+var ErrNoConnection = errors.New("measure: no connection goes through a relay")
+
 // relay passes TCP connections on to one address. It stands in for the network
 // between two processes.
 type relay struct {
@@ -92,13 +96,15 @@
 	}
 }
 
-// silence makes all present connections go silent. Later ones work.
-func (rl *relay) silence() {
+// silence makes all present connections go silent, and returns their number.
+// Later ones work.
+func (rl *relay) silence() int {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	for pp := range rl.pipes {
 		pp.silent.Store(true)
 	}
+	return len(rl.pipes)
 }
 
 func (rl *relay) close() {
@@ -147,12 +153,19 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-func (rs *relays) silence() {
+// silence makes all connections that go through relays now go silent. It
+// returns ErrNoConnection if there is none.
+func (rs *relays) silence() error {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	count := 0
 	for _, rl := range rs.list {
-		rl.silence()
+		count += rl.silence()
+	}
+	if count == 0 {
+		return ErrNoConnection
 	}
+	return nil
 }
 
 func (rs *relays) close() {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -43,7 +43,7 @@
 	// compared, in root requests a second.
 	expected float64
 	// trigger and relief start and end what goes wrong, beside demand.
-	trigger, relief func(*fleet)
+	trigger, relief func(*fleet) error
 	// instant says that the trigger has no length: goodput is compared with
 	// the requests that arrived, and recovery counts from the start.
 	instant bool
@@ -83,15 +83,15 @@
 	"slow-deep": {
 		streams:  []stream{{lookup, 0.15, 0.15}, {issue, 0.1, 0.1}, {list, 0.45, 1.25}},
 		expected: capacity / slowFactor,
-		trigger:  func(ft *fleet) { ft.setWork(deepest, slowFactor*deepWork) },
-		relief:   func(ft *fleet) { ft.setWork(deepest, deepWork) },
+		trigger:  func(ft *fleet) error { return ft.setWork(deepest, slowFactor*deepWork) },
+		relief:   func(ft *fleet) error { return ft.setWork(deepest, deepWork) },
 	},
 	// All connections between nodes swallow what is sent on them; new ones
 	// work.
 	"silent": {
 		streams:  []stream{{lookup, 0.3, 0.3}, {issue, 0.1, 0.1}, {list, 0.3, 0.3}},
 		expected: 0.7 * capacity,
-		trigger:  func(ft *fleet) { ft.silence() },
+		trigger:  (*fleet).silence,
 		instant:  true,
 		relayed:  true,
 	},
--- a/internal/measure/scenario_test.go
+++ b/internal/measure/scenario_test.go
@@ -122,6 +122,12 @@
 	return err == nil
 }
 
+func TestSilenceNeedsAConnection(t *testing.T) {
+	if err := newRelays().silence(); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("silence = %v, want ErrNoConnection", err)
+	}
+}
+
 func TestRelaySilencesOnlyEstablishedConnections(t *testing.T) {
 	rs := newRelays()
 	defer rs.close()
@@ -138,7 +144,9 @@
 	if !exchange(t, old, 10*time.Second) {
 		t.Fatal("the relay does not pass bytes on")
 	}
-	rs.silence()
+	if err := rs.silence(); err != nil {
+		t.Fatal(err)
+	}
 	fresh := dial()
 	defer fresh.Close()
 	if exchange(t, old, 50*time.Millisecond) {
