--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -68,17 +69,16 @@
 
 func TestRunEndsLeases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		counts := make(chan int, 8)
-		an := New(time.Now, func(ups []membership.Upstream) { counts <- len(ups) })
+		var counts []int
+		an := New(time.Now, func(ups []membership.Upstream) { counts = append(counts, len(ups)) })
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- an.Run(ctx) }()
 		request(t, an, "POST", "/announce", `{"service": "cassa", "address": "127.0.0.1:1", "slots": 1, "connections": 1}`)
 		time.Sleep(2*LeaseTime + expireInterval)
-		for i, want := range []int{1, 1, 0} {
-			if got := <-counts; got != want {
-				t.Errorf("announcement %d is of %d upstreams, want %d", i, got, want)
-			}
+		synctest.Wait()
+		if want := []int{1, 1, 0}; !slices.Equal(counts, want) {
+			t.Errorf("announced were %v upstreams, want %v", counts, want)
 		}
 		cancel()
 		if err := <-done; err != nil {
