Bring pressure, importance and leaving to the routing table

Cause: route can spill over before work is refused, and count outstanding attempts by importance, only with what answers bring; a request that ended by itself must not count against the VM. Change: the guard's pressure travels beside its level; Sent, Answered and Failed carry importance; a refusal by a leaving upstream is told apart; the failure domains of the own region are preferred.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -60,6 +60,8 @@
 	Body   []byte
 	// Level is the admission level of the guard.
 	Level call.Level
+	// Pressure is the level up to which work waited at the guard.
+	Pressure call.Level
 	// Unused is the number of retries that come back.
 	Unused int
 	// Overload is true when the attempt failed because a guard, here or
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -67,7 +67,7 @@
 	at := example()
 	want := &Answer{
 		Outcome: call.Done, Status: 201, Header: http.Header{"Etag": {"a"}}, Body: []byte("whole"),
-		Level: call.LevelOf(3, 4), Unused: 1, Overload: true, RetryAfter: 30 * time.Millisecond, Work: time.Millisecond,
+		Level: call.LevelOf(3, 4), Pressure: call.LevelOf(5, 6), Unused: 1, Overload: true, RetryAfter: 30 * time.Millisecond, Work: time.Millisecond,
 	}
 	rr := httptest.NewRecorder()
 	if err := want.Write(rr, at.ID); err != nil {
@@ -77,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got.Outcome != want.Outcome || got.Status != want.Status || string(got.Body) != "whole" || got.Level != want.Level ||
+	if got.Outcome != want.Outcome || got.Status != want.Status || string(got.Body) != "whole" || got.Level != want.Level || got.Pressure != want.Pressure ||
 		got.Unused != want.Unused || !got.Overload || got.RetryAfter != want.RetryAfter || got.Work != want.Work {
 		t.Fatalf("FromResponse = %+v, want %+v", got, want)
 	}
--- a/internal/attempt/http.go
+++ b/internal/attempt/http.go
@@ -78,6 +78,7 @@
 	hd.Set(header.Attempt, id.String())
 	hd.Set(header.Outcome, an.Outcome.String())
 	hd.Set(header.Level, strconv.Itoa(int(an.Level)))
+	hd.Set(header.Pressure, strconv.Itoa(int(an.Pressure)))
 	hd.Set(header.Unused, strconv.Itoa(an.Unused))
 	hd.Set(header.WorkUS, strconv.FormatInt(an.Work.Microseconds(), 10))
 	hd.Set(header.RetryAfterMS, strconv.FormatInt(an.RetryAfter.Milliseconds(), 10))
@@ -113,6 +114,7 @@
 		Header:     PassOn(res.Header),
 		Body:       body,
 		Level:      call.Level(pr.integer(res.Header, header.Level, 1<<16-1)),
+		Pressure:   call.Level(pr.integer(res.Header, header.Pressure, 1<<16-1)),
 		Unused:     int(pr.integer(res.Header, header.Unused, 1<<16)),
 		Overload:   res.Header.Get(overloadHeader) == "true",
 		RetryAfter: time.Duration(pr.integer(res.Header, header.RetryAfterMS, 1<<32)) * time.Millisecond,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/guard"
@@ -119,7 +120,7 @@
 	if err != nil {
 		return "", "", err
 	}
-	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm})
+	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance})
 	return vm, en.addresses[vm], nil
 }
 
@@ -155,7 +156,7 @@
 	} else {
 		rs = en.opt.Pool.Send(ctx, vm, address, at, 0)
 	}
-	en.settle(rq, vm, at, rs, time.Since(begun))
+	en.settle(rq, vm, at, rs, time.Since(begun), ctx.Err() != nil)
 	return rs
 }
 
@@ -174,8 +175,8 @@
 }
 
 // settle brings the result of an attempt to the history, the retry account and
-// the routing table.
-func (en *Entry) settle(rq *request, vm call.VM, at *attempt.Attempt, rs peer.Result, took time.Duration) {
+// the routing table. ended says that the request ended before the attempt.
+func (en *Entry) settle(rq *request, vm call.VM, at *attempt.Attempt, rs peer.Result, took time.Duration, ended bool) {
 	now := time.Now()
 	done := rs.Answer != nil && rs.Answer.Outcome == call.Done
 	rq.history.Learn(at.ID, rs.State, done)
@@ -188,13 +189,18 @@
 		en.opt.Trees.Step(now, retry.Lost{Account: rq.account, Attempt: at.ID})
 	}
 	if rs.Answer == nil {
-		en.Route(route.Failed{Service: rq.kind.Service, VM: vm, Latency: took, Cancelled: rs.State == withdrawal.Dequeued && rs.Sent})
+		en.Route(route.Failed{
+			Service: rq.kind.Service, VM: vm, Importance: rq.importance, Latency: took,
+			Cancelled: ended || rs.State.NotRun() && rs.Sent,
+		})
 		return
 	}
 	rq.overload = rs.Answer.Overload
 	en.Route(route.Answered{
 		Service: rq.kind.Service, VM: vm, Latency: took, Outcome: rs.Answer.Outcome,
-		Level: rs.Answer.Level, Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
+		Importance: rq.importance, Level: rs.Answer.Level, Pressure: rs.Answer.Pressure,
+		Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
+		Leaving:  rs.Answer.Reason == admission.Leaving.String(),
 	})
 }
 
--- a/internal/guard/duty.go
+++ b/internal/guard/duty.go
@@ -20,6 +20,7 @@
 	Step(now time.Time, ev admission.Event) []admission.Action
 	NextWake(now time.Time) (time.Time, bool)
 	Level() call.Level
+	Pressure() call.Level
 	Running() int
 	Waiting() int
 	Slots() int
@@ -50,7 +51,7 @@
 	inputs  *ring.Ring[input]
 	tickets map[call.AttemptID]*ticket
 
-	level, running, waiting, slots atomic.Int64
+	level, pressure, running, waiting, slots atomic.Int64
 }
 
 func newDuty(mc machine) *duty {
@@ -94,6 +95,7 @@
 		du.perform(ac)
 	}
 	du.level.Store(int64(du.machine.Level()))
+	du.pressure.Store(int64(du.machine.Pressure()))
 	du.running.Store(int64(du.machine.Running()))
 	du.waiting.Store(int64(du.machine.Waiting()))
 	du.slots.Store(int64(du.machine.Slots()))
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -139,7 +139,7 @@
 	if an == nil {
 		an = gd.admit(ctx, at)
 	}
-	an.Level = gd.level()
+	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	return an
 }
 
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -47,6 +47,9 @@
 	Stamp = "Camphortrail-Stamp"
 	// Level is the admission level of the guard that answers.
 	Level = "Camphortrail-Level"
+	// Pressure is the level up to which work waited at the guard that
+	// answers.
+	Pressure = "Camphortrail-Pressure"
 	// RetryAfterMS is the time after which a retry may succeed, in
 	// milliseconds.
 	RetryAfterMS = "Camphortrail-Retry-After-Ms"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"camphortrail/internal/tree"
 	"camphortrail/membership"
 	"camphortrail/retry"
+	"camphortrail/route"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 	"camphortrail/withdrawal"
@@ -170,11 +171,29 @@
 		return err
 	}
 	nd.entry.SetConfiguration(cd)
+	nd.entry.Route(route.Near{Domains: nearDomains(cfg, nd.set.GetFailureDomain())})
 	nd.gossip.SetRevision(revision)
 	nd.log.WithFields(log.Fields{"revision": revision, "version": cfg.GetVersion()}).Info("configuration in force")
 	return nil
 }
 
+// nearDomains returns the failure domains in the region of the given one.
+func nearDomains(cfg *schema.Configuration, own string) []call.FailureDomain {
+	var region string
+	for _, fd := range cfg.GetFailureDomains() {
+		if fd.GetName() == own {
+			region = fd.GetRegion()
+		}
+	}
+	var near []call.FailureDomain
+	for _, fd := range cfg.GetFailureDomains() {
+		if fd.GetRegion() == region && fd.GetName() != own {
+			near = append(near, call.FailureDomain(fd.GetName()))
+		}
+	}
+	return near
+}
+
 // upstreamsChanged takes what the upstream beside the node announced.
 func (nd *Node) upstreamsChanged(ups []membership.Upstream) {
 	ctx, stop := context.WithTimeout(context.Background(), time.Second)
