Start what waits at a leaving upstream instead of refusing it

Cause: a planned stop must not cut off requests in flight, and a waiting one is in flight for its caller. Change: admission.Leave refuses new work only; Announce without slots, sent when the upstream is gone, refuses what waits.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -97,7 +97,6 @@
 		mc.announce(now, ev)
 	case Leave:
 		mc.leaving = true
-		mc.refuseWaiting(Leaving)
 	case Resume:
 		mc.leaving = false
 	case Arrive:
--- a/admission/event.go
+++ b/admission/event.go
@@ -21,7 +21,9 @@
 	Restarted bool
 }
 
-// Leave makes the machine refuse all new and waiting work.
+// Leave makes the machine refuse all new work. What waits already is still
+// started, and so nothing in flight is cut off. An upstream that runs nothing
+// more is told by Announce without slots, which refuses what waits.
 type Leave struct{}
 
 // Resume ends the effect of Leave.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -90,7 +90,10 @@
 // SetUpstream states what the upstream has announced. A nil upstream has left.
 func (gd *Guard) SetUpstream(ctx context.Context, up *membership.Upstream) error {
 	old := gd.upstream.Swap(up)
-	if up == nil || up.Draining {
+	if up == nil {
+		return gd.duty.inputs.Put(ctx, input{event: admission.Announce{}})
+	}
+	if up.Draining {
 		return gd.duty.inputs.Put(ctx, input{event: admission.Leave{}})
 	}
 	if old == nil || old.Draining {
