--- a/internal/measure/count.go
+++ b/internal/measure/count.go
@@ -62,17 +62,20 @@
 	return highest
 }
 
-// importantFailures counts the sends of the most important work that did not
-// bring the whole answer, by status, outcome and reason.
-func importantFailures(lg *standin.Log) map[string]int {
-	highest := highestImportance(lg)
-	failures := make(map[string]int)
+// failures counts the sends that did not bring the whole answer, by class and
+// then by status, outcome and reason.
+func failures(lg *standin.Log) map[call.Class]map[string]int {
+	counts := make(map[call.Class]map[string]int)
 	for _, sn := range lg.Sends {
-		if sn.Importance == highest && sn.Verdict != standin.Whole {
-			failures[strings.TrimSpace(fmt.Sprintf("%d %v %s", sn.Status, sn.Outcome, sn.Reason))]++
+		if sn.Verdict == standin.Whole {
+			continue
+		}
+		if counts[sn.Class] == nil {
+			counts[sn.Class] = make(map[string]int)
 		}
+		counts[sn.Class][strings.TrimSpace(fmt.Sprintf("%d %v %s", sn.Status, sn.Outcome, sn.Reason))]++
 	}
-	return failures
+	return counts
 }
 
 // share returns the share of the root requests of at least the importance
--- a/internal/measure/count_test.go
+++ b/internal/measure/count_test.go
@@ -156,15 +156,19 @@
 	}
 }
 
-func TestImportantFailures(t *testing.T) {
+func TestFailures(t *testing.T) {
 	lg := &standin.Log{Sends: []standin.Send{
-		{Importance: 7, Verdict: standin.Whole},
-		{Importance: 7, Status: 503, Outcome: call.NotRun, Reason: "overload"},
-		{Importance: 7, Status: 503, Outcome: call.NotRun, Reason: "overload"},
-		{Importance: 7},
-		{Importance: 2, Status: 503},
+		{Class: "lookup", Verdict: standin.Whole},
+		{Class: "lookup", Status: 503, Outcome: call.NotRun, Reason: "overload"},
+		{Class: "lookup", Status: 503, Outcome: call.NotRun, Reason: "overload"},
+		{Class: "lookup"},
+		{Class: "list", Status: 200, Outcome: call.Done, Verdict: standin.Partial},
 	}}
-	if got, want := importantFailures(lg), map[string]int{"503 not-run overload": 2, "0 unknown": 1}; !maps.Equal(got, want) {
+	got := failures(lg)
+	want := map[call.Class]map[string]int{
+		"lookup": {"503 not-run overload": 2, "0 unknown": 1}, "list": {"200 done": 1},
+	}
+	if !maps.EqualFunc(got, want, func(a, b map[string]int) bool { return maps.Equal(a, b) }) {
 		t.Errorf("failures = %v, want %v", got, want)
 	}
 }
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -36,9 +36,9 @@
 	Roots int `json:"roots"`
 	Sends int `json:"sends"`
 	Runs  int `json:"runs"`
-	// ImportantFailures counts the sends of the most important work that did
-	// not bring the whole answer, by status, outcome and reason.
-	ImportantFailures map[string]int `json:"important-failures,omitempty"`
+	// Failures counts the sends that did not bring the whole answer, by class
+	// and then by status, outcome and reason.
+	Failures map[call.Class]map[string]int `json:"failures,omitempty"`
 	// AddedP50MS and AddedP99MS are the latencies that the nodes add, in
 	// milliseconds.
 	AddedP50MS *float64 `json:"added-p50-ms,omitempty"`
@@ -60,7 +60,7 @@
 		Roots:                len(lg.Roots),
 		Sends:                len(lg.Sends),
 		Runs:                 len(lg.Runs),
-		ImportantFailures:    importantFailures(lg),
+		Failures:             failures(lg),
 	}
 }
 
