Close connections on which an attempt failed

Cause: the pool takes a connection with a failed attempt out of use, but the suspicion did not know it and never asked to close it, so that the pool kept its entry for good. Change: Failed makes the connection suspect; CloseConn follows when it holds no more attempts.

--- a/withdrawal/suspicion.go
+++ b/withdrawal/suspicion.go
@@ -34,7 +34,8 @@
 	Attempt call.AttemptID
 }
 
-// Failed reports that sending an attempt, or reading its answer, failed.
+// Failed reports that sending an attempt, or reading its answer, failed. The
+// connection becomes suspect; its other attempts go on.
 type Failed struct {
 	Attempt call.AttemptID
 }
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -201,6 +201,10 @@
 	if pe == nil {
 		return
 	}
+	if cn := pe.conn; cn != nil && !cn.suspect {
+		cn.suspect = true
+		su.acts = append(su.acts, MarkSuspect{Conn: cn.id})
+	}
 	su.leave(pe)
 	su.query(now, pe)
 }
