--- a/route/table.go
+++ b/route/table.go
@@ -66,6 +66,9 @@
 	if up.since == never || ev.Incarnation > up.incarnation {
 		*up = upstream{vm: ev.VM, incarnation: ev.Incarnation, since: now, lastChosen: now}
 	}
+	if (up.draining && !ev.Draining) || up.warmUp != ev.WarmUp {
+		up.since = now
+	}
 	up.domain, up.tier = ev.Domain, tb.tierOf(ev.Domain)
 	up.slots, up.warmUp, up.draining = max(ev.Slots, 1), ev.WarmUp, ev.Draining
 	sv.join(up)
@@ -182,7 +185,8 @@
 	sv.lv.forget()
 	up.failures++
 	up.addLatency(now, max(float64(ev.Latency), failurePenalty*up.currentLatency(now, sv.latency)), sv.latency)
-	if up.failures < ejectFailures || !sv.mayEject(now) {
+	silent := now.since(up.levelAt) >= ejectSilence
+	if up.failures < ejectFailures || !silent || !sv.mayEject(now) {
 		return
 	}
 	backoff := min(minEjection<<min(up.failures-ejectFailures, maxDoublings), maxEjection)
