Let control replicas tell of new revisions by gossip

Cause: nodes learned of a revision only at their next unprompted fetch, 10 s. Change: a control replica takes part in membership with the role control and sets the revision that it has applied; a planned stop leaves. The settings of the tests name a failure domain, as package config demands of settings.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/claim"
+	"camphortrail/internal/gossip"
 	"camphortrail/quorum"
 	"camphortrail/ring"
 	"camphortrail/schema"
@@ -81,6 +82,7 @@
 	measures *measures
 	view     atomic.Pointer[view]
 
+	gossip   *gossip.Gossip
 	listener net.Listener
 	local    net.Listener
 
@@ -183,7 +185,7 @@
 			return errors.Wrap(err, "control: local address")
 		}
 	}
-	return nil
+	return co.join()
 }
 
 func (co *Control) checkVoters(voters quorum.Voters) error {
@@ -238,12 +240,15 @@
 	duty(func(inner context.Context) error { return co.runLog(inner, ctx.Done(), left) })
 	duty(co.runDisk)
 	duty(co.state.run)
+	duty(co.gossip.Run)
+	duty(co.runHints)
 	for _, se := range co.senders {
 		duty(se.run)
 	}
 	servers := co.serve(duty)
 	select {
 	case <-left:
+		co.leave()
 	case <-inner.Done():
 		co.waiters.close()
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -120,7 +120,7 @@
 		return barrier{fl, i, fl.index(id), next}
 	}
 	co, err := New(&schema.Settings{
-		Name: fl.replicas[i].GetName(), Deployment: deployment, PeerAddress: fl.replicas[i].GetAddress(),
+		Name: fl.replicas[i].GetName(), Deployment: deployment, FailureDomain: "d1", PeerAddress: fl.replicas[i].GetAddress(),
 		DataFolder: fl.folders[i], ControlReplicas: fl.replicas,
 	}, opt)
 	if err != nil {
--- /dev/null
+++ b/internal/control/hints.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+	"camphortrail/internal/gossip"
+	"camphortrail/membership"
+)
+
+const (
+	hintInterval = 50 * time.Millisecond
+	leaveTimeout = time.Second
+)
+
+// join opens the membership of the replica, by which nodes learn of new
+// revisions.
+func (co *Control) join() error {
+	conn, err := net.ListenPacket("udp", co.listener.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "control: peer address")
+	}
+	co.gossip, err = gossip.New(gossip.Settings{
+		Deployment: call.Tenant(co.set.GetDeployment()), Name: call.VM(co.set.GetName()),
+		FailureDomain: call.FailureDomain(co.set.GetFailureDomain()), Role: membership.ControlRole,
+		Address: co.listener.Addr().String(), Contacts: co.contacts(),
+	}, conn)
+	if err != nil {
+		conn.Close()
+	}
+	return err
+}
+
+// contacts returns the addresses to join through: those of the settings and the
+// other replicas.
+func (co *Control) contacts() []string {
+	contacts := slices.Clone(co.set.GetFirstContacts())
+	for id, address := range co.addresses {
+		if id != co.id {
+			contacts = append(contacts, address)
+		}
+	}
+	return contacts
+}
+
+// runHints tells the other processes of each new revision.
+func (co *Control) runHints(ctx context.Context) error {
+	ticker := time.NewTicker(hintInterval)
+	defer ticker.Stop()
+	var told uint64
+	for {
+		if revision := uint64(co.state.current.Load().revision); revision > told {
+			co.gossip.SetRevision(revision)
+			told = revision
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// leave tells the other processes that the replica stops.
+func (co *Control) leave() {
+	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
+	defer stop()
+	if err := co.gossip.Leave(ctx); err != nil {
+		co.log.WithError(err).Warn("departure not told")
+	}
+}
--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -66,7 +66,7 @@
 	entered, release := make(chan struct{}), make(chan struct{})
 	address := freeAddress(t, fleets.Add(1))
 	co, err := New(&schema.Settings{
-		Name: "control-1", Deployment: deployment, PeerAddress: address, DataFolder: t.TempDir(),
+		Name: "control-1", Deployment: deployment, FailureDomain: "d1", PeerAddress: address, DataFolder: t.TempDir(),
 	}, Options{Validate: func(*schema.Configuration) error {
 		close(entered)
 		<-release
@@ -99,7 +99,7 @@
 func TestFailedDiskEndsTheReplica(t *testing.T) {
 	t.Parallel()
 	co, err := New(&schema.Settings{
-		Name: "control-1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
+		Name: "control-1", Deployment: deployment, FailureDomain: "d1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
 	}, Options{})
 	if err != nil {
 		t.Fatal(err)
@@ -117,7 +117,7 @@
 func TestLogGoesOnWhileTheStateIsBusy(t *testing.T) {
 	t.Parallel()
 	co, err := New(&schema.Settings{
-		Name: "control-1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
+		Name: "control-1", Deployment: deployment, FailureDomain: "d1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
 	}, Options{})
 	if err != nil {
 		t.Fatal(err)
@@ -177,7 +177,7 @@
 	t.Parallel()
 	number := fleets.Add(1)
 	co, err := New(&schema.Settings{
-		Name: "control-1", PeerAddress: freeAddress(t, number), LocalAddress: freeAddress(t, number), DataFolder: t.TempDir(),
+		Name: "control-1", Deployment: deployment, FailureDomain: "d1", PeerAddress: freeAddress(t, number), LocalAddress: freeAddress(t, number), DataFolder: t.TempDir(),
 	}, Options{})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,7 +74,10 @@
 	<-pr.done
 }
 
-const loopback = "127.0.0.1:0"
+const (
+	loopback    = "127.0.0.1:0"
+	maxContacts = 6
+)
 
 // Start starts a deployment. It ends with ctx or Stop.
 func Start(ctx context.Context, opt Options) (*Deployment, error) {
@@ -86,13 +90,13 @@
 		dp.Stop()
 		return nil, err
 	}
-	var contacts []string
+	contacts := slices.Clone(dp.Client.Controls)
 	for i, pl := range opt.Places {
 		if err := dp.startPlace(i, pl, contacts); err != nil {
 			dp.Stop()
 			return nil, err
 		}
-		if _, peers, _ := dp.Nodes[i].Addresses(); len(contacts) < 3 {
+		if _, peers, _ := dp.Nodes[i].Addresses(); len(contacts) < maxContacts {
 			contacts = append(contacts, peers)
 		}
 	}
