Credit, charge and refuse as the retry ledger expects

Cause: found by reading: an upstream that spent retries and then answered not-run gave its whole allowance back; a resend of a finished key beyond the total got retry-total instead of its recorded answer; a refused call of an unknown parent could be called not-run; an attempt whose account could not be opened was unknown although it had not begun; a connection that could not be dialled stayed in the table; a restarted guard cost each entry a retry. Change: refusals before the run carry the whole allowance as unused, and the entry credits what the answer says; claims go before the account; the account is opened before the attempt starts; a failed dial discards its connection; one free attempt after a stale stamp, which had no chance to run.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -21,7 +21,7 @@
 // the request.
 func (en *Entry) serveKeyed(ctx context.Context, rq *request) *attempt.Answer {
 	if rq.key == "" || rq.kind.Idempotent || en.opt.Claims == nil {
-		return en.serveAttempts(ctx, rq)
+		return en.execute(ctx, rq)
 	}
 	op := en.claim(rq)
 	rs, err := en.opt.Claims.Do(ctx, op)
@@ -45,7 +45,7 @@
 		return en.giveUp(rq, ReasonClaims, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
 	}
 	rq.history.Resent = false
-	an := en.serveAttempts(ctx, rq)
+	an := en.execute(ctx, rq)
 	switch an.Outcome {
 	case call.Done:
 		en.finish(op, schema.ClaimOperation_KIND_COMPLETE, an)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -42,7 +42,8 @@
 	// answer is the latest whole answer of an upstream.
 	answer *attempt.Answer
 	// attempts counts what was sent.
-	attempts int
+	attempts  int
+	restamped bool
 	overload bool
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -28,10 +28,7 @@
 	if rq.parent != nil {
 		rq.parent.BeginCall(time.Now())
 	}
-	an := en.open(rq)
-	if an == nil {
-		an = en.serveKeyed(ctx, rq)
-	}
+	an := en.serveKeyed(ctx, rq)
 	if rq.parent != nil {
 		rq.parent.EndCall(time.Now(), rq.overload && an.Failed())
 	} else if !rq.orphan {
@@ -40,6 +37,14 @@
 	return an
 }
 
+// execute charges the request to its account and sends attempts.
+func (en *Entry) execute(ctx context.Context, rq *request) *attempt.Answer {
+	if an := en.open(rq); an != nil {
+		return an
+	}
+	return en.serveAttempts(ctx, rq)
+}
+
 // open charges the request to its retry account. It returns an answer if the
 // request must not be sent.
 func (en *Entry) open(rq *request) *attempt.Answer {
@@ -62,7 +67,7 @@
 		rq.history.Resent = true
 		return nil
 	default:
-		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.resend > 0
+		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.orphan || rq.resend > 0
 		return en.giveUp(rq, ReasonRetryTotal, http.StatusServiceUnavailable, 0)
 	}
 }
@@ -102,6 +107,9 @@
 		if advice := rq.history.Advice(); advice == withdrawal.GiveUp || advice == withdrawal.Wait {
 			return en.lost(ctx, rq, rs)
 		}
+		if en.restamp(rq, rs) {
+			continue
+		}
 		exclude = append(exclude, vm)
 		if !en.mayRetry(rq, rs) {
 			return en.exhausted(ctx, rq, rs)
@@ -181,10 +189,10 @@
 	done := rs.Answer != nil && rs.Answer.Outcome == call.Done
 	rq.history.Learn(at.ID, rs.State, done)
 	switch {
-	case rs.State.NotRun():
-		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
 	case rs.Answer != nil:
 		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(rs.Answer.Unused)})
+	case rs.State.NotRun():
+		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
 	default:
 		en.opt.Trees.Step(now, retry.Lost{Account: rq.account, Attempt: at.ID})
 	}
@@ -235,6 +243,17 @@
 	return allowed && en.opt.Trees.Step(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
 
+// restamp reports whether the guard refused the attempt only because it has
+// begun a new incarnation. Its answer brought the new stamp, and the attempt
+// may be sent again once without charge.
+func (en *Entry) restamp(rq *request, rs peer.Result) bool {
+	if rq.restamped || rs.Answer == nil || rs.Answer.Reason != guard.ReasonStale {
+		return false
+	}
+	rq.restamped = true
+	return true
+}
+
 // succeed counts a success of the service.
 func (en *Entry) succeed(rq *request, an *attempt.Answer) {
 	if an.Failed() {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -141,6 +141,8 @@
 	an := gd.begin(at)
 	if an == nil {
 		an = gd.admit(ctx, at)
+	} else {
+		an.Unused = at.Allowance
 	}
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	return an
@@ -182,21 +184,27 @@
 		Deadline: at.Deadline, Abortable: at.Idempotent,
 	}
 	if !gd.duty.inputs.Offer(input{event: arrival, ticket: tk}) {
-		gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
-		return attempt.Refusal(ReasonFull, fullRetryAfter)
+		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
 	}
 	stop := context.AfterFunc(ctx, func() { gd.cancel(at.ID) })
 	defer stop()
 	vd := <-tk.verdict
 	if !vd.start {
-		gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
 		an := attempt.Refusal(vd.reason.String(), vd.retryAfter)
 		an.Overload = vd.reason.Load()
-		return an
+		return gd.refuse(at, an)
 	}
 	return gd.execute(runCtx, at)
 }
 
+// refuse registers that the attempt did not begin, and gives its whole
+// allowance back.
+func (gd *Guard) refuse(at *attempt.Attempt, an *attempt.Answer) *attempt.Answer {
+	gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
+	an.Unused = at.Allowance
+	return an
+}
+
 // runDeadline returns the time at which a running attempt is given up. Without
 // the admission policy the deadline is not known to the upstream.
 func (gd *Guard) runDeadline(at *attempt.Attempt) time.Time {
@@ -218,13 +226,13 @@
 	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline}
 	fin := admission.Finish{ID: at.ID}
 	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin}) }()
-	if gd.step(withdrawal.Start[*attempt.Answer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
-		return attempt.Refusal(ReasonWithdrawn, 0)
-	}
 	open := retry.OpenAttempt{Attempt: at.ID, Allowance: retry.Allowance(at.Allowance), Deadline: at.Deadline}
 	if gd.trees.Step(time.Now(), open).Decision != retry.FirstSend {
-		gd.step(withdrawal.Abort[*attempt.Answer]{Attempt: at.ID})
-		return attempt.Broken(ReasonFull, http.StatusServiceUnavailable)
+		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
+	}
+	if gd.step(withdrawal.Start[*attempt.Answer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
+		gd.trees.Step(time.Now(), retry.Close{Account: retry.OfAttempt(at.ID)})
+		return gd.refuse(at, attempt.Refusal(ReasonWithdrawn, 0))
 	}
 	gd.trees.Enter(in)
 	begun := time.Now()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -93,14 +93,19 @@
 func (pl *Pool) Forget(vm call.VM) {
 	pl.mu.Lock()
 	cn := pl.conns[vm]
-	delete(pl.conns, vm)
 	delete(pl.stamps, vm)
 	pl.mu.Unlock()
-	if cn == nil {
-		return
+	if cn != nil {
+		pl.discard(cn)
 	}
+}
+
+// discard closes a connection, and lets Suspicion ask for the attempts that it
+// held.
+func (pl *Pool) discard(cn *conn) {
+	pl.markSuspect(cn.id)
 	pl.closeConn(cn.id)
-	pl.signals.Offer(withdrawal.Gone{Conn: cn.id})
+	pl.signal(withdrawal.Gone{Conn: cn.id})
 }
 
 // closeAll closes all connections.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -203,7 +203,7 @@
 		return
 	}
 	if !tr.begun() {
-		pl.markSuspect(cn.id)
+		pl.discard(cn)
 		pl.onState(cn.vm, true)
 		pe.deliver(Result{State: withdrawal.Dequeued})
 		return
