--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -44,7 +44,7 @@
 	// attempts counts what was sent.
 	attempts  int
 	restamped bool
-	overload bool
+	overload  bool
 }
 
 // newRequest describes a request from a caller, or from the upstream beside
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -39,6 +39,9 @@
 
 // execute charges the request to its account and sends attempts.
 func (en *Entry) execute(ctx context.Context, rq *request) *attempt.Answer {
+	if !time.Now().Before(rq.deadline) {
+		return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
+	}
 	if an := en.open(rq); an != nil {
 		return an
 	}
