Test withdrawal over silent connections; serve attempts from the guard

Cause: no test showed what happens to attempts on a connection that swallows bytes while new ones work. Change: tests with a relay that silences established connections in one or both directions; the HTTP side of the guard moves from package node to guard, so that the tests need no node.

--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -9,22 +9,15 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 
-	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/guard"
-	"camphortrail/internal/header"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
-	"camphortrail/withdrawal"
 )
 
-// maxPeerBody bounds the body of an attempt; the entry applies the bound of the
-// configuration.
-const maxPeerBody = 1 << 30
-
 func (nd *Node) peerHandler() http.Handler {
 	mux := chi.NewRouter()
-	mux.HandleFunc(attempt.PathPrefix+"/*", nd.serveAttempt)
+	mux.Handle(attempt.PathPrefix+"/*", nd.guard)
 	path, handler := schemaconnect.NewPeerHandler(&peerService{nd})
 	mux.Mount(path, handler)
 	return mux
@@ -38,47 +31,14 @@
 	return mux
 }
 
-// serveAttempt acknowledges an attempt of another entry, runs it and answers.
-func (nd *Node) serveAttempt(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
-	at, err := attempt.FromRequest(r, now)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	w.Header().Set(header.Stamp, nd.guard.Stamp().String())
-	w.WriteHeader(http.StatusProcessing)
-	at.Body, err = attempt.ReadBody(r.Body, r.ContentLength, maxPeerBody)
-	an := attempt.Refusal("request-incomplete", 0)
-	if err == nil {
-		an = nd.guard.Handle(r.Context(), at)
-	}
-	w.Header().Set(header.Stamp, nd.guard.Stamp().String())
-	if err := an.Write(w, at.ID); err != nil {
-		nd.log.WithError(err).Debug("answer not taken")
-	}
-}
-
 // peerService serves the calls of other processes.
 type peerService struct{ nd *Node }
 
 func (ps *peerService) Withdraw(_ context.Context, rq *connect.Request[schema.WithdrawRequest]) (*connect.Response[schema.WithdrawResponse], error) {
-	rs := &schema.WithdrawResponse{Stamp: ps.nd.guard.Stamp().String()}
-	if rq.Msg.GetStamp() == "" {
-		return connect.NewResponse(rs), nil
-	}
-	if len(rq.Msg.GetAttemptId()) != len(call.AttemptID{}) {
-		return nil, connect.NewError(connect.CodeInvalidArgument, call.ErrBadID)
-	}
-	sp, err := withdrawal.ParseStamp(rq.Msg.GetStamp())
+	rs, err := ps.nd.guard.AnswerWithdraw(rq.Msg)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	res := ps.nd.guard.Withdraw(call.AttemptID(rq.Msg.GetAttemptId()), sp, rq.Msg.GetInspect())
-	rs.State = schema.AttemptState(res.State)
-	if res.Kept {
-		rs.Answer = res.Answer.Record()
-	}
 	return connect.NewResponse(rs), nil
 }
 
--- /dev/null
+++ b/internal/peer/pool_test.go
@@ -0,0 +1,241 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/guard"
+	"camphortrail/internal/tree"
+	"camphortrail/membership"
+	"camphortrail/retry"
+	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
+	"camphortrail/withdrawal"
+)
+
+// relay passes bytes on between entry and guard. Connections that exist when
+// it is silenced swallow what comes from then on, in one direction or both.
+type relay struct {
+	target string
+
+	mu    sync.Mutex
+	pairs []*pair
+}
+
+// pair is one connection through the relay.
+type pair struct{ up, down atomic.Bool }
+
+func (rl *relay) silence(up, down bool) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	for _, pr := range rl.pairs {
+		pr.up.Store(up)
+		pr.down.Store(down)
+	}
+}
+
+func (rl *relay) serve(conn net.Conn) {
+	far, err := net.Dial("tcp", rl.target)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	pr := &pair{}
+	rl.mu.Lock()
+	rl.pairs = append(rl.pairs, pr)
+	rl.mu.Unlock()
+	go pass(far, conn, &pr.up)
+	pass(conn, far, &pr.down)
+}
+
+func pass(dst, src net.Conn, silent *atomic.Bool) {
+	defer dst.Close()
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		if !silent.Load() {
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// withdrawer serves the calls about attempts.
+type withdrawer struct {
+	schemaconnect.UnimplementedPeerHandler
+	gd *guard.Guard
+}
+
+func (wd *withdrawer) Withdraw(_ context.Context, rq *connect.Request[schema.WithdrawRequest]) (*connect.Response[schema.WithdrawResponse], error) {
+	rs, err := wd.gd.AnswerWithdraw(rq.Msg)
+	return connect.NewResponse(rs), err
+}
+
+// bench is a pool, and a guard with an upstream behind a relay.
+type bench struct {
+	pool    *Pool
+	relay   *relay
+	address string
+	runs    atomic.Int64
+	hold    chan struct{}
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	bn := &bench{hold: make(chan struct{})}
+	upstream := listen(t)
+	upServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		bn.runs.Add(1)
+		if strings.HasPrefix(r.URL.Path, "/cassa/held") {
+			<-bn.hold
+		}
+		_, _ = io.WriteString(w, "whole")
+	})}
+	go func() { _ = upServer.Serve(upstream) }()
+	t.Cleanup(func() { upServer.Close() })
+
+	ctx, stop := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	t.Cleanup(func() { stop(); duties.Wait() })
+	gd := guard.New(guard.Options{Trees: tree.New(retry.DefaultLimits()), Seed: 1, Incarnation: 7})
+	duties.Go(func() { _ = gd.Run(ctx) })
+	if err := gd.SetUpstream(ctx, &membership.Upstream{Service: "cassa", Slots: 8, Address: upstream.Addr().String()}); err != nil {
+		t.Fatal(err)
+	}
+	var h2c http.Protocols
+	h2c.SetUnencryptedHTTP2(true)
+	mux := http.NewServeMux()
+	mux.Handle(attempt.PathPrefix+"/", gd)
+	mux.Handle(schemaconnect.NewPeerHandler(&withdrawer{gd: gd}))
+	guardListener := listen(t)
+	guardServer := &http.Server{Handler: mux, Protocols: &h2c}
+	go func() { _ = guardServer.Serve(guardListener) }()
+	t.Cleanup(func() { guardServer.Close() })
+
+	bn.relay = &relay{target: guardListener.Addr().String()}
+	front := listen(t)
+	bn.address = front.Addr().String()
+	go func() {
+		for {
+			conn, err := front.Accept()
+			if err != nil {
+				return
+			}
+			go bn.relay.serve(conn)
+		}
+	}()
+	bn.pool = New(func(call.VM, bool) {})
+	duties.Go(func() { _ = bn.pool.Run(ctx) })
+	return bn
+}
+
+var nextID atomic.Int64
+
+func (bn *bench) send(ctx context.Context, uri string, idempotent bool) Result {
+	return bn.pool.Send(ctx, "vm", bn.address, &attempt.Attempt{
+		ID: call.AttemptID{15: byte(nextID.Add(1))}, Request: call.RequestID{1}, Service: "cassa", Importance: 4,
+		Deadline: time.Now().Add(20 * time.Second), MaxAnswer: 100, Idempotent: idempotent, Method: http.MethodPost, URI: uri,
+	}, 0)
+}
+
+func TestSendBringsTheAnswer(t *testing.T) {
+	bn := newBench(t)
+	rs := bn.send(t.Context(), "/cassa/charges", false)
+	if rs.Answer == nil || string(rs.Answer.Body) != "whole" || rs.State != withdrawal.Finished {
+		t.Fatalf("result %+v", rs)
+	}
+}
+
+// An attempt that a silent connection swallowed is fenced, so that it may be
+// sent again, and the next one takes a new connection.
+func TestSwallowedAttemptIsFenced(t *testing.T) {
+	bn := newBench(t)
+	bn.send(t.Context(), "/cassa/charges", false)
+	bn.relay.silence(true, true)
+	rs := bn.send(t.Context(), "/cassa/charges", false)
+	if rs.Answer != nil || rs.State != withdrawal.Fenced {
+		t.Fatalf("result %+v, want fenced", rs)
+	}
+	rs = bn.send(t.Context(), "/cassa/charges", false)
+	if rs.Answer == nil || bn.runs.Load() != 2 {
+		t.Fatalf("result %+v after %d runs, want an answer and 2", rs, bn.runs.Load())
+	}
+}
+
+// An answer that a silent connection swallowed is fetched from the guard.
+func TestSwallowedAnswerIsFetched(t *testing.T) {
+	bn := newBench(t)
+	bn.send(t.Context(), "/cassa/charges", false)
+	bn.relay.silence(false, true)
+	rs := bn.send(t.Context(), "/cassa/charges", false)
+	if rs.Answer == nil || string(rs.Answer.Body) != "whole" || bn.runs.Load() != 2 {
+		t.Fatalf("result %+v after %d runs, want the answer of the second", rs, bn.runs.Load())
+	}
+}
+
+// A running attempt is not given up because its connection went silent.
+func TestRunningAttemptIsWaitedFor(t *testing.T) {
+	bn := newBench(t)
+	bn.send(t.Context(), "/cassa/charges", false)
+	done := make(chan Result, 1)
+	go func() { done <- bn.send(t.Context(), "/cassa/held", false) }()
+	for bn.runs.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	bn.relay.silence(true, true)
+	time.Sleep(300 * time.Millisecond)
+	close(bn.hold)
+	if rs := <-done; rs.Answer == nil || string(rs.Answer.Body) != "whole" || bn.runs.Load() != 2 {
+		t.Fatalf("result %+v after %d runs, want the answer of the second", rs, bn.runs.Load())
+	}
+}
+
+func TestUnreachableGuardIsNotRun(t *testing.T) {
+	bn := newBench(t)
+	ln := listen(t)
+	ln.Close()
+	bn.address = ln.Addr().String()
+	if rs := bn.send(t.Context(), "/cassa/charges", false); rs.Answer != nil || rs.Sent || !rs.State.NotRun() {
+		t.Fatalf("result %+v, want not run and not sent", rs)
+	}
+}
+
+func TestEndOfContextIsUnknown(t *testing.T) {
+	bn := newBench(t)
+	defer close(bn.hold)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan Result, 1)
+	go func() { done <- bn.send(ctx, "/cassa/held", false) }()
+	for bn.runs.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	if rs := <-done; rs.Answer != nil || rs.State != withdrawal.Unknown {
+		t.Fatalf("result %+v, want unknown", rs)
+	}
+}
