--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,8 +1,9 @@
 // Package control is the daemon of a control replica: it keeps the replicated
 // log of configurations and claims, and serves them to operators and nodes.
 //
-// There is one goroutine for each duty: the log, the disk, the applied state,
-// and the messages to each other replica. Bounded rings join them.
+// There is one goroutine for each duty: the log, its disk, snapshots, the
+// applied state, and the messages to each other replica. Bounded rings join
+// them.
 package control
 
 import (
@@ -86,6 +87,7 @@
 
 	messages    *ring.Ring[quorum.Event]
 	proposals   *ring.Ring[quorum.Event]
+	snapshots   *ring.Ring[quorum.Compact]
 	compactions *ring.Ring[quorum.Event]
 	writes      *ring.Ring[quorum.Persist]
 	written     *ring.Ring[quorum.Event]
@@ -93,6 +95,8 @@
 	// backlog belongs to the log's goroutine; behind tells the others.
 	backlog []quorum.Action
 	behind  atomic.Bool
+	// saving is set while a snapshot is written.
+	saving atomic.Bool
 }
 
 // New opens the data folder and the addresses, and returns a replica that is
@@ -113,6 +117,7 @@
 		waiters:     newWaiters(),
 		messages:    ring.New[quorum.Event](messageRingSize),
 		proposals:   ring.New[quorum.Event](proposalRingSize),
+		snapshots:   ring.New[quorum.Compact](1),
 		compactions: ring.New[quorum.Event](1),
 		writes:      ring.New[quorum.Persist](1),
 		written:     ring.New[quorum.Event](1),
@@ -237,6 +242,7 @@
 	left := make(chan struct{})
 	duty(func(inner context.Context) error { return co.runLog(inner, ctx.Done(), left) })
 	duty(co.runDisk)
+	duty(co.runSnapshots)
 	duty(co.state.run)
 	for _, se := range co.senders {
 		duty(se.run)
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -124,3 +124,21 @@
 		}
 	}
 }
+
+// runSnapshots writes snapshots beside the log, which goes on meanwhile, and
+// then has the log compacted.
+func (co *Control) runSnapshots(ctx context.Context) error {
+	for {
+		sn, err := co.snapshots.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := co.store.Prepare(sn.Index, sn.Data); err != nil {
+			return err
+		}
+		if err := co.compactions.Put(ctx, sn); err != nil {
+			return err
+		}
+		co.saving.Store(false)
+	}
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -144,16 +144,16 @@
 
 // compact takes a snapshot when the log has grown.
 func (st *state) compact() error {
-	if st.logBytes < max(minCompactBytes, st.snapshotBytes) {
+	if st.logBytes < max(minCompactBytes, st.snapshotBytes) || st.co.saving.Load() {
 		return nil
 	}
 	data, err := st.snapshot()
 	if err != nil {
 		return err
 	}
-	if st.co.compactions.Offer(quorum.Compact{Index: st.current.Load().applied, Data: data}) {
-		st.logBytes, st.snapshotBytes = 0, len(data)
-	}
+	st.co.saving.Store(true)
+	st.co.snapshots.Offer(quorum.Compact{Index: st.current.Load().applied, Data: data})
+	st.logBytes, st.snapshotBytes = 0, len(data)
 	return nil
 }
 
--- a/store/recover.go
+++ b/store/recover.go
@@ -97,7 +97,11 @@
 	}
 	if fo.records == 0 {
 		fo.state.Incarnation = quorum.Incarnation(rec.GetIncarnation())
-		fo.state.Snapshot.Index = quorum.Index(rec.GetSnapshotIndex())
+		fo.state.Snapshot = quorum.Snapshot{
+			Index:  quorum.Index(rec.GetSnapshotIndex()),
+			Term:   quorum.Term(rec.GetSnapshotTerm()),
+			Voters: quorum.DecodeVoters(rec.GetSnapshotVoters()),
+		}
 	}
 	fo.records++
 	fo.state.HardState = quorum.HardState{
@@ -137,12 +141,7 @@
 	if size, ok := decodeRecord(data, rec); !ok || size != len(data) || quorum.Index(rec.GetIndex()) != i {
 		return errors.Wrapf(errDamaged, "snapshot at %d", i)
 	}
-	fo.state.Snapshot = quorum.Snapshot{
-		Index:  i,
-		Term:   quorum.Term(rec.GetTerm()),
-		Voters: quorum.DecodeVoters(rec.GetVoters()),
-		Data:   rec.GetData(),
-	}
+	fo.state.Snapshot.Data = rec.GetData()
 	return nil
 }
 
@@ -153,7 +152,10 @@
 	if err != nil {
 		return
 	}
-	needed := []string{logName(st.log), snapshotName(st.snapshot)}
+	st.mu.Lock()
+	preparing := snapshotName(st.preparing)
+	st.mu.Unlock()
+	needed := []string{logName(st.log), snapshotName(st.snapshot), preparing, preparing + temporary}
 	for _, name := range names {
 		ours := strings.HasPrefix(name, logPrefix) || strings.HasPrefix(name, snapshotPrefix)
 		if ours && !slices.Contains(needed, name) {
--- a/store/store.go
+++ b/store/store.go
@@ -7,6 +7,8 @@
 package store
 
 import (
+	"sync"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -37,7 +39,7 @@
 	Records int
 }
 
-// Store owns a data folder. It is used by one goroutine.
+// Store owns a data folder. It is used by one goroutine, except for Prepare.
 type Store struct {
 	fs          files
 	incarnation quorum.Incarnation
@@ -46,6 +48,11 @@
 	records     uint64
 	snapshot    quorum.Index
 	failed      error
+
+	// mu guards preparing, the last snapshot given to Prepare, and prepared,
+	// the last one that it wrote.
+	mu                  sync.Mutex
+	preparing, prepared quorum.Index
 }
 
 // Open takes ownership of the folder, made if there is none, and returns the
@@ -135,6 +142,36 @@
 	return st.failed
 }
 
+// Prepare writes the content of a snapshot, so that a later Save of the
+// snapshot at this index need not. It may run beside Save, so that a large
+// snapshot doesn't hold up the log. An error wraps ErrFailed.
+func (st *Store) Prepare(i quorum.Index, data []byte) error {
+	st.mu.Lock()
+	st.preparing = i
+	st.mu.Unlock()
+	if err := st.writeSnapshot(i, data); err != nil {
+		return errors.Wrap(ErrFailed, err.Error())
+	}
+	st.mu.Lock()
+	st.prepared = i
+	st.mu.Unlock()
+	return nil
+}
+
+func (st *Store) writeSnapshot(i quorum.Index, data []byte) error {
+	fi, err := st.writeFile(snapshotName(i), &schema.SnapshotRecord{Index: uint64(i), Data: data})
+	if err != nil {
+		return err
+	}
+	return fi.Close()
+}
+
+func (st *Store) isPrepared(i quorum.Index) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.prepared == i
+}
+
 func (st *Store) record(pe quorum.Persist) *schema.LogRecord {
 	return &schema.LogRecord{
 		Number:        st.records,
@@ -160,18 +197,10 @@
 // replace writes a snapshot and a log file that follows it.
 func (st *Store) replace(pe quorum.Persist) error {
 	sn := pe.Snapshot
-	rec := &schema.SnapshotRecord{
-		Index:  uint64(sn.Index),
-		Term:   uint64(sn.Term),
-		Voters: quorum.EncodeVoters(sn.Voters),
-		Data:   sn.Data,
-	}
-	fi, err := st.writeFile(snapshotName(sn.Index), rec)
-	if err != nil {
-		return err
-	}
-	if err := fi.Close(); err != nil {
-		return err
+	if !st.isPrepared(sn.Index) {
+		if err := st.writeSnapshot(sn.Index, sn.Data); err != nil {
+			return err
+		}
 	}
 	st.snapshot = sn.Index
 	if err := st.begin(pe); err != nil {
@@ -185,7 +214,11 @@
 // and adds to it from then on.
 func (st *Store) begin(pe quorum.Persist) error {
 	st.records = 0
-	fi, err := st.writeFile(logName(st.log+1), st.record(pe))
+	rec := st.record(pe)
+	if sn := pe.Snapshot; sn != nil {
+		rec.SnapshotTerm, rec.SnapshotVoters = uint64(sn.Term), quorum.EncodeVoters(sn.Voters)
+	}
+	fi, err := st.writeFile(logName(st.log+1), rec)
 	if err != nil {
 		return err
 	}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -104,6 +104,18 @@
 				kept := rapid.IntRange(0, len(saved.Entries)-1).Draw(t, "kept")
 				at := len(saved.Entries) - kept
 				last := saved.Entries[at-1]
+				if rapid.Bool().Draw(t, "prepared") {
+					if err := st.Prepare(last.Index, last.Data); err != nil {
+						tried = saved
+						faults++
+						reopen()
+						return
+					}
+				}
+				if rapid.IntRange(0, 3).Draw(t, "stop") == 0 {
+					reopen()
+					return
+				}
 				put(quorum.Persist{
 					HardState: saved.HardState,
 					From:      last.Index + 1,
