--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -413,6 +414,23 @@
 	fl.until("healed replica", func() bool { return fl.status(old).GetRevision() == want })
 }
 
+// damage changes a byte near the beginning of the log.
+func damage(t *testing.T, folder string) {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(folder, "log-*"))
+	if err != nil || len(names) != 1 {
+		t.Fatalf("log files %v, %v; want one", names, err)
+	}
+	data, err := os.ReadFile(names[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[20] ^= 1
+	if err := os.WriteFile(names[0], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestLostDiskIsRepaired(t *testing.T) {
 	t.Parallel()
 	fl := newFleet(t, 3)
@@ -420,8 +438,15 @@
 		version := uint64(round + 1)
 		fl.mustAccept(configuration(version, "fichas"))
 		fl.stop(round)
-		fl.folders[round] = t.TempDir()
+		if round == 1 {
+			damage(t, fl.folders[round])
+		} else {
+			fl.folders[round] = t.TempDir()
+		}
 		fl.start(round)
+		if _, err := os.Stat(filepath.Join(fl.folders[round], "damaged-log")); (err == nil) != (round == 1) {
+			t.Fatalf("damaged log set aside in round %d: %v", round, err)
+		}
 		fl.voters()
 		if got := fl.version(); got != version {
 			t.Fatalf("version %d in force, want %d", got, version)
