--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/guard"
@@ -27,10 +28,7 @@
 	if rq.parent != nil {
 		rq.parent.BeginCall(time.Now())
 	}
-	an := en.open(rq)
-	if an == nil {
-		an = en.serveKeyed(ctx, rq)
-	}
+	an := en.serveKeyed(ctx, rq)
 	if rq.parent != nil {
 		rq.parent.EndCall(time.Now(), rq.overload && an.Failed())
 	} else if !rq.orphan {
@@ -39,6 +37,14 @@
 	return an
 }
 
+// execute charges the request to its account and sends attempts.
+func (en *Entry) execute(ctx context.Context, rq *request) *attempt.Answer {
+	if an := en.open(rq); an != nil {
+		return an
+	}
+	return en.serveAttempts(ctx, rq)
+}
+
 // open charges the request to its retry account. It returns an answer if the
 // request must not be sent.
 func (en *Entry) open(rq *request) *attempt.Answer {
@@ -61,7 +67,7 @@
 		rq.history.Resent = true
 		return nil
 	default:
-		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.resend > 0
+		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.orphan || rq.resend > 0
 		return en.giveUp(rq, ReasonRetryTotal, http.StatusServiceUnavailable, 0)
 	}
 }
@@ -101,6 +107,9 @@
 		if advice := rq.history.Advice(); advice == withdrawal.GiveUp || advice == withdrawal.Wait {
 			return en.lost(ctx, rq, rs)
 		}
+		if en.restamp(rq, rs) {
+			continue
+		}
 		exclude = append(exclude, vm)
 		if !en.mayRetry(rq, rs) {
 			return en.exhausted(ctx, rq, rs)
@@ -119,7 +128,7 @@
 	if err != nil {
 		return "", "", err
 	}
-	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm})
+	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance})
 	return vm, en.addresses[vm], nil
 }
 
@@ -155,7 +164,7 @@
 	} else {
 		rs = en.opt.Pool.Send(ctx, vm, address, at, 0)
 	}
-	en.settle(rq, vm, at, rs, time.Since(begun))
+	en.settle(rq, vm, at, rs, time.Since(begun), ctx.Err() != nil)
 	return rs
 }
 
@@ -174,27 +183,32 @@
 }
 
 // settle brings the result of an attempt to the history, the retry account and
-// the routing table.
-func (en *Entry) settle(rq *request, vm call.VM, at *attempt.Attempt, rs peer.Result, took time.Duration) {
+// the routing table. ended says that the request ended before the attempt.
+func (en *Entry) settle(rq *request, vm call.VM, at *attempt.Attempt, rs peer.Result, took time.Duration, ended bool) {
 	now := time.Now()
 	done := rs.Answer != nil && rs.Answer.Outcome == call.Done
 	rq.history.Learn(at.ID, rs.State, done)
 	switch {
-	case rs.State.NotRun():
-		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
 	case rs.Answer != nil:
 		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(rs.Answer.Unused)})
+	case rs.State.NotRun():
+		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
 	default:
 		en.opt.Trees.Step(now, retry.Lost{Account: rq.account, Attempt: at.ID})
 	}
 	if rs.Answer == nil {
-		en.Route(route.Failed{Service: rq.kind.Service, VM: vm, Latency: took, Cancelled: rs.State == withdrawal.Dequeued && rs.Sent})
+		en.Route(route.Failed{
+			Service: rq.kind.Service, VM: vm, Importance: rq.importance, Latency: took,
+			Cancelled: ended || rs.State.NotRun() && rs.Sent,
+		})
 		return
 	}
 	rq.overload = rs.Answer.Overload
 	en.Route(route.Answered{
 		Service: rq.kind.Service, VM: vm, Latency: took, Outcome: rs.Answer.Outcome,
-		Level: rs.Answer.Level, Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
+		Importance: rq.importance, Level: rs.Answer.Level, Pressure: rs.Answer.Pressure,
+		Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
+		Leaving:  rs.Answer.Reason == admission.Leaving.String(),
 	})
 }
 
@@ -229,6 +243,17 @@
 	return allowed && en.opt.Trees.Step(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
 
+// restamp reports whether the guard refused the attempt only because it has
+// begun a new incarnation. Its answer brought the new stamp, and the attempt
+// may be sent again once without charge.
+func (en *Entry) restamp(rq *request, rs peer.Result) bool {
+	if rq.restamped || rs.Answer == nil || rs.Answer.Reason != guard.ReasonStale {
+		return false
+	}
+	rq.restamped = true
+	return true
+}
+
 // succeed counts a success of the service.
 func (en *Entry) succeed(rq *request, an *attempt.Answer) {
 	if an.Failed() {
