--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -92,8 +92,10 @@
 	}
 	lg := ft.log()
 	fg := count(&lg, tl, deepest, sc.expected)
-	if sc.instant {
+	if sc.expected == 0 {
 		fg.GoodputRatio = round(share(&lg, tl.triggerStart, tl.triggerEnd, call.MinImportance))
+	}
+	if sc.instant {
 		tl.triggerEnd = tl.triggerStart
 		fg.RecoveryMS = recovery(&lg, tl)
 	}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -153,5 +153,17 @@
 	return nil
 }
 
+// setFaults makes each upstream spoil one answer in every given number of
+// requests; 0 ends that.
+func (ft *fleet) setFaults(every uint64) error {
+	faults := []standin.Fault{
+		standin.Drop, standin.Truncate, standin.WrongAttempt, standin.Silent, standin.Late, standin.Drop,
+	}
+	for i, us := range ft.Upstream {
+		us.SetFault(faults[i%len(faults)], every)
+	}
+	return nil
+}
+
 // silence makes all established connections between nodes go silent.
 func (ft *fleet) silence() error { return ft.relays.silence() }
