--- a/membership/reconcile.go
+++ b/membership/reconcile.go
@@ -172,15 +172,17 @@
 	mc.sendRecords(mc.differingRecords(dm, dd.GetParts()), from, false)
 }
 
+// differingRecords returns the records of the parts that differ, part after
+// part from a random one on, so that a part is made equal as a whole.
 func (mc *Machine) differingRecords(dm *domain, parts []uint32) []*record {
-	var recs []*record
+	byPart := make([][]*record, partCount)
 	for _, rec := range dm.all.recs {
 		if dm.parts[rec.part] != parts[rec.part] {
-			recs = append(recs, rec)
+			byPart[rec.part] = append(byPart[rec.part], rec)
 		}
 	}
-	mc.rng.Shuffle(len(recs), func(i, j int) { recs[i], recs[j] = recs[j], recs[i] })
-	return recs
+	first := mc.rng.IntN(partCount)
+	return slices.Concat(append(byPart[first:], byPart[:first]...)...)
 }
 
 // sendRecords sends as many of the records as a few datagrams hold.
--- a/membership/send.go
+++ b/membership/send.go
@@ -17,6 +17,7 @@
 
 	budgetBytesPerSecond = 3500
 	budgetBurstBytes     = 24 << 10
+	budgetReserveBytes   = 8 << 10
 	// joinBytesPerSecond is the rate of a process that is joining.
 	joinBytesPerSecond = 16 << 10
 
@@ -42,8 +43,13 @@
 	bg.at = now
 }
 
+// left reports whether there is anything left.
 func (bg *budget) left() bool { return bg.bytes > 0 }
 
+// ample reports whether updates may be sent at once: the comparison of views,
+// which wastes less when much has changed, goes first.
+func (bg *budget) ample() bool { return bg.bytes > budgetReserveBytes }
+
 func (mc *Machine) bytesPerSecond() float64 {
 	if mc.joining {
 		return joinBytesPerSecond
@@ -86,7 +92,7 @@
 	if mc.tb.self.State == Left {
 		copies = urgentCopies
 	}
-	fresh := mc.rumors.pending(0, 1) && (mc.budget.left() || mc.rumors.isFresh(mc.tb.self))
+	fresh := mc.rumors.pending(0, 1) && (mc.budget.ample() || mc.rumors.isFresh(mc.tb.self))
 	if fresh || mc.revisionSent == 0 {
 		mc.spread(copies)
 	}
@@ -98,7 +104,7 @@
 		return
 	}
 	mc.nextGossip = mc.now.Add(gossipInterval)
-	recent := mc.rumors.pending(1, urgentCopies) && mc.budget.left()
+	recent := mc.rumors.pending(1, urgentCopies) && mc.budget.ample()
 	if recent || mc.revisionSent < urgentCopies {
 		mc.spread(gossipTargets)
 	}
