Test the planned stop of a node under load

The stop of a node was tested by parts only. TestStopNode stops one of three nodes while callers send lookups and uploads of 300 to 800 ms of work through all of them: what was sent before the stop ends whole or not-run, and the other nodes serve all afterwards. StartNode starts a stopped node at its addresses; the tests of failures to come need it.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -54,6 +54,7 @@
 	controls []*schema.Settings
 	running  []*process
 	Nodes    []*node.Node
+	settings []*schema.Settings
 	stops    []*process
 	Upstream []*standin.Upstream
 	Client   *operator.Client
@@ -166,17 +167,17 @@
 
 // startPlace starts a node and the upstream beside it.
 func (dp *Deployment) startPlace(i int, pl Place, contacts []string) error {
-	nd, err := node.New(&schema.Settings{
+	set := &schema.Settings{
 		Name: string(pl.VM), Deployment: string(dp.opt.Name), FailureDomain: string(pl.Domain),
 		CallerAddress: loopback, PeerAddress: loopback, LocalAddress: loopback,
 		FirstContacts: contacts, ControlReplicas: dp.replicas(),
-	}, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log})
-	if err != nil {
+	}
+	dp.settings, dp.Nodes, dp.stops = append(dp.settings, set), append(dp.Nodes, nil), append(dp.stops, nil)
+	if err := dp.StartNode(i); err != nil {
 		return err
 	}
-	dp.Nodes = append(dp.Nodes, nd)
-	dp.stops = append(dp.stops, dp.run(string(pl.VM), nd.Run))
-	callers, _, local := nd.Addresses()
+	callers, peers, local := dp.Nodes[i].Addresses()
+	set.CallerAddress, set.PeerAddress, set.LocalAddress = callers, peers, local
 	uopt := pl.Upstream
 	uopt.VM, uopt.Node, uopt.Local = string(pl.VM), "http://"+callers, "http://"+local
 	up, err := standin.NewUpstream(uopt)
@@ -188,6 +189,19 @@
 	return nil
 }
 
+// StartNode starts node i, at the addresses that it had before if it was
+// stopped. Nodes must not be read meanwhile.
+func (dp *Deployment) StartNode(i int) error {
+	set := dp.settings[i]
+	nd, err := node.New(set, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log})
+	if err != nil {
+		return err
+	}
+	dp.Nodes[i] = nd
+	dp.stops[i] = dp.run(set.GetName(), nd.Run)
+	return nil
+}
+
 // StopNode stops node i as planned and waits for its end.
 func (dp *Deployment) StopNode(i int) { dp.stops[i].stop() }
 
--- /dev/null
+++ b/internal/deployment/fleet_test.go
@@ -0,0 +1,176 @@
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/header"
+	"camphortrail/internal/standin"
+	"camphortrail/schema"
+)
+
+// The services of the tests. Each calls the next.
+const (
+	front   call.Service = "sportello"
+	middle  call.Service = "emissione"
+	deepest call.Service = "cassa"
+
+	domain     = "milano-nord"
+	bytesOut   = 512
+	patience   = 20 * time.Second
+	retryTotal = 3
+	seed       = 1
+)
+
+// The kinds of request that each service takes.
+const (
+	lookups = "lookups" // idempotent
+	issues  = "issues"  // non-idempotent
+	charges = "charges" // non-idempotent with a key
+)
+
+var methods = map[string]string{lookups: http.MethodGet, issues: http.MethodPost, charges: http.MethodPost}
+
+// fleet is a deployment under test.
+type fleet struct {
+	*Deployment
+	t        *testing.T
+	recorder *standin.Recorder
+	client   *http.Client
+	revision uint64
+}
+
+// startFleet starts a deployment with a VM for each of the upstreams and waits
+// until each node serves.
+func startFleet(t *testing.T, controls int, deadline time.Duration, ups ...standin.UpstreamOptions) *fleet {
+	t.Helper()
+	fl := &fleet{t: t, recorder: standin.NewRecorder(), client: standin.NewClient()}
+	opt := Options{Name: "lombardy", Folder: t.TempDir(), Controls: controls, Seed: seed}
+	for i, up := range ups {
+		up.Recorder, up.AnswerBytes, up.Connections = fl.recorder, bytesOut, 1000
+		vm := call.VM(fmt.Sprintf("%s-%d", up.Service, i+1))
+		opt.Places = append(opt.Places, Place{VM: vm, Domain: domain, Upstream: up})
+	}
+	dp, err := Start(t.Context(), opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fl.Deployment = dp
+	t.Cleanup(func() {
+		fl.client.CloseIdleConnections()
+		dp.Stop()
+		if err := dp.Err(); err != nil {
+			t.Error(err)
+		}
+	})
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	rs, err := dp.Client.Apply(ctx, configuration(1, deadline))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fl.revision = rs.GetRevision()
+	if err := dp.WaitReady(ctx, fl.revision); err != nil {
+		t.Fatal(err)
+	}
+	return fl
+}
+
+// configuration returns a configuration with all services and kinds.
+func configuration(version uint64, deadline time.Duration) *schema.Configuration {
+	cfg := &schema.Configuration{
+		Deployment: "lombardy", Version: version,
+		FailureDomains: []*schema.FailureDomain{{Name: domain, Region: "lombardy"}},
+		Classes:        []*schema.Class{{Name: "counter", Importance: 7}},
+	}
+	for _, svc := range []call.Service{front, middle, deepest} {
+		sv := &schema.Service{
+			Name: string(svc), RetryRatioPercent: 20, MaxRequestBytes: 1 << 20, MaxAnswerBytes: 1 << 16, KeyRetentionS: 60,
+		}
+		for _, kind := range []string{lookups, issues, charges} {
+			sv.Requests = append(sv.Requests, &schema.RequestKind{
+				Name: kind, Method: methods[kind], PathPrefix: "/" + string(svc) + "/" + kind, Class: "counter",
+				Idempotent: kind == lookups, KeyRequired: kind == charges,
+				DeadlineMs: uint32(deadline.Milliseconds()), RetryTotal: retryTotal,
+			})
+		}
+		cfg.Services = append(cfg.Services, sv)
+	}
+	return cfg
+}
+
+// calls returns the calls of one service to another for all kinds of request.
+func calls(from, to call.Service) []standin.Call {
+	var all []standin.Call
+	for kind, method := range methods {
+		all = append(all, standin.Call{Method: method, From: "/" + string(from) + "/" + kind, To: "/" + string(to) + "/" + kind})
+	}
+	return all
+}
+
+// until polls a condition.
+func (fl *fleet) until(what string, holds func() bool) {
+	fl.t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			fl.t.Fatal("not seen in time: ", what)
+		}
+	}
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status  int
+	outcome call.Outcome
+	reason  string
+	body    string
+	err     error
+}
+
+func (rp reply) whole() bool {
+	return rp.err == nil && rp.status == http.StatusOK && rp.outcome == call.Done && strings.HasSuffix(rp.body, "\nend\n")
+}
+
+func (rp reply) String() string {
+	return fmt.Sprintf("%d %v %s %v", rp.status, rp.outcome, rp.reason, rp.err)
+}
+
+// send sends one request to a node. Headers are names and values in turn.
+func (fl *fleet) send(ctx context.Context, node int, svc call.Service, kind, item string, headers ...string) reply {
+	url := fl.CallerURLs()[node] + "/" + string(svc) + "/" + kind + "/" + item
+	req, err := http.NewRequestWithContext(ctx, methods[kind], url, bytes.NewReader(nil))
+	if err != nil {
+		return reply{err: err}
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := fl.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return reply{
+		status: res.StatusCode, outcome: call.ParseOutcome(res.Header.Get(header.Outcome)),
+		reason: res.Header.Get(header.Reason), body: string(body), err: err,
+	}
+}
+
+// runs returns the runs on a VM, or on all VMs when vm is empty, since a time.
+func (fl *fleet) runs(vm string, since time.Time) []standin.Run {
+	var all []standin.Run
+	for _, rn := range fl.recorder.Log().Runs {
+		if (vm == "" || rn.VM == vm) && rn.Started.After(since) {
+			all = append(all, rn)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/deployment/stop_test.go
@@ -0,0 +1,99 @@
+package deployment
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/standin"
+)
+
+const firstRoot = 1 << 32
+
+// startCallers starts a caller of each kind at each node. The roots of a kind
+// at node i begin at (i+1)*firstRoot.
+func (fl *fleet) startCallers(ctx context.Context, svc call.Service, length time.Duration, rate float64, kinds ...string) *sync.WaitGroup {
+	group := new(sync.WaitGroup)
+	for i, url := range fl.CallerURLs() {
+		for j, kind := range kinds {
+			pt := standin.Pattern{Class: "counter", Importance: 7, Method: methods[kind], Path: "/" + string(svc) + "/" + kind, AnswerBytes: bytesOut}
+			if pt.Method == http.MethodPost {
+				pt.BodyBytes = 256 << 10
+			}
+			cr := standin.NewCaller(standin.CallerOptions{
+				Pattern: pt, Phases: []standin.Phase{{Length: length, Rate: rate}}, Targets: []string{url},
+				SendTimeout: patience, Patience: patience, Outstanding: 1000, Seed: seed + uint64(j),
+				FirstRoot: standin.RootID(i+1)*firstRoot + standin.RootID(j)<<24, Recorder: fl.recorder, Client: fl.client,
+			})
+			group.Go(func() { cr.Run(ctx) })
+		}
+	}
+	return group
+}
+
+// sentTo returns the index of the node that a send went to.
+func sentTo(sn standin.Send) int { return int(sn.Root/firstRoot) - 1 }
+
+// TestStopNode stops a node in the middle of long work. Nothing in flight is
+// cut off, and the others serve all afterwards.
+func TestStopNode(t *testing.T) {
+	t.Parallel()
+	var ups []standin.UpstreamOptions
+	for _, work := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond} {
+		ups = append(ups, standin.UpstreamOptions{Service: front, Slots: 100, Work: work})
+	}
+	fl := startFleet(t, 1, 10*time.Second, ups...)
+	const stopped = 2
+	callers := fl.startCallers(t.Context(), front, 4*time.Second, 25, lookups, issues)
+	up := fl.Upstream[stopped]
+	fl.until("work in flight", func() bool {
+		running, _, _ := up.Load()
+		return running >= 5 && len(fl.recorder.Log().Sends) > 50
+	})
+	begun := time.Now()
+	fl.StopNode(stopped)
+	ended := time.Now()
+	if running, _, _ := up.Load(); running > 0 {
+		t.Errorf("%d requests still run at the upstream of the stopped node", running)
+	}
+	for i := range 30 {
+		node, kind := i%stopped, []string{lookups, issues}[i%2]
+		callers.Go(func() {
+			if rp := fl.send(t.Context(), node, front, kind, "after"); !rp.whole() {
+				t.Errorf("%s sent to node %d after the stop: %v", kind, node, rp)
+			}
+		})
+	}
+	callers.Wait()
+	fl.checkSends(stopped, begun)
+	if late := fl.runs(string(fl.opt.Places[stopped].VM), ended); len(late) > 0 {
+		t.Errorf("%d runs at the upstream of the stopped node after the stop", len(late))
+	}
+	t.Logf("the stop took %v", ended.Sub(begun))
+}
+
+// checkSends checks that each send was answered whole or not run. Those to the
+// stopped node are excepted when they were sent after the stop began.
+func (fl *fleet) checkSends(stopped int, begun time.Time) {
+	fl.t.Helper()
+	before, during := 0, 0
+	for _, sn := range fl.recorder.Log().Sends {
+		switch {
+		case sn.Sent.Before(begun):
+			before++
+		case sentTo(sn) == stopped:
+			continue
+		default:
+			during++
+		}
+		if sn.Verdict != standin.Whole && !(sn.Outcome == call.NotRun && sn.Status == http.StatusServiceUnavailable) {
+			fl.t.Errorf("sent to node %d, %v after the stop began: %+v", sentTo(sn), sn.Sent.Sub(begun), sn)
+		}
+	}
+	if before < 50 || during == 0 {
+		fl.t.Errorf("%d sends before the stop and %d after it began, want at least 50 and 1", before, during)
+	}
+}
