Do not touch the answer's header after a cancelled acknowledgement

When a stream is cancelled, net/http returns from the informational response while its frame is still being written from the live header map; the guard then set the stamp in it. Ruled out: the answer's own header map, which is copied under the same call. Change: an attempt whose sender is gone right after the acknowledgement is left.

--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -26,6 +26,11 @@
 	}
 	w.Header().Set(header.Stamp, gd.Stamp().String())
 	w.WriteHeader(http.StatusProcessing)
+	if r.Context().Err() != nil {
+		// The server may still be writing the acknowledgement, which holds
+		// the header that an answer would change.
+		return
+	}
 	at.Body, err = attempt.ReadBody(r.Body, r.ContentLength, maxBody)
 	an := attempt.Refusal("request-incomplete", 0)
 	an.Unused = at.Allowance
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -158,7 +160,7 @@
 
 func (bn *bench) send(ctx context.Context, uri string, idempotent bool) Result {
 	return bn.pool.Send(ctx, "vm", bn.address, &attempt.Attempt{
-		ID: call.AttemptID{15: byte(nextID.Add(1))}, Request: call.RequestID{1}, Service: "cassa", Importance: 4,
+		ID: newID(), Request: call.RequestID{1}, Service: "cassa", Importance: 4,
 		Deadline: time.Now().Add(20 * time.Second), MaxAnswer: 100, Idempotent: idempotent, Method: http.MethodPost, URI: uri,
 	}, 0)
 }
@@ -239,3 +241,28 @@
 		t.Fatalf("result %+v, want unknown", rs)
 	}
 }
+
+// Senders that go away while the guard acknowledges must not disturb it.
+func TestSendersThatGoAwayAtOnce(t *testing.T) {
+	bn := newBench(t)
+	bn.send(t.Context(), "/cassa/charges", true)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var senders sync.WaitGroup
+	for range 3000 {
+		ctx, stop := context.WithTimeout(t.Context(), time.Duration(rng.IntN(1500))*time.Microsecond)
+		senders.Go(func() {
+			defer stop()
+			bn.send(ctx, "/cassa/charges", true)
+		})
+		time.Sleep(50 * time.Microsecond)
+	}
+	senders.Wait()
+	if rs := bn.send(t.Context(), "/cassa/charges", true); rs.Answer == nil {
+		t.Errorf("result %+v, want an answer", rs)
+	}
+}
+
+func newID() (id call.AttemptID) {
+	binary.BigEndian.PutUint64(id[8:], uint64(nextID.Add(1)))
+	return id
+}
