Count refusals of the guard by reason and importance

Cause: the answers of a chain hide why deep work was refused. Change: the counter camphortrail_guard_refusals_total on /metrics.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
@@ -45,6 +48,8 @@
 	FIFO bool
 	// Admission tunes the policy.
 	Admission admission.Settings
+	// Metrics counts refusals, if it is set.
+	Metrics *metrics.Set
 	// Seed makes the choices of the guard repeatable.
 	Seed uint64
 	// Incarnation identifies this run of the guard.
@@ -59,6 +64,7 @@
 	client   *http.Client
 	upstream atomic.Pointer[membership.Upstream]
 	fifo     bool
+	metrics  *metrics.Set
 	active   flight.Counter
 
 	mu       sync.Mutex
@@ -75,6 +81,7 @@
 		trees:    opt.Trees,
 		duty:     newDuty(mc),
 		fifo:     opt.FIFO,
+		metrics:  opt.Metrics,
 		client:   newClient(),
 		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
@@ -144,10 +151,20 @@
 	} else {
 		an.Unused = at.Allowance
 	}
+	gd.count(at, an)
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	return an
 }
 
+// count counts a refusal by its reason and the importance of the work.
+func (gd *Guard) count(at *attempt.Attempt, an *attempt.Answer) {
+	if gd.metrics == nil || an.Outcome != call.NotRun {
+		return
+	}
+	name := fmt.Sprintf(`camphortrail_guard_refusals_total{reason=%q,importance="%d"}`, an.Reason, at.Importance)
+	gd.metrics.GetOrCreateCounter(name).Inc()
+}
+
 // begin registers the attempt. It returns an answer if that is refused.
 func (gd *Guard) begin(at *attempt.Attempt) *attempt.Answer {
 	if up := gd.upstream.Load(); up != nil && up.Service != at.Service {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 	trees := tree.New(retry.DefaultLimits())
 	nd.rpc = &http.Client{Transport: peer.NewTransport()}
 	nd.guard = guard.New(guard.Options{
-		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed,
+		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()),
 	})
 	nd.pool = peer.New(nd.connState)
