--- a/internal/control/claims_test.go
+++ b/internal/control/claims_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,7 +14,9 @@
 
 	"connectrpc.com/connect"
 
+	"camphortrail/internal/peer"
 	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
 )
 
 func operation(kind schema.ClaimOperation_Kind, key string, attempt byte) *schema.ClaimOperation {
@@ -134,11 +137,17 @@
 
 // BenchmarkClaim measures claims by many requests at once.
 func BenchmarkClaim(b *testing.B) {
-	const senders = 64
+	const senders, connections = 64, 16
 	for _, size := range []int{1, 3} {
 		b.Run(fmt.Sprint(size, "-replicas"), func(b *testing.B) {
 			fl := newFleet(b, size)
-			client := fl.clients[fl.leader()]
+			address := fl.replicas[fl.leader()].GetAddress()
+			clients := make([]schemaconnect.ControlClient, connections)
+			for i := range clients {
+				transport := peer.NewTransport()
+				defer transport.CloseIdleConnections()
+				clients[i] = schemaconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+address)
+			}
 			var mu sync.Mutex
 			var took []time.Duration
 			var group sync.WaitGroup
@@ -150,7 +159,7 @@
 						op := operation(schema.ClaimOperation_KIND_CLAIM, fmt.Sprint(se, "-", i), 1)
 						begin := time.Now()
 						rq := connect.NewRequest(&schema.ClaimRequest{Operations: []*schema.ClaimOperation{op}})
-						if rs, err := client.Claim(context.Background(), rq); err != nil || len(rs.Msg.GetResults()) != 1 {
+						if rs, err := clients[se%connections].Claim(context.Background(), rq); err != nil || len(rs.Msg.GetResults()) != 1 {
 							b.Error(rs, err)
 							return
 						}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -111,7 +111,7 @@
 	if ma.role == Leader {
 		return true
 	}
-	return !ma.heard.IsZero() && ma.now.Sub(ma.heard) < ma.set.ElectionTimeout
+	return !ma.leaderContact.IsZero() && ma.now.Sub(ma.leaderContact) < ma.set.ElectionTimeout
 }
 
 func bit(set bool) int {
--- a/quorum/follow.go
+++ b/quorum/follow.go
@@ -1,7 +1,7 @@
 package quorum
 
-// receipt is a snapshot that is being received.
-type receipt struct {
+// incoming is a snapshot that is being received.
+type incoming struct {
 	term  Term
 	index Index
 	data  []byte
@@ -73,22 +73,22 @@
 		ma.answerChunk(ch, ma.commit)
 		return
 	}
-	re := &ma.receipt
-	if re.term != ch.Term || re.index != sn.Index {
-		*re = receipt{term: ch.Term, index: sn.Index}
+	in := &ma.incoming
+	if in.term != ch.Term || in.index != sn.Index {
+		*in = incoming{term: ch.Term, index: sn.Index}
 	}
-	if ch.Offset == uint64(len(re.data)) {
-		re.data = append(re.data, sn.Data...)
+	if ch.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, sn.Data...)
 	}
-	if uint64(len(re.data)) < ch.Size {
+	if uint64(len(in.data)) < ch.Size {
 		ma.act(Send{&ChunkAnswer{
 			Header: ma.answerTo(&ch.Header), Index: sn.Index,
-			Offset: uint64(len(re.data)), Sequence: ch.Sequence,
+			Offset: uint64(len(in.data)), Sequence: ch.Sequence,
 		}})
 		return
 	}
-	sn.Data = re.data
-	ma.receipt = receipt{}
+	sn.Data = in.data
+	ma.incoming = incoming{}
 	ma.install(sn)
 	ma.answerChunk(ch, sn.Index)
 }
--- a/quorum/lead.go
+++ b/quorum/lead.go
@@ -17,9 +17,9 @@
 	// their indexes.
 	waiting []waiting
 	bytes   int
-	// hurry asks for a message to everybody without delay.
-	hurry    bool
-	transfer transfer
+	// broadcast asks for a message to everybody without delay.
+	broadcast bool
+	transfer  transfer
 }
 
 // waiting is a proposal that was appended.
@@ -58,7 +58,7 @@
 		ma.lead.peers[id] = &peer{next: ma.log.last() + 1, probing: true}
 	}
 	ma.appendOwn(Entry{Kind: Empty})
-	ma.lead.hurry = true
+	ma.lead.broadcast = true
 }
 
 func (ma *Machine) appendOwn(en Entry) Index {
@@ -202,7 +202,7 @@
 	}
 	for _, id := range ma.peers {
 		pe := ma.lead.peers[id]
-		if pe.match == ma.log.last() && ma.log.agreed()[id] == pe.inc && ma.now.Sub(pe.heard) < ma.set.ElectionTimeout {
+		if pe.match == ma.log.last() && ma.log.agreed()[id] == pe.inc && ma.now.Sub(pe.contact) < ma.set.ElectionTimeout {
 			tr.sent, tr.target = true, id
 			ma.act(Send{&Handover{ma.headerTo(id)}})
 			return
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -31,16 +31,16 @@
 	applied Index
 	disk    disk
 
-	// heard is when a leader was last heard of, and electionAt when to
+	// leaderContact is when a leader was last heard of, and electionAt when to
 	// stand for election.
-	heard      time.Time
-	electionAt time.Time
-	leaving    bool
-
-	ballot  ballot
-	lead    leadership
-	found   founding
-	receipt receipt
+	leaderContact time.Time
+	electionAt    time.Time
+	leaving       bool
+
+	ballot   ballot
+	lead     leadership
+	found    founding
+	incoming incoming
 }
 
 // New returns a machine with the state found on the disk.
@@ -107,7 +107,7 @@
 	if len(ma.peers) == 0 {
 		ma.electionAt = ma.now
 	}
-	ma.heard = ma.now
+	ma.leaderContact = ma.now
 	if ma.log.snap.Index > 0 {
 		ma.act(Restore{ma.log.snap})
 	}
@@ -181,7 +181,7 @@
 	ma.log.committed(i)
 	if len(ma.log.changes) != before {
 		ma.disk.dirty = true
-		ma.lead.hurry = true
+		ma.lead.broadcast = true
 	}
 }
 
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -58,8 +58,8 @@
 		"run": func(t *rapid.T) {
 			nw.run(time.Duration(rapid.IntRange(1, 120).Draw(t, "ticks")) * tick)
 		},
-		"work":      work,
-		"more work": work,
+		"work":       work,
+		"work again": work,
 		"calm": func(t *rapid.T) {
 			nw.heal()
 			nw.run(2 * time.Second)
@@ -109,7 +109,7 @@
 			clear(nw.cut)
 			clear(nw.broken)
 		},
-		"weather": func(t *rapid.T) {
+		"link quality": func(t *rapid.T) {
 			nw.loss = rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "loss")
 			nw.double = rapid.SampledFrom([]int{0, 0, 20}).Draw(t, "double")
 			nw.slow = rapid.SampledFrom([]int{0, 0, 10}).Draw(t, "slow")
--- a/quorum/receive.go
+++ b/quorum/receive.go
@@ -73,10 +73,10 @@
 	case *VoteAnswer:
 		ma.receiveVoteAnswer(msg)
 	case *Append:
-		ma.hear(msg.From)
+		ma.noteLeader(msg.From)
 		ma.receiveAppend(msg)
 	case *Chunk:
-		ma.hear(msg.From)
+		ma.noteLeader(msg.From)
 		ma.receiveChunk(msg)
 	case *AppendAnswer:
 		ma.receiveAppendAnswer(msg)
@@ -89,12 +89,12 @@
 	}
 }
 
-// hear notes a message of the leader of this term.
-func (ma *Machine) hear(leader Replica) {
+// noteLeader notes a message of the leader of this term.
+func (ma *Machine) noteLeader(leader Replica) {
 	if ma.role != Follower || ma.leader != leader {
 		ma.follow(ma.term, leader)
 	}
-	ma.heard = ma.now
+	ma.leaderContact = ma.now
 	ma.resetElection()
 }
 
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -14,8 +14,8 @@
 	inFlight []Index
 	sent     time.Time
 	// acked is the send time of the latest message that was answered, and
-	// heard the time of the answer.
-	acked, heard time.Time
+	// contact the time of the answer.
+	acked, contact time.Time
 	// target is the index from which a replica that lost its disk holds
 	// everything that was committed before it came back.
 	target  Index
@@ -38,7 +38,7 @@
 	for _, id := range ma.peers {
 		ma.replicateTo(id, ma.lead.peers[id])
 	}
-	ma.lead.hurry = false
+	ma.lead.broadcast = false
 }
 
 func (ma *Machine) replicateTo(id Replica, pe *peer) {
@@ -49,7 +49,7 @@
 			ma.sendEntries(id, pe)
 		}
 	}
-	if ma.lead.hurry || ma.now.Sub(pe.sent) >= ma.set.Heartbeat {
+	if ma.lead.broadcast || ma.now.Sub(pe.sent) >= ma.set.Heartbeat {
 		ma.sendAppend(id, pe, nil)
 	}
 }
@@ -171,7 +171,7 @@
 			pe.next = ma.log.last() + 1
 		}
 	}
-	pe.heard = ma.now
+	pe.contact = ma.now
 	if at := ma.sentAt(sequence); at.After(pe.acked) {
 		pe.acked = at
 	}
@@ -187,7 +187,7 @@
 	}
 	for _, id := range ma.peers {
 		pe := ma.lead.peers[id]
-		alive := ma.now.Sub(pe.heard) < ma.set.ElectionTimeout
+		alive := ma.now.Sub(pe.contact) < ma.set.ElectionTimeout
 		if pe.inc != 0 && pe.inc != latest[id] && alive && pe.match >= pe.target {
 			ma.appendOwn(Entry{Kind: Change, Voters: latest.with(id, pe.inc)})
 			return
--- a/quorum/rules_test.go
+++ b/quorum/rules_test.go
@@ -196,8 +196,8 @@
 	// entry 3: hello
 }
 
-// detour cuts one follower from the leader only.
-func (nw *network) detour(t *testing.T) (leader, cut, other quorum.Replica) {
+// cutFromLeader cuts one follower from the leader only.
+func (nw *network) cutFromLeader(t *testing.T) (leader, cut, other quorum.Replica) {
 	t.Helper()
 	leader = nw.settle(t)
 	cut = nw.ids[0]
@@ -213,7 +213,7 @@
 func TestLeaseIsNotOverruled(t *testing.T) {
 	for seed := range uint64(20) {
 		nw := newNetwork(t, 3, seed)
-		id, _, _ := nw.detour(t)
+		id, _, _ := nw.cutFromLeader(t)
 		nw.run(3 * time.Second)
 		if now, _ := nw.leader(); now != id {
 			t.Fatalf("seed %d: leader %s, want %s", seed, now, id)
@@ -228,7 +228,7 @@
 func TestLeaseOutlivesRestart(t *testing.T) {
 	for seed := range uint64(40) {
 		nw := newNetwork(t, 3, seed)
-		id, _, other := nw.detour(t)
+		id, _, other := nw.cutFromLeader(t)
 		nw.run(time.Second + time.Duration(seed)*tick)
 		nw.stop(other)
 		nw.broken[link{id, other}] = true
@@ -246,7 +246,7 @@
 func TestReturningFollowerDoesNotDisturb(t *testing.T) {
 	for seed := range uint64(20) {
 		nw := newNetwork(t, 3, seed)
-		id, cut, _ := nw.detour(t)
+		id, cut, _ := nw.cutFromLeader(t)
 		nw.cut[cut] = true
 		term := nw.hosts[id].ma.Status().Term
 		nw.run(5 * time.Second)
@@ -262,7 +262,7 @@
 // receives a snapshot in many parts; the network bounds what is on its way.
 func TestDoubledMessagesDoNotMultiply(t *testing.T) {
 	nw := newNetwork(t, 3, 1)
-	id, lost, _ := nw.detour(t)
+	id, lost, _ := nw.cutFromLeader(t)
 	for range 300 {
 		nw.propose(id)
 		nw.run(tick)
