Ignore answers that can't be to a message of this leader

An answer that matched beyond the leader's log made the leader panic: index out of range in entryLog.term. A sequence number from the future would have extended the lease.

--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -106,6 +106,9 @@
 }
 
 func (ma *Machine) receiveAppendAnswer(an *AppendAnswer) {
+	if an.Match > ma.log.last() {
+		return
+	}
 	pe := ma.answered(&an.Header, an.Sequence)
 	if pe == nil {
 		return
@@ -132,7 +135,7 @@
 
 // refused goes back to where the logs may match.
 func (ma *Machine) refused(an *AppendAnswer, pe *peer) {
-	if an.Match <= pe.match && pe.match > 0 || an.Match >= pe.next {
+	if an.Match <= pe.match || an.Match >= pe.next {
 		return
 	}
 	pe.next = max(pe.match, min(an.Last, an.Match-1)) + 1
@@ -158,9 +161,10 @@
 	}
 }
 
-// answered notes that a replica answered in this term.
+// answered notes that a replica answered in this term. It returns nil if the
+// answer can't be one to a message of this leader.
 func (ma *Machine) answered(he *Header, sequence uint64) *peer {
-	if ma.role != Leader || sequence == 0 {
+	if ma.role != Leader || sequence == 0 || sequence > ma.sequence() {
 		return nil
 	}
 	pe := ma.lead.peers[he.From]
