--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -94,7 +94,9 @@
 	writes      *ring.Ring[quorum.Persist]
 	written     *ring.Ring[quorum.Event]
 	applies     *ring.Ring[quorum.Action]
-	// backlog belongs to the log's goroutine; behind tells the others.
+	// absence and backlog belong to the log's goroutine; behind tells the
+	// others.
+	absence absence
 	backlog []quorum.Action
 	behind  atomic.Bool
 	// saving is set while a snapshot is written.
--- /dev/null
+++ b/internal/control/disk.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"camphortrail/quorum"
+)
+
+// runDisk writes and syncs what the machine asks for. A failed write ends the
+// replica: what it says about its disk would not be true any more.
+func (co *Control) runDisk(ctx context.Context) error {
+	for {
+		pe, err := co.writes.Take(ctx)
+		if err != nil {
+			return err
+		}
+		begin := time.Now()
+		if err := co.store.Save(pe); err != nil {
+			return err
+		}
+		co.measures.sync.UpdateDuration(begin)
+		if err := co.written.Put(ctx, quorum.Persisted{Number: pe.Number}); err != nil {
+			return err
+		}
+	}
+}
+
+// runSnapshots writes snapshots beside the log, which goes on meanwhile, and
+// then has the log compacted.
+func (co *Control) runSnapshots(ctx context.Context) error {
+	for {
+		sn, err := co.snapshots.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := co.store.Prepare(sn.Index, sn.Data); err != nil {
+			return err
+		}
+		if err := co.compactions.Put(ctx, sn); err != nil {
+			return err
+		}
+		co.saving.Store(false)
+	}
+}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -9,6 +9,9 @@
 	"camphortrail/quorum"
 )
 
+// absenceInterval is the time without a leader after which that is logged.
+const absenceInterval = 10 * time.Second
+
 // view is what other goroutines see of the machine.
 type view struct {
 	status quorum.Status
@@ -58,9 +61,29 @@
 	vi := &view{status: co.machine.Status()}
 	vi.until, vi.applied = co.machine.Lease()
 	co.view.Store(vi)
+	if co.absence.report(time.Now(), vi.status.Leader) {
+		co.log.WithField("role", vi.status.Role.String()).
+			Warn("no leader; it takes most of the control replicas that hold the log, or all of them at the first start")
+	}
 	return nil
 }
 
+// absence notices that there is no leader for long.
+type absence struct{ since time.Time }
+
+// report returns true once in each absenceInterval without a leader.
+func (ab *absence) report(now time.Time, leader quorum.Replica) bool {
+	if leader != "" || ab.since.IsZero() {
+		ab.since = now
+		return false
+	}
+	if now.Sub(ab.since) < absenceInterval {
+		return false
+	}
+	ab.since = now
+	return true
+}
+
 func (co *Control) carryOut(ctx context.Context, ac quorum.Action) error {
 	switch ac := ac.(type) {
 	case quorum.Send:
@@ -105,40 +128,3 @@
 	}
 	co.behind.Store(len(co.backlog) >= refuseBacklog)
 }
-
-// runDisk writes and syncs what the machine asks for. A failed write ends the
-// replica: what it says about its disk would not be true any more.
-func (co *Control) runDisk(ctx context.Context) error {
-	for {
-		pe, err := co.writes.Take(ctx)
-		if err != nil {
-			return err
-		}
-		begin := time.Now()
-		if err := co.store.Save(pe); err != nil {
-			return err
-		}
-		co.measures.sync.UpdateDuration(begin)
-		if err := co.written.Put(ctx, quorum.Persisted{Number: pe.Number}); err != nil {
-			return err
-		}
-	}
-}
-
-// runSnapshots writes snapshots beside the log, which goes on meanwhile, and
-// then has the log compacted.
-func (co *Control) runSnapshots(ctx context.Context) error {
-	for {
-		sn, err := co.snapshots.Take(ctx)
-		if err != nil {
-			return err
-		}
-		if err := co.store.Prepare(sn.Index, sn.Data); err != nil {
-			return err
-		}
-		if err := co.compactions.Put(ctx, sn); err != nil {
-			return err
-		}
-		co.saving.Store(false)
-	}
-}
--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -209,3 +209,26 @@
 		t.Fatal(err)
 	}
 }
+
+func TestAbsenceOfLeaderIsReported(t *testing.T) {
+	t.Parallel()
+	var ab absence
+	begin := time.Now()
+	for _, tc := range []struct {
+		after  time.Duration
+		leader quorum.Replica
+		want   bool
+	}{
+		{0, "", false},
+		{9 * time.Second, "", false},
+		{10 * time.Second, "", true},
+		{11 * time.Second, "", false},
+		{15 * time.Second, "control-1", false},
+		{24 * time.Second, "", false},
+		{25 * time.Second, "", true},
+	} {
+		if got := ab.report(begin.Add(tc.after), tc.leader); got != tc.want {
+			t.Errorf("after %v with leader %q: %v, want %v", tc.after, tc.leader, got, tc.want)
+		}
+	}
+}
