--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -14,8 +14,8 @@
 	inFlight []Index
 	sent     time.Time
 	// acked is the send time of the latest message that was answered, and
-	// heard the time of the answer.
-	acked, heard time.Time
+	// contact the time of the answer.
+	acked, contact time.Time
 	// target is the index from which a replica that lost its disk holds
 	// everything that was committed before it came back.
 	target  Index
@@ -38,7 +38,7 @@
 	for _, id := range ma.peers {
 		ma.replicateTo(id, ma.lead.peers[id])
 	}
-	ma.lead.hurry = false
+	ma.lead.broadcast = false
 }
 
 func (ma *Machine) replicateTo(id Replica, pe *peer) {
@@ -49,7 +49,7 @@
 			ma.sendEntries(id, pe)
 		}
 	}
-	if ma.lead.hurry || ma.now.Sub(pe.sent) >= ma.set.Heartbeat {
+	if ma.lead.broadcast || ma.now.Sub(pe.sent) >= ma.set.Heartbeat {
 		ma.sendAppend(id, pe, nil)
 	}
 }
@@ -106,6 +106,9 @@
 }
 
 func (ma *Machine) receiveAppendAnswer(an *AppendAnswer) {
+	if an.Match > ma.log.last() {
+		return
+	}
 	pe := ma.answered(&an.Header, an.Sequence)
 	if pe == nil {
 		return
@@ -132,7 +135,7 @@
 
 // refused goes back to where the logs may match.
 func (ma *Machine) refused(an *AppendAnswer, pe *peer) {
-	if an.Match <= pe.match && pe.match > 0 || an.Match >= pe.next {
+	if an.Match <= pe.match || an.Match >= pe.next {
 		return
 	}
 	pe.next = max(pe.match, min(an.Last, an.Match-1)) + 1
@@ -158,9 +161,10 @@
 	}
 }
 
-// answered notes that a replica answered in this term.
+// answered notes that a replica answered in this term. It returns nil if the
+// answer can't be one to a message of this leader.
 func (ma *Machine) answered(he *Header, sequence uint64) *peer {
-	if ma.role != Leader || sequence == 0 {
+	if ma.role != Leader || sequence == 0 || sequence > ma.sequence() {
 		return nil
 	}
 	pe := ma.lead.peers[he.From]
@@ -171,7 +175,7 @@
 			pe.next = ma.log.last() + 1
 		}
 	}
-	pe.heard = ma.now
+	pe.contact = ma.now
 	if at := ma.sentAt(sequence); at.After(pe.acked) {
 		pe.acked = at
 	}
@@ -187,7 +191,7 @@
 	}
 	for _, id := range ma.peers {
 		pe := ma.lead.peers[id]
-		alive := ma.now.Sub(pe.heard) < ma.set.ElectionTimeout
+		alive := ma.now.Sub(pe.contact) < ma.set.ElectionTimeout
 		if pe.inc != 0 && pe.inc != latest[id] && alive && pe.match >= pe.target {
 			ma.appendOwn(Entry{Kind: Change, Voters: latest.with(id, pe.inc)})
 			return
