Report own announcements as changes too

The routing of a node learned of its own upstream only when it compared its table with the members, up to 5 s later. Changed is reported for the own announcement now; switched off in a trial, TestGossip is red.

--- a/membership/event.go
+++ b/membership/event.go
@@ -42,7 +42,8 @@
 	Datagram *schema.Datagram
 }
 
-// Changed reports a member whose record has changed.
+// Changed reports a member whose record has changed. Of this process it
+// reports the announcements only.
 type Changed struct {
 	Kind   ChangeKind
 	Member Member
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -307,6 +307,7 @@
 	next.Upstreams = ups
 	next.Announcement++
 	mc.tb.replace(mc.tb.self, next)
+	mc.act(Changed{Kind: Updated, Member: next})
 	mc.rumors.queueFirst(mc.tb.self, true)
 }
 
