Measure the control plane over the number of nodes

The size to design for is 1,100 nodes, and nothing showed how the cost of control grows with their number.

`measure spread` starts 3 control replicas and grows one deployment to 50, 100 and 200 nodes in 5 failure domains with 28 services. For each count it prints the time until a change is in force on the last node, the time until a drain is known, bytes, processor time and heap of a node, and at the end the lines of least squares, worked out for 1,100 nodes. Bytes are counted at the sockets: node.Options takes functions that wrap them, and deployment.Add starts further places.

The first trial showed two things that this does not mend: the routing table of a node learns of the drain of the upstream beside it only with the next comparison after up to 5 s (drain-own-unaware), and the gossip of a start of 200 nodes at once takes about 20 s to end.

With the products of fit switched to sums TestFit fails.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -44,6 +44,8 @@
 	Policy   node.Policy
 	Seed     uint64
 	Log      log.Interface
+	// Sockets may stand between the nodes and their sockets for control.
+	Sockets node.Sockets
 }
 
 // Deployment is a running deployment.
@@ -52,6 +54,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	controls []*schema.Settings
+	contacts []string
 	running  []*process
 	Nodes    []*node.Node
 	stops    []*process
@@ -90,17 +93,28 @@
 		dp.Stop()
 		return nil, err
 	}
-	contacts := slices.Clone(dp.Client.Controls)
-	for i, pl := range opt.Places {
-		if err := dp.startPlace(i, pl, contacts); err != nil {
-			dp.Stop()
-			return nil, err
+	dp.opt.Places = nil
+	dp.contacts = slices.Clone(dp.Client.Controls)
+	if err := dp.Add(opt.Places); err != nil {
+		dp.Stop()
+		return nil, err
+	}
+	return dp, nil
+}
+
+// Add starts further places. It must not run beside other methods.
+func (dp *Deployment) Add(places []Place) error {
+	for _, pl := range places {
+		i := len(dp.opt.Places)
+		dp.opt.Places = append(dp.opt.Places, pl)
+		if err := dp.startPlace(i, pl, dp.contacts); err != nil {
+			return err
 		}
-		if _, peers, _ := dp.Nodes[i].Addresses(); len(contacts) < maxContacts {
-			contacts = append(contacts, peers)
+		if _, peers, _ := dp.Nodes[i].Addresses(); len(dp.contacts) < maxContacts {
+			dp.contacts = append(dp.contacts, peers)
 		}
 	}
-	return dp, nil
+	return nil
 }
 
 // run runs a process in the background until it is stopped.
@@ -170,7 +184,7 @@
 		Name: string(pl.VM), Deployment: string(dp.opt.Name), FailureDomain: string(pl.Domain),
 		CallerAddress: loopback, PeerAddress: loopback, LocalAddress: loopback,
 		FirstContacts: contacts, ControlReplicas: dp.replicas(),
-	}, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log})
+	}, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, Sockets: dp.opt.Sockets})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/measure/spread_test.go
@@ -0,0 +1,70 @@
+package measure
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"camphortrail/config"
+)
+
+func TestFit(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		at, values  []float64
+		base, slope float64
+	}{
+		{"exact", []float64{50, 100, 200}, []float64{110, 210, 410}, 10, 2},
+		{"level", []float64{50, 100, 200}, []float64{7, 7, 7}, 7, 0},
+		{"falling", []float64{50, 100}, []float64{4, 2}, 6, -0.04},
+		// By hand: means 2 and 3, products 3, squares 2.
+		{"scattered", []float64{1, 2, 3}, []float64{1, 4, 4}, 0, 1.5},
+		{"one place", []float64{5, 5}, []float64{1, 3}, 2, 0},
+		{"no points", nil, nil, 0, 0},
+	} {
+		tr := fit(tc.at, tc.values)
+		if math.Abs(tr.base-tc.base) > 1e-9 || math.Abs(tr.slope-tc.slope) > 1e-9 {
+			t.Errorf("%s: line %+v, want base %v and slope %v", tc.name, tr, tc.base, tc.slope)
+		}
+	}
+}
+
+func TestSpreadFigures(t *testing.T) {
+	sa := spreadSample{
+		rest:    spreadRest{use: use{length: 2 * time.Second, processor: 400 * time.Millisecond, sent: sent{udp: 2000, tcp: 200}}, heap: 25e6},
+		changes: use{length: 4 * time.Second, processor: 1200 * time.Millisecond, sent: sent{udp: 4800, tcp: 2400}},
+		count:   2, inForce: []time.Duration{30 * time.Millisecond, 50 * time.Millisecond}, drains: []time.Duration{time.Second}, unaware: 2, ownUnaware: 3,
+	}
+	alone := spreadRest{use: use{length: time.Second, processor: 100 * time.Millisecond}, heap: 5e6}
+	want := SpreadFigures{
+		Scenario: "spread", Nodes: 10, Changes: 2, Drains: 1, InForceP50MS: 30, InForceP100MS: 50, DrainP100MS: 1000, DrainUnaware: 2, DrainOwnUnaware: 3,
+		UDPRest: 100, TCPRest: 10, UDPChange: 40, TCPChange: 100, Bytes: round(110 + 140*3000/86400.0),
+		CPURest: 0.01, CPUChangeMS: 20, CPU: round6(0.01 + 0.02*3000/86400.0), HeapMB: 2, AloneCPU: 0.1, AloneHeapMB: 5,
+	}
+	if got := sa.figures(10, alone); got != want {
+		t.Errorf("figures = %+v, want %+v", got, want)
+	}
+}
+
+func TestFitSpread(t *testing.T) {
+	ft := fitSpread([]SpreadFigures{{Nodes: 50, Bytes: 1000, HeapMB: 3}, {Nodes: 100, Bytes: 1500, HeapMB: 3}, {Nodes: 200, Bytes: 2500, HeapMB: 3}})
+	if got, want := ft.Lines["bytes-per-node-s"], (SpreadLine{SlopePerNode: 10, Base: 500, Value: 11500}); got != want {
+		t.Errorf("line of bytes = %+v, want %+v", got, want)
+	}
+	if got, want := ft.Lines["heap-mb-per-node"], (SpreadLine{Base: 3, Value: 3}); got != want {
+		t.Errorf("line of heap = %+v, want %+v", got, want)
+	}
+}
+
+func TestSpreadConfigurationIsValid(t *testing.T) {
+	cd, err := config.Compile(spreadConfiguration(1), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if kd, ok := cd.Match("GET", "/service-27/kind-9/1"); !ok || !kd.Idempotent {
+		t.Errorf("kind = %+v, %v", kd, ok)
+	}
+	if err := config.Check(spreadConfiguration(2)); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	// Seed makes choices repeatable. Zero draws one.
 	Seed uint64
 	Log  log.Interface
+	// Sockets may stand between the node and its sockets for control.
+	Sockets Sockets
 }
 
 // Node is the process beside one upstream.
@@ -89,7 +91,7 @@
 		return nil, err
 	}
 	trees := tree.New(retry.DefaultLimits())
-	nd.rpc = &http.Client{Transport: peer.NewTransport()}
+	nd.rpc = &http.Client{Transport: opt.Sockets.transport()}
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed,
 		Incarnation: withdrawal.Incarnation(randomNumber()),
@@ -108,7 +110,8 @@
 	}
 	nd.entry = entry.New(eopt)
 	nd.announce = announce.New(time.Now, nd.upstreamsChanged)
-	if err := nd.join(controls); err != nil {
+	nd.peers = opt.Sockets.listener(nd.peers)
+	if err := nd.join(controls, opt.Sockets); err != nil {
 		nd.Close()
 		return nil, err
 	}
@@ -136,7 +139,7 @@
 }
 
 // join sets membership and configuration up.
-func (nd *Node) join(controls []string) error {
+func (nd *Node) join(controls []string, sockets Sockets) error {
 	conn, err := net.ListenPacket("udp", nd.peers.Addr().String())
 	if err != nil {
 		return errors.Wrap(err, "node "+nd.set.GetName())
@@ -145,7 +148,7 @@
 		Deployment: call.Tenant(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
 		Address: nd.peers.Addr().String(), Contacts: nd.set.GetFirstContacts(),
-	}, conn)
+	}, sockets.packet(conn))
 	if err != nil {
 		conn.Close()
 		return err
--- /dev/null
+++ b/internal/node/sockets.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"camphortrail/internal/peer"
+)
+
+// Sockets lets a measurement stand between a node and the sockets that it uses
+// for control: the datagrams of the membership, its own calls to control
+// replicas and peers, and the calls of others that its peer address takes. A
+// nil function leaves the sockets as they are.
+type Sockets struct {
+	Packet func(net.PacketConn) net.PacketConn
+	Stream func(net.Conn) net.Conn
+}
+
+func (so Sockets) packet(conn net.PacketConn) net.PacketConn {
+	if so.Packet == nil {
+		return conn
+	}
+	return so.Packet(conn)
+}
+
+func (so Sockets) listener(ln net.Listener) net.Listener {
+	if so.Stream == nil {
+		return ln
+	}
+	return &streamListener{Listener: ln, stream: so.Stream}
+}
+
+// transport returns the transport of the node's own calls for control.
+func (so Sockets) transport() *http.Transport {
+	tr := peer.NewTransport()
+	if so.Stream == nil {
+		return tr
+	}
+	dial := tr.DialContext
+	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return so.Stream(conn), nil
+	}
+	return tr
+}
+
+// streamListener wraps each connection that it accepts.
+type streamListener struct {
+	net.Listener
+	stream func(net.Conn) net.Conn
+}
+
+// Accept waits for the next connection.
+func (sl *streamListener) Accept() (net.Conn, error) {
+	conn, err := sl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return sl.stream(conn), nil
+}
+
+// Revision returns the revision in force, or 0.
+func (nd *Node) Revision() uint64 {
+	revision, _ := nd.rollout.Current()
+	return revision
+}
+
+// AvoidsDraining reports whether the routing table knows that an upstream of
+// the VM leaves.
+func (nd *Node) AvoidsDraining(vm string) bool {
+	for _, entries := range nd.entry.Upstreams() {
+		for _, en := range entries {
+			if string(en.VM) == vm && en.Draining {
+				return true
+			}
+		}
+	}
+	return false
+}
