--- a/internal/measure/spread.go
+++ b/internal/measure/spread.go
@@ -25,14 +25,14 @@
 	spreadControls = 3
 	spreadServices = 28
 	spreadKinds    = 10
-	spreadChanges  = 4
 	spreadDrains   = 3
 	// designNodes and designChangesPerDay are the size to design for.
 	designNodes         = 1100
 	designChangesPerDay = 3000
 
 	spreadMinSeconds = 30
-	// spreadOverheadSeconds is the time beside settling.
+	spreadMinChanges = 4
+	// spreadOverheadSeconds is the time beside settling and further changes.
 	spreadOverheadSeconds = 33
 	spreadReadyTimeout    = 30 * time.Second
 
@@ -59,15 +59,21 @@
 // spreadTimes divides the time of a run.
 type spreadTimes struct {
 	rest, changeInterval time.Duration
+	// changes is the number of changes for each count.
+	changes int
 	// settle is the time for the gossip of a start to end, for each count.
 	settle []time.Duration
 }
 
+// newSpreadTimes gives 3/5 of what is left beside the overhead to settling, and
+// the rest to changes beyond the least number.
 func newSpreadTimes(seconds int) spreadTimes {
 	pool := time.Duration(max(0, seconds-spreadOverheadSeconds)) * time.Second
-	times := spreadTimes{rest: 1200 * time.Millisecond, changeInterval: 750 * time.Millisecond}
+	settle := pool * 3 / 5
+	times := spreadTimes{rest: 1200 * time.Millisecond, changeInterval: 800 * time.Millisecond, changes: spreadMinChanges}
+	times.changes += int((pool - settle) / (times.changeInterval * time.Duration(len(spreadCounts))))
 	for _, share := range spreadSettleShares {
-		times.settle = append(times.settle, time.Duration(share*float64(pool)))
+		times.settle = append(times.settle, time.Duration(share*float64(settle)))
 	}
 	return times
 }
--- a/internal/measure/spread_phases.go
+++ b/internal/measure/spread_phases.go
@@ -44,9 +44,9 @@
 
 // measure runs the phases: rest, changes, drains.
 func (sp *spread) measure(ctx context.Context, times spreadTimes) (spreadSample, error) {
-	sa := spreadSample{rest: sp.atRest(times), count: spreadChanges}
+	sa := spreadSample{rest: sp.atRest(times), count: times.changes}
 	var err error
-	sa.changes = sp.during(func() { sa.inForce, err = sp.changeAll(ctx, times.changeInterval) })
+	sa.changes = sp.during(func() { sa.inForce, err = sp.changeAll(ctx, times) })
 	if err != nil {
 		return sa, err
 	}
@@ -58,10 +58,10 @@
 }
 
 // changeAll applies one change in each interval.
-func (sp *spread) changeAll(ctx context.Context, interval time.Duration) ([]time.Duration, error) {
+func (sp *spread) changeAll(ctx context.Context, times spreadTimes) ([]time.Duration, error) {
 	var list []time.Duration
-	for range spreadChanges {
-		next := time.Now().Add(interval)
+	for range times.changes {
+		next := time.Now().Add(times.changeInterval)
 		revision, err := sp.apply(ctx)
 		if err != nil {
 			return nil, err
--- a/internal/measure/spread_test.go
+++ b/internal/measure/spread_test.go
@@ -1,7 +1,9 @@
 package measure
 
 import (
+	"io"
 	"math"
+	"net"
 	"testing"
 	"time"
 
@@ -68,3 +70,50 @@
 		t.Error(err)
 	}
 }
+
+func TestSpreadTimes(t *testing.T) {
+	for _, tc := range []struct {
+		seconds, changes int
+		settle           time.Duration
+	}{
+		{30, 4, 0},
+		{33, 4, 0},
+		{43, 5, 6 * time.Second},
+		{93, 14, 36 * time.Second},
+	} {
+		times := newSpreadTimes(tc.seconds)
+		var settle time.Duration
+		for _, d := range times.settle {
+			settle += d
+		}
+		if times.changes != tc.changes || (settle-tc.settle).Abs() > time.Millisecond {
+			t.Errorf("%d s: %d changes, settling for %v, want %d, %v", tc.seconds, times.changes, settle, tc.changes, tc.settle)
+		}
+	}
+}
+
+// TestTrafficCountsSockets checks the bytes that reach the other end.
+func TestTrafficCountsSockets(t *testing.T) {
+	var tf traffic
+	here, there := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, there) }()
+	stream := tf.sockets().Stream(here)
+	for range 3 {
+		if _, err := stream.Write(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stream.Close()
+	conn, err := net.ListenPacket("udp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	packets := tf.sockets().Packet(conn)
+	defer packets.Close()
+	if _, err := packets.WriteTo(make([]byte, 72), conn.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := tf.read(), (sent{udp: 100, tcp: 300}); got != want {
+		t.Errorf("sent %+v, want %+v", got, want)
+	}
+}
