Test draining an upstream under load

TestDrain drains one of three upstreams while requests go through all nodes, by the operator's call and by the upstream's own, and takes it back. The stand-in must see no run that begins later than 2 s after, no request may fail, and work must come back.

Without admission.Leave at the guard 17 and 18 runs began too late; without admission.Resume no work came back. Without the mark in the routing table alone the test stays green, as the guard turns work away.

--- /dev/null
+++ b/internal/deployment/drain_test.go
@@ -0,0 +1,78 @@
+package deployment
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"camphortrail/internal/standin"
+)
+
+// drainTime is the time within which a draining upstream gets no more new work.
+const drainTime = 2 * time.Second
+
+// TestDrain drains an upstream under load and takes that back.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	const drained = 1
+	for name, drain := range map[string]func(fl *fleet, resume bool) bool{
+		"operator": func(fl *fleet, resume bool) bool {
+			_, peers, _ := fl.Nodes[drained].Addresses()
+			_, err := fl.Client.Drain(fl.t.Context(), peers, resume)
+			return err == nil
+		},
+		"upstream": func(fl *fleet, resume bool) bool {
+			if !resume {
+				return fl.Upstream[drained].Drain(fl.t.Context())
+			}
+			_, _, local := fl.Nodes[drained].Addresses()
+			return fl.local(http.MethodDelete, local, "/drain") == http.StatusNoContent
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			up := standin.UpstreamOptions{Service: front, Slots: 50, Work: 20 * time.Millisecond}
+			fl := startFleet(t, 1, 10*time.Second, up, up, up)
+			vm := string(fl.opt.Places[drained].VM)
+			callers := fl.startCallers(t.Context(), front, 5*time.Second, 30, lookups, issues)
+			fl.until("work at the upstream", func() bool { return len(fl.runs(vm, time.Time{})) > 10 })
+			if !drain(fl, false) {
+				t.Fatal("drain refused")
+			}
+			limit := time.Now().Add(drainTime)
+			time.Sleep(drainTime + time.Second)
+			if late := fl.runs(vm, limit); len(late) > 0 {
+				t.Errorf("%d runs later than %v after the drain, the last %v after it", len(late), drainTime,
+					late[len(late)-1].Started.Sub(limit)+drainTime)
+			}
+			if elsewhere := fl.runs("", limit); len(elsewhere) < 20 {
+				t.Errorf("%d runs at all upstreams in the second after, want at least 20", len(elsewhere))
+			}
+			resumed := time.Now()
+			if !drain(fl, true) {
+				t.Fatal("resume refused")
+			}
+			fl.until("work after the resume", func() bool { return len(fl.runs(vm, resumed)) > 0 })
+			callers.Wait()
+			for _, sn := range fl.recorder.Log().Sends {
+				if sn.Verdict != standin.Whole {
+					t.Errorf("sent to node %d: %+v", sentTo(sn), sn)
+				}
+			}
+		})
+	}
+}
+
+// local sends a request to the local address of a node.
+func (fl *fleet) local(method, address, path string) int {
+	req, err := http.NewRequestWithContext(fl.t.Context(), method, "http://"+address+path, nil)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	res, err := fl.client.Do(req)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
