--- a/internal/deployment/fleet_test.go
+++ b/internal/deployment/fleet_test.go
@@ -77,9 +77,11 @@
 		t.Fatal(err)
 	}
 	fl.revision = rs.GetRevision()
+	applied := time.Now()
 	if err := dp.WaitReady(ctx, fl.revision); err != nil {
 		t.Fatal(err)
 	}
+	t.Logf("ready %v after the configuration was accepted", time.Since(applied))
 	return fl
 }
 
