Retry at an upstream that failed before giving up for want of one

Change: when only excluded VMs are left, and none refused for overload, they are asked again, within the retry total. Figures: TestRetryAtTheOnlyUpstream fails before with 'status 503 not-run no-upstream' or the like, and passes after. Conclusion: a service with one VM gets its retries too.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -299,3 +299,18 @@
 		t.Errorf("body %q, %v; want the upstream's", an, err)
 	}
 }
+
+// A service with one VM gets the retry too.
+func TestRetryAtTheOnlyUpstream(t *testing.T) {
+	var bn *bench
+	bn = newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		if bn.runs.Load() == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		ok(w, r)
+	})
+	check(t, bn.do("GET", "/cassa/payments", ""), 200, call.Done, "")
+	if n := bn.runs.Load(); n != 2 {
+		t.Errorf("%d runs, want 2", n)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -96,6 +96,11 @@
 			return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
 		}
 		vm, address, err := en.choose(now, rq, exclude)
+		if errors.Is(err, route.ErrNoUpstream) && len(exclude) > 0 && !rq.overload {
+			// Better an upstream that failed a moment ago than none.
+			exclude = nil
+			vm, address, err = en.choose(now, rq, nil)
+		}
 		if err != nil {
 			return en.unroutable(rq, err)
 		}
