Test that the transport to the upstream does not resend

Cause: with the body that cannot be rewound replaced by an empty one no test went red: the tests' upstream closed its connections, and net/http resends on reused ones only. Change: a test with a reused connection that ends after the run. Conclusion: closes a gap in the proofs.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -183,3 +184,24 @@
 		t.Errorf("outcome %v, %d runs; want not-run, 0", an.Outcome, runs.Load())
 	}
 }
+
+// A connection to the upstream that ends after the run must not make the
+// transport send the request again, though it carries an idempotency key.
+func TestTransportDoesNotResend(t *testing.T) {
+	var runs atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "first")
+	}))
+	t.Cleanup(srv.Close)
+	gd := startGuard(t, false, strings.TrimPrefix(srv.URL, "http://"))
+	if an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second)); an.Outcome != call.Done {
+		t.Fatalf("first attempt: %+v", an)
+	}
+	an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second))
+	if an.Outcome != call.Unknown || runs.Load() != 2 {
+		t.Errorf("outcome %v after %d runs, want unknown after 2", an.Outcome, runs.Load())
+	}
+}
