Test idempotency keys while the control leader stops

TestKeys sends 40 keys at once through three nodes while the leader of three control replicas is stopped: each runs once, and a later resend through any node gets the recorded answer without another run.

Red when requests are not claimed, and when the answer is not recorded with the key.

--- /dev/null
+++ b/internal/deployment/key_test.go
@@ -0,0 +1,126 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"camphortrail/internal/header"
+	"camphortrail/internal/standin"
+	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
+)
+
+// leader returns the index of the control replica that leads, or -1.
+func (fl *fleet) leader() int {
+	for i, address := range fl.Client.Controls {
+		ctx, stop := context.WithTimeout(fl.t.Context(), time.Second)
+		client := schemaconnect.NewControlClient(fl.Client.HTTP, "http://"+address)
+		rs, err := client.ControlStatus(ctx, connect.NewRequest(&schema.ControlStatusRequest{}))
+		stop()
+		if err == nil && rs.Msg.GetLeader() == fl.controls[i].GetName() {
+			return i
+		}
+	}
+	return -1
+}
+
+// stopLeader stops the control replica that leads and returns its index.
+func (fl *fleet) stopLeader() int {
+	fl.t.Helper()
+	led := -1
+	fl.until("a leader", func() bool { led = fl.leader(); return led >= 0 })
+	fl.StopControl(led)
+	return led
+}
+
+// effects counts the non-idempotent runs of each key on each service.
+func (fl *fleet) effects() map[string]int {
+	counts := make(map[string]int)
+	for _, rn := range fl.recorder.Log().Runs {
+		if rn.Key != "" && !rn.Idempotent {
+			counts[rn.Key]++
+		}
+	}
+	return counts
+}
+
+// TestKeys sends each key at once through three nodes, and again until there
+// is an answer, while the leader of the control replicas is stopped.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	up := standin.UpstreamOptions{Service: front, Slots: 50, Work: 30 * time.Millisecond}
+	fl := startFleet(t, 3, 3*time.Second, up, up, up)
+	const keys = 40
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	first := make(map[string]string)
+	for k := range keys {
+		key := fmt.Sprint("key-", k)
+		for i := range fl.Nodes {
+			group.Go(func() {
+				time.Sleep(time.Duration(k) * 20 * time.Millisecond)
+				rp := fl.sendKey(key, i)
+				mu.Lock()
+				defer mu.Unlock()
+				if old, ok := first[key]; ok && old != rp.body {
+					t.Errorf("%s: two answers", key)
+				}
+				first[key] = rp.body
+			})
+		}
+	}
+	fl.until("effects", func() bool { return len(fl.effects()) > keys/4 })
+	if done := len(fl.effects()); done >= keys {
+		t.Errorf("all of %d keys have run before the stop", keys)
+	}
+	led := fl.stopLeader()
+	group.Wait()
+	if err := fl.StartControl(led); err != nil {
+		t.Fatal(err)
+	}
+	before := len(fl.recorder.Log().Runs)
+	for k := range keys {
+		key := fmt.Sprint("key-", k)
+		for i := range fl.Nodes {
+			group.Go(func() {
+				rp := fl.send(t.Context(), i, front, charges, key, header.Key, key, header.Resend, "1")
+				if !rp.whole() || rp.body != first[key] {
+					t.Errorf("%s sent again to node %d: %v, want the recorded answer", key, i, rp)
+				}
+			})
+		}
+	}
+	group.Wait()
+	if after := len(fl.recorder.Log().Runs); after != before {
+		t.Errorf("%d runs after all keys had their answer", after-before)
+	}
+	if ran := len(fl.effects()); ran != keys {
+		t.Errorf("%d keys have run, want %d", ran, keys)
+	}
+	for key, count := range fl.effects() {
+		if count > 1 {
+			t.Errorf("%s has run %d times", key, count)
+		}
+	}
+}
+
+// sendKey sends a key from node i on to each in turn until its answer comes.
+func (fl *fleet) sendKey(key string, i int) (rp reply) {
+	for end := time.Now().Add(patience); time.Now().Before(end); i++ {
+		if rp = fl.send(fl.t.Context(), i%len(fl.Nodes), front, charges, key, header.Key, key); rp.whole() {
+			return rp
+		}
+		if rp.err != nil || rp.status != http.StatusConflict && rp.status != http.StatusServiceUnavailable {
+			fl.t.Errorf("%s: %v", key, rp)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	fl.t.Errorf("%s: no answer, last %v", key, rp)
+	return rp
+}
