--- a/membership/restore.go
+++ b/membership/restore.go
@@ -78,6 +78,13 @@
 	dm.explore.plan(mc.now, mc.jitter(exploreJitter), exploreCooldown)
 }
 
+// exploreOn goes on until there is a sign from the failure domain.
+func (mc *Machine) exploreOn(dm *domain) {
+	if dm.failures > 0 && len(dm.doubtful()) > 0 {
+		dm.explore.at = mc.now.Add(exploreCooldown)
+	}
+}
+
 // probeDomains carries out what recheck and explore have planned.
 func (mc *Machine) probeDomains() {
 	for _, dm := range mc.tb.domains {
@@ -85,7 +92,8 @@
 			mc.probeSome(dm.dead(), pendingProbe{})
 		}
 		if dm.explore.due(mc.now) {
-			mc.probeSome(dm.alive(), pendingProbe{judged: true})
+			mc.probeSome(dm.doubtful(), pendingProbe{judged: true})
+			mc.exploreOn(dm)
 		}
 	}
 }
