Let a measurement stand between nodes; scenario silent runs

Cause: the scenario had no way to make connections between nodes silent. Change: peer, node and deployment take a dial function for attempts.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -44,6 +44,8 @@
 	Policy   node.Policy
 	Seed     uint64
 	Log      log.Interface
+	// Dial opens the connections between nodes for attempts.
+	Dial peer.Dial
 	// Sockets may stand between the nodes and their sockets for control.
 	Sockets node.Sockets
 }
@@ -207,7 +209,7 @@
 // stopped. Nodes must not be read meanwhile.
 func (dp *Deployment) StartNode(i int) error {
 	set := dp.settings[i]
-	nd, err := node.New(set, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, Sockets: dp.opt.Sockets})
+	nd, err := node.New(set, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, Sockets: dp.opt.Sockets, Dial: dp.opt.Dial})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -113,7 +113,7 @@
 		t.Fatal(err)
 	}
 	bn.Entry = New(Options{
-		VM: "a", Domain: "d1", Trees: trees, Guard: gd, Pool: peer.New(func(call.VM, bool) {}), Claims: bn.claims, Seed: 1,
+		VM: "a", Domain: "d1", Trees: trees, Guard: gd, Pool: peer.New(peer.Options{OnState: func(call.VM, bool) {}}), Claims: bn.claims, Seed: 1,
 	})
 	bn.SetConfiguration(testConfiguration(t))
 	bn.Route(route.Upsert{VM: "a", Service: "cassa", Domain: "d1", Slots: 4, Incarnation: 1})
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -59,9 +59,13 @@
 		ft.services = append(ft.services, vm.Service)
 		places = append(places, deployment.Place{VM: call.VM(vm.VM), Domain: domain, Upstream: vm})
 	}
-	ft.Deployment, err = deployment.Start(ctx, deployment.Options{
+	dopt := deployment.Options{
 		Name: deploymentName, Folder: folder, Controls: max(1, opt.controls), Places: places, Policy: opt.policy, Seed: opt.seed,
-	})
+	}
+	if opt.relayed {
+		dopt.Dial = ft.relays.dial
+	}
+	ft.Deployment, err = deployment.Start(ctx, dopt)
 	if err != nil {
 		_ = os.RemoveAll(folder)
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	// Seed makes choices repeatable. Zero draws one.
 	Seed uint64
 	Log  log.Interface
+	// Dial opens the connections to guards; see peer.Options.
+	Dial peer.Dial
 	// Sockets may stand between the node and its sockets for control.
 	Sockets Sockets
 }
@@ -96,7 +98,7 @@
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()),
 	})
-	nd.pool = peer.New(nd.connState)
+	nd.pool = peer.New(peer.Options{OnState: nd.connState, Dial: opt.Dial})
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics,
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -28,16 +28,20 @@
 	suspect   bool
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewTransport returns a transport for HTTP/2 without encryption between
 // processes of the system.
 func NewTransport() *http.Transport {
+	return newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+func newTransport(dial Dial) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		},
+		DialContext:        dial,
 		Protocols:          &protocols,
 		DisableCompression: true,
 		IdleConnTimeout:    idleExpiry,
@@ -58,7 +62,7 @@
 		cn.suspect = true
 	}
 	pl.nextConn++
-	cn = &conn{id: pl.nextConn, vm: vm, address: address, transport: NewTransport()}
+	cn = &conn{id: pl.nextConn, vm: vm, address: address, transport: newTransport(pl.dial)}
 	pl.conns[vm] = cn
 	pl.all[cn.id] = cn
 	return cn
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 type Pool struct {
 	signals *ring.Ring[withdrawal.Signal]
 	dropped atomic.Uint64
+	dial    Dial
 
 	mu       sync.Mutex
 	nextConn withdrawal.ConnID
@@ -68,16 +70,27 @@
 	found      chan Result
 }
 
-// New returns a pool without connections. onState is told when a VM's
-// connection becomes suspect and when the VM answers again.
-func New(onState func(vm call.VM, suspect bool)) *Pool {
+// Options describe a pool.
+type Options struct {
+	// OnState is told when a VM cannot be reached, and when it answers again.
+	OnState func(vm call.VM, suspect bool)
+	// Dial opens the connections to guards. The default is that of net.
+	Dial Dial
+}
+
+// New returns a pool without connections.
+func New(opt Options) *Pool {
+	if opt.Dial == nil {
+		opt.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &Pool{
+		dial:    opt.Dial,
 		signals: ring.New[withdrawal.Signal](signalRingSize),
 		conns:   make(map[call.VM]*conn),
 		all:     make(map[withdrawal.ConnID]*conn),
 		stamps:  make(map[call.VM]stamp),
 		pending: make(map[call.AttemptID]*pending),
-		onState: onState,
+		onState: opt.OnState,
 	}
 }
 
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -151,7 +151,7 @@
 			go bn.relay.serve(conn)
 		}
 	}()
-	bn.pool = New(func(call.VM, bool) {})
+	bn.pool = New(Options{OnState: func(call.VM, bool) {}})
 	duties.Go(func() { _ = bn.pool.Run(ctx) })
 	return bn
 }
