--- a/cmd/camphortrail/operate.go
+++ b/cmd/camphortrail/operate.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,11 +67,15 @@
 	if err != nil {
 		return errors.Wrap(err, "check")
 	}
+	var problems []string
 	for _, path := range paths {
 		if _, err := config.LoadSettings(path); err != nil {
-			return err
+			problems = append(problems, err.Error())
 		}
 	}
+	if len(problems) > 0 {
+		return errors.New(strings.Join(problems, "\n"))
+	}
 	fmt.Printf("accepted: deployment %s, version %d, %d services, %d settings\n",
 		cfg.GetDeployment(), cfg.GetVersion(), len(cfg.GetServices()), len(paths))
 	return nil
@@ -94,6 +99,11 @@
 	if err != nil {
 		return err
 	}
+	if rs.GetVersionInForce() > cfg.GetVersion() {
+		fmt.Printf("accepted before: version %d was revision %d; version %d is in force\n",
+			cfg.GetVersion(), rs.GetRevision(), rs.GetVersionInForce())
+		return nil
+	}
 	fmt.Printf("accepted: version %d is revision %d\n", cfg.GetVersion(), rs.GetRevision())
 	return nil
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -80,5 +80,6 @@
 func (co *Control) localHandler() http.Handler {
 	ro := chi.NewRouter()
 	ro.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { co.measures.set.WritePrometheus(w) })
+	ro.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return ro
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,6 +146,10 @@
 	defer en.active.Exit()
 	begun := time.Now()
 	rq, an := en.accept(r, begun)
+	if an != nil && maybeResent(r.Header) {
+		// The refusal is of this send; another one may have run.
+		an.Outcome = call.Unknown
+	}
 	if an == nil {
 		an = en.serve(r.Context(), rq)
 	}
@@ -174,7 +178,7 @@
 		hd[name] = values
 	}
 	hd.Set(header.Outcome, an.Outcome.String())
-	if rq != nil {
+	if rq != nil && rq.id != (call.RequestID{}) {
 		hd.Set(header.Request, rq.id.String())
 	}
 	if an.Reason != "" {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -44,7 +44,7 @@
 	default:
 		return en.giveUp(rq, ReasonClaims, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
 	}
-	rq.history.Resent = false
+	rq.fresh, rq.history.Resent = true, false
 	an := en.execute(ctx, rq)
 	switch an.Outcome {
 	case call.Done:
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -12,6 +12,7 @@
 	"camphortrail/config"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/header"
+	"camphortrail/internal/peer"
 	"camphortrail/internal/tree"
 	"camphortrail/retry"
 	"camphortrail/withdrawal"
@@ -38,11 +39,15 @@
 	body   []byte
 	key    string
 
+	// fresh says that no earlier send of the request can have run: its key
+	// was granted, or the caller said so.
+	fresh   bool
 	history withdrawal.History
 	// answer is the latest whole answer of an upstream.
 	answer *attempt.Answer
 	// attempts counts what was sent.
 	attempts  int
+	last      peer.Result
 	restamped bool
 	overload  bool
 }
@@ -127,13 +132,22 @@
 			rq.deadline = own
 		}
 	}
-	// A request with a key may have been sent before unless the caller says
-	// that it was not.
-	maybeResent := rq.resend > 0 || rq.key != "" && hd.Get(header.Resend) == ""
-	rq.history.Resent = maybeResent && hd.Get(header.Earlier) != call.NotRun.String()
+	rq.fresh = hd.Get(header.Earlier) == call.NotRun.String()
+	rq.history.Resent = maybeResent(hd)
 	return nil
 }
 
+// maybeResent reports whether an earlier send of a request may have run, by
+// what its caller says. A request with a key may have been sent before unless
+// the caller says that it was not.
+func maybeResent(hd http.Header) bool {
+	if hd.Get(header.Earlier) == call.NotRun.String() {
+		return false
+	}
+	resend := hd.Get(header.Resend)
+	return resend != "" && resend != "0" || resend == "" && hd.Get(header.Key) != ""
+}
+
 // keyedID returns the same request id for each send of an idempotency key.
 func keyedID(tenant call.Tenant, key string) (id call.RequestID) {
 	binary.BigEndian.PutUint64(id[:8], xxhash.Sum64String(string(tenant)+"\x00"+key))
@@ -143,7 +157,7 @@
 
 // digest identifies the request among the calls of one parent.
 func (rq *request) digest() retry.Digest {
-	return retry.DigestOf(rq.kind.Service, rq.method, rq.uri, xxhash.Sum64(rq.body))
+	return retry.DigestOf(rq.kind.Service, rq.method, rq.uri+"\x00"+rq.key, xxhash.Sum64(rq.body))
 }
 
 // attempt returns a new attempt of the request.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -67,10 +67,10 @@
 	case retry.FirstSend:
 		return nil
 	case retry.Charged:
-		rq.history.Resent = true
+		rq.history.Resent = !rq.fresh
 		return nil
 	default:
-		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.orphan || rq.resend > 0
+		rq.history.Resent = rq.history.Resent || !rq.fresh && (rq.parent != nil || rq.orphan || rq.resend > 0)
 		return en.giveUp(rq, ReasonRetryTotal, http.StatusServiceUnavailable, 0)
 	}
 }
@@ -102,9 +102,10 @@
 			vm, address, err = en.choose(now, rq, nil)
 		}
 		if err != nil {
-			return en.unroutable(rq, err)
+			return en.unroutable(ctx, rq, err)
 		}
 		rs := en.send(ctx, rq, vm, address)
+		rq.last = rs
 		if rs.Answer != nil && rs.Answer.Outcome == call.Done {
 			rq.answer = rs.Answer
 			if !en.mendable(rq, rs.Answer) {
@@ -141,7 +142,10 @@
 }
 
 // unroutable answers a request for which there is no VM.
-func (en *Entry) unroutable(rq *request, err error) *attempt.Answer {
+func (en *Entry) unroutable(ctx context.Context, rq *request, err error) *attempt.Answer {
+	if rq.attempts > 0 && errors.Is(err, route.ErrNoUpstream) {
+		return en.exhausted(ctx, rq, rq.last)
+	}
 	if errors.Is(err, route.ErrShed) {
 		rq.overload = true
 		return en.giveUp(rq, ReasonOverload, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -150,6 +151,7 @@
 		Deployment: call.Tenant(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
 		Address: nd.peers.Addr().String(), Contacts: nd.set.GetFirstContacts(),
+		Metrics: nd.metrics,
 	}, sockets.packet(conn))
 	if err != nil {
 		conn.Close()
@@ -165,6 +167,7 @@
 			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address)
 		},
 		Hints: nd.gossip.Hints(), Peers: nd.nodeAddresses, OnChange: nd.configure,
+		Log: nd.log, Metrics: nd.metrics,
 	})
 	return err
 }
@@ -176,6 +179,11 @@
 		return err
 	}
 	nd.entry.SetConfiguration(cd)
+	if !slices.ContainsFunc(cfg.GetFailureDomains(), func(fd *schema.FailureDomain) bool {
+		return fd.GetName() == nd.set.GetFailureDomain()
+	}) {
+		nd.log.Warn("the configuration does not name this node's failure domain")
+	}
 	nd.entry.Route(route.Near{Domains: nearDomains(cfg, nd.set.GetFailureDomain())})
 	nd.gossip.SetRevision(revision)
 	nd.log.WithFields(log.Fields{"revision": revision, "version": cfg.GetVersion()}).Info("configuration in force")
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -17,6 +17,8 @@
 	pingInterval = 5 * time.Second
 	pingTimeout  = 2 * time.Second
 	idleExpiry   = time.Minute
+	// probeLife is the age from which a connection for questions is replaced.
+	probeLife = 250 * time.Millisecond
 )
 
 // conn is one connection to a guard. Attempts share it as HTTP/2 streams.
@@ -26,6 +28,7 @@
 	address   string
 	transport *http.Transport
 	suspect   bool
+	opened    time.Time
 }
 
 // Dial opens a connection.
@@ -68,6 +71,33 @@
 	return cn
 }
 
+// probe returns the connection for questions to the VM. It is new, or was so a
+// moment ago, since an older one may have gone silent.
+func (pl *Pool) probe(vm call.VM, address string) *conn {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	cn := pl.probes[vm]
+	if cn != nil && cn.address == address && time.Since(cn.opened) < probeLife {
+		return cn
+	}
+	if cn != nil {
+		time.AfterFunc(queryTimeout, cn.transport.CloseIdleConnections)
+	}
+	cn = &conn{vm: vm, address: address, transport: newTransport(pl.dial), opened: time.Now()}
+	pl.probes[vm] = cn
+	return cn
+}
+
+// dropProbe makes the next question take a new connection.
+func (pl *Pool) dropProbe(cn *conn) {
+	pl.mu.Lock()
+	if pl.probes[cn.vm] == cn {
+		delete(pl.probes, cn.vm)
+	}
+	pl.mu.Unlock()
+	cn.transport.CloseIdleConnections()
+}
+
 // markSuspect keeps new attempts off a connection.
 func (pl *Pool) markSuspect(id withdrawal.ConnID) {
 	pl.mu.Lock()
@@ -97,8 +127,12 @@
 func (pl *Pool) Forget(vm call.VM) {
 	pl.mu.Lock()
 	cn := pl.conns[vm]
+	probe := pl.probes[vm]
 	delete(pl.stamps, vm)
 	pl.mu.Unlock()
+	if probe != nil {
+		pl.dropProbe(probe)
+	}
 	if cn != nil {
 		pl.discard(cn)
 	}
@@ -119,6 +153,10 @@
 	for _, cn := range pl.all {
 		cn.transport.CloseIdleConnections()
 	}
+	for _, cn := range pl.probes {
+		cn.transport.CloseIdleConnections()
+	}
 	clear(pl.all)
+	clear(pl.probes)
 	clear(pl.conns)
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -51,6 +51,7 @@
 	nextConn withdrawal.ConnID
 	conns    map[call.VM]*conn
 	all      map[withdrawal.ConnID]*conn
+	probes   map[call.VM]*conn
 	stamps   map[call.VM]stamp
 	pending  map[call.AttemptID]*pending
 	onState  func(vm call.VM, suspect bool)
@@ -88,6 +89,7 @@
 		signals: ring.New[withdrawal.Signal](signalRingSize),
 		conns:   make(map[call.VM]*conn),
 		all:     make(map[withdrawal.ConnID]*conn),
+		probes:  make(map[call.VM]*conn),
 		stamps:  make(map[call.VM]stamp),
 		pending: make(map[call.AttemptID]*pending),
 		onState: opt.OnState,
--- a/internal/peer/query.go
+++ b/internal/peer/query.go
@@ -72,15 +72,15 @@
 	return withdrawal.ParseStamp(rs.GetStamp())
 }
 
-// ask sends a withdrawal on the current connection to the VM.
+// ask sends a withdrawal on the connection for questions to the VM.
 func (pl *Pool) ask(ctx context.Context, vm call.VM, address string, rq *schema.WithdrawRequest) (*schema.WithdrawResponse, error) {
 	ctx, stop := context.WithTimeout(ctx, queryTimeout)
 	defer stop()
-	cn := pl.current(vm, address)
+	cn := pl.probe(vm, address)
 	client := schemaconnect.NewPeerClient(&http.Client{Transport: cn.transport}, "http://"+address)
 	rs, err := client.Withdraw(ctx, connect.NewRequest(rq))
 	if err != nil {
-		pl.markSuspect(cn.id)
+		pl.dropProbe(cn)
 		pl.onState(vm, true)
 		return nil, err
 	}
@@ -109,6 +109,8 @@
 	case withdrawal.Queued, withdrawal.Running, withdrawal.Unseen:
 		// Suspicion asks again later.
 	case withdrawal.Finished:
+		// The answer should have come on the attempt's own connection.
+		pl.signal(withdrawal.Failed{Attempt: qu.Attempt})
 		if rec := rs.GetAnswer(); rec != nil {
 			pe.deliver(answered(attempt.FromRecord(rec)))
 			return
