Test work without the control replicas

TestCutOff stops all control replicas and restarts a node: idempotent and un-keyed work goes on at each node, keyed non-idempotent work is refused, as not-run only where the caller says that it is the first send, and each such key runs once after the replicas are back.

Red when the entry takes a key without a resend number for a first send.

--- /dev/null
+++ b/internal/deployment/cut_off_test.go
@@ -0,0 +1,96 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/entry"
+	"camphortrail/internal/header"
+	"camphortrail/internal/standin"
+)
+
+// TestCutOff stops all control replicas. What needs no claim goes on, also at
+// a node that is started meanwhile; keyed non-idempotent work waits for them.
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	up := standin.UpstreamOptions{Service: front, Slots: 50, Work: 5 * time.Millisecond}
+	fl := startFleet(t, 3, 5*time.Second, up, up, up)
+	for i := range fl.controls {
+		fl.StopControl(i)
+	}
+	const restarted = 1
+	fl.StopNode(restarted)
+	if err := fl.StartNode(restarted); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	if err := fl.WaitReady(ctx, fl.revision); err != nil {
+		t.Fatal(err)
+	}
+	fl.checkWithoutClaims("cut off")
+	var group sync.WaitGroup
+	for i := range fl.Nodes {
+		group.Go(func() { fl.checkKeyRefused(i, "first", call.NotRun, header.Resend, "0") })
+		group.Go(func() { fl.checkKeyRefused(i, "unstated", call.Unknown) })
+		group.Go(func() { fl.checkKeyRefused(i, "resend", call.Unknown, header.Resend, "1") })
+	}
+	group.Wait()
+	if ran := len(fl.effects()); ran > 0 {
+		t.Fatalf("%d keys have run without a claim", ran)
+	}
+	for i := range fl.controls {
+		if err := fl.StartControl(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	probes := 0
+	fl.until("claims", func() bool {
+		probes++
+		key := fmt.Sprint("probe-", probes)
+		return fl.send(t.Context(), restarted, front, charges, key, header.Key, key, header.Resend, "0").whole()
+	})
+	for i := range fl.Nodes {
+		for _, name := range []string{"first", "unstated", "resend"} {
+			group.Go(func() { fl.sendKey(keyAt(name, i), i+1) })
+		}
+	}
+	group.Wait()
+	effects := fl.effects()
+	for i := range fl.Nodes {
+		for _, name := range []string{"first", "unstated", "resend"} {
+			if count := effects[keyAt(name, i)]; count != 1 {
+				t.Errorf("key %s has run %d times", keyAt(name, i), count)
+			}
+		}
+	}
+	fl.checkWithoutClaims("after the return")
+}
+
+// checkWithoutClaims checks that each node serves what needs no claim.
+func (fl *fleet) checkWithoutClaims(when string) {
+	fl.t.Helper()
+	for i := range fl.Nodes {
+		for _, kind := range []string{lookups, issues} {
+			if rp := fl.send(fl.t.Context(), i, front, kind, "1"); !rp.whole() {
+				fl.t.Errorf("%s: %s at node %d: %v", when, kind, i, rp)
+			}
+		}
+	}
+}
+
+func keyAt(name string, node int) string { return fmt.Sprint(name, "-", node) }
+
+// checkKeyRefused checks the answer of a node to keyed work.
+func (fl *fleet) checkKeyRefused(node int, name string, want call.Outcome, headers ...string) {
+	key := keyAt(name, node)
+	rp := fl.send(fl.t.Context(), node, front, charges, key, append(headers, header.Key, key)...)
+	if rp.err != nil || rp.status != http.StatusServiceUnavailable || rp.outcome != want || rp.reason != entry.ReasonClaims {
+		fl.t.Errorf("key %s at node %d: %v, want outcome %v", key, node, rp, want)
+	}
+}
