Bound the wait of an attempt by its deadline, not by the old service time

Ruled out: the queue's length, which the estimated wait bounds as before. Change: patience is the lower of 500 ms and three quarters of the time that the deadline leaves.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -24,8 +24,8 @@
 	// is longer, up to half of MaxWait.
 	TargetWait time.Duration
 	// MaxWait is the longest time for which an attempt waits (default
-	// 500 ms). An attempt waits for twice the estimated time, and for three quarters
-	// of the time that its deadline leaves.
+	// 500 ms), and at most for three quarters of the time that its deadline
+	// leaves.
 	MaxWait time.Duration
 	// MaxWaiting bounds the number of waiting attempts (default 4096).
 	MaxWaiting int
--- a/admission/step.go
+++ b/admission/step.go
@@ -88,7 +88,7 @@
 		mc.refuseLoad(ar.ID, rk.level(), Overload)
 		return
 	}
-	patience := min(2*mc.target(), mc.st.MaxWait, spare-spare/4)
+	patience := min(mc.st.MaxWait, spare-spare/4)
 	at := mc.newTask()
 	mc.tasks[at] = task{id: ar.ID, rk: rk, deadline: ar.Deadline, arrived: now, abortable: ar.Abortable}
 	mc.ids.put(ar.ID, at)
