Replace silent connections of claims and fetches; suspect later under load

On a busy machine attempts on working connections were withdrawn. Change: peer.Renewer takes a new connection to an address after a call failed or timed out; a call of the claims times out after 300 ms (was 500 ms). A connection on which something was acknowledged within the wait is not suspected. The relays of scenario silent are on all connections of a node now.

--- a/cmd/camphortrail/operate.go
+++ b/cmd/camphortrail/operate.go
@@ -52,7 +52,7 @@
 }
 
 func newClient(controls []string) *operator.Client {
-	return &operator.Client{HTTP: &http.Client{Transport: peer.NewTransport()}, Controls: controls}
+	return &operator.Client{HTTP: &http.Client{Transport: peer.NewRenewer(nil)}, Controls: controls}
 }
 
 type checkCommand struct{ folderArgument }
--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -33,7 +33,7 @@
 	maxBatch      = 512
 	maxBatchBytes = 1 << 20
 	// callTimeout bounds one call to a replica.
-	callTimeout = 500 * time.Millisecond
+	callTimeout = 300 * time.Millisecond
 	// batchTimeout bounds all calls for one batch.
 	batchTimeout = 2 * time.Second
 	// minPause and maxPause bound the pause after a failed call.
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -90,7 +90,7 @@
 	if opt.Log == nil {
 		opt.Log = &log.Logger{Handler: discard.Default, Level: log.FatalLevel}
 	}
-	dp := &Deployment{opt: opt, Client: &operator.Client{HTTP: &http.Client{Transport: peer.NewTransport()}}}
+	dp := &Deployment{opt: opt, Client: &operator.Client{HTTP: &http.Client{Transport: peer.NewRenewer(nil)}}}
 	dp.ctx, dp.cancel = context.WithCancel(ctx)
 	if err := dp.startControls(); err != nil {
 		dp.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,7 +53,7 @@
 	// Seed makes choices repeatable. Zero draws one.
 	Seed uint64
 	Log  log.Interface
-	// Dial opens the connections to guards; see peer.Options.
+	// Dial opens the connections to other processes; see peer.Options.
 	Dial peer.Dial
 	// Sockets may stand between the node and its sockets for control.
 	Sockets Sockets
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	trees := tree.New(retry.DefaultLimits())
-	nd.rpc = &http.Client{Transport: opt.Sockets.transport()}
+	nd.rpc = &http.Client{Transport: opt.Sockets.transport(opt.Dial)}
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()),
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -31,21 +31,22 @@
 	return &streamListener{Listener: ln, stream: so.Stream}
 }
 
-// transport returns the transport of the node's own calls for control.
-func (so Sockets) transport() *http.Transport {
-	tr := peer.NewTransport()
+// transport returns the transport of the node's own calls for control. Its
+// connections are opened by dial, or as package net does if dial is nil.
+func (so Sockets) transport(dial peer.Dial) http.RoundTripper {
 	if so.Stream == nil {
-		return tr
+		return peer.NewRenewer(dial)
 	}
-	dial := tr.DialContext
-	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	return peer.NewRenewer(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return so.Stream(conn), nil
-	}
-	return tr
+	})
 }
 
 // streamListener wraps each connection that it accepts.
--- /dev/null
+++ b/internal/peer/renewer.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Renewer is a transport for calls between processes that takes a new
+// connection to an address after a call on the old one has failed or timed
+// out: the old one may have gone silent. It is safe for concurrent use.
+type Renewer struct {
+	dial Dial
+
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+}
+
+// NewRenewer returns a Renewer that opens connections by dial, or as package
+// net does if dial is nil.
+func NewRenewer(dial Dial) *Renewer {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Renewer{dial: dial, transports: make(map[string]*http.Transport)}
+}
+
+// RoundTrip sends a request on the connection to its address.
+func (rn *Renewer) RoundTrip(req *http.Request) (*http.Response, error) {
+	tr := rn.transport(req.URL.Host)
+	res, err := tr.RoundTrip(req)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		rn.discard(req.URL.Host, tr)
+	}
+	return res, err
+}
+
+func (rn *Renewer) transport(host string) *http.Transport {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	tr := rn.transports[host]
+	if tr == nil {
+		tr = newTransport(rn.dial)
+		rn.transports[host] = tr
+	}
+	return tr
+}
+
+// discard makes the next request to the host take a new connection. Requests
+// on the old one go on.
+func (rn *Renewer) discard(host string, tr *http.Transport) {
+	rn.mu.Lock()
+	if rn.transports[host] == tr {
+		delete(rn.transports, host)
+	}
+	rn.mu.Unlock()
+	tr.CloseIdleConnections()
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (rn *Renewer) CloseIdleConnections() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, tr := range rn.transports {
+		tr.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/peer/renewer_test.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A call that a silent connection swallows times out, and the next one works.
+func TestRenewerReplacesSilentConnection(t *testing.T) {
+	bn := newBench(t)
+	client := &http.Client{Transport: NewRenewer(nil)}
+	defer client.CloseIdleConnections()
+	get := func(timeout time.Duration) error {
+		ctx, stop := context.WithTimeout(t.Context(), timeout)
+		defer stop()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+bn.address+"/else", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		return res.Body.Close()
+	}
+	if err := get(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	bn.relay.silence(true, true)
+	if err := get(100 * time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("call on a silent connection: %v, want deadline exceeded", err)
+	}
+	if err := get(4 * time.Second); err != nil {
+		t.Fatalf("call after it: %v", err)
+	}
+}
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -51,7 +51,9 @@
 	id      ConnID
 	trip    *roundTrip
 	suspect bool
-	holds   []*pending
+	// heard is the time of the latest acknowledgement.
+	heard time.Time
+	holds []*pending
 }
 
 // pending is an attempt without an answer.
@@ -156,6 +158,7 @@
 	if pe.conn == nil || pe.conn.suspect {
 		return
 	}
+	pe.conn.heard = now
 	su.wake(pe, now.Add(su.pollWait(pe)))
 }
 
@@ -255,6 +258,9 @@
 		su.drop(pe)
 	case pe.acked || cn == nil || cn.suspect:
 		su.query(now, pe)
+	case now.Sub(cn.heard) < cn.trip.wait():
+		// The connection works; the guard may be slow.
+		su.wake(pe, cn.heard.Add(cn.trip.wait()))
 	default:
 		su.suspect(now, cn)
 	}
