--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -28,10 +28,7 @@
 	if rq.parent != nil {
 		rq.parent.BeginCall(time.Now())
 	}
-	an := en.open(rq)
-	if an == nil {
-		an = en.serveKeyed(ctx, rq)
-	}
+	an := en.serveKeyed(ctx, rq)
 	if rq.parent != nil {
 		rq.parent.EndCall(time.Now(), rq.overload && an.Failed())
 	} else if !rq.orphan {
@@ -40,6 +37,17 @@
 	return an
 }
 
+// execute charges the request to its account and sends attempts.
+func (en *Entry) execute(ctx context.Context, rq *request) *attempt.Answer {
+	if !time.Now().Before(rq.deadline) {
+		return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
+	}
+	if an := en.open(rq); an != nil {
+		return an
+	}
+	return en.serveAttempts(ctx, rq)
+}
+
 // open charges the request to its retry account. It returns an answer if the
 // request must not be sent.
 func (en *Entry) open(rq *request) *attempt.Answer {
@@ -59,10 +67,10 @@
 	case retry.FirstSend:
 		return nil
 	case retry.Charged:
-		rq.history.Resent = true
+		rq.history.Resent = !rq.fresh
 		return nil
 	default:
-		rq.history.Resent = rq.history.Resent || rq.parent != nil || rq.resend > 0
+		rq.history.Resent = rq.history.Resent || !rq.fresh && (rq.parent != nil || rq.orphan || rq.resend > 0)
 		return en.giveUp(rq, ReasonRetryTotal, http.StatusServiceUnavailable, 0)
 	}
 }
@@ -88,10 +96,16 @@
 			return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
 		}
 		vm, address, err := en.choose(now, rq, exclude)
+		if errors.Is(err, route.ErrNoUpstream) && len(exclude) > 0 && !rq.overload {
+			// Better an upstream that failed a moment ago than none.
+			exclude = nil
+			vm, address, err = en.choose(now, rq, nil)
+		}
 		if err != nil {
-			return en.unroutable(rq, err)
+			return en.unroutable(ctx, rq, err)
 		}
 		rs := en.send(ctx, rq, vm, address)
+		rq.last = rs
 		if rs.Answer != nil && rs.Answer.Outcome == call.Done {
 			rq.answer = rs.Answer
 			if !en.mendable(rq, rs.Answer) {
@@ -102,6 +116,9 @@
 		if advice := rq.history.Advice(); advice == withdrawal.GiveUp || advice == withdrawal.Wait {
 			return en.lost(ctx, rq, rs)
 		}
+		if en.restamp(rq, rs) {
+			continue
+		}
 		exclude = append(exclude, vm)
 		if !en.mayRetry(rq, rs) {
 			return en.exhausted(ctx, rq, rs)
@@ -125,7 +142,10 @@
 }
 
 // unroutable answers a request for which there is no VM.
-func (en *Entry) unroutable(rq *request, err error) *attempt.Answer {
+func (en *Entry) unroutable(ctx context.Context, rq *request, err error) *attempt.Answer {
+	if rq.attempts > 0 && errors.Is(err, route.ErrNoUpstream) {
+		return en.exhausted(ctx, rq, rq.last)
+	}
 	if errors.Is(err, route.ErrShed) {
 		rq.overload = true
 		return en.giveUp(rq, ReasonOverload, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
@@ -181,10 +201,10 @@
 	done := rs.Answer != nil && rs.Answer.Outcome == call.Done
 	rq.history.Learn(at.ID, rs.State, done)
 	switch {
-	case rs.State.NotRun():
-		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
 	case rs.Answer != nil:
 		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(rs.Answer.Unused)})
+	case rs.State.NotRun():
+		en.opt.Trees.Step(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Allowance(at.Allowance)})
 	default:
 		en.opt.Trees.Step(now, retry.Lost{Account: rq.account, Attempt: at.ID})
 	}
@@ -235,6 +255,17 @@
 	return allowed && en.opt.Trees.Step(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
 
+// restamp reports whether the guard refused the attempt only because it has
+// begun a new incarnation. Its answer brought the new stamp, and the attempt
+// may be sent again once without charge.
+func (en *Entry) restamp(rq *request, rs peer.Result) bool {
+	if rq.restamped || rs.Answer == nil || rs.Answer.Reason != guard.ReasonStale {
+		return false
+	}
+	rq.restamped = true
+	return true
+}
+
 // succeed counts a success of the service.
 func (en *Entry) succeed(rq *request, an *attempt.Answer) {
 	if an.Failed() {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
@@ -45,6 +48,8 @@
 	FIFO bool
 	// Admission tunes the policy.
 	Admission admission.Settings
+	// Metrics counts refusals, if it is set.
+	Metrics *metrics.Set
 	// Seed makes the choices of the guard repeatable.
 	Seed uint64
 	// Incarnation identifies this run of the guard.
@@ -59,6 +64,7 @@
 	client   *http.Client
 	upstream atomic.Pointer[membership.Upstream]
 	fifo     bool
+	metrics  *metrics.Set
 	active   flight.Counter
 
 	mu       sync.Mutex
@@ -75,6 +81,7 @@
 		trees:    opt.Trees,
 		duty:     newDuty(mc),
 		fifo:     opt.FIFO,
+		metrics:  opt.Metrics,
 		client:   newClient(),
 		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
@@ -141,11 +148,23 @@
 	an := gd.begin(at)
 	if an == nil {
 		an = gd.admit(ctx, at)
+	} else {
+		an.Unused = at.Allowance
 	}
+	gd.count(at, an)
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	return an
 }
 
+// count counts a refusal by its reason and the importance of the work.
+func (gd *Guard) count(at *attempt.Attempt, an *attempt.Answer) {
+	if gd.metrics == nil || an.Outcome != call.NotRun {
+		return
+	}
+	name := fmt.Sprintf(`camphortrail_guard_refusals_total{reason=%q,importance="%d"}`, an.Reason, at.Importance)
+	gd.metrics.GetOrCreateCounter(name).Inc()
+}
+
 // begin registers the attempt. It returns an answer if that is refused.
 func (gd *Guard) begin(at *attempt.Attempt) *attempt.Answer {
 	if up := gd.upstream.Load(); up != nil && up.Service != at.Service {
@@ -182,21 +201,27 @@
 		Deadline: at.Deadline, Abortable: at.Idempotent,
 	}
 	if !gd.duty.inputs.Offer(input{event: arrival, ticket: tk}) {
-		gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
-		return attempt.Refusal(ReasonFull, fullRetryAfter)
+		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
 	}
 	stop := context.AfterFunc(ctx, func() { gd.cancel(at.ID) })
 	defer stop()
 	vd := <-tk.verdict
 	if !vd.start {
-		gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
 		an := attempt.Refusal(vd.reason.String(), vd.retryAfter)
 		an.Overload = vd.reason.Load()
-		return an
+		return gd.refuse(at, an)
 	}
 	return gd.execute(runCtx, at)
 }
 
+// refuse registers that the attempt did not begin, and gives its whole
+// allowance back.
+func (gd *Guard) refuse(at *attempt.Attempt, an *attempt.Answer) *attempt.Answer {
+	gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
+	an.Unused = at.Allowance
+	return an
+}
+
 // runDeadline returns the time at which a running attempt is given up. Without
 // the admission policy the deadline is not known to the upstream.
 func (gd *Guard) runDeadline(at *attempt.Attempt) time.Time {
@@ -218,13 +243,13 @@
 	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline}
 	fin := admission.Finish{ID: at.ID}
 	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin}) }()
-	if gd.step(withdrawal.Start[*attempt.Answer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
-		return attempt.Refusal(ReasonWithdrawn, 0)
-	}
 	open := retry.OpenAttempt{Attempt: at.ID, Allowance: retry.Allowance(at.Allowance), Deadline: at.Deadline}
 	if gd.trees.Step(time.Now(), open).Decision != retry.FirstSend {
-		gd.step(withdrawal.Abort[*attempt.Answer]{Attempt: at.ID})
-		return attempt.Broken(ReasonFull, http.StatusServiceUnavailable)
+		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
+	}
+	if gd.step(withdrawal.Start[*attempt.Answer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
+		gd.trees.Step(time.Now(), retry.Close{Account: retry.OfAttempt(at.ID)})
+		return gd.refuse(at, attempt.Refusal(ReasonWithdrawn, 0))
 	}
 	gd.trees.Enter(in)
 	begun := time.Now()
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -59,9 +59,13 @@
 		ft.services = append(ft.services, vm.Service)
 		places = append(places, deployment.Place{VM: call.VM(vm.VM), Domain: domain, Upstream: vm})
 	}
-	ft.Deployment, err = deployment.Start(ctx, deployment.Options{
+	dopt := deployment.Options{
 		Name: deploymentName, Folder: folder, Controls: max(1, opt.controls), Places: places, Policy: opt.policy, Seed: opt.seed,
-	})
+	}
+	if opt.relayed {
+		dopt.Dial = ft.relays.dial
+	}
+	ft.Deployment, err = deployment.Start(ctx, dopt)
 	if err != nil {
 		_ = os.RemoveAll(folder)
 		return nil, err
@@ -153,5 +157,17 @@
 	return nil
 }
 
+// setFaults makes each upstream spoil one answer in every given number of
+// requests; 0 ends that.
+func (ft *fleet) setFaults(every uint64) error {
+	faults := []standin.Fault{
+		standin.Drop, standin.Truncate, standin.WrongAttempt, standin.Silent, standin.Late, standin.Drop,
+	}
+	for i, us := range ft.Upstream {
+		us.SetFault(faults[i%len(faults)], every)
+	}
+	return nil
+}
+
 // silence makes all established connections between nodes go silent.
 func (ft *fleet) silence() error { return ft.relays.silence() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,6 +53,10 @@
 	// Seed makes choices repeatable. Zero draws one.
 	Seed uint64
 	Log  log.Interface
+	// Dial opens the connections to guards; see peer.Options.
+	Dial peer.Dial
+	// Sockets may stand between the node and its sockets for control.
+	Sockets Sockets
 }
 
 // Node is the process beside one upstream.
@@ -89,12 +94,12 @@
 		return nil, err
 	}
 	trees := tree.New(retry.DefaultLimits())
-	nd.rpc = &http.Client{Transport: peer.NewTransport()}
+	nd.rpc = &http.Client{Transport: opt.Sockets.transport()}
 	nd.guard = guard.New(guard.Options{
-		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed,
+		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()),
 	})
-	nd.pool = peer.New(nd.connState)
+	nd.pool = peer.New(peer.Options{OnState: nd.connState, Dial: opt.Dial})
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics,
@@ -108,7 +113,8 @@
 	}
 	nd.entry = entry.New(eopt)
 	nd.announce = announce.New(time.Now, nd.upstreamsChanged)
-	if err := nd.join(controls); err != nil {
+	nd.peers = opt.Sockets.listener(nd.peers)
+	if err := nd.join(controls, opt.Sockets); err != nil {
 		nd.Close()
 		return nil, err
 	}
@@ -136,7 +142,7 @@
 }
 
 // join sets membership and configuration up.
-func (nd *Node) join(controls []string) error {
+func (nd *Node) join(controls []string, sockets Sockets) error {
 	conn, err := net.ListenPacket("udp", nd.peers.Addr().String())
 	if err != nil {
 		return errors.Wrap(err, "node "+nd.set.GetName())
@@ -145,7 +151,8 @@
 		Deployment: call.Tenant(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
 		Address: nd.peers.Addr().String(), Contacts: nd.set.GetFirstContacts(),
-	}, conn)
+		Metrics: nd.metrics,
+	}, sockets.packet(conn))
 	if err != nil {
 		conn.Close()
 		return err
@@ -160,6 +167,7 @@
 			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address)
 		},
 		Hints: nd.gossip.Hints(), Peers: nd.nodeAddresses, OnChange: nd.configure,
+		Log: nd.log, Metrics: nd.metrics,
 	})
 	return err
 }
@@ -171,6 +179,11 @@
 		return err
 	}
 	nd.entry.SetConfiguration(cd)
+	if !slices.ContainsFunc(cfg.GetFailureDomains(), func(fd *schema.FailureDomain) bool {
+		return fd.GetName() == nd.set.GetFailureDomain()
+	}) {
+		nd.log.Warn("the configuration does not name this node's failure domain")
+	}
 	nd.entry.Route(route.Near{Domains: nearDomains(cfg, nd.set.GetFailureDomain())})
 	nd.gossip.SetRevision(revision)
 	nd.log.WithFields(log.Fields{"revision": revision, "version": cfg.GetVersion()}).Info("configuration in force")
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -44,11 +45,13 @@
 type Pool struct {
 	signals *ring.Ring[withdrawal.Signal]
 	dropped atomic.Uint64
+	dial    Dial
 
 	mu       sync.Mutex
 	nextConn withdrawal.ConnID
 	conns    map[call.VM]*conn
 	all      map[withdrawal.ConnID]*conn
+	probes   map[call.VM]*conn
 	stamps   map[call.VM]stamp
 	pending  map[call.AttemptID]*pending
 	onState  func(vm call.VM, suspect bool)
@@ -68,16 +71,28 @@
 	found      chan Result
 }
 
-// New returns a pool without connections. onState is told when a VM's
-// connection becomes suspect and when the VM answers again.
-func New(onState func(vm call.VM, suspect bool)) *Pool {
+// Options describe a pool.
+type Options struct {
+	// OnState is told when a VM cannot be reached, and when it answers again.
+	OnState func(vm call.VM, suspect bool)
+	// Dial opens the connections to guards. The default is that of net.
+	Dial Dial
+}
+
+// New returns a pool without connections.
+func New(opt Options) *Pool {
+	if opt.Dial == nil {
+		opt.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &Pool{
+		dial:    opt.Dial,
 		signals: ring.New[withdrawal.Signal](signalRingSize),
 		conns:   make(map[call.VM]*conn),
 		all:     make(map[withdrawal.ConnID]*conn),
+		probes:  make(map[call.VM]*conn),
 		stamps:  make(map[call.VM]stamp),
 		pending: make(map[call.AttemptID]*pending),
-		onState: onState,
+		onState: opt.OnState,
 	}
 }
 
@@ -203,7 +218,7 @@
 		return
 	}
 	if !tr.begun() {
-		pl.markSuspect(cn.id)
+		pl.discard(cn)
 		pl.onState(cn.vm, true)
 		pe.deliver(Result{State: withdrawal.Dequeued})
 		return
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -125,7 +125,7 @@
 
 // remind adds what this process believes of rec, unless it is alive.
 func (mc *Machine) remind(rec *record, dg *schema.Datagram) {
-	if rec.State == Alive {
+	if rec.claim().State == Alive {
 		return
 	}
 	rec.told = mc.now
@@ -165,7 +165,11 @@
 // failProbe suspects the target of a failed probe, and tells it.
 func (mc *Machine) failProbe(pp pendingProbe) {
 	rec := pp.target
-	if !pp.judged || rec.State != Alive || rec.Incarnation != pp.incarnation || mc.tb.records[rec.Name] != rec {
+	if !pp.judged || rec.Incarnation != pp.incarnation || mc.tb.records[rec.Name] != rec {
+		return
+	}
+	mc.noteFailure(rec.domain)
+	if rec.State != Alive {
 		return
 	}
 	mc.counters.Suspicions++
@@ -173,7 +177,8 @@
 	next := was
 	next.State = Suspect
 	mc.update(rec, next)
-	mc.rumors.queue(rec, false)
+	rec.unspread = !rec.domain.spreadsSuspicion()
+	mc.spreadLearned(rec, false, source{})
 	mc.reportLife(was, rec)
 
 	dg := mc.datagram(schema.Datagram_KIND_UPDATES)
