Test attempts that are given up while they are acknowledged

The guard changed the header of the answer while net/http still wrote the status 102, when the stream had ended. TestAttemptGivenUpAtOnce reaches this: 16 race reports in one run with -race of the tree before, and 'concurrent map iteration and map write' ended the process without it.

--- /dev/null
+++ b/internal/deployment/acknowledge_test.go
@@ -0,0 +1,50 @@
+package deployment
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/peer"
+	"camphortrail/internal/standin"
+)
+
+// TestAttemptGivenUpAtOnce gives attempts up while the guard acknowledges them.
+// It is of use with the race detector: the header of the acknowledgement is
+// written by another goroutine of net/http when guard.ServeHTTP goes on.
+func TestAttemptGivenUpAtOnce(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, 1, time.Second, standin.UpstreamOptions{Service: front, Slots: 50})
+	_, address, _ := fl.Nodes[0].Addresses()
+	transport := peer.NewTransport()
+	defer transport.CloseIdleConnections()
+	var group sync.WaitGroup
+	for worker := range 32 {
+		group.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(worker)))
+			for range 300 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.Int64N(int64(3*time.Millisecond))))
+				at := &attempt.Attempt{
+					ID: call.NewAttemptID(rng), Request: call.NewRequestID(rng), Service: front, Importance: 7,
+					Deadline: time.Now().Add(time.Second), Idempotent: true, MaxAnswer: 1 << 16,
+					Method: "GET", URI: "/sportello/lookups/1", Body: make([]byte, 4<<10),
+				}
+				req, err := at.NewRequest(ctx, time.Now(), address)
+				if err != nil {
+					t.Error(err)
+				} else if res, err := transport.RoundTrip(req); err == nil {
+					_ = res.Body.Close()
+				}
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	if rp := fl.send(t.Context(), 0, front, lookups, "1"); !rp.whole() {
+		t.Errorf("a request after: %v", rp)
+	}
+}
