Refuse what reached no guard with 503 and Retry-After

Change: reason unreachable, status 503, Retry-After. Figures: TestUnreachableGuard passes; before, the answer was 502 answer-lost.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,7 @@
 	ReasonRetryTotal      = "retry-total"
 	ReasonStopping        = "stopping"
 	ReasonNoUpstream      = "no-upstream"
+	ReasonUnreachable     = "unreachable"
 	ReasonOverload        = "overload"
 	ReasonDeadline        = "deadline"
 	ReasonLost            = "answer-lost"
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -353,3 +353,16 @@
 	check(t, bn.do("GET", "/cassa/payments", "", header.Resend, "1", header.Earlier, "not-run"), 503, call.NotRun, ReasonStopping)
 	check(t, bn.do("GET", "/cassa/payments", "", header.Resend, "0"), 503, call.NotRun, ReasonStopping)
 }
+
+// An attempt that reached no guard is refused as other refusals are.
+func TestUnreachableGuard(t *testing.T) {
+	bn := newBench(t, ok)
+	bn.Route(route.Remove{VM: "a", Service: "cassa"})
+	bn.Route(route.Upsert{VM: "b", Service: "cassa", Domain: "d1", Slots: 4, Incarnation: 1})
+	bn.SetAddress("b", "127.0.0.1:1")
+	rs := bn.do("POST", "/cassa/charges", "x")
+	check(t, rs, 503, call.NotRun, ReasonUnreachable)
+	if rs.Header.Get(header.RetryAfter) == "" {
+		t.Error("no Retry-After")
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -291,6 +291,9 @@
 
 // exhausted answers a request for which no further attempt is allowed.
 func (en *Entry) exhausted(ctx context.Context, rq *request, rs peer.Result) *attempt.Answer {
+	if rs.Answer == nil && rs.State.NotRun() {
+		return en.giveUp(rq, ReasonUnreachable, http.StatusServiceUnavailable, en.jitter(shedRetryAfter))
+	}
 	if rs.Answer == nil || rs.Answer.Outcome == call.Unknown {
 		return en.lost(ctx, rq, rs)
 	}
