Measure a failure domain that is cut off and healed

Change: deployment.CutOff swallows what crosses between the VMs of one failure domain and all other processes (datagrams, new and established connections); measure partition sends lookups and keyed issues inside, applies a version on the other side, heals and waits until all nodes have it and route to all.

--- a/cmd/camphortrail/measure.go
+++ b/cmd/camphortrail/measure.go
@@ -14,7 +14,7 @@
 
 type measureCommand struct {
 	Arguments struct {
-		Scenario string `positional-arg-name:"SCENARIO" description:"surge, slow-deep, silent, faults, latency, rollout, failover or spread"`
+		Scenario string `positional-arg-name:"SCENARIO" description:"surge, slow-deep, silent, faults, latency, rollout, failover, partition or spread"`
 	} `positional-args:"true" required:"true"`
 	Seconds int    `long:"seconds" default:"30" description:"length of the run over all arms, in seconds"`
 	Seed    uint64 `long:"seed" default:"1" description:"seed of arrivals and choices"`
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -48,6 +48,8 @@
 	Dial peer.Dial
 	// Sockets may stand between the nodes and their sockets for control.
 	Sockets node.Sockets
+	// Cuttable is a failure domain that CutOff can cut off, if it is set.
+	Cuttable call.FailureDomain
 }
 
 // Deployment is a running deployment.
@@ -63,6 +65,7 @@
 	stops    []*process
 	Upstream []*standin.Upstream
 	Client   *operator.Client
+	cut      cut
 	group    sync.WaitGroup
 
 	mu  sync.Mutex
@@ -90,7 +93,7 @@
 	if opt.Log == nil {
 		opt.Log = &log.Logger{Handler: discard.Default, Level: log.FatalLevel}
 	}
-	dp := &Deployment{opt: opt, Client: &operator.Client{HTTP: &http.Client{Transport: peer.NewRenewer(nil)}}}
+	dp := &Deployment{opt: opt, cut: cut{inside: make(map[string]bool)}, Client: &operator.Client{HTTP: &http.Client{Transport: peer.NewRenewer(nil)}}}
 	dp.ctx, dp.cancel = context.WithCancel(ctx)
 	if err := dp.startControls(); err != nil {
 		dp.Stop()
@@ -209,10 +212,18 @@
 // stopped. Nodes must not be read meanwhile.
 func (dp *Deployment) StartNode(i int) error {
 	set := dp.settings[i]
-	nd, err := node.New(set, node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, Sockets: dp.opt.Sockets, Dial: dp.opt.Dial})
+	nopt := node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, Sockets: dp.opt.Sockets, Dial: dp.opt.Dial}
+	inside := set.GetFailureDomain() == string(dp.opt.Cuttable)
+	if dp.opt.Cuttable != "" {
+		dp.cut.options(inside, &nopt)
+	}
+	nd, err := node.New(set, nopt)
 	if err != nil {
 		return err
 	}
+	if _, peers, _ := nd.Addresses(); inside {
+		dp.cut.add(peers)
+	}
 	dp.Nodes[i] = nd
 	dp.stops[i] = dp.run(set.GetName(), nd.Run)
 	return nil
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -36,7 +36,7 @@
 
 // Scenarios returns the names of the scenarios.
 func Scenarios() []string {
-	names := append(slices.Collect(maps.Keys(scenarios)), latencyScenario, rolloutScenario, failoverScenario, spreadScenario)
+	names := append(slices.Collect(maps.Keys(scenarios)), latencyScenario, rolloutScenario, failoverScenario, partitionScenario, spreadScenario)
 	slices.Sort(names)
 	return names
 }
@@ -53,6 +53,8 @@
 	switch opt.Scenario {
 	case spreadScenario:
 		return runSpread(ctx, opt, w)
+	case partitionScenario:
+		return runPartition(ctx, opt, w)
 	case latencyScenario:
 		return runLatency(ctx, opt, w)
 	case rolloutScenario, failoverScenario:
--- /dev/null
+++ b/internal/measure/partition_test.go
@@ -0,0 +1,30 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"camphortrail/internal/standin"
+)
+
+func TestPartitionFigures(t *testing.T) {
+	begin := time.Unix(0, 0)
+	times := newPartitionTimes(begin, 20*time.Second+startupTime)
+	if got := times.heal.Sub(times.cut); got != 8*time.Second || times.cut.Sub(begin) != 6*time.Second {
+		t.Fatalf("cut after %v for %v, want 6s for 8s", times.cut.Sub(begin), got)
+	}
+	root := func(stream standin.RootID, class standin.Pattern, after time.Duration, whole bool) standin.Root {
+		at := times.cut.Add(after)
+		return standin.Root{ID: stream*rootsPerStream + standin.RootID(after), Class: class.Class, Arrived: at, Ended: at.Add(time.Millisecond), Whole: whole}
+	}
+	lg := &standin.Log{Roots: []standin.Root{
+		root(1, lookup, -time.Second, false), root(1, lookup, 100*time.Millisecond, false),
+		root(1, lookup, 200*time.Millisecond, true), root(1, lookup, 2*time.Second, true), root(1, lookup, 3*time.Second, true),
+		root(1, lookup, 4*time.Second, true), root(1, lookup, 5*time.Second, false), root(1, lookup, 9*time.Second, false),
+		root(2, issue, 2*time.Second, true), root(2, issue, 3*time.Second, false), root(3, issue, 2*time.Second, true),
+	}}
+	fg := partitionFigures(lg, times)
+	if fg.ServedRatio != 0.75 || fg.ServedInSettling != 0.5 || fg.KeyedDuringCut != 1 {
+		t.Errorf("figures %+v, want 0.75 and 0.5 served, 1 keyed", fg)
+	}
+}
--- a/internal/measure/scenario_test.go
+++ b/internal/measure/scenario_test.go
@@ -83,7 +83,7 @@
 	if err := Run(t.Context(), Options{Scenario: "surge", Seconds: 1}, io.Discard); !errors.Is(err, ErrTooShort) {
 		t.Errorf("Run = %v, want ErrTooShort", err)
 	}
-	if want := []string{"failover", "faults", "latency", "rollout", "silent", "slow-deep", "spread", "surge"}; !slices.Equal(Scenarios(), want) {
+	if want := []string{"failover", "faults", "latency", "partition", "rollout", "silent", "slow-deep", "spread", "surge"}; !slices.Equal(Scenarios(), want) {
 		t.Errorf("Scenarios = %v, want %v", Scenarios(), want)
 	}
 }
