--- a/admission/machine_test.go
+++ b/admission/machine_test.go
@@ -2,20 +2,18 @@
 
 import (
 	"bytes"
-	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/fuzzing"
 
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.steps", "200")
+	fuzzing.Fix(0, 200)
 }
 
 var epoch = time.Unix(1000, 0)
--- a/claim/effects_test.go
+++ b/claim/effects_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"reflect"
 	"slices"
 	"testing"
@@ -10,15 +9,13 @@
 
 	"camphortrail/call"
 	"camphortrail/claim"
+	"camphortrail/internal/fuzzing"
 
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "1000")
-	_ = flag.Set("rapid.steps", "80")
+	fuzzing.Fix(1000, 80)
 }
 
 var (
--- a/config/version_test.go
+++ b/config/version_test.go
@@ -1,19 +1,18 @@
 package config_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"camphortrail/config"
+	"camphortrail/internal/fuzzing"
 	"camphortrail/schema"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 func digest(t interface{ Fatal(...any) }, cfg *schema.Configuration) config.Digest {
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -45,6 +45,7 @@
 	Stamp withdrawal.Stamp
 
 	Method string
+	Host   string
 	URI    string
 	Header http.Header
 	Body   []byte
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -17,7 +17,7 @@
 	return &Attempt{
 		ID: call.AttemptID{1}, Request: call.RequestID{2}, Service: "cassa", Importance: 7, Depth: 3,
 		Allowance: 2, Idempotent: true, MaxAnswer: 100, Stamp: withdrawal.Stamp{Incarnation: 9, Since: 10 * time.Second},
-		Method: http.MethodPost, URI: "/cassa/charges?x=1", Header: http.Header{"Accept": {"text/plain"}}, Body: []byte("body"),
+		Method: http.MethodPost, Host: "tags.example", URI: "/cassa/charges?x=1", Header: http.Header{"Accept": {"text/plain"}}, Body: []byte("body"),
 	}
 }
 
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	in := httptest.NewRequest(out.Method, out.URL.RequestURI(), out.Body)
-	in.Header = out.Header
+	in.Header, in.Host = out.Header, out.Host
 	got, err := FromRequest(in, now)
 	if err != nil {
 		t.Fatal(err)
@@ -38,7 +38,7 @@
 	if got.ID != want.ID || got.Request != want.Request || got.Service != want.Service || got.Importance != want.Importance ||
 		got.Depth != want.Depth || got.Allowance != want.Allowance || got.Idempotent != want.Idempotent ||
 		got.MaxAnswer != want.MaxAnswer || got.Stamp != want.Stamp || got.Method != want.Method || got.URI != want.URI ||
-		!got.Deadline.Equal(want.Deadline) {
+		got.Host != want.Host || !got.Deadline.Equal(want.Deadline.Add(-hopCost)) {
 		t.Fatalf("FromRequest = %+v, want %+v", got, want)
 	}
 	if len(got.Header) != 1 || got.Header.Get("Accept") != "text/plain" {
--- a/internal/attempt/http.go
+++ b/internal/attempt/http.go
@@ -19,6 +19,10 @@
 // holds a wrong one.
 var ErrBadHeader = errors.New("attempt: bad header")
 
+// hopCost is taken off the remaining time on the way to another VM, so that
+// the answer still has time to come back.
+const hopCost = time.Millisecond
+
 // NewRequest returns the HTTP form of the attempt for the guard at address.
 func (at *Attempt) NewRequest(ctx context.Context, now time.Time, address string) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, at.Method, "http://"+address+PathPrefix+at.URI, OnceBody(at.Body))
@@ -26,6 +30,7 @@
 		return nil, errors.Wrap(err, "attempt to "+address)
 	}
 	req.ContentLength = int64(len(at.Body))
+	req.Host = at.Host
 	maps.Copy(req.Header, at.Header)
 	set := req.Header.Set
 	set(header.Attempt, at.ID.String())
@@ -33,7 +38,7 @@
 	set(header.Service, string(at.Service))
 	set(header.Importance, strconv.Itoa(int(at.Importance)))
 	set(header.Depth, strconv.Itoa(int(at.Depth)))
-	set(header.DeadlineMS, Remaining(now, at.Deadline))
+	set(header.DeadlineMS, Remaining(now, at.Deadline.Add(-hopCost)))
 	set(header.Allowance, strconv.Itoa(at.Allowance))
 	set(header.Idempotent, strconv.FormatBool(at.Idempotent))
 	set(header.MaxAnswer, strconv.FormatInt(at.MaxAnswer, 10))
@@ -54,6 +59,7 @@
 		Idempotent: req.Header.Get(header.Idempotent) == "true",
 		MaxAnswer:  pr.integer(req.Header, header.MaxAnswer, 1<<40),
 		Method:     req.Method,
+		Host:       req.Host,
 		URI:        strings.TrimPrefix(req.RequestURI, PathPrefix),
 		Header:     PassOn(req.Header),
 	}
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
@@ -10,13 +9,13 @@
 
 	"camphortrail/claim"
 	"camphortrail/config"
+	"camphortrail/internal/fuzzing"
 	"camphortrail/quorum"
 	"camphortrail/schema"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 func stateOnly() *state {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -34,6 +34,7 @@
 	resend uint32
 
 	method string
+	host   string
 	uri    string
 	header http.Header
 	body   []byte
@@ -68,7 +69,7 @@
 	}
 	rq := &request{
 		kind: kind, tenant: cd.Tenant, importance: kind.Importance, deadline: now.Add(kind.Deadline),
-		method: r.Method, uri: r.URL.RequestURI(), header: attempt.PassOn(r.Header), body: body,
+		method: r.Method, host: r.Host, uri: r.URL.RequestURI(), header: attempt.PassOn(r.Header), body: body,
 		key: r.Header.Get(header.Key),
 	}
 	rq.history.Idempotent = kind.Idempotent
@@ -165,7 +166,7 @@
 	return &attempt.Attempt{
 		ID: id, Request: rq.id, Service: rq.kind.Service, Importance: rq.importance, Depth: rq.depth,
 		Deadline: rq.deadline, Idempotent: rq.kind.Idempotent, MaxAnswer: rq.kind.MaxAnswer,
-		Method: rq.method, URI: rq.uri, Header: rq.header, Body: rq.body,
+		Method: rq.method, Host: rq.host, URI: rq.uri, Header: rq.header, Body: rq.body,
 	}
 }
 
--- a/internal/expiry/expiry_test.go
+++ b/internal/expiry/expiry_test.go
@@ -1,19 +1,18 @@
 package expiry_test
 
 import (
-	"flag"
 	"slices"
 	"testing"
 	"time"
 
 	"camphortrail/internal/expiry"
+	"camphortrail/internal/fuzzing"
 
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 // TestQueue compares a queue with a map that is searched.
--- /dev/null
+++ b/internal/fuzzing/fuzzing.go
@@ -0,0 +1,26 @@
+// Package fuzzing makes stateful tests repeatable: every run draws the same
+// cases, and a failure leaves no file behind.
+package fuzzing
+
+import (
+	"flag"
+	"strconv"
+)
+
+// Fix sets the flags of package rapid: a fixed seed, and the number of cases
+// and of steps in each, where 0 stands for its own default. It is to be called
+// by the init function of a test; flags on the command line go before it.
+func Fix(checks, steps int) {
+	values := map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"}
+	if checks > 0 {
+		values["rapid.checks"] = strconv.Itoa(checks)
+	}
+	if steps > 0 {
+		values["rapid.steps"] = strconv.Itoa(steps)
+	}
+	for name, value := range values {
+		if err := flag.Set(name, value); err != nil {
+			panic("fuzzing: " + err.Error())
+		}
+	}
+}
--- a/internal/guard/forward.go
+++ b/internal/guard/forward.go
@@ -48,9 +48,7 @@
 	req.Header.Set(header.Attempt, at.ID.String())
 	req.Header.Set(header.Request, at.Request.String())
 	req.Header.Set(header.DeadlineMS, attempt.Remaining(time.Now(), at.Deadline))
-	if host := at.Header.Get("Host"); host != "" {
-		req.Host = host
-	}
+	req.Host = at.Host
 	req.ContentLength = int64(len(at.Body))
 	res, err := gd.client.Do(req)
 	if err != nil {
--- a/internal/measure/arm.go
+++ b/internal/measure/arm.go
@@ -70,7 +70,7 @@
 
 func runArm(ctx context.Context, sc scenario, am arm, opt Options) (Figures, error) {
 	ft, err := startFleet(ctx, fleetOptions{
-		configuration: configuration(), vms: vms(), policy: am.policy, seed: opt.Seed, relayed: sc.relayed,
+		configuration: configuration(), vms: vms(), policy: am.policy, seed: opt.Seed, silenceable: sc.silenceable,
 	})
 	if err != nil {
 		return Figures{}, err
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -23,6 +23,10 @@
 	readyPoll    = 20 * time.Millisecond
 )
 
+// ErrNoConnection is returned when there is no connection between nodes that
+// could go silent.
+var ErrNoConnection = errors.New("measure: no connection between nodes")
+
 // ErrNotReady is returned when a deployment does not come up in time.
 var ErrNotReady = errors.New("measure: the deployment is not ready")
 
@@ -30,7 +34,7 @@
 type fleet struct {
 	*deployment.Deployment
 	recorder *standin.Recorder
-	relays   *relays
+	wires    standin.Wires
 	services []call.Service
 	folder   string
 }
@@ -41,7 +45,8 @@
 	vms           []standin.UpstreamOptions
 	policy        node.Policy
 	seed          uint64
-	relayed       bool
+	// silenceable makes the connections between nodes subject to silence.
+	silenceable bool
 	// controls is the number of control replicas; 0 means 1.
 	controls int
 }
@@ -52,7 +57,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start fleet")
 	}
-	ft := &fleet{recorder: standin.NewRecorder(), relays: newRelays(), folder: folder}
+	ft := &fleet{recorder: standin.NewRecorder(), folder: folder}
 	var places []deployment.Place
 	for _, vm := range opt.vms {
 		vm.Recorder = ft.recorder
@@ -62,8 +67,8 @@
 	dopt := deployment.Options{
 		Name: deploymentName, Folder: folder, Controls: max(1, opt.controls), Places: places, Policy: opt.policy, Seed: opt.seed,
 	}
-	if opt.relayed {
-		dopt.Dial = ft.relays.dial
+	if opt.silenceable {
+		dopt.Dial = ft.wires.Dial
 	}
 	ft.Deployment, err = deployment.Start(ctx, dopt)
 	if err != nil {
@@ -80,7 +85,6 @@
 // stop ends everything and removes the data folder.
 func (ft *fleet) stop() error {
 	ft.Stop()
-	ft.relays.close()
 	err := ft.Err()
 	if removal := os.RemoveAll(ft.folder); err == nil {
 		err = removal
@@ -170,4 +174,10 @@
 }
 
 // silence makes all established connections between nodes go silent.
-func (ft *fleet) silence() error { return ft.relays.silence() }
+// It returns ErrNoConnection if there is none.
+func (ft *fleet) silence() error {
+	if ft.wires.Silence(true, true) == 0 {
+		return ErrNoConnection
+	}
+	return nil
+}
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -47,8 +47,8 @@
 	// instant says that the trigger has no length: recovery counts from its
 	// start.
 	instant bool
-	// relayed puts a relay between nodes.
-	relayed bool
+	// silenceable makes the connections between nodes subject to silence.
+	silenceable bool
 }
 
 // stream is a steady flow of one kind of request.
@@ -89,10 +89,10 @@
 	// All connections between nodes swallow what is sent on them; new ones
 	// work.
 	"silent": {
-		streams: []stream{{lookup, 0.3, 0.3}, {issue, 0.1, 0.1}, {list, 0.3, 0.3}},
-		trigger: (*fleet).silence,
-		instant: true,
-		relayed: true,
+		streams:     []stream{{lookup, 0.3, 0.3}, {issue, 0.1, 0.1}, {list, 0.3, 0.3}},
+		trigger:     (*fleet).silence,
+		instant:     true,
+		silenceable: true,
 	},
 	// Each upstream spoils one answer in twenty after it ran the work, each
 	// in a way of its own.
--- a/internal/measure/scenario_test.go
+++ b/internal/measure/scenario_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"slices"
 	"testing"
 	"time"
@@ -88,71 +87,8 @@
 	}
 }
 
-// echo serves connections that send back what they receive.
-func echo(t *testing.T) string {
-	ln, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			cn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer cn.Close()
-				_, _ = io.Copy(cn, cn)
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// exchange sends a line and reports whether it came back before the deadline.
-func exchange(t *testing.T, cn net.Conn, wait time.Duration) bool {
-	t.Helper()
-	if _, err := cn.Write([]byte("line\n")); err != nil {
-		t.Fatal(err)
-	}
-	_ = cn.SetReadDeadline(time.Now().Add(wait))
-	buf := make([]byte, 5)
-	_, err := io.ReadFull(cn, buf)
-	return err == nil
-}
-
 func TestSilenceNeedsAConnection(t *testing.T) {
-	if err := newRelays().silence(); !errors.Is(err, ErrNoConnection) {
+	if err := new(fleet).silence(); !errors.Is(err, ErrNoConnection) {
 		t.Errorf("silence = %v, want ErrNoConnection", err)
 	}
 }
-
-func TestRelaySilencesOnlyEstablishedConnections(t *testing.T) {
-	rs := newRelays()
-	defer rs.close()
-	target := echo(t)
-	dial := func() net.Conn {
-		cn, err := rs.dial(t.Context(), "tcp", target)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return cn
-	}
-	old := dial()
-	defer old.Close()
-	if !exchange(t, old, 10*time.Second) {
-		t.Fatal("the relay does not pass bytes on")
-	}
-	if err := rs.silence(); err != nil {
-		t.Fatal(err)
-	}
-	fresh := dial()
-	defer fresh.Close()
-	if exchange(t, old, 50*time.Millisecond) {
-		t.Error("an established connection still passes bytes on")
-	}
-	if !exchange(t, fresh, 10*time.Second) {
-		t.Error("a new connection does not pass bytes on")
-	}
-}
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -18,6 +18,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/guard"
+	"camphortrail/internal/standin"
 	"camphortrail/internal/tree"
 	"camphortrail/membership"
 	"camphortrail/retry"
@@ -26,57 +27,6 @@
 	"camphortrail/withdrawal"
 )
 
-// relay passes bytes on between entry and guard. Connections that exist when
-// it is silenced swallow what comes from then on, in one direction or both.
-type relay struct {
-	target string
-
-	mu    sync.Mutex
-	pairs []*pair
-}
-
-// pair is one connection through the relay.
-type pair struct{ up, down atomic.Bool }
-
-func (rl *relay) silence(up, down bool) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	for _, pr := range rl.pairs {
-		pr.up.Store(up)
-		pr.down.Store(down)
-	}
-}
-
-func (rl *relay) serve(conn net.Conn) {
-	far, err := net.Dial("tcp", rl.target)
-	if err != nil {
-		conn.Close()
-		return
-	}
-	pr := &pair{}
-	rl.mu.Lock()
-	rl.pairs = append(rl.pairs, pr)
-	rl.mu.Unlock()
-	go pass(far, conn, &pr.up)
-	pass(conn, far, &pr.down)
-}
-
-func pass(dst, src net.Conn, silent *atomic.Bool) {
-	defer dst.Close()
-	buf := make([]byte, 1<<16)
-	for {
-		n, err := src.Read(buf)
-		if err != nil {
-			return
-		}
-		if !silent.Load() {
-			if _, err := dst.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-	}
-}
-
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -98,10 +48,10 @@
 	return connect.NewResponse(rs), err
 }
 
-// bench is a pool, and a guard with an upstream behind a relay.
+// bench is a pool, and a guard with an upstream.
 type bench struct {
 	pool    *Pool
-	relay   *relay
+	wires   standin.Wires
 	address string
 	runs    atomic.Int64
 	hold    chan struct{}
@@ -139,19 +89,8 @@
 	go func() { _ = guardServer.Serve(guardListener) }()
 	t.Cleanup(func() { guardServer.Close() })
 
-	bn.relay = &relay{target: guardListener.Addr().String()}
-	front := listen(t)
-	bn.address = front.Addr().String()
-	go func() {
-		for {
-			conn, err := front.Accept()
-			if err != nil {
-				return
-			}
-			go bn.relay.serve(conn)
-		}
-	}()
-	bn.pool = New(Options{OnState: func(call.VM, bool) {}})
+	bn.address = guardListener.Addr().String()
+	bn.pool = New(Options{OnState: func(call.VM, bool) {}, Dial: bn.wires.Dial})
 	duties.Go(func() { _ = bn.pool.Run(ctx) })
 	return bn
 }
@@ -178,7 +117,7 @@
 func TestSwallowedAttemptIsFenced(t *testing.T) {
 	bn := newBench(t)
 	bn.send(t.Context(), "/cassa/charges", false)
-	bn.relay.silence(true, true)
+	bn.wires.Silence(true, true)
 	rs := bn.send(t.Context(), "/cassa/charges", false)
 	if rs.Answer != nil || rs.State != withdrawal.Fenced {
 		t.Fatalf("result %+v, want fenced", rs)
@@ -193,7 +132,7 @@
 func TestSwallowedAnswerIsFetched(t *testing.T) {
 	bn := newBench(t)
 	bn.send(t.Context(), "/cassa/charges", false)
-	bn.relay.silence(false, true)
+	bn.wires.Silence(false, true)
 	rs := bn.send(t.Context(), "/cassa/charges", false)
 	if rs.Answer == nil || string(rs.Answer.Body) != "whole" || bn.runs.Load() != 2 {
 		t.Fatalf("result %+v after %d runs, want the answer of the second", rs, bn.runs.Load())
@@ -209,7 +148,7 @@
 	for bn.runs.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	bn.relay.silence(true, true)
+	bn.wires.Silence(true, true)
 	time.Sleep(300 * time.Millisecond)
 	close(bn.hold)
 	if rs := <-done; rs.Answer == nil || string(rs.Answer.Body) != "whole" || bn.runs.Load() != 2 {
--- a/internal/peer/renewer_test.go
+++ b/internal/peer/renewer_test.go
@@ -11,7 +11,7 @@
 // A call that a silent connection swallows times out, and the next one works.
 func TestRenewerReplacesSilentConnection(t *testing.T) {
 	bn := newBench(t)
-	client := &http.Client{Transport: NewRenewer(nil)}
+	client := &http.Client{Transport: NewRenewer(bn.wires.Dial)}
 	defer client.CloseIdleConnections()
 	get := func(timeout time.Duration) error {
 		ctx, stop := context.WithTimeout(t.Context(), timeout)
@@ -29,7 +29,7 @@
 	if err := get(20 * time.Second); err != nil {
 		t.Fatal(err)
 	}
-	bn.relay.silence(true, true)
+	bn.wires.Silence(true, true)
 	if err := get(100 * time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
 		t.Fatalf("call on a silent connection: %v, want deadline exceeded", err)
 	}
--- a/internal/rollout/follower_test.go
+++ b/internal/rollout/follower_test.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,12 +8,12 @@
 
 	"pgregory.net/rapid"
 
+	"camphortrail/internal/fuzzing"
 	"camphortrail/schema"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 const (
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -1,19 +1,19 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"camphortrail/internal/fuzzing"
+
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 var epoch = time.Unix(1000, 0)
--- a/membership/rapid_test.go
+++ b/membership/rapid_test.go
@@ -1,7 +1,6 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,12 +8,12 @@
 	"pgregory.net/rapid"
 
 	"camphortrail/call"
+	"camphortrail/internal/fuzzing"
 	"camphortrail/membership"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 const (
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -1,20 +1,18 @@
 package quorum_test
 
 import (
-	"flag"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"camphortrail/internal/fuzzing"
 	"camphortrail/quorum"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.steps", "50")
+	fuzzing.Fix(0, 50)
 }
 
 // TestAcceptedEntriesStay runs replicas under faults and checks that accepted
--- a/retry/tree_test.go
+++ b/retry/tree_test.go
@@ -1,22 +1,19 @@
 package retry_test
 
 import (
-	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/fuzzing"
 	"camphortrail/retry"
 
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "1000")
-	_ = flag.Set("rapid.steps", "80")
+	fuzzing.Fix(1000, 80)
 }
 
 var (
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,14 +9,13 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/fuzzing"
 
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.steps", "150")
+	fuzzing.Fix(0, 150)
 }
 
 var epoch = time.Unix(1000, 0)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,12 +11,12 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"camphortrail/internal/fuzzing"
 	"camphortrail/quorum"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fuzzing.Fix(0, 0)
 }
 
 var voters = quorum.Voters{"a": 1, "b": 2}
--- a/withdrawal/exchange_test.go
+++ b/withdrawal/exchange_test.go
@@ -1,23 +1,20 @@
 package withdrawal_test
 
 import (
-	"flag"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/fuzzing"
 	"camphortrail/withdrawal"
 
 	"pgregory.net/rapid"
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "1500")
-	_ = flag.Set("rapid.steps", "150")
+	fuzzing.Fix(1500, 150)
 }
 
 type (
