--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -25,10 +25,12 @@
 		return
 	}
 	w.Header().Set(header.Stamp, gd.Stamp().String())
+	// With a length in the header, the HTTP/2 server writes the
+	// acknowledgement from a copy. It may still be writing when WriteHeader
+	// returns for a stream that was cancelled.
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusProcessing)
 	if r.Context().Err() != nil {
-		// The server may still be writing the acknowledgement, which holds
-		// the header that an answer would change.
 		return
 	}
 	at.Body, err = attempt.ReadBody(r.Body, r.ContentLength, maxBody)
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -11,7 +11,7 @@
 // Bounds of the waiting times.
 const (
 	// minAckWait and maxAckWait bound the wait for an acknowledgement.
-	minAckWait = 100 * time.Millisecond
+	minAckWait = 150 * time.Millisecond
 	maxAckWait = 400 * time.Millisecond
 	// firstAckWait applies to a VM without measured round trips.
 	firstAckWait = 250 * time.Millisecond
