Tell by /health whether a node takes requests

Change: 503 with the reason while a node has no configuration or stops. Two tests of control share their set-up.

--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -96,14 +96,21 @@
 	}
 }
 
-func TestFailedDiskEndsTheReplica(t *testing.T) {
-	t.Parallel()
+// newAlone returns the only replica of a deployment.
+func newAlone(t *testing.T) *Control {
+	t.Helper()
 	co, err := New(&schema.Settings{
 		Name: "control-1", Deployment: deployment, FailureDomain: "d1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
 	}, Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return co
+}
+
+func TestFailedDiskEndsTheReplica(t *testing.T) {
+	t.Parallel()
+	co := newAlone(t)
 	if err := co.store.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -116,12 +123,7 @@
 // state holds while nothing takes from it.
 func TestLogGoesOnWhileTheStateIsBusy(t *testing.T) {
 	t.Parallel()
-	co, err := New(&schema.Settings{
-		Name: "control-1", Deployment: deployment, FailureDomain: "d1", PeerAddress: freeAddress(t, fleets.Add(1)), DataFolder: t.TempDir(),
-	}, Options{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	co := newAlone(t)
 	defer co.close()
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties sync.WaitGroup
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -138,6 +138,18 @@
 // go on.
 func (en *Entry) Stop() { en.stopping.Store(true) }
 
+// Refusing returns the reason for which all requests of callers are refused, or
+// an empty string if they are taken.
+func (en *Entry) Refusing() string {
+	switch {
+	case en.stopping.Load():
+		return ReasonStopping
+	case en.config.Load() == nil:
+		return ReasonNoConfiguration
+	}
+	return ""
+}
+
 // Wait waits until no request is handled any more, or until ctx ends.
 func (en *Entry) Wait(ctx context.Context) error { return en.active.Wait(ctx) }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -348,7 +348,13 @@
 // A refusal without an attempt is not called not-run for a resend.
 func TestRefusedResendIsUnknown(t *testing.T) {
 	bn := newBench(t, ok)
+	if reason := bn.Refusing(); reason != "" {
+		t.Errorf("Refusing = %q before the stop", reason)
+	}
 	bn.Stop()
+	if reason := bn.Refusing(); reason != ReasonStopping {
+		t.Errorf("Refusing = %q after the stop", reason)
+	}
 	check(t, bn.do("GET", "/cassa/payments", "", header.Resend, "1"), 503, call.Unknown, ReasonStopping)
 	check(t, bn.do("GET", "/cassa/payments", "", header.Resend, "1", header.Earlier, "not-run"), 503, call.NotRun, ReasonStopping)
 	check(t, bn.do("GET", "/cassa/payments", "", header.Resend, "0"), 503, call.NotRun, ReasonStopping)
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -26,11 +27,24 @@
 func (nd *Node) localHandler() http.Handler {
 	mux := chi.NewRouter()
 	mux.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { nd.metrics.WritePrometheus(w) })
-	mux.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.Get("/health", nd.serveHealth)
 	mux.Mount("/", nd.announce.Handler())
 	return mux
 }
 
+// serveHealth answers with status 204 while the node takes requests, and else
+// with status 503 and the reason for which it refuses them.
+func (nd *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	reason := nd.entry.Refusing()
+	if reason == "" {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, reason+"\n")
+}
+
 // peerService serves the calls of other processes.
 type peerService struct{ nd *Node }
 
