Test that a stop waits for the calls of work in flight

Cause: with the node's wait for work in flight skipped, TestStopNode stayed green: the time for telling others covers its work. Change: a request whose upstream works 3 s and then makes a call. Conclusion: the gap is closed.

--- /dev/null
+++ b/internal/deployment/long_stop_test.go
@@ -0,0 +1,25 @@
+package deployment
+
+import (
+	"testing"
+	"time"
+
+	"camphortrail/internal/standin"
+)
+
+// TestStopWaitsForCalls stops a node whose upstream makes a call of its own only
+// after the time for which a stopping node tells others that it leaves.
+func TestStopWaitsForCalls(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, 1, 10*time.Second,
+		standin.UpstreamOptions{Service: front, Slots: 4, Work: 3 * time.Second, Calls: calls(front, deepest)},
+		standin.UpstreamOptions{Service: deepest, Slots: 4, Work: time.Millisecond},
+	)
+	answer := make(chan reply, 1)
+	go func() { answer <- fl.send(t.Context(), 0, front, lookups, "long") }()
+	fl.until("running work", func() bool { return len(fl.runs(string(fl.opt.Places[0].VM), time.Time{})) == 1 })
+	fl.StopNode(0)
+	if rp := <-answer; !rp.whole() {
+		t.Errorf("request in flight at the stop: %v, want the whole answer", rp)
+	}
+}
