Send attempts elsewhere without charge when no upstream was offered them

Cause (TestDrain, one request 503 'leaving' at a drain): an attempt that a leaving VM's guard refuses was charged to the retry ratio of its service like a resend, and the ratio's floor is 3. A handful of attempts on their way when a VM starts to leave spend it, and the next one is refused although other VMs have room. Ruled out: refusal of work that waits (Leave starts it), routing to the leaving VM after the announcement (refused before any attempt). Before: TestRerouteIsNoRetry 503 unreachable; after: 20 of 20 done. Attempts refused for load, or by the upstream itself, are charged as before.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -68,6 +68,8 @@
 	// Overload is true when the attempt failed because a guard, here or
 	// further down, refused work for load.
 	Overload bool
+	// Offered is true when the upstream itself refused the attempt.
+	Offered bool
 	// RetryAfter is the time after which a caller may come back.
 	RetryAfter time.Duration
 	// Work is the time that the upstream took.
--- a/internal/attempt/http.go
+++ b/internal/attempt/http.go
@@ -95,12 +95,18 @@
 	if an.Overload {
 		hd.Set(overloadHeader, "true")
 	}
+	if an.Offered {
+		hd.Set(offeredHeader, "true")
+	}
 	w.WriteHeader(an.Status)
 	_, err := w.Write(an.Body)
 	return err
 }
 
-const overloadHeader = header.Prefix + "Overload"
+const (
+	overloadHeader = header.Prefix + "Overload"
+	offeredHeader  = header.Prefix + "Offered"
+)
 
 // FromResponse returns the whole answer that a guard sent for the attempt. It
 // fails when the answer is incomplete or belongs to another attempt.
@@ -123,6 +129,7 @@
 		Pressure:   call.Level(pr.integer(res.Header, header.Pressure, 1<<16-1)),
 		Unused:     int(pr.integer(res.Header, header.Unused, 1<<16)),
 		Overload:   res.Header.Get(overloadHeader) == "true",
+		Offered:    res.Header.Get(offeredHeader) == "true",
 		RetryAfter: time.Duration(pr.integer(res.Header, header.RetryAfterMS, 1<<32)) * time.Millisecond,
 		Work:       time.Duration(pr.integer(res.Header, header.WorkUS, 1<<40)) * time.Microsecond,
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -372,3 +372,15 @@
 		t.Error("no Retry-After")
 	}
 }
+
+// An attempt that no upstream was offered is sent elsewhere, also when the
+// service has no retries left.
+func TestRerouteIsNoRetry(t *testing.T) {
+	bn := newBench(t, ok)
+	bn.Route(route.Upsert{VM: "b", Service: "cassa", Domain: "d1", Slots: 4, Incarnation: 1})
+	bn.SetAddress("b", "127.0.0.1:1")
+	bn.ratios["cassa"].SetPercent(0)
+	for range 20 {
+		check(t, bn.do("GET", "/cassa/payments", ""), 200, call.Done, "")
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -247,6 +247,9 @@
 	if rq.attempts > maxReroutes && rs.State.NotRun() {
 		return false
 	}
+	if !offered(rs) {
+		return true
+	}
 	now := time.Now()
 	en.mu.Lock()
 	rt := en.ratios[rq.kind.Service]
@@ -255,6 +258,17 @@
 	return allowed && en.opt.Trees.Step(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
 
+// offered reports whether the attempt may have reached an upstream, or was
+// refused for load. Any other attempt is sent elsewhere without charge: a VM
+// that leaves or cannot be reached would else spend the retries of a service
+// within moments.
+func offered(rs peer.Result) bool {
+	if !rs.State.NotRun() {
+		return true
+	}
+	return rs.Answer != nil && (rs.Answer.Overload || rs.Answer.Offered)
+}
+
 // restamp reports whether the guard refused the attempt only because it has
 // begun a new incarnation. Its answer brought the new stamp, and the attempt
 // may be sent again once without charge.
--- a/internal/guard/forward.go
+++ b/internal/guard/forward.go
@@ -90,7 +90,7 @@
 	}
 	if echo != "" && res.Header.Get(header.Outcome) == call.NotRun.String() {
 		an := attempt.Refusal("upstream-refused", fullRetryAfter)
-		an.Overload = true
+		an.Overload, an.Offered = true, true
 		return an
 	}
 	return &attempt.Answer{Outcome: call.Done, Status: res.StatusCode, Header: attempt.PassOn(res.Header), Body: body}
