Run on the platform: front door, reports, operator's calls, replicas that come and go

A replicated log whose voters are replaced by known replicas (both majorities commit a change); the lease is measured by a clock that runs in suspensions.

--- a/cmd/camphortrail/main.go
+++ b/cmd/camphortrail/main.go
@@ -33,6 +33,8 @@
 	}{
 		{"node", "Run the node beside an upstream", "Runs the node beside an upstream until SIGTERM.", &nodeCommand{}},
 		{"control", "Run a control replica", "Runs a control replica until SIGTERM.", &controlCommand{}},
+		{"platform-node", "Run a node on the platform", "Runs a node with the settings that the platform lays out, until SIGTERM.", &platformNodeCommand{}},
+		{"platform-control", "Run a control replica on the platform", "Runs a control replica with the settings that the platform lays out, until SIGTERM.", &platformControlCommand{}},
 		{"check", "Check a folder of files", "Checks a configuration, and the settings beside it, without applying it.", &checkCommand{}},
 		{"apply", "Apply a configuration", "Applies all files of a folder as one configuration.", &applyCommand{}},
 		{"show", "Show what is in force", "Shows revisions in force, upstreams by service and state, and control replicas.", &showCommand{}},
--- /dev/null
+++ b/cmd/camphortrail/platform.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+
+	"camphortrail/config"
+	"camphortrail/internal/control"
+	"camphortrail/internal/node"
+	"camphortrail/platform"
+)
+
+const (
+	// heapShare is the part of a machine's memory, in percent, that the
+	// runtime keeps the heap within; the rest is for stacks, sockets and the
+	// program.
+	heapShare = 60
+	// stopNotice is the time for which a stopping node serves on. The
+	// platform takes it out after two questions a second apart.
+	stopNotice = 2500 * time.Millisecond
+	// stopReserve is kept of the grace time for the end of the process.
+	stopReserve = 400 * time.Millisecond
+)
+
+// platformSettings reads the settings that the platform has laid out.
+func platformSettings() (*platform.Settings, error) {
+	log.SetHandler(jsonlog.New(os.Stdout))
+	set, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err == nil {
+		debug.SetMemoryLimit(set.MemoryMB << 20 * heapShare / 100)
+	}
+	return set, err
+}
+
+type platformNodeCommand struct{}
+
+// Execute runs a node on the platform.
+func (cm *platformNodeCommand) Execute([]string) error {
+	set, err := platformSettings()
+	if err != nil {
+		return err
+	}
+	nd, err := node.New(set.Node(), node.Options{
+		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{},
+		Doors: []node.Door{
+			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
+			{Address: set.ControlAddress, Handler: set.NewReports},
+		},
+		Stop: node.StopPlan{Notice: stopNotice, Finish: set.Grace() - stopNotice - stopReserve, Serve: true},
+	})
+	if err != nil {
+		return err
+	}
+	return nd.Run(ctx)
+}
+
+type platformControlCommand struct{}
+
+// Execute runs a control replica on the platform.
+func (cm *platformControlCommand) Execute([]string) error {
+	set, err := platformSettings()
+	if err != nil {
+		return err
+	}
+	co, err := control.New(set.Control(), control.Options{
+		Log: log.Log, Validate: config.Check, Elastic: true,
+		Doors: []control.Door{{Address: set.ControlAddress, Handler: set.NewOperator}},
+	})
+	if err != nil {
+		return err
+	}
+	return co.Run(ctx)
+}
--- a/config/check.go
+++ b/config/check.go
@@ -30,21 +30,28 @@
 func Check(cfg *schema.Configuration) error { return check(cfg).err() }
 
 func check(cfg *schema.Configuration) Problems {
-	ck := &checker{classes: make(map[string]bool), prefixes: make(names)}
+	ck := &checker{classes: make(map[string]bool), services: make(map[string]bool), prefixes: make(names)}
 	ck.name(fieldDeployment, cfg.GetDeployment())
 	if cfg.GetVersion() == 0 {
 		ck.number(fieldVersion, 0, "must be set and positive")
 	}
+	ck.routed = len(cfg.GetRoutes()) > 0
 	ck.failureDomains(cfg.GetFailureDomains())
 	ck.allClasses(cfg.GetClasses())
 	ck.allServices(cfg.GetServices())
+	ck.allRoutes(cfg.GetRoutes())
+	ck.limits(cfg.GetLimits())
 	return ck.problems
 }
 
 // checker holds what is known of a configuration while it is checked.
 type checker struct {
 	findings
-	classes map[string]bool
+	classes  map[string]bool
+	services map[string]bool
+	// routed says that the configuration has routes, so that services need
+	// no request kinds of their own.
+	routed bool
 	// prefixes maps method and path prefix to the field that set it.
 	prefixes names
 }
@@ -107,7 +114,9 @@
 }
 
 func (ck *checker) allClasses(list []*schema.Class) {
-	ck.count(fieldClasses, len(list), maxClasses)
+	if !ck.routed || len(list) > 0 {
+		ck.count(fieldClasses, len(list), maxClasses)
+	}
 	ns := make(names)
 	for i, cl := range list {
 		at := index(fieldClasses, i)
@@ -127,6 +136,7 @@
 		at := index(fieldServices, i)
 		ck.name(join(at, "name"), sv.GetName())
 		ck.unique(ns, join(at, "name"), sv.GetName())
+		ck.services[sv.GetName()] = true
 		ck.service(at, sv)
 	}
 }
@@ -140,7 +150,9 @@
 	if sv.GetKeyRetentionS() > maxKeyRetentionS {
 		ck.number(join(at, "key-retention-s"), uint64(sv.GetKeyRetentionS()), "must be at most 604800")
 	}
-	ck.count(join(at, "requests"), len(sv.GetRequests()), maxRequestKinds)
+	if !ck.routed || len(sv.GetRequests()) > 0 {
+		ck.count(join(at, "requests"), len(sv.GetRequests()), maxRequestKinds)
+	}
 	ns := make(names)
 	for i, rk := range sv.GetRequests() {
 		field := index(join(at, "requests"), i)
--- a/config/compile.go
+++ b/config/compile.go
@@ -29,6 +29,9 @@
 	MaxRequest, MaxAnswer int64
 	// KeyRetention is the time for which a recorded answer is kept.
 	KeyRetention time.Duration
+	// Target is the time within which an answer has its full worth. It is
+	// the deadline where nothing else is stated.
+	Target time.Duration
 }
 
 // Service is a compiled service.
@@ -60,8 +63,11 @@
 	FailureDomains []call.FailureDomain
 	Services       []Service
 	Classes        []Class
+	// Limits bounds what callers may send.
+	Limits Limits
 
-	kinds map[string]*prefixes
+	kinds  map[string]*prefixes
+	routes map[string]*routes
 }
 
 // prefixes holds the request kinds of one method.
@@ -94,6 +100,8 @@
 	for _, sv := range cfg.GetServices() {
 		cd.addService(sv, importance)
 	}
+	cd.addRoutes(cfg.GetRoutes())
+	cd.Limits = limitsOf(cfg.GetLimits())
 	return cd, nil
 }
 
@@ -119,6 +127,7 @@
 			MaxRequest:   out.MaxRequest,
 			MaxAnswer:    out.MaxAnswer,
 			KeyRetention: out.KeyRetention,
+			Target:       time.Duration(rk.GetDeadlineMs()) * time.Millisecond,
 		}
 		out.Kinds = append(out.Kinds, kd)
 		cd.addKind(rk.GetMethod(), normalPrefix(rk.GetPathPrefix()), kd)
--- a/config/merge.go
+++ b/config/merge.go
@@ -14,6 +14,8 @@
 	fieldFailureDomains = "failure-domains"
 	fieldClasses        = "classes"
 	fieldServices       = "services"
+	fieldRoutes         = "routes"
+	fieldLimits         = "limits"
 )
 
 // place is where an element of a merged list was written.
@@ -53,6 +55,11 @@
 	mg.note(fieldClasses, file, len(part.GetClasses()))
 	mg.whole.Services = append(mg.whole.Services, part.GetServices()...)
 	mg.note(fieldServices, file, len(part.GetServices()))
+	mg.whole.Routes = append(mg.whole.Routes, part.GetRoutes()...)
+	mg.note(fieldRoutes, file, len(part.GetRoutes()))
+	if part.GetLimits() != nil && mg.claim(fs, fieldLimits, file, "{...}") {
+		mg.whole.Limits = part.GetLimits()
+	}
 	return fs.problems
 }
 
--- a/config/version.go
+++ b/config/version.go
@@ -47,8 +47,8 @@
 	Again    bool
 }
 
-// Conflict refuses a version because Winner has the same version and other
-// content.
+// Conflict refuses a version because Winner is in force: it has the same
+// version and other content, or is not the one that the version was made from.
 type Conflict struct{ Winner Accepted }
 
 // Stale refuses a version that is lower than the one in force.
@@ -94,6 +94,18 @@
 	return Stale{InForce: last}
 }
 
+// DecideFrom decides on a version that was made from the version base, or from
+// none if base is 0. It is refused unless base is in force.
+func (hi *History) DecideFrom(base, ver Version, rev Revision, dg Digest) Decision {
+	if ac, ok := hi.find(ver); ok && ac.Digest == dg {
+		return Accept{Revision: ac.Revision, Again: true}
+	}
+	if last, _ := hi.Last(); last.Version != base {
+		return Conflict{Winner: last}
+	}
+	return hi.Decide(ver, rev, dg)
+}
+
 // Last returns the version in force.
 func (hi *History) Last() (Accepted, bool) {
 	if len(hi.accepted) == 0 {
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -28,8 +28,9 @@
 	now      func() time.Time
 	onChange func([]membership.Upstream)
 
-	mu     sync.Mutex
-	leases leases
+	mu      sync.Mutex
+	leases  leases
+	reports reports
 }
 
 // New returns an Announce without upstreams. It calls onChange with the whole
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -135,8 +135,11 @@
 
 // Remaining returns the time until the deadline in the form of a header, at
 // least 0.
-func Remaining(now, deadline time.Time) string {
-	return strconv.FormatInt(max(0, deadline.Sub(now).Milliseconds()), 10)
+func Remaining(now, deadline time.Time) string { return Milliseconds(deadline.Sub(now)) }
+
+// Milliseconds returns a time in the form of a header, at least 0.
+func Milliseconds(left time.Duration) string {
+	return strconv.FormatInt(max(0, left.Milliseconds()), 10)
 }
 
 // Failed reports whether the attempt did not bring what the caller asked for
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,6 +36,9 @@
 	maxBacklog    = 1 << 17
 	refuseBacklog = 1 << 14
 	tickInterval  = 20 * time.Millisecond
+	// elasticVoters is the number of voters where replicas come and go. It
+	// bears the loss of one.
+	elasticVoters = 3
 	// shutdownTimeout bounds the time for requests in flight at a stop.
 	shutdownTimeout = 5 * time.Second
 )
@@ -60,6 +63,12 @@
 	Claims claim.Limits
 	// Timing overrides the timeouts of the replicated log.
 	Timing func(*quorum.Settings)
+	// Elastic says that replicas come and go. The settings list those that
+	// found the log, if any; the membership tells of others, which are named
+	// by their addresses.
+	Elastic bool
+	// Doors are further addresses that the replica serves.
+	Doors []Door
 
 	// wrap replaces the transport to another replica, and dial what makes
 	// its connections.
@@ -67,6 +76,13 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Door is an address with an interface of its own.
+type Door struct {
+	// Address is IP:port, TCP.
+	Address string
+	Handler func(*Control) http.Handler
+}
+
 // Control is one control replica.
 type Control struct {
 	set       *schema.Settings
@@ -75,10 +91,12 @@
 	id        quorum.Replica
 	addresses map[quorum.Replica]string
 
-	store    *store.Store
-	machine  *quorum.Machine
-	state    *state
-	senders  map[quorum.Replica]*sender
+	store   *store.Store
+	machine *quorum.Machine
+	state   *state
+	senders map[quorum.Replica]*sender
+	// duty starts a goroutine that Run waits for.
+	duty     func(func(context.Context) error)
 	waiters  *waiters
 	measures *measures
 	view     atomic.Pointer[view]
@@ -86,6 +104,7 @@
 	gossip   *gossip.Gossip
 	listener net.Listener
 	local    net.Listener
+	doors    []net.Listener
 
 	messages    *ring.Ring[quorum.Event]
 	proposals   *ring.Ring[quorum.Event]
@@ -94,8 +113,9 @@
 	writes      *ring.Ring[quorum.Persist]
 	written     *ring.Ring[quorum.Event]
 	applies     *ring.Ring[quorum.Action]
-	// absence and backlog belong to the log's goroutine; behind tells the
+	// ticks, absence and backlog belong to the log's goroutine; behind tells the
 	// others.
+	ticks   uint
 	absence absence
 	backlog []quorum.Action
 	behind  atomic.Bool
@@ -148,21 +168,39 @@
 	for _, cr := range co.set.GetControlReplicas() {
 		co.addresses[quorum.Replica(cr.GetName())] = cr.GetAddress()
 	}
+	co.senders = make(map[quorum.Replica]*sender)
+	if co.opt.Elastic {
+		return nil
+	}
 	if len(co.addresses) == 0 {
 		co.addresses[co.id] = co.set.GetPeerAddress()
 	}
 	if _, ok := co.addresses[co.id]; !ok {
 		return errors.Wrap(ErrNotListed, string(co.id))
 	}
-	co.senders = make(map[quorum.Replica]*sender)
-	for id, address := range co.addresses {
-		if id != co.id {
-			co.senders[id] = newSender(co, id, address)
-		}
-	}
 	return nil
 }
 
+// address returns the peer address of a replica.
+func (co *Control) address(id quorum.Replica) string {
+	if address, ok := co.addresses[id]; ok || !co.opt.Elastic {
+		return address
+	}
+	return string(id)
+}
+
+// sender returns the sender to a replica, and starts it at the first message.
+// Only the log's goroutine calls it.
+func (co *Control) sender(id quorum.Replica) *sender {
+	se := co.senders[id]
+	if se == nil {
+		se = newSender(co, id, co.address(id))
+		co.senders[id] = se
+		co.duty(se.run)
+	}
+	return se
+}
+
 func (co *Control) open() error {
 	begin := time.Now()
 	incarnation := quorum.Incarnation(begin.UnixMilli())
@@ -172,13 +210,18 @@
 	}
 	co.store = st
 	co.report(re, found, time.Since(begin))
-	if err := co.checkVoters(found.Voters()); err != nil {
-		return err
+	if !co.opt.Elastic {
+		if err := co.checkVoters(found.Voters()); err != nil {
+			return err
+		}
 	}
 	set := quorum.DefaultSettings(co.id, nil)
 	for id := range co.addresses {
 		set.Replicas = append(set.Replicas, id)
 	}
+	if co.opt.Elastic {
+		set.Voters = elasticVoters
+	}
 	set.Seed = uint64(begin.UnixNano())
 	if co.opt.Timing != nil {
 		co.opt.Timing(&set)
@@ -192,6 +235,13 @@
 			return errors.Wrap(err, "control: local address")
 		}
 	}
+	for _, dr := range co.opt.Doors {
+		ln, err := net.Listen("tcp", dr.Address)
+		if err != nil {
+			return errors.Wrap(err, "control: door")
+		}
+		co.doors = append(co.doors, ln)
+	}
 	return co.join()
 }
 
@@ -243,6 +293,7 @@
 			}
 		})
 	}
+	co.duty = duty
 	left := make(chan struct{})
 	duty(func(inner context.Context) error { return co.runLog(inner, ctx.Done(), left) })
 	duty(co.runDisk)
@@ -250,9 +301,6 @@
 	duty(co.state.run)
 	duty(co.gossip.Run)
 	duty(co.runHints)
-	for _, se := range co.senders {
-		duty(se.run)
-	}
 	servers := co.serve(duty)
 	select {
 	case <-left:
@@ -289,6 +337,9 @@
 	if co.local != nil {
 		_ = co.local.Close()
 	}
+	for _, ln := range co.doors {
+		_ = ln.Close()
+	}
 	if co.store != nil {
 		_ = co.store.Close()
 	}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -6,12 +6,18 @@
 
 	"github.com/apex/log"
 
+	"camphortrail/internal/state/boottime"
+	"camphortrail/membership"
 	"camphortrail/quorum"
 )
 
 // absenceInterval is the time without a leader after which that is logged.
 const absenceInterval = 10 * time.Second
 
+// knownTicks is the number of ticks between two looks at the membership; with
+// ticks of 20 ms a fifth of a second, well under quorum's ReplaceAfter.
+const knownTicks = 10
+
 // view is what other goroutines see of the machine.
 type view struct {
 	status quorum.Status
@@ -36,7 +42,7 @@
 		case ev = <-co.proposals.Out():
 		case ev = <-co.compactions.Out():
 		case <-ticker.C:
-			ev = quorum.Tick{}
+			ev = co.tick()
 		case <-stop:
 			leaving, stop, ev = true, nil, quorum.Transfer{}
 		case <-ctx.Done():
@@ -52,8 +58,24 @@
 	}
 }
 
+// tick returns the event of a tick. Once in knownTicks it names the replicas
+// that are alive, where they come and go.
+func (co *Control) tick() quorum.Event {
+	co.ticks++
+	if !co.opt.Elastic || co.ticks%knownTicks != 0 {
+		return quorum.Tick{}
+	}
+	var kn quorum.Known
+	for _, me := range co.gossip.Members() {
+		if me.Role == membership.ControlRole && me.State.Present() {
+			kn.Replicas = append(kn.Replicas, quorum.Replica(me.Name))
+		}
+	}
+	return kn
+}
+
 func (co *Control) step(ctx context.Context, ev quorum.Event) error {
-	for _, ac := range co.machine.Step(time.Now(), ev) {
+	for _, ac := range co.machine.Step(boottime.Now(), ev) {
 		if err := co.carryOut(ctx, ac); err != nil {
 			return err
 		}
@@ -87,7 +109,7 @@
 func (co *Control) carryOut(ctx context.Context, ac quorum.Action) error {
 	switch ac := ac.(type) {
 	case quorum.Send:
-		if !co.senders[quorum.Destination(ac.Message)].messages.Offer(ac.Message) {
+		if !co.sender(quorum.Destination(ac.Message)).messages.Offer(ac.Message) {
 			co.measures.dropped.Inc()
 		}
 	case quorum.Persist:
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -66,6 +66,10 @@
 		servers = append(servers, &http.Server{Handler: co.localHandler(), ReadHeaderTimeout: readHeaderTimeout})
 		listeners = append(listeners, co.local)
 	}
+	for i, ln := range co.doors {
+		servers = append(servers, &http.Server{Handler: co.opt.Doors[i].Handler(co), ReadHeaderTimeout: readHeaderTimeout})
+		listeners = append(listeners, ln)
+	}
 	for i, sv := range servers {
 		duty(func(context.Context) error {
 			if err := sv.Serve(listeners[i]); err != http.ErrServerClosed {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -10,6 +10,7 @@
 
 	"camphortrail/claim"
 	"camphortrail/config"
+	"camphortrail/internal/state/boottime"
 	"camphortrail/quorum"
 	"camphortrail/schema"
 )
@@ -19,29 +20,32 @@
 	maxClaimOperations    = 4096
 )
 
+// ErrNotCurrent is returned by a replica that can't prove that it knows the
+// newest configuration.
+var ErrNotCurrent = errors.New("control: the replica can't prove that it is current")
+
 var (
-	errNotCurrent = errors.New("control: the replica can't prove that it is current")
-	errBusy       = errors.New("control: too many requests wait")
-	errUnknown    = errors.New("control: leadership was lost, the request may take effect or not")
+	errBusy    = errors.New("control: too many requests wait")
+	errUnknown = errors.New("control: leadership was lost, the request may take effect or not")
 )
 
 // current reports whether the replica holds a lease, and a state read before
 // the call, up to the given index, is current.
 func (co *Control) current(applied quorum.Index) bool {
 	vi := co.view.Load()
-	return time.Now().Before(vi.until) && applied >= vi.applied
+	return boottime.Now().Before(vi.until) && applied >= vi.applied
 }
 
 // leading reports whether the replica may accept proposals.
-func (co *Control) leading() bool { return time.Now().Before(co.view.Load().until) }
+func (co *Control) leading() bool { return boottime.Now().Before(co.view.Load().until) }
 
 // leaderAddress returns the address of another replica that leads, if known.
 func (co *Control) leaderAddress() string {
 	leader := co.view.Load().status.Leader
-	if leader == co.id {
+	if leader == co.id || leader == "" {
 		return ""
 	}
-	return co.addresses[leader]
+	return co.address(leader)
 }
 
 // propose has a command committed, and returns what became of it.
@@ -77,14 +81,16 @@
 
 // Apply implements schemaconnect.ControlHandler.
 func (co *Control) Apply(ctx context.Context, rq *connect.Request[schema.ApplyRequest]) (*connect.Response[schema.ApplyResponse], error) {
-	response, err := co.applyConfiguration(ctx, rq.Msg.GetConfiguration())
+	response, err := co.ApplyConfiguration(ctx, rq.Msg.GetConfiguration())
 	if err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(response), nil
 }
 
-func (co *Control) applyConfiguration(ctx context.Context, cfg *schema.Configuration) (*schema.ApplyResponse, error) {
+// ApplyConfiguration proposes a whole configuration, and answers once it is
+// committed or refused.
+func (co *Control) ApplyConfiguration(ctx context.Context, cfg *schema.Configuration) (*schema.ApplyResponse, error) {
 	if err := co.validate(cfg); err != nil {
 		return &schema.ApplyResponse{Result: schema.ApplyResult_APPLY_RESULT_INVALID, Reason: err.Error()}, nil
 	}
@@ -132,11 +138,25 @@
 	return nil
 }
 
+// InForce returns the configuration in force, or nil if there is none yet. It
+// fails with ErrNotCurrent when a newer one may be in force.
+func (co *Control) InForce() (*schema.Configuration, error) {
+	now := co.state.current.Load()
+	if !co.current(now.applied) {
+		return nil, ErrNotCurrent
+	}
+	return now.configuration, nil
+}
+
+// Leader returns the peer address of another replica that leads, or an empty
+// string if none is known.
+func (co *Control) Leader() string { return co.leaderAddress() }
+
 // Fetch implements schemaconnect.ControlHandler.
 func (co *Control) Fetch(_ context.Context, rq *connect.Request[schema.FetchRequest]) (*connect.Response[schema.FetchResponse], error) {
 	now := co.state.current.Load()
 	if !co.current(now.applied) {
-		return nil, connect.NewError(connect.CodeUnavailable, errNotCurrent)
+		return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
 	}
 	response := &schema.FetchResponse{Revision: uint64(now.revision)}
 	if response.Revision > rq.Msg.GetHaveRevision() {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -104,7 +104,13 @@
 func (st *state) decide(now *inForce, cfg *schema.Configuration, dg config.Digest) *schema.ApplyResponse {
 	version, revision := config.Version(cfg.GetVersion()), config.Revision(now.applied)
 	response := &schema.ApplyResponse{}
-	switch de := st.history.Decide(version, revision, dg).(type) {
+	var de config.Decision
+	if cfg.BaseVersion != nil {
+		de = st.history.DecideFrom(config.Version(cfg.GetBaseVersion()), version, revision, dg)
+	} else {
+		de = st.history.Decide(version, revision, dg)
+	}
+	switch de := de.(type) {
 	case config.Accept:
 		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_ACCEPTED, uint64(de.Revision)
 		if !de.Again {
@@ -113,8 +119,7 @@
 		}
 	case config.Conflict:
 		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_CONFLICT, uint64(de.Winner.Revision)
-		response.Reason = fmt.Sprintf("version %d is in force with other content (digest %x), accepted as revision %d",
-			de.Winner.Version, de.Winner.Digest[:4], de.Winner.Revision)
+		response.Reason = conflictReason(cfg, de.Winner)
 	case config.Stale:
 		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_STALE, uint64(de.InForce.Revision)
 		response.Reason = fmt.Sprintf("version %d is in force since revision %d; version %d is lower",
@@ -126,6 +131,14 @@
 	return response
 }
 
+func conflictReason(cfg *schema.Configuration, winner config.Accepted) string {
+	if cfg.BaseVersion != nil && cfg.GetBaseVersion() != uint64(winner.Version) {
+		return fmt.Sprintf("version %d is in force, and not the base version %d", winner.Version, cfg.GetBaseVersion())
+	}
+	return fmt.Sprintf("version %d is in force with other content (digest %x), accepted as revision %d",
+		winner.Version, winner.Digest[:4], winner.Revision)
+}
+
 func (st *state) claim(batch *schema.ClaimBatch) []*schema.ClaimResult {
 	results := make([]*schema.ClaimResult, len(batch.GetOperations()))
 	now := time.UnixMilli(st.clock.last())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -173,6 +174,35 @@
 	en.observe(rq, an, time.Since(begun))
 }
 
+// Do answers a request that a front door with an interface of its own has
+// read. Its configuration must have routes.
+func (en *Entry) Do(ctx context.Context, rd *Request) *attempt.Answer {
+	en.active.Enter()
+	defer en.active.Exit()
+	begun := time.Now()
+	rq, an := en.routed(rd, begun)
+	if an == nil {
+		an = en.serve(ctx, rq)
+	}
+	en.observe(rq, an, time.Since(begun))
+	return an
+}
+
+// Serves reports whether the configuration in force names the service. Before
+// there is one, every service may be named.
+func (en *Entry) Serves(svc call.Service) bool {
+	cd := en.config.Load()
+	return cd == nil || slices.ContainsFunc(cd.Services, func(sv config.Service) bool { return sv.Name == svc })
+}
+
+// Limits returns the limits in force for what callers send.
+func (en *Entry) Limits() config.Limits {
+	if cd := en.config.Load(); cd != nil {
+		return cd.Limits
+	}
+	return config.DefaultLimits
+}
+
 // accept returns the request, or the answer to one that is refused.
 func (en *Entry) accept(r *http.Request, now time.Time) (*request, *attempt.Answer) {
 	cd := en.config.Load()
--- /dev/null
+++ b/internal/guard/dialect.go
@@ -0,0 +1,66 @@
+package guard
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/header"
+)
+
+// Verdict says what the header of an upstream's answer proves.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Unusable answers belong to another attempt, or cannot be told to be
+	// the whole answer. The attempt may have run.
+	Unusable Verdict = iota
+	// Answered means that the answer is that of the attempt.
+	Answered
+	// Full means that the upstream did not begin, for want of room.
+	Full
+	// Misdirected means that the upstream did not begin because it is not
+	// the one that the attempt was meant for.
+	Misdirected
+)
+
+// Dialect holds the headers that the guard and the upstream beside it
+// exchange.
+type Dialect interface {
+	// Prepare adds what the system says to the upstream of that instance;
+	// left is the time until the deadline.
+	Prepare(hd http.Header, at *attempt.Attempt, instance string, left time.Duration)
+	// Judge reads the header of an answer.
+	Judge(res *http.Response, at *attempt.Attempt) Verdict
+}
+
+// ownDialect is the interface that docs/CALLERS.md describes.
+type ownDialect struct{}
+
+// Prepare implements Dialect.
+func (ownDialect) Prepare(hd http.Header, at *attempt.Attempt, _ string, left time.Duration) {
+	hd.Set(header.Attempt, at.ID.String())
+	hd.Set(header.Request, at.Request.String())
+	hd.Set(header.DeadlineMS, attempt.Milliseconds(left))
+}
+
+// Judge implements Dialect. An answer whose end cannot be told, or which names
+// another attempt, is not usable.
+func (ownDialect) Judge(res *http.Response, at *attempt.Attempt) Verdict {
+	echo := res.Header.Get(header.Attempt)
+	switch {
+	case echo != "" && echo != at.ID.String(), !framed(res):
+		return Unusable
+	case echo != "" && res.Header.Get(header.Outcome) == call.NotRun.String():
+		return Full
+	}
+	return Answered
+}
+
+// framed reports whether the end of the body can be told from its message.
+func framed(res *http.Response) bool {
+	return res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
+}
--- a/internal/guard/forward.go
+++ b/internal/guard/forward.go
@@ -4,14 +4,12 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
-	"camphortrail/internal/header"
 )
 
 const (
@@ -45,9 +43,7 @@
 		return attempt.Refusal("bad-request", 0)
 	}
 	req.Header = at.Header.Clone()
-	req.Header.Set(header.Attempt, at.ID.String())
-	req.Header.Set(header.Request, at.Request.String())
-	req.Header.Set(header.DeadlineMS, attempt.Remaining(time.Now(), at.Deadline))
+	gd.dialect.Prepare(req.Header, at, up.Instance, time.Until(at.Deadline))
 	req.Host = at.Host
 	req.ContentLength = int64(len(at.Body))
 	res, err := gd.client.Do(req)
@@ -55,7 +51,7 @@
 		return transportFailure(ctx, err)
 	}
 	defer res.Body.Close()
-	return wholeAnswer(ctx, res, at)
+	return gd.wholeAnswer(ctx, res, at)
 }
 
 // transportFailure returns the answer for an exchange that failed before the
@@ -63,7 +59,7 @@
 func transportFailure(ctx context.Context, err error) *attempt.Answer {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return attempt.Refusal("upstream-refuses-connections", fullRetryAfter)
+		return attempt.Refusal(ReasonConnect, fullRetryAfter)
 	}
 	if ctx.Err() != nil {
 		return attempt.Broken(ReasonDeadline, http.StatusGatewayTimeout)
@@ -71,36 +67,28 @@
 	return attempt.Broken(ReasonBroken, http.StatusBadGateway)
 }
 
-// wholeAnswer reads an answer to its end. An answer whose end cannot be told,
-// or which names another attempt, is not passed on.
-func wholeAnswer(ctx context.Context, res *http.Response, at *attempt.Attempt) *attempt.Answer {
-	echo := res.Header.Get(header.Attempt)
-	if echo != "" && echo != at.ID.String() {
-		return attempt.Broken(ReasonBroken, http.StatusBadGateway)
-	}
-	if !framed(res) {
+// wholeAnswer reads an answer to its end. One that the dialect finds unusable
+// is not passed on. An upstream that refuses an attempt of its own accord ends
+// it before the body of the refusal matters.
+func (gd *Guard) wholeAnswer(ctx context.Context, res *http.Response, at *attempt.Attempt) *attempt.Answer {
+	verdict := gd.dialect.Judge(res, at)
+	if verdict == Unusable {
 		return attempt.Broken(ReasonBroken, http.StatusBadGateway)
 	}
 	body, err := attempt.ReadBody(res.Body, bodyLength(res, at.Method), at.MaxAnswer)
-	if err != nil {
-		if ctx.Err() != nil {
-			return attempt.Broken(ReasonDeadline, http.StatusGatewayTimeout)
-		}
-		return attempt.Broken(ReasonBroken, http.StatusBadGateway)
-	}
-	if echo != "" && res.Header.Get(header.Outcome) == call.NotRun.String() {
-		an := attempt.Refusal("upstream-refused", fullRetryAfter)
-		an.Overload, an.Offered = true, true
+	switch {
+	case verdict == Full || verdict == Misdirected:
+		an := attempt.Refusal(ReasonRefused, fullRetryAfter)
+		an.Overload, an.Offered = verdict == Full, true
 		return an
+	case err != nil && ctx.Err() != nil:
+		return attempt.Broken(ReasonDeadline, http.StatusGatewayTimeout)
+	case err != nil:
+		return attempt.Broken(ReasonBroken, http.StatusBadGateway)
 	}
 	return &attempt.Answer{Outcome: call.Done, Status: res.StatusCode, Header: attempt.PassOn(res.Header), Body: body}
 }
 
-// framed reports whether the end of the body can be told from its message.
-func framed(res *http.Response) bool {
-	return res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
-}
-
 func bodyLength(res *http.Response, method string) int64 {
 	if method == http.MethodHead {
 		return -1
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -32,6 +32,8 @@
 	ReasonBroken    = "broken-answer"
 	ReasonDeadline  = "deadline"
 	ReasonService   = "wrong-service"
+	ReasonRefused   = "upstream-refused"
+	ReasonConnect   = "upstream-refuses-connections"
 )
 
 const (
@@ -54,6 +56,8 @@
 	Seed uint64
 	// Incarnation identifies this run of the guard.
 	Incarnation withdrawal.Incarnation
+	// Dialect replaces the interface to upstreams, if it is set.
+	Dialect Dialect
 }
 
 // Guard runs attempts on the upstream beside its node. Its methods are safe
@@ -62,6 +66,7 @@
 	trees    *tree.Trees
 	duty     *duty
 	client   *http.Client
+	dialect  Dialect
 	upstream atomic.Pointer[membership.Upstream]
 	fifo     bool
 	metrics  *metrics.Set
@@ -77,7 +82,11 @@
 	if !opt.FIFO {
 		mc = admission.New(opt.Admission, rand.New(rand.NewPCG(opt.Seed, opt.Seed)))
 	}
+	if opt.Dialect == nil {
+		opt.Dialect = ownDialect{}
+	}
 	return &Guard{
+		dialect:  opt.Dialect,
 		trees:    opt.Trees,
 		duty:     newDuty(mc),
 		fifo:     opt.FIFO,
@@ -97,6 +106,10 @@
 // SetUpstream states what the upstream has announced. A nil upstream has left.
 func (gd *Guard) SetUpstream(ctx context.Context, up *membership.Upstream) error {
 	old := gd.upstream.Swap(up)
+	if old != nil && (up == nil || up.Instance != old.Instance) {
+		gd.client.CloseIdleConnections()
+		old = nil
+	}
 	if up == nil {
 		return gd.duty.inputs.Put(ctx, input{event: admission.Announce{}})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,14 +58,47 @@
 	Dial peer.Dial
 	// Sockets may stand between the node and its sockets for control.
 	Sockets Sockets
+	// Front replaces the interface to callers.
+	Front func(*Node) http.Handler
+	// Doors are further addresses that the node serves.
+	Doors []Door
+	// Dialect replaces the interface to upstreams.
+	Dialect guard.Dialect
+	// Stop says how the node stops. The zero value stands for DefaultStop.
+	Stop StopPlan
 }
 
+// Door is an address with an interface of its own.
+type Door struct {
+	// Address is IP:port, TCP.
+	Address string
+	Handler func(*Node) http.Handler
+}
+
+// StopPlan says how a node stops.
+type StopPlan struct {
+	// Notice is the time for which the node stays, until the others have
+	// learned that it leaves.
+	Notice time.Duration
+	// Finish bounds the wait for work in flight after that.
+	Finish time.Duration
+	// Serve says that requests of callers are taken during Notice: they are
+	// told to go elsewhere by Stopping.
+	Serve bool
+}
+
+// DefaultStop refuses the requests of callers at once.
+var DefaultStop = StopPlan{Notice: 1500 * time.Millisecond, Finish: 60 * time.Second}
+
 // Node is the process beside one upstream.
 type Node struct {
 	set     *schema.Settings
 	log     log.Interface
 	metrics *metrics.Set
 
+	opt                   Options
+	stopping              atomic.Bool
+	doors                 []net.Listener
 	callers, peers, local net.Listener
 	guard                 *guard.Guard
 	entry                 *entry.Entry
@@ -80,7 +114,10 @@
 // New opens the addresses of the settings and returns a node that is ready to
 // run.
 func New(set *schema.Settings, opt Options) (*Node, error) {
-	nd := &Node{set: set, log: opt.Log, metrics: metrics.NewSet()}
+	if opt.Stop == (StopPlan{}) {
+		opt.Stop = DefaultStop
+	}
+	nd := &Node{set: set, opt: opt, log: opt.Log, metrics: metrics.NewSet()}
 	if nd.log == nil {
 		nd.log = log.Log
 	}
@@ -97,7 +134,7 @@
 	nd.rpc = &http.Client{Transport: opt.Sockets.transport(opt.Dial)}
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
-		Incarnation: withdrawal.Incarnation(randomNumber()),
+		Incarnation: withdrawal.Incarnation(randomNumber()), Dialect: opt.Dialect,
 	})
 	nd.pool = peer.New(peer.Options{OnState: nd.connState, Dial: opt.Dial})
 	eopt := entry.Options{
@@ -138,6 +175,13 @@
 		}
 		*open.listener = ln
 	}
+	for _, dr := range nd.opt.Doors {
+		ln, err := net.Listen("tcp", dr.Address)
+		if err != nil {
+			return errors.Wrap(err, "node "+nd.set.GetName())
+		}
+		nd.doors = append(nd.doors, ln)
+	}
 	return nil
 }
 
@@ -234,9 +278,21 @@
 	return nd.callers.Addr().String(), nd.peers.Addr().String(), nd.local.Addr().String()
 }
 
+// Entry returns what takes requests.
+func (nd *Node) Entry() *entry.Entry { return nd.entry }
+
+// Announcements returns what takes the announcements of the upstream.
+func (nd *Node) Announcements() *announce.Announce { return nd.announce }
+
+// Log returns the log of the node.
+func (nd *Node) Log() log.Interface { return nd.log }
+
+// Stopping reports whether the node has begun to stop.
+func (nd *Node) Stopping() bool { return nd.stopping.Load() }
+
 // Close closes the addresses of a node that does not run.
 func (nd *Node) Close() {
-	for _, ln := range []net.Listener{nd.callers, nd.peers, nd.local} {
+	for _, ln := range append([]net.Listener{nd.callers, nd.peers, nd.local}, nd.doors...) {
 		if ln != nil {
 			ln.Close()
 		}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,15 +10,8 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	// spreadTime is the time for which a stopping node goes on refusing new
-	// work, until the others have learned that it leaves.
-	spreadTime = 1500 * time.Millisecond
-	// finishTime bounds the wait for work in flight at a stop.
-	finishTime = 60 * time.Second
-	// maxStreams is the number of attempts at a time on one connection.
-	maxStreams = 10000
-)
+// maxStreams is the number of attempts at a time on one connection.
+const maxStreams = 10000
 
 // Run runs the node until ctx ends, and then stops it: new work is refused,
 // work in flight is finished, and the other processes are told.
@@ -75,22 +68,34 @@
 	var h2c http.Protocols
 	h2c.SetHTTP1(true)
 	h2c.SetUnencryptedHTTP2(true)
-	return map[*http.Server]net.Listener{
-		{Handler: nd.entry}: nd.callers,
+	var front http.Handler = nd.entry
+	if nd.opt.Front != nil {
+		front = nd.opt.Front(nd)
+	}
+	servers := map[*http.Server]net.Listener{
+		{Handler: front}: nd.callers,
 		{Handler: nd.peerHandler(), Protocols: &h2c, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}}: nd.peers,
 		{Handler: nd.localHandler()}: nd.local,
 	}
+	for i, ln := range nd.doors {
+		servers[&http.Server{Handler: nd.opt.Doors[i].Handler(nd)}] = ln
+	}
+	return servers
 }
 
 // stop ends the node without cutting work in flight off.
 func (nd *Node) stop(ctx context.Context, servers map[*http.Server]net.Listener) {
 	nd.log.Info("node stopping")
+	plan := nd.opt.Stop
+	nd.stopping.Store(true)
 	nd.announce.Drain()
-	nd.entry.Stop()
-	ctx, cancel := context.WithTimeout(ctx, spreadTime+finishTime)
+	if !plan.Serve {
+		nd.entry.Stop()
+	}
+	ctx, cancel := context.WithTimeout(ctx, plan.Notice+plan.Finish)
 	defer cancel()
 	select {
-	case <-time.After(spreadTime):
+	case <-time.After(plan.Notice):
 	case <-ctx.Done():
 	}
 	if err := nd.guard.Wait(ctx); err != nil {
--- a/membership/member.go
+++ b/membership/member.go
@@ -74,8 +74,10 @@
 	WarmUp time.Duration
 	// Draining is set once it has started to leave.
 	Draining bool
-	// Address (IP:port) is known to the node beside the upstream only.
-	Address string
+	// Address (IP:port) is known to the node beside the upstream only, and so
+	// is Instance, the text by which lives of the upstream are told apart.
+	Address  string
+	Instance string
 }
 
 // Member is the record of one process.
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -47,18 +47,23 @@
 	ma.sendSynced(vo)
 }
 
-// decide goes on if enough votes that count have been given, and reports
-// whether it did.
+// decide goes on if most voters have given their votes, those in force and
+// those of every later change, and reports whether it did.
 func (ma *Machine) decide() bool {
-	counted := 0
-	for id, inc := range ma.log.agreed() {
-		if got, ok := ma.ballot.given[id]; ok && got == inc {
-			counted++
-		}
-	}
-	if counted < ma.quorum() {
+	if len(ma.log.changes) == 0 {
 		return false
 	}
+	for _, ch := range ma.log.changes {
+		counted := 0
+		for id, inc := range ch.voters {
+			if got, ok := ma.ballot.given[id]; ok && got == inc {
+				counted++
+			}
+		}
+		if counted < ch.voters.majority() {
+			return false
+		}
+	}
 	if ma.ballot.pre {
 		ma.campaign(false, false)
 	} else {
--- a/quorum/found.go
+++ b/quorum/found.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,9 @@
 }
 
 // founder reports whether this replica begins the log of a new deployment.
-func (ma *Machine) founder() bool { return ma.set.ID == ma.set.Replicas[0] }
+func (ma *Machine) founder() bool {
+	return len(ma.set.Replicas) > 0 && ma.set.ID == ma.set.Replicas[0]
+}
 
 // join asks the other replicas whether they are blank. A log is founded only
 // when all are, and only by one replica: a majority is not enough, since the
@@ -23,7 +26,7 @@
 		return
 	}
 	ma.found = founding{asked: ma.now, blank: Voters{ma.set.ID: ma.inc}}
-	for _, id := range ma.peers {
+	for _, id := range ma.set.Replicas[1:] {
 		ma.act(Send{&Join{ma.headerTo(id)}})
 	}
 	ma.tryFound()
@@ -34,7 +37,7 @@
 }
 
 func (ma *Machine) receiveJoinAnswer(an *JoinAnswer) {
-	if an.Refused || ma.found.blank == nil || !ma.blank() {
+	if an.Refused || ma.found.blank == nil || !ma.blank() || !slices.Contains(ma.set.Replicas, an.From) {
 		return
 	}
 	ma.found.blank[an.From] = an.Incarnation
--- a/quorum/lead.go
+++ b/quorum/lead.go
@@ -54,13 +54,20 @@
 		since: ma.now, first: ma.log.last() + 1, data: ma.log.lastData(),
 		peers: make(map[Replica]*peer),
 	}
-	for _, id := range ma.peers {
-		ma.lead.peers[id] = &peer{next: ma.log.last() + 1, probing: true}
-	}
+	ma.lead.meet(ma)
 	ma.appendOwn(Entry{Kind: Empty})
 	ma.lead.broadcast = true
 }
 
+// meet begins to follow the peers that are new.
+func (le *leadership) meet(ma *Machine) {
+	for _, id := range ma.peers {
+		if le.peers[id] == nil {
+			le.peers[id] = &peer{next: ma.log.last() + 1, probing: true, contact: le.since}
+		}
+	}
+}
+
 func (ma *Machine) appendOwn(en Entry) Index {
 	en.Index, en.Term = ma.log.last()+1, ma.term
 	ma.log.append(en)
@@ -102,21 +109,39 @@
 	}
 }
 
-// quorumOf returns the highest value that a quorum of the voters that count
-// has reached.
+// quorumOf returns the highest value that most voters have reached, those in
+// force and those of every later change: a change that is not committed yet may
+// be, or may not. So two majorities overlap whatever the change is. This is
+// joint consensus with one entry, as only the old and the new voters together
+// commit the change (Ongaro, "Consensus: Bridging Theory and Practice", 4.3).
 func quorumOf[T any](ma *Machine, value func(Replica) T, compare func(a, b T) int) (T, bool) {
-	var values []T
-	for id, inc := range ma.log.agreed() {
-		if id == ma.set.ID && inc == ma.inc || id != ma.set.ID && ma.lead.peers[id].inc == inc {
-			values = append(values, value(id))
+	var least T
+	for n, ch := range ma.log.changes {
+		var values []T
+		for id, inc := range ch.voters {
+			if id == ma.set.ID && inc == ma.inc || id != ma.set.ID && ma.lead.incarnation(id) == inc {
+				values = append(values, value(id))
+			}
+		}
+		if len(values) < ch.voters.majority() {
+			var none T
+			return none, false
+		}
+		slices.SortFunc(values, compare)
+		reached := values[len(values)-ch.voters.majority()]
+		if n == 0 || compare(reached, least) < 0 {
+			least = reached
 		}
 	}
-	if len(values) < ma.quorum() {
-		var none T
-		return none, false
+	return least, len(ma.log.changes) > 0
+}
+
+// incarnation returns the incarnation of a peer that answered, or 0.
+func (le *leadership) incarnation(id Replica) Incarnation {
+	if pe := le.peers[id]; pe != nil {
+		return pe.inc
 	}
-	slices.SortFunc(values, compare)
-	return values[len(values)-ma.quorum()], true
+	return 0
 }
 
 // acknowledged returns the send time of the latest messages that a quorum
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -12,9 +12,12 @@
 
 // Machine is one replica of the log.
 type Machine struct {
-	set   Settings
-	inc   Incarnation
-	rng   *rand.Rand
+	set Settings
+	inc Incarnation
+	rng *rand.Rand
+	// known are the replicas that Known named, and peers all others that
+	// messages are exchanged with: voters, founders and known ones.
+	known []Replica
 	peers []Replica
 
 	now     time.Time
@@ -55,15 +58,11 @@
 		log:  newEntryLog(st.Snapshot, st.Entries),
 	}
 	ma.set.Replicas = slices.Sorted(slices.Values(set.Replicas))
-	for _, id := range ma.set.Replicas {
-		if id != set.ID {
-			ma.peers = append(ma.peers, id)
-		}
-	}
 	ma.commit = min(max(st.HardState.Commit, st.Snapshot.Index), ma.log.last())
 	ma.applied = st.Snapshot.Index
 	ma.log.committed(ma.commit)
 	ma.disk.stable, ma.disk.stableTerm = ma.log.last(), ma.term
+	ma.refreshPeers()
 	return ma
 }
 
@@ -85,6 +84,8 @@
 		ma.compact(ev)
 	case Transfer:
 		ma.transfer()
+	case Known:
+		ma.known = slices.Clone(ev.Replicas)
 	case Tick:
 		ma.tick()
 	}
@@ -115,8 +116,10 @@
 
 // finish does what may be due after any event.
 func (ma *Machine) finish() {
+	ma.refreshPeers()
 	if ma.role == Leader {
 		ma.repair()
+		ma.refreshPeers()
 		ma.replicate()
 		ma.handover()
 	}
@@ -144,7 +147,32 @@
 // voter reports whether the replica's own vote counts.
 func (ma *Machine) voter() bool { return ma.log.agreed()[ma.set.ID] == ma.inc }
 
-func (ma *Machine) quorum() int { return len(ma.set.Replicas)/2 + 1 }
+// refreshPeers finds the replicas that messages are exchanged with.
+func (ma *Machine) refreshPeers() {
+	ma.peers = ma.peers[:0]
+	add := func(id Replica) {
+		if id != ma.set.ID && !slices.Contains(ma.peers, id) {
+			ma.peers = append(ma.peers, id)
+		}
+	}
+	for _, ch := range ma.log.changes {
+		for id := range ch.voters {
+			add(id)
+		}
+	}
+	if len(ma.log.changes) == 0 {
+		for _, id := range ma.set.Replicas {
+			add(id)
+		}
+	}
+	for _, id := range ma.known {
+		add(id)
+	}
+	slices.Sort(ma.peers)
+	if ma.role == Leader {
+		ma.lead.meet(ma)
+	}
+}
 
 func (ma *Machine) resetElection() {
 	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout + ma.random(ma.set.ElectionTimeout))
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -49,6 +49,15 @@
 // acknowledgements count.
 type Voters map[Replica]Incarnation
 
+// majority is the number of voters that decide.
+func (vo Voters) majority() int { return len(vo)/2 + 1 }
+
+func (vo Voters) without(id Replica) Voters {
+	cp := maps.Clone(vo)
+	delete(cp, id)
+	return cp
+}
+
 func (vo Voters) with(id Replica, inc Incarnation) Voters {
 	cp := maps.Clone(vo)
 	cp[id] = inc
@@ -115,8 +124,15 @@
 // Settings configures a Machine.
 type Settings struct {
 	ID Replica
-	// Replicas lists all replicas, ID included.
+	// Replicas lists the replicas that found the log, once all of them are
+	// there. A log that exists says by itself who its voters are.
 	Replicas []Replica
+	// Voters is the number of voters that a leader keeps up with the known
+	// replicas, see Known. Zero leaves the voters as they were founded.
+	Voters int
+	// ReplaceAfter is the silence after which a known replica takes the place
+	// of a voter.
+	ReplaceAfter time.Duration
 	// Heartbeat is the interval of messages of an idle leader.
 	Heartbeat time.Duration
 	// ElectionTimeout is the time without a leader after which a replica
@@ -146,6 +162,7 @@
 		Heartbeat:           75 * time.Millisecond,
 		ElectionTimeout:     400 * time.Millisecond,
 		Lease:               300 * time.Millisecond,
+		ReplaceAfter:        2 * time.Second,
 		MaxMessageBytes:     256 << 10,
 		MaxInFlight:         8,
 		MaxUncommittedBytes: 64 << 20,
--- a/quorum/receive.go
+++ b/quorum/receive.go
@@ -1,11 +1,9 @@
 package quorum
 
-import "slices"
-
 // receive handles a message of another replica.
 func (ma *Machine) receive(msg Message) {
 	he := msg.header()
-	if he.To != ma.set.ID || !slices.Contains(ma.peers, he.From) {
+	if he.To != ma.set.ID || he.From == ma.set.ID {
 		return
 	}
 	if he.ToIncarnation != 0 && he.ToIncarnation != ma.inc {
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -168,6 +168,9 @@
 		return nil
 	}
 	pe := ma.lead.peers[he.From]
+	if pe == nil {
+		return nil
+	}
 	if pe.inc != he.Incarnation {
 		first := pe.inc == 0
 		*pe = peer{inc: he.Incarnation, next: pe.next, probing: true, target: ma.log.last()}
@@ -182,8 +185,9 @@
 	return pe
 }
 
-// repair makes a replica a voter again after it lost its disk. The change
-// counts once it is committed by voters that are not concerned.
+// repair makes a replica a voter again after it lost its disk, and a known one
+// a voter in the place of one that fell silent. The change counts once the
+// voters before and after it have committed it.
 func (ma *Machine) repair() {
 	latest, pending := ma.log.latest()
 	if pending || ma.commit < ma.lead.first || ma.lead.transfer.active {
@@ -192,9 +196,30 @@
 	for _, id := range ma.peers {
 		pe := ma.lead.peers[id]
 		alive := ma.now.Sub(pe.contact) < ma.set.ElectionTimeout
-		if pe.inc != 0 && pe.inc != latest[id] && alive && pe.match >= pe.target {
-			ma.appendOwn(Entry{Kind: Change, Voters: latest.with(id, pe.inc)})
+		if pe.inc == 0 || pe.inc == latest[id] || !alive || pe.match < pe.target {
+			continue
+		}
+		if next := ma.admit(latest, id, pe.inc); next != nil {
+			ma.appendOwn(Entry{Kind: Change, Voters: next})
 			return
 		}
 	}
 }
+
+// admit returns the voters with a replica that holds the log, or nil if there
+// is no place for it.
+func (ma *Machine) admit(latest Voters, id Replica, inc Incarnation) Voters {
+	if _, voter := latest[id]; voter || len(latest) < ma.set.Voters {
+		return latest.with(id, inc)
+	}
+	if ma.set.Voters == 0 {
+		return nil
+	}
+	for _, other := range ma.peers {
+		_, voter := latest[other]
+		if voter && ma.now.Sub(ma.lead.peers[other].contact) >= ma.set.ReplaceAfter {
+			return latest.without(other).with(id, inc)
+		}
+	}
+	return nil
+}
