--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,8 +58,8 @@
 	Dial peer.Dial
 	// Sockets may stand between the node and its sockets for control.
 	Sockets Sockets
-	// Front replaces the interface to callers.
-	Front func(*Node) http.Handler
+	// Front replaces the server for callers.
+	Front func(*Node) Server
 	// Doors are further addresses that the node serves.
 	Doors []Door
 	// Dialect replaces the interface to upstreams.
@@ -68,6 +68,13 @@
 	Stop StopPlan
 }
 
+// Server serves the connections of a listener; see http.Server.
+type Server interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // Door is an address with an interface of its own.
 type Door struct {
 	// Address is IP:port, TCP.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -64,18 +64,19 @@
 	return nd.claims.Run(ctx)
 }
 
-func (nd *Node) servers() map[*http.Server]net.Listener {
+func (nd *Node) servers() map[Server]net.Listener {
 	var h2c http.Protocols
 	h2c.SetHTTP1(true)
 	h2c.SetUnencryptedHTTP2(true)
-	var front http.Handler = nd.entry
+	var front Server = &http.Server{Handler: nd.entry}
 	if nd.opt.Front != nil {
 		front = nd.opt.Front(nd)
 	}
-	servers := map[*http.Server]net.Listener{
-		{Handler: front}: nd.callers,
-		{Handler: nd.peerHandler(), Protocols: &h2c, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}}: nd.peers,
-		{Handler: nd.localHandler()}: nd.local,
+	peers := &http.Server{
+		Handler: nd.peerHandler(), Protocols: &h2c, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+	servers := map[Server]net.Listener{
+		front: nd.callers, peers: nd.peers, &http.Server{Handler: nd.localHandler()}: nd.local,
 	}
 	for i, ln := range nd.doors {
 		servers[&http.Server{Handler: nd.opt.Doors[i].Handler(nd)}] = ln
@@ -84,7 +85,7 @@
 }
 
 // stop ends the node without cutting work in flight off.
-func (nd *Node) stop(ctx context.Context, servers map[*http.Server]net.Listener) {
+func (nd *Node) stop(ctx context.Context, servers map[Server]net.Listener) {
 	nd.log.Info("node stopping")
 	plan := nd.opt.Stop
 	nd.stopping.Store(true)
@@ -114,8 +115,8 @@
 	}
 }
 
-func closeAll(servers map[*http.Server]net.Listener) {
+func closeAll(servers map[Server]net.Listener) {
 	for server := range servers {
-		server.Close()
+		_ = server.Close()
 	}
 }
--- /dev/null
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -0,0 +1,217 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// bench is a server whose handler answers a request with its path, once the
+// channel of the path is closed.
+type bench struct {
+	*Server
+	address string
+	leaving atomic.Bool
+	gates   map[string]chan struct{}
+	started chan string
+	gone    chan string
+}
+
+func newBench(t *testing.T, lim Limits, paths ...string) *bench {
+	t.Helper()
+	bn := &bench{gates: make(map[string]chan struct{}), started: make(chan string, 10), gone: make(chan string, 10)}
+	for _, path := range paths {
+		bn.gates[path] = make(chan struct{})
+	}
+	bn.Server = New(Options{
+		Handler: func(ctx context.Context, r *http.Request, body []byte) Answer {
+			bn.started <- r.URL.Path
+			if gate := bn.gates[r.URL.Path]; gate != nil {
+				select {
+				case <-gate:
+				case <-ctx.Done():
+					bn.gone <- r.URL.Path
+				}
+			}
+			return Answer{Status: 200, Header: http.Header{}, Body: append([]byte(r.URL.Path+" "), body...)}
+		},
+		Refuse:  func(status int, reason string) Answer { return Answer{Status: status, Body: []byte(reason)} },
+		Limits:  func() Limits { return lim },
+		Leaving: bn.leaving.Load,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bn.address = ln.Addr().String()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := bn.Serve(ln); err != http.ErrServerClosed {
+			t.Error("Serve:", err)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = bn.Close()
+		<-done
+	})
+	return bn
+}
+
+func testLimits() Limits {
+	return Limits{MaxHeaderBytes: 2000, MaxBodyBytes: 100, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
+}
+
+// caller is one connection.
+type caller struct {
+	net.Conn
+	t  *testing.T
+	br *bufio.Reader
+}
+
+func (bn *bench) dial(t *testing.T) *caller {
+	t.Helper()
+	nc, err := net.Dial("tcp", bn.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	return &caller{Conn: nc, t: t, br: bufio.NewReader(nc)}
+}
+
+func (cl *caller) send(paths ...string) {
+	for _, path := range paths {
+		fmt.Fprintf(cl, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path)
+	}
+}
+
+// read returns status, body, and whether the connection closes after it.
+func (cl *caller) read() (status int, body string, last bool) {
+	cl.t.Helper()
+	rs, err := http.ReadResponse(cl.br, nil)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	data, err := io.ReadAll(rs.Body)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	return rs.StatusCode, string(data), rs.Close
+}
+
+func (cl *caller) want(status int, body string, last bool) {
+	cl.t.Helper()
+	if gotStatus, gotBody, gotLast := cl.read(); gotStatus != status || gotBody != body || gotLast != last {
+		cl.t.Errorf("answer %d %q, closing %t; want %d %q, %t", gotStatus, gotBody, gotLast, status, body, last)
+	}
+}
+
+// Requests run side by side, and are answered in their order.
+func TestRequestsRunSideBySide(t *testing.T) {
+	bn := newBench(t, testLimits(), "/slow")
+	cl := bn.dial(t)
+	cl.send("/slow", "/quick")
+	for range 2 {
+		<-bn.started
+	}
+	close(bn.gates["/slow"])
+	cl.want(200, "/slow ", false)
+	cl.want(200, "/quick ", false)
+}
+
+func TestBodies(t *testing.T) {
+	bn := newBench(t, testLimits())
+	cl := bn.dial(t)
+	fmt.Fprint(cl, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	fmt.Fprint(cl, "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n")
+	cl.want(200, "/a abc", false)
+	cl.want(200, "/b de", false)
+}
+
+func TestLimits(t *testing.T) {
+	for name, tt := range map[string]struct {
+		send   string
+		status int
+		reason string
+	}{
+		"header":          {"GET / HTTP/1.1\r\nHost: a\r\nX-A: " + strings.Repeat("a", 2000) + "\r\n\r\n", 431, ReasonHeaderTooLarge},
+		"header too long": {"GET / HTTP/1.1\r\nHost: a\r\nX-A: " + strings.Repeat("a", 20000) + "\r\n\r\n", 431, ReasonHeaderTooLarge},
+		"body":            {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413, ReasonBodyTooLarge},
+		"chunks":          {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" + strings.Repeat("a", 128) + "\r\n0\r\n\r\n", 413, ReasonBodyTooLarge},
+		"no request":      {"nonsense\r\n\r\n", 400, ReasonMalformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bn := newBench(t, testLimits())
+			cl := bn.dial(t)
+			fmt.Fprint(cl, tt.send)
+			cl.want(tt.status, tt.reason, true)
+			if len(bn.started) != 0 {
+				t.Error("the request was passed on")
+			}
+		})
+	}
+}
+
+// A caller that closes its connection has gone, also while an answer is
+// awaited that is to be the last.
+func TestCallerGoes(t *testing.T) {
+	for _, ending := range []string{"", "Connection: close\r\n"} {
+		bn := newBench(t, testLimits(), "/slow")
+		cl := bn.dial(t)
+		fmt.Fprintf(cl, "GET /slow HTTP/1.1\r\nHost: a\r\n%s\r\n", ending)
+		<-bn.started
+		_ = cl.Close()
+		select {
+		case <-bn.gone:
+		case <-time.After(5 * time.Second):
+			t.Errorf("ending %q: the request was not cancelled", ending)
+		}
+	}
+}
+
+// A server that leaves closes connections only behind the last answer.
+func TestShutdownAnswersWhatIsInFlight(t *testing.T) {
+	bn := newBench(t, testLimits(), "/slow", "/slower")
+	idle, busy := bn.dial(t), bn.dial(t)
+	idle.send("/quick")
+	idle.want(200, "/quick ", false)
+	<-bn.started
+	busy.send("/slow", "/slower")
+	for range 2 {
+		<-bn.started
+	}
+	bn.leaving.Store(true)
+	done := make(chan error)
+	go func() { done <- bn.Shutdown(t.Context()) }()
+	if _, err := idle.br.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: %v, want EOF", err)
+	}
+	close(bn.gates["/slow"])
+	busy.want(200, "/slow ", false)
+	close(bn.gates["/slower"])
+	busy.want(200, "/slower ", true)
+	_ = busy.Close()
+	if err := <-done; err != nil {
+		t.Error("Shutdown:", err)
+	}
+}
+
+func TestIdleConnectionEnds(t *testing.T) {
+	lim := testLimits()
+	lim.IdleTimeout = 50 * time.Millisecond
+	bn := newBench(t, lim)
+	cl := bn.dial(t)
+	cl.send("/a")
+	cl.want(200, "/a ", false)
+	if _, err := cl.br.ReadByte(); err != io.EOF {
+		t.Errorf("read %v, want EOF", err)
+	}
+}
