Inherit importance by deadline, throttle at the entry, ask the control replicas that are present

Test: TestPresentControlsAreAsked. Calls name no parent; they expire with it, so the attempt with the nearest deadline gives them its importance.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	nd, err := node.New(set.Node(), node.Options{
-		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{},
+		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{}, RetrySlack: set.RetrySlack,
 		Doors: []node.Door{
 			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
 			{Address: set.ControlAddress, Handler: set.NewReports},
--- a/config/compile.go
+++ b/config/compile.go
@@ -68,6 +68,7 @@
 
 	kinds  map[string]*prefixes
 	routes map[string]*routes
+	names  map[call.Class]bool
 }
 
 // prefixes holds the request kinds of one method.
--- a/config/route.go
+++ b/config/route.go
@@ -64,12 +64,17 @@
 
 func (cd *Compiled) addRoutes(list []*schema.Route) {
 	cd.routes = make(map[string]*routes)
+	cd.names = make(map[call.Class]bool, len(list)+len(cd.Classes))
+	for _, cl := range cd.Classes {
+		cd.names[cl.Name] = true
+	}
 	services := make(map[call.Service]*Service, len(cd.Services))
 	for i := range cd.Services {
 		services[cd.Services[i].Name] = &cd.Services[i]
 	}
 	for _, rt := range list {
 		out := &Route{Name: rt.GetName()}
+		cd.names[call.Class(out.Name)] = true
 		var sum uint64
 		for _, sh := range rt.GetShares() {
 			sum += uint64(sh.GetWeight())
@@ -130,3 +135,8 @@
 
 // Routed reports whether the configuration has routes.
 func (cd *Compiled) Routed() bool { return len(cd.routes) > 0 }
+
+// Names reports whether a route or class has the name.
+func (cd *Compiled) Names(class call.Class) bool {
+	return cd.names[class]
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -22,6 +23,7 @@
 	"camphortrail/internal/guard"
 	"camphortrail/internal/header"
 	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/throttle"
 	"camphortrail/internal/tree"
 	"camphortrail/retry"
 	"camphortrail/route"
@@ -67,6 +69,9 @@
 	// retries at each hop, without a total, and switches shedding off.
 	HopRetries int
 	Metrics    *metrics.Set
+	// RetrySlack, if set, is the number of retries to a service that all
+	// nodes together may make without successes.
+	RetrySlack float64
 }
 
 // Entry takes requests. Its methods are safe for concurrent use.
@@ -81,6 +86,10 @@
 	routes    *route.Table
 	ratios    map[call.Service]*retry.Ratio
 	addresses map[call.VM]string
+	throttles map[call.Class]*throttle.Throttle
+	// nodes is the largest number of nodes that was known at a time: those
+	// that are cut off go on spending their shares.
+	nodes int
 }
 
 // New returns an entry without a configuration.
@@ -92,16 +101,19 @@
 		routes:    route.New(route.Settings{Domain: opt.Domain}, rng),
 		ratios:    make(map[call.Service]*retry.Ratio),
 		addresses: make(map[call.VM]string),
+		throttles: make(map[call.Class]*throttle.Throttle),
 	}
 }
 
 // SetConfiguration brings a configuration into force.
 func (en *Entry) SetConfiguration(cd *config.Compiled) {
 	en.mu.Lock()
+	maps.DeleteFunc(en.throttles, func(class call.Class, _ *throttle.Throttle) bool { return !cd.Names(class) })
 	for _, svc := range cd.Services {
 		rt := en.ratios[svc.Name]
 		if rt == nil {
 			rt = retry.NewRatio(retry.Percent(svc.RetryRatio))
+			rt.SetFloor(en.retryFloor())
 			en.ratios[svc.Name] = rt
 		}
 		rt.SetPercent(retry.Percent(svc.RetryRatio))
@@ -124,6 +136,34 @@
 	en.addresses[vm] = address
 }
 
+// slackWindows is the number of floors that may be spent within the window in
+// which retries are counted: the one that is there, and what comes back of it
+// meanwhile.
+const slackWindows = 2
+
+// retryFloor returns the part of the retry slack of this node. The lock is
+// held.
+func (en *Entry) retryFloor() float64 {
+	if en.opt.RetrySlack == 0 {
+		return retry.DefaultFloor
+	}
+	return en.opt.RetrySlack / float64(slackWindows*max(en.nodes, 1))
+}
+
+// SetNodes states the number of nodes that are known, which share the retry
+// slack.
+func (en *Entry) SetNodes(nodes int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if nodes <= en.nodes {
+		return
+	}
+	en.nodes = nodes
+	for _, rt := range en.ratios {
+		rt.SetFloor(en.retryFloor())
+	}
+}
+
 // Upstreams returns the routing table.
 func (en *Entry) Upstreams() map[call.Service][]route.Entry {
 	en.mu.Lock()
@@ -182,12 +222,44 @@
 	begun := time.Now()
 	rq, an := en.routed(rd, begun)
 	if an == nil {
-		an = en.serve(ctx, rq)
+		an = en.serveThrottled(ctx, rq)
 	}
 	en.observe(rq, an, time.Since(begun))
 	return an
 }
 
+// serveThrottled serves a request unless those of its kind fail for load in
+// their call trees. A call is part of work that was admitted, and is not
+// refused here.
+func (en *Entry) serveThrottled(ctx context.Context, rq *request) *attempt.Answer {
+	if rq.parent != nil || en.opt.HopRetries > 0 {
+		return en.serve(ctx, rq)
+	}
+	if !en.admit(rq) {
+		an := attempt.Refusal(ReasonOverload, en.jitter(shedRetryAfter))
+		an.Overload = true
+		return an
+	}
+	an := en.serve(ctx, rq)
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if th := en.throttles[rq.kind.Class]; th != nil && ctx.Err() == nil {
+		th.Finish(time.Now(), !rq.failedForLoad(an))
+	}
+	return an
+}
+
+func (en *Entry) admit(rq *request) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	th := en.throttles[rq.kind.Class]
+	if th == nil {
+		th = new(throttle.Throttle)
+		en.throttles[rq.kind.Class] = th
+	}
+	return th.Admit(time.Now(), en.rng.Float64())
+}
+
 // Serves reports whether the configuration in force names the service. Before
 // there is one, every service may be named.
 func (en *Entry) Serves(svc call.Service) bool {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -56,6 +56,10 @@
 		rq.deadline = rd.Deadline
 	}
 	rq.history.Idempotent = kind.Idempotent
+	rq.send = rd.ID
+	if in, ok := en.opt.Trees.Adopt(kind.Class, rd.Deadline); ok {
+		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
+	}
 	return rq, nil
 }
 
@@ -77,6 +81,9 @@
 	deadline   time.Time
 	// parent is the inbound attempt that the request is a call of, if known.
 	parent *tree.Inbound
+	// send is the id of the retry account of a request that has its own also
+	// if it has a parent; the zero id if not.
+	send call.RequestID
 	// orphan says that the request names a parent that does not run here.
 	orphan bool
 	resend uint32
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -29,14 +29,28 @@
 		rq.parent.BeginCall(time.Now())
 	}
 	an := en.serveKeyed(ctx, rq)
+	now := time.Now()
 	if rq.parent != nil {
-		rq.parent.EndCall(time.Now(), rq.overload && an.Failed())
-	} else if !rq.orphan {
-		en.opt.Trees.Step(time.Now(), retry.Close{Account: rq.account})
+		rq.parent.EndCall(now, rq.failedForLoad(an))
+	}
+	if rq.accounted() {
+		en.opt.Trees.Step(now, retry.Close{Account: rq.account})
 	}
 	return an
 }
 
+// accounted reports whether the request has a retry account of its own.
+func (rq *request) accounted() bool {
+	return rq.send != call.RequestID{} || rq.parent == nil && !rq.orphan
+}
+
+// failedForLoad reports whether the answer is a failure because work was
+// refused for load, or came too late to be of use.
+func (rq *request) failedForLoad(an *attempt.Answer) bool {
+	failed := an.Failed() || an.Status == http.StatusInternalServerError
+	return failed && (rq.overload || an.Status == http.StatusGatewayTimeout)
+}
+
 // execute charges the request to its account and sends attempts.
 func (en *Entry) execute(ctx context.Context, rq *request) *attempt.Answer {
 	if !time.Now().Before(rq.deadline) {
@@ -56,11 +70,11 @@
 	}
 	now := time.Now()
 	var rs retry.Result
-	if rq.parent != nil || rq.orphan {
+	if !rq.accounted() {
 		rs = en.opt.Trees.Step(now, retry.Call{Account: rq.account, Digest: rq.digest()})
 	} else {
 		rs = en.opt.Trees.Step(now, retry.OpenRequest{
-			Request: rq.id, Total: retry.Allowance(rq.kind.RetryTotal), Resend: rq.resend, Deadline: rq.deadline,
+			Request: rq.accountID(), Total: retry.Allowance(rq.kind.RetryTotal), Resend: rq.resend, Deadline: rq.deadline,
 		})
 	}
 	switch rs.Decision {
@@ -70,11 +84,19 @@
 		rq.history.Resent = !rq.fresh
 		return nil
 	default:
-		rq.history.Resent = rq.history.Resent || !rq.fresh && (rq.parent != nil || rq.orphan || rq.resend > 0)
+		rq.history.Resent = rq.history.Resent || !rq.fresh && (!rq.accounted() || rq.resend > 0)
 		return en.giveUp(rq, ReasonRetryTotal, http.StatusServiceUnavailable, 0)
 	}
 }
 
+// accountID returns the id of the request's own retry account.
+func (rq *request) accountID() call.RequestID {
+	if rq.send != (call.RequestID{}) {
+		return rq.send
+	}
+	return rq.id
+}
+
 // giveUp returns the answer to a request for which nothing more is done: a
 // failing one of an upstream if there was one.
 func (en *Entry) giveUp(rq *request, reason string, status int, retryAfter time.Duration) *attempt.Answer {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -254,6 +254,8 @@
 // execute runs an admitted attempt, and gives its slot back.
 func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
 	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline}
+	now := time.Now()
+	in.Told = now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
 	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin}) }()
 	open := retry.OpenAttempt{Attempt: at.ID, Allowance: retry.Allowance(at.Allowance), Deadline: at.Deadline}
@@ -273,7 +275,7 @@
 	waited, overload := in.Downstream(ended)
 	an.Unused = int(unused.Allowance)
 	an.Work = ended.Sub(begun)
-	an.Overload = an.Overload || overload && an.Failed()
+	an.Overload = an.Overload || overload && (an.Failed() || an.Status == http.StatusInternalServerError)
 	fin.OK, fin.Downstream = an.Outcome == call.Done, waited
 	gd.record(at, an)
 	return an
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,9 @@
 	Doors []Door
 	// Dialect replaces the interface to upstreams.
 	Dialect guard.Dialect
+	// RetrySlack is the number of retries to a service that all nodes
+	// together may make without successes; see entry.Options.
+	RetrySlack float64
 	// Stop says how the node stops. The zero value stands for DefaultStop.
 	Stop StopPlan
 }
@@ -146,7 +149,7 @@
 	nd.pool = peer.New(peer.Options{OnState: nd.connState, Dial: opt.Dial})
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
-		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics,
+		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
 	}
 	if opt.Policy == BaselinePolicy {
 		eopt.HopRetries = baselineHopRetries
@@ -217,7 +220,7 @@
 		Peer: func(address string) rollout.Fetcher {
 			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address)
 		},
-		Hints: nd.gossip.Hints(), Peers: nd.nodeAddresses, OnChange: nd.configure,
+		Hints: nd.gossip.Hints(), Peers: nd.nodeAddresses, Present: nd.controlReplicas, OnChange: nd.configure,
 		Log: nd.log, Metrics: nd.metrics,
 	})
 	return err
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -37,10 +37,15 @@
 
 func (nd *Node) resync(known map[call.VM][]membership.Upstream) {
 	present := make(map[call.VM]bool)
+	nodes := 0
 	for _, me := range nd.gossip.Members() {
 		present[me.Name] = me.State.Present()
+		if me.Role == membership.NodeRole && me.State.Present() {
+			nodes++
+		}
 		nd.route(known, me)
 	}
+	nd.entry.SetNodes(nodes)
 	for vm := range known {
 		if !present[vm] {
 			nd.unroute(known, vm)
@@ -113,3 +118,15 @@
 	}
 	return append(own, other...)
 }
+
+// controlReplicas returns the peer addresses of the control replicas that are
+// present.
+func (nd *Node) controlReplicas() []string {
+	var addresses []string
+	for _, me := range nd.gossip.Members() {
+		if me.Role == membership.ControlRole && me.State.Present() {
+			addresses = append(addresses, me.Address.String())
+		}
+	}
+	return addresses
+}
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -75,8 +75,9 @@
 type Rejected struct{ Revision uint64 }
 
 // Tick is the passing of time, with the addresses of some present peers, own
-// failure domain first.
-type Tick struct{ Peers []string }
+// failure domain first, and of the control replicas that are present. Those
+// that the follower began with count until some are.
+type Tick struct{ Peers, Controls []string }
 
 func (Loaded) event()   {}
 func (Hinted) event()   {}
@@ -169,6 +170,9 @@
 	case Rejected:
 		fo.rejected = max(fo.rejected, ev.Revision)
 	case Tick:
+		if len(ev.Controls) > 0 {
+			fo.controls = ev.Controls
+		}
 		fo.tick(ev.Peers)
 	}
 	fo.decide()
--- a/internal/rollout/follower_test.go
+++ b/internal/rollout/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -214,3 +215,13 @@
 		t.Errorf("%d fetches, want %d", asked, maxFetches)
 	}
 }
+
+// A node whose settings list control replicas that are gone asks those that
+// the membership knows.
+func TestPresentControlsAreAsked(t *testing.T) {
+	fo := NewFollower([]string{"gone"}, time.Minute, rand.New(rand.NewPCG(1, 1)))
+	want := Fetch{Source: Source{Kind: ControlSource, Address: "present"}}
+	if actions := fo.Step(time.Unix(0, 0), Tick{Controls: []string{"present"}}); !slices.Contains(actions, Action(want)) {
+		t.Errorf("actions %v, want %v among them", actions, want)
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -55,6 +55,9 @@
 	Hints <-chan membership.RevisionHint
 	// Peers returns the addresses of some present nodes.
 	Peers func() []string
+	// Present returns the addresses of the control replicas that are present,
+	// which may be others than Controls. It may be nil.
+	Present func() []string
 	// OnChange is called with each revision that comes into force, in
 	// ascending order, by one goroutine. An error refuses the configuration:
 	// the one before stays in force.
@@ -83,7 +86,9 @@
 	current  atomic.Pointer[inForce]
 	ready    chan struct{}
 	results  *ring.Ring[Event]
-	fetches  sync.WaitGroup
+	// present belongs to the goroutine of Run.
+	present []string
+	fetches sync.WaitGroup
 
 	refused    *metrics.Counter
 	failed     *metrics.Counter
@@ -127,6 +132,9 @@
 	defer ticker.Stop()
 	var peers []string
 	var peersAt time.Time
+	if ro.set.Present == nil {
+		ro.set.Present = func() []string { return nil }
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -134,10 +142,11 @@
 		case <-ticker.C:
 			if now := time.Now(); now.Sub(peersAt) >= peersInterval {
 				peersAt = now
-				peers = ro.set.Peers()
+				peers, ro.present = ro.set.Peers(), ro.set.Present()
 			}
-			ro.step(ctx, Tick{Peers: peers})
+			ro.step(ctx, Tick{Peers: peers, Controls: ro.present})
 		case hi := <-ro.set.Hints:
+			ro.present = ro.set.Present()
 			ro.step(ctx, Hinted{Revision: hi.Revision, Source: ro.source(hi.Address.String())})
 		case ev := <-ro.results.Out():
 			ro.step(ctx, ev)
@@ -154,7 +163,7 @@
 
 // source tells control replicas from peers by their address.
 func (ro *Rollout) source(address string) Source {
-	if slices.Contains(ro.set.Controls, address) {
+	if slices.Contains(ro.set.Controls, address) || slices.Contains(ro.present, address) {
 		return Source{Kind: ControlSource, Address: address}
 	}
 	return Source{Kind: PeerSource, Address: address}
--- /dev/null
+++ b/internal/tree/adopt_test.go
@@ -0,0 +1,32 @@
+package tree
+
+import (
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/retry"
+)
+
+// A call belongs to the attempt that expires with it; kinds of requests that
+// callers send are not taken for calls when a deadline agrees by chance.
+func TestAdopt(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	now := time.Unix(1000, 0)
+	for n := range 4 {
+		tr.Enter(&Inbound{ID: call.AttemptID{byte(n)}, Told: now.Add(time.Duration(n) * 100 * time.Millisecond)})
+	}
+	in, ok := tr.Adopt("ledger-read", now.Add(201*time.Millisecond))
+	if !ok || in.ID != (call.AttemptID{2}) {
+		t.Errorf("Adopt = %+v, %t; want the attempt that expires 1 ms before", in, ok)
+	}
+	if _, ok := tr.Adopt("ledger-read", now.Add(150*time.Millisecond)); ok {
+		t.Error("adopted by an attempt that expires 50 ms before")
+	}
+	for n := range 30 {
+		tr.Adopt("look-up", now.Add(time.Duration(n)*time.Second+50*time.Millisecond))
+	}
+	if _, ok := tr.Adopt("look-up", now.Add(100*time.Millisecond)); ok {
+		t.Error("a kind that mostly agrees with no attempt was adopted")
+	}
+}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -16,11 +16,12 @@
 	mu      sync.Mutex
 	ledger  *retry.Ledger
 	inbound map[call.AttemptID]*Inbound
+	calls   map[call.Class]*callShare
 }
 
 // New returns Trees without any.
 func New(lim retry.Limits) *Trees {
-	return &Trees{ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound)}
+	return &Trees{ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound), calls: make(map[call.Class]*callShare)}
 }
 
 // Step applies an event to the retry ledger.
@@ -52,6 +53,56 @@
 	return in, ok
 }
 
+const (
+	// adoptEarly and adoptLate are how much a call's deadline may differ from
+	// the one that its parent was told: both are rounded to milliseconds, and
+	// it is read from the time at which the call is read.
+	adoptEarly = 3 * time.Millisecond
+	adoptLate  = 6 * time.Millisecond
+	// callSamples is the number of requests of a kind after which older ones
+	// count half.
+	callSamples = 64
+)
+
+// callShare counts the requests of a kind, and those among them that look like
+// calls.
+type callShare struct{ seen, matched int }
+
+// Adopt returns the running attempt whose upstream makes a call of the given
+// kind, for upstreams that do not name the parents of their calls. A call
+// expires with its parent, so the attempt is the one whose deadline is nearest.
+// A kind of which most requests have no such attempt is not one of calls: its
+// deadlines agree by chance.
+func (tr *Trees) Adopt(kind call.Class, deadline time.Time) (*Inbound, bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var nearest *Inbound
+	var apart time.Duration
+	for _, in := range tr.inbound {
+		late := deadline.Sub(in.Told)
+		if late < -adoptEarly || late > adoptLate {
+			continue
+		}
+		if nearest == nil || late.Abs() < apart {
+			nearest, apart = in, late.Abs()
+		}
+	}
+	cs := tr.calls[kind]
+	if cs == nil {
+		cs = new(callShare)
+		tr.calls[kind] = cs
+	}
+	if cs.seen >= callSamples {
+		cs.seen, cs.matched = cs.seen/2, cs.matched/2
+	}
+	cs.seen++
+	if nearest == nil {
+		return nil, false
+	}
+	cs.matched++
+	return nearest, 2*cs.matched > cs.seen
+}
+
 // Inbound is an attempt that runs on the upstream beside the node.
 type Inbound struct {
 	ID         call.AttemptID
@@ -59,6 +110,8 @@
 	Importance call.Importance
 	Depth      call.Depth
 	Deadline   time.Time
+	// Told is the deadline that the upstream was told, by its rounding.
+	Told time.Time
 
 	mu       sync.Mutex
 	calls    int
--- a/retry/ratio.go
+++ b/retry/ratio.go
@@ -13,14 +13,16 @@
 	// ratioHalfLife is the time in which the weight of a past success or
 	// retry halves.
 	ratioHalfLife = 10 * time.Second
-	// ratioFloor is the number of retries allowed without successes.
-	ratioFloor = 3.0
+	// DefaultFloor is the number of retries allowed without successes, where
+	// nothing else is set.
+	DefaultFloor = 3.0
 )
 
 // Ratio bounds the retries to a service by a percentage of its successes in
 // the recent past. It is not safe for concurrent use.
 type Ratio struct {
 	share     float64
+	floor     float64
 	successes float64
 	retries   float64
 	last      time.Time
@@ -28,12 +30,16 @@
 
 // NewRatio returns a ratio of per retries to 100 successes.
 func NewRatio(per Percent) *Ratio {
-	return &Ratio{share: float64(per) / 100}
+	return &Ratio{share: float64(per) / 100, floor: DefaultFloor}
 }
 
 // SetPercent changes the bound and keeps the history.
 func (rt *Ratio) SetPercent(per Percent) { rt.share = float64(per) / 100 }
 
+// SetFloor changes the number of retries allowed without successes, and keeps
+// the history.
+func (rt *Ratio) SetFloor(floor float64) { rt.floor = floor }
+
 // Success records a successful call.
 func (rt *Ratio) Success(now time.Time) {
 	rt.decay(now)
@@ -44,7 +50,7 @@
 // ratio of zero allows none.
 func (rt *Ratio) Allow(now time.Time) bool {
 	rt.decay(now)
-	if rt.share == 0 || rt.retries+1 > rt.successes*rt.share+ratioFloor {
+	if rt.share == 0 || rt.retries+1 > rt.successes*rt.share+rt.floor {
 		return false
 	}
 	rt.retries++
