Match calls that expire before their parent

Cause: a call's deadline is that of its parent, or the longest time for its kind after the parent began, whichever is first; only the former was looked for, so that a quarter of tariff-read calls found an attempt (by chance), and the reads of an issue queued behind those of lookups.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -57,7 +57,7 @@
 	}
 	rq.history.Idempotent = kind.Idempotent
 	rq.send = rd.ID
-	if in, ok := en.opt.Trees.Adopt(kind.Class, rd.Deadline); ok {
+	if in, ok := en.opt.Trees.Adopt(kind.Class, kind.Deadline, rd.Deadline); ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
 	return rq, nil
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -255,7 +255,7 @@
 func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
 	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline}
 	now := time.Now()
-	in.Told = now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
+	in.Started, in.Told = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
 	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin}) }()
 	open := retry.OpenAttempt{Attempt: at.ID, Allowance: retry.Allowance(at.Allowance), Deadline: at.Deadline}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -70,16 +70,17 @@
 
 // Adopt returns the running attempt whose upstream makes a call of the given
 // kind, for upstreams that do not name the parents of their calls. A call
-// expires with its parent, so the attempt is the one whose deadline is nearest.
-// A kind of which most requests have no such attempt is not one of calls: its
-// deadlines agree by chance.
-func (tr *Trees) Adopt(kind call.Class, deadline time.Time) (*Inbound, bool) {
+// expires with its parent, or earlier when the longest time for its kind is
+// over since the parent began. So the attempt is the one whose calls expire
+// nearest to the deadline. A kind of which most requests have no such attempt is
+// not one of calls: its deadlines agree by chance.
+func (tr *Trees) Adopt(kind call.Class, longest time.Duration, deadline time.Time) (*Inbound, bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	var nearest *Inbound
 	var apart time.Duration
 	for _, in := range tr.inbound {
-		late := deadline.Sub(in.Told)
+		late := deadline.Sub(in.expiry(longest))
 		if late < -adoptEarly || late > adoptLate {
 			continue
 		}
@@ -103,6 +104,15 @@
 	return nearest, 2*cs.matched > cs.seen
 }
 
+// expiry returns when the calls of the attempt expire that may take the given
+// time at the longest.
+func (in *Inbound) expiry(longest time.Duration) time.Time {
+	if own := in.Started.Add(longest); own.Before(in.Told) {
+		return own
+	}
+	return in.Told
+}
+
 // Inbound is an attempt that runs on the upstream beside the node.
 type Inbound struct {
 	ID         call.AttemptID
@@ -110,8 +120,9 @@
 	Importance call.Importance
 	Depth      call.Depth
 	Deadline   time.Time
-	// Told is the deadline that the upstream was told, by its rounding.
-	Told time.Time
+	// Started is when the upstream was sent the attempt, and Told the deadline
+	// that it was told, by its rounding.
+	Started, Told time.Time
 
 	mu       sync.Mutex
 	calls    int
