Send attempts that a guard refuses for load elsewhere without charge

Cause: a refusal for load at one guard was charged to the retry ratio (5 % over all nodes on the platform), so that calls failed while other VMs of the service had room (busiest/mean 1.2 to 1.6).

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -280,15 +280,12 @@
 	return allowed && en.opt.Trees.Step(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
 
-// offered reports whether the attempt may have reached an upstream, or was
-// refused for load. Any other attempt is sent elsewhere without charge: a VM
-// that leaves or cannot be reached would else spend the retries of a service
-// within moments.
+// offered reports whether the attempt may have reached an upstream. Any other
+// attempt is sent elsewhere without charge: a VM that leaves, cannot be reached
+// or is full would else spend the retries of a service within moments, while
+// others have room.
 func offered(rs peer.Result) bool {
-	if !rs.State.NotRun() {
-		return true
-	}
-	return rs.Answer != nil && (rs.Answer.Overload || rs.Answer.Offered)
+	return !rs.State.NotRun() || rs.Answer != nil && rs.Answer.Offered
 }
 
 // restamp reports whether the guard refused the attempt only because it has
