Log decisions on requests; throttle by failures, less important kinds first

Calls with a cap of their own get a random part of it (600 to 700 of 700 ms), so most of them can't be matched to their parents and neither inherit importance nor tell them of overload. Ruled out: capacity for the important kinds (35 of 68 slots of cassa would do), expiry in queues of the guards (73 of 151 refusals). So a failure of a kind at an entry also counts against the less important kinds that fail too.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -46,6 +46,7 @@
 	}
 	nd, err := node.New(set.Node(), node.Options{
 		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{}, RetrySlack: set.RetrySlack,
+		Events: os.Stdout,
 		Doors: []node.Door{
 			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
 			{Address: set.ControlAddress, Handler: set.NewReports},
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -43,6 +43,8 @@
 	MaxAnswer  int64
 	// Stamp is the latest stamp known of the guard.
 	Stamp withdrawal.Stamp
+	// Label is the id by which the sender of the request knows it, for logs.
+	Label string
 
 	Method string
 	Host   string
--- a/internal/attempt/http.go
+++ b/internal/attempt/http.go
@@ -43,6 +43,9 @@
 	set(header.Idempotent, strconv.FormatBool(at.Idempotent))
 	set(header.MaxAnswer, strconv.FormatInt(at.MaxAnswer, 10))
 	set(header.Stamp, at.Stamp.String())
+	if at.Label != "" {
+		set(labelHeader, at.Label)
+	}
 	return req, nil
 }
 
@@ -62,6 +65,7 @@
 		Host:       req.Host,
 		URI:        strings.TrimPrefix(req.RequestURI, PathPrefix),
 		Header:     PassOn(req.Header),
+		Label:      req.Header.Get(labelHeader),
 	}
 	var err error
 	if at.ID, err = call.ParseAttemptID(req.Header.Get(header.Attempt)); err != nil {
@@ -106,6 +110,7 @@
 const (
 	overloadHeader = header.Prefix + "Overload"
 	offeredHeader  = header.Prefix + "Offered"
+	labelHeader    = header.Prefix + "Label"
 )
 
 // FromResponse returns the whole answer that a guard sent for the attempt. It
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"camphortrail/internal/flight"
 	"camphortrail/internal/guard"
 	"camphortrail/internal/header"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/peer"
 	"camphortrail/internal/traffic/throttle"
 	"camphortrail/internal/tree"
@@ -69,6 +70,8 @@
 	// retries at each hop, without a total, and switches shedding off.
 	HopRetries int
 	Metrics    *metrics.Set
+	// Events takes the decisions on requests, if set.
+	Events *events.Log
 	// RetrySlack, if set, is the number of retries to a service that all
 	// nodes together may make without successes.
 	RetrySlack float64
@@ -87,6 +90,8 @@
 	ratios    map[call.Service]*retry.Ratio
 	addresses map[call.VM]string
 	throttles map[call.Class]*throttle.Throttle
+	// importances are those of the kinds that are throttled.
+	importances map[call.Class]call.Importance
 	// nodes is the largest number of nodes that was known at a time: those
 	// that are cut off go on spending their shares.
 	nodes int
@@ -96,12 +101,13 @@
 func New(opt Options) *Entry {
 	rng := rand.New(rand.NewPCG(opt.Seed, ^opt.Seed))
 	return &Entry{
-		opt:       opt,
-		rng:       rng,
-		routes:    route.New(route.Settings{Domain: opt.Domain}, rng),
-		ratios:    make(map[call.Service]*retry.Ratio),
-		addresses: make(map[call.VM]string),
-		throttles: make(map[call.Class]*throttle.Throttle),
+		opt:         opt,
+		rng:         rng,
+		routes:      route.New(route.Settings{Domain: opt.Domain}, rng),
+		ratios:      make(map[call.Service]*retry.Ratio),
+		addresses:   make(map[call.VM]string),
+		throttles:   make(map[call.Class]*throttle.Throttle),
+		importances: make(map[call.Class]call.Importance),
 	}
 }
 
@@ -225,9 +231,41 @@
 		an = en.serveThrottled(ctx, rq)
 	}
 	en.observe(rq, an, time.Since(begun))
+	en.record(rd, rq, an, begun)
 	return an
 }
 
+// servedSample is the share of plain successes that leave a line.
+const servedSample = 64
+
+// record writes what became of a request, and why.
+func (en *Entry) record(rd *Request, rq *request, an *attempt.Answer, begun time.Time) {
+	now := time.Now()
+	ev := events.Event{
+		Kind: events.Served, Request: rd.Label, Reason: an.Reason, Status: an.Status,
+		TookMS: now.Sub(begun).Milliseconds(), RetryAfterMS: an.RetryAfter.Milliseconds(),
+	}
+	switch {
+	case an.Outcome == call.NotRun:
+		ev.Kind = events.Refused
+	case an.Outcome != call.Done:
+		ev.Kind = events.GaveUp
+	case an.Status >= http.StatusInternalServerError:
+		ev.Kind, ev.Reason = events.Failed, "upstream-failed"
+	case rd.ID[0]%servedSample != 0:
+		return
+	}
+	if rq != nil {
+		ev.Class, ev.Service, ev.VM = string(rq.kind.Class), string(rq.kind.Service), string(rq.vm)
+		ev.Importance, ev.Attempts = int(rq.importance), rq.attempts
+		ev.LeftMS = rq.deadline.Sub(now).Milliseconds()
+		if rq.parent != nil {
+			ev.Parent = rq.parent.Label
+		}
+	}
+	en.opt.Events.Add(now, ev)
+}
+
 // serveThrottled serves a request unless those of its kind fail for load in
 // their call trees. A call is part of work that was admitted, and is not
 // refused here.
@@ -243,12 +281,29 @@
 	an := en.serve(ctx, rq)
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if th := en.throttles[rq.kind.Class]; th != nil && ctx.Err() == nil {
-		th.Finish(time.Now(), !rq.failedForLoad(an))
+	if ctx.Err() == nil {
+		en.finishThrottled(rq.kind, !an.Failed() && an.Status != http.StatusInternalServerError)
 	}
 	return an
 }
 
+// finishThrottled counts what became of an admitted request. A failure also
+// counts for the less important kinds. The lock is held.
+func (en *Entry) finishThrottled(kind *config.Kind, through bool) {
+	now := time.Now()
+	if th := en.throttles[kind.Class]; th != nil {
+		th.Finish(now, through)
+	}
+	if through {
+		return
+	}
+	for class, th := range en.throttles {
+		if class != kind.Class && en.importances[class] < kind.Importance {
+			th.Blame(now)
+		}
+	}
+}
+
 func (en *Entry) admit(rq *request) bool {
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -256,6 +311,7 @@
 	if th == nil {
 		th = new(throttle.Throttle)
 		en.throttles[rq.kind.Class] = th
+		en.importances[rq.kind.Class] = rq.kind.Importance
 	}
 	return th.Admit(time.Now(), en.rng.Float64())
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -22,7 +22,9 @@
 // Request is a request that was read by a front door.
 type Request struct {
 	// ID must differ between sends that are not repeats of each other.
-	ID     call.RequestID
+	ID call.RequestID
+	// Label is the id by which the sender knows the request, for logs.
+	Label  string
 	Method string
 	Host   string
 	// URI is the path and query as they were sent.
@@ -56,7 +58,7 @@
 		rq.deadline = rd.Deadline
 	}
 	rq.history.Idempotent = kind.Idempotent
-	rq.send = rd.ID
+	rq.send, rq.label = rd.ID, rd.Label
 	if in, ok := en.opt.Trees.Adopt(kind.Class, kind.Deadline, rd.Deadline); ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
@@ -83,7 +85,8 @@
 	parent *tree.Inbound
 	// send is the id of the retry account of a request that has its own also
 	// if it has a parent; the zero id if not.
-	send call.RequestID
+	send  call.RequestID
+	label string
 	// orphan says that the request names a parent that does not run here.
 	orphan bool
 	resend uint32
@@ -102,7 +105,9 @@
 	// answer is the latest whole answer of an upstream.
 	answer *attempt.Answer
 	// attempts counts what was sent.
-	attempts  int
+	attempts int
+	// vm is the one that was chosen last.
+	vm        call.VM
 	last      peer.Result
 	restamped bool
 	overload  bool
@@ -221,7 +226,7 @@
 	return &attempt.Attempt{
 		ID: id, Request: rq.id, Service: rq.kind.Service, Importance: rq.importance, Depth: rq.depth,
 		Deadline: rq.deadline, Idempotent: rq.kind.Idempotent, MaxAnswer: rq.kind.MaxAnswer,
-		Method: rq.method, Host: rq.host, URI: rq.uri, Header: rq.header, Body: rq.body,
+		Method: rq.method, Host: rq.host, URI: rq.uri, Header: rq.header, Body: rq.body, Label: rq.label,
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -11,6 +11,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/guard"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/peer"
 	"camphortrail/retry"
 	"camphortrail/route"
@@ -145,6 +146,7 @@
 		if !en.mayRetry(rq, rs) {
 			return en.exhausted(ctx, rq, rs)
 		}
+		en.recordResend(rq, rs, vm)
 	}
 }
 
@@ -191,6 +193,7 @@
 	at.Allowance = int(carried.Allowance)
 	rq.history.Sent(at.ID)
 	rq.attempts++
+	rq.vm = vm
 	begun := time.Now()
 	var rs peer.Result
 	if vm == en.opt.VM {
@@ -288,6 +291,20 @@
 	return !rs.State.NotRun() || rs.Answer != nil && rs.Answer.Offered
 }
 
+// recordResend writes that a request is sent to another VM, and why.
+func (en *Entry) recordResend(rq *request, rs peer.Result, vm call.VM) {
+	now := time.Now()
+	ev := events.Event{
+		Kind: events.Resent, Request: rq.label, Reason: ReasonUnreachable, Class: string(rq.kind.Class),
+		Service: string(rq.kind.Service), VM: string(vm), Importance: int(rq.importance), Attempts: rq.attempts,
+		LeftMS: rq.deadline.Sub(now).Milliseconds(),
+	}
+	if rs.Answer != nil {
+		ev.Reason, ev.Status, ev.Level = rs.Answer.Reason, rs.Answer.Status, int(rs.Answer.Level)
+	}
+	en.opt.Events.Add(now, ev)
+}
+
 // restamp reports whether the guard refused the attempt only because it has
 // begun a new incarnation. Its answer brought the new stamp, and the attempt
 // may be sent again once without charge.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -17,6 +17,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/flight"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/tree"
 	"camphortrail/membership"
 	"camphortrail/retry"
@@ -56,6 +57,8 @@
 	Seed uint64
 	// Incarnation identifies this run of the guard.
 	Incarnation withdrawal.Incarnation
+	// Events takes the decisions on attempts, if set.
+	Events *events.Log
 	// Dialect replaces the interface to upstreams, if it is set.
 	Dialect Dialect
 }
@@ -67,6 +70,7 @@
 	duty     *duty
 	client   *http.Client
 	dialect  Dialect
+	events   *events.Log
 	upstream atomic.Pointer[membership.Upstream]
 	fifo     bool
 	metrics  *metrics.Set
@@ -87,6 +91,7 @@
 	}
 	return &Guard{
 		dialect:  opt.Dialect,
+		events:   opt.Events,
 		trees:    opt.Trees,
 		duty:     newDuty(mc),
 		fifo:     opt.FIFO,
@@ -158,6 +163,7 @@
 func (gd *Guard) Handle(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
 	gd.active.Enter()
 	defer gd.active.Exit()
+	begun := time.Now()
 	an := gd.begin(at)
 	if an == nil {
 		an = gd.admit(ctx, at)
@@ -165,6 +171,7 @@
 		an.Unused = at.Allowance
 	}
 	gd.count(at, an)
+	gd.writeEvent(at, an, begun)
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	return an
 }
@@ -178,6 +185,23 @@
 	gd.metrics.GetOrCreateCounter(name).Inc()
 }
 
+// writeEvent writes why an attempt did not bring an answer.
+func (gd *Guard) writeEvent(at *attempt.Attempt, an *attempt.Answer, begun time.Time) {
+	if an.Outcome == call.Done {
+		return
+	}
+	now, ld := time.Now(), gd.Load()
+	ev := events.Event{
+		Kind: events.Refused, Request: at.Label, Reason: "guard-" + an.Reason, Service: string(at.Service),
+		Importance: int(at.Importance), TookMS: now.Sub(begun).Milliseconds(), LeftMS: at.Deadline.Sub(now).Milliseconds(),
+		RetryAfterMS: an.RetryAfter.Milliseconds(), Running: ld.Running, Waiting: ld.Waiting, Slots: ld.Slots, Level: int(ld.Level),
+	}
+	if an.Outcome == call.Unknown {
+		ev.Kind = events.Failed
+	}
+	gd.events.Add(now, ev)
+}
+
 // begin registers the attempt. It returns an answer if that is refused.
 func (gd *Guard) begin(at *attempt.Attempt) *attempt.Answer {
 	if up := gd.upstream.Load(); up != nil && up.Service != at.Service {
@@ -253,7 +277,7 @@
 
 // execute runs an admitted attempt, and gives its slot back.
 func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
-	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline}
+	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label}
 	now := time.Now()
 	in.Started, in.Told = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -22,6 +23,7 @@
 	"camphortrail/internal/entry"
 	"camphortrail/internal/gossip"
 	"camphortrail/internal/guard"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/peer"
 	"camphortrail/internal/rollout"
 	"camphortrail/internal/tree"
@@ -58,6 +60,8 @@
 	Dial peer.Dial
 	// Sockets may stand between the node and its sockets for control.
 	Sockets Sockets
+	// Events is where decisions on requests are written; nil writes none.
+	Events io.Writer
 	// Front replaces the server for callers.
 	Front func(*Node) Server
 	// Doors are further addresses that the node serves.
@@ -117,6 +121,7 @@
 	rollout               *rollout.Rollout
 	announce              *announce.Announce
 	claims                claimClient
+	events                *events.Log
 	notices               <-chan gossip.Notice
 	rpc                   *http.Client
 }
@@ -141,15 +146,20 @@
 		return nil, err
 	}
 	trees := tree.New(retry.DefaultLimits())
+	if opt.Events != nil {
+		nd.events = events.New(set.GetName())
+	}
 	nd.rpc = &http.Client{Transport: opt.Sockets.transport(opt.Dial)}
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()), Dialect: opt.Dialect,
+		Events: nd.events,
 	})
 	nd.pool = peer.New(peer.Options{OnState: nd.connState, Dial: opt.Dial})
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
+		Events: nd.events,
 	}
 	if opt.Policy == BaselinePolicy {
 		eopt.HopRetries = baselineHopRetries
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -20,7 +20,7 @@
 	defer endDuties()
 	group, duties := errgroup.WithContext(duties)
 	for _, duty := range []func(context.Context) error{
-		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announce.Run, nd.routing, nd.claimDuty,
+		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announce.Run, nd.routing, nd.claimDuty, nd.eventDuty,
 	} {
 		group.Go(func() error { return ended(duties, duty(duties)) })
 	}
@@ -56,6 +56,14 @@
 	return err
 }
 
+// eventDuty writes the decisions on requests, if they are wanted.
+func (nd *Node) eventDuty(ctx context.Context) error {
+	if nd.events == nil {
+		return nil
+	}
+	return nd.events.Run(ctx, nd.opt.Events)
+}
+
 // claimDuty runs the client of the claims, if there are control replicas.
 func (nd *Node) claimDuty(ctx context.Context) error {
 	if nd.claims == nil {
--- /dev/null
+++ b/internal/ops/events/events.go
@@ -0,0 +1,225 @@
+// Package events writes one JSON line for each decision that touches a request
+// or changes what a process believes. It never blocks the decision: lines wait
+// in a bounded ring, those beyond a rate for each kind and reason are folded
+// into one line with their count and span, and what is dropped is counted and
+// told.
+package events
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"camphortrail/ring"
+)
+
+const (
+	// ringSize bounds the lines that wait for a slow reader.
+	ringSize = 4096
+	// maxLines is the number of lines of one kind and reason in each window;
+	// the others are folded.
+	maxLines = 10
+	window   = time.Second
+)
+
+// Kind names what was decided or learned.
+type Kind string
+
+// The kinds.
+const (
+	// Refused ends a request or an attempt that has not run.
+	Refused Kind = "refused"
+	// GaveUp ends a request that may have run.
+	GaveUp Kind = "gave-up"
+	// Resent sends a request to another VM.
+	Resent Kind = "resent"
+	// Served is a request that was answered by an upstream; one in
+	// sampleShare is written.
+	Served Kind = "served"
+	// Failed is an answer of an upstream that cannot be passed on.
+	Failed Kind = "failed"
+)
+
+// Event is one decision. Fields that do not apply are left out.
+type Event struct {
+	Kind Kind `json:"event"`
+	// Request is the id by which the sender of the request knows it.
+	Request string `json:"request,omitempty"`
+	// Parent is the request that this one is a call of.
+	Parent  string `json:"parent,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+	Class   string `json:"class,omitempty"`
+	Service string `json:"service,omitempty"`
+	// VM is the one that was chosen.
+	VM         string `json:"chosen-vm,omitempty"`
+	Status     int    `json:"status,omitempty"`
+	Importance int    `json:"importance,omitempty"`
+	Attempts   int    `json:"attempts,omitempty"`
+	// TookMS is the time since the request came, and LeftMS that until its
+	// deadline.
+	TookMS int64 `json:"took-ms"`
+	LeftMS int64 `json:"left-ms"`
+	// RetryAfterMS is what the sender was told.
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+	// Running, Waiting and Slots are the state of the guard, and Level that
+	// of its admission, at the decision.
+	Running int `json:"running,omitempty"`
+	Waiting int `json:"waiting,omitempty"`
+	Slots   int `json:"slots,omitempty"`
+	Level   int `json:"level,omitempty"`
+}
+
+// line is an event as it is written.
+type line struct {
+	Time string `json:"timestamp"`
+	Node string `json:"vm"`
+	Event
+	// Folded is the number of events that this line stands for besides its
+	// own, SpanMS the time that they took.
+	Folded int   `json:"folded,omitempty"`
+	SpanMS int64 `json:"folded-span-ms,omitempty"`
+	// Dropped is the number of lines lost so far because nobody read them.
+	Dropped uint64 `json:"dropped,omitempty"`
+}
+
+type key struct {
+	kind   Kind
+	reason string
+}
+
+// fold counts the events of one kind and reason in a window.
+type fold struct {
+	from, last time.Time
+	written    int
+	folded     int
+	sample     Event
+}
+
+// Log writes events. A nil Log writes none. Its methods are safe for concurrent
+// use.
+type Log struct {
+	node    string
+	lines   *ring.Ring[line]
+	dropped atomic.Uint64
+
+	mu    sync.Mutex
+	folds map[key]*fold
+}
+
+// New returns a log of a process.
+func New(node string) *Log {
+	return &Log{node: node, lines: ring.New[line](ringSize), folds: make(map[key]*fold)}
+}
+
+// Add takes an event.
+func (lg *Log) Add(now time.Time, ev Event) {
+	if lg == nil {
+		return
+	}
+	if folded, ok := lg.admit(now, ev); ok {
+		lg.offer(now, ev, folded)
+	}
+}
+
+// admit decides whether an event has a line of its own. It returns what the
+// window before has folded, which is to be written too.
+func (lg *Log) admit(now time.Time, ev Event) (before fold, ok bool) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	ky := key{ev.Kind, ev.Reason}
+	fo := lg.folds[ky]
+	if fo == nil {
+		fo = &fold{from: now}
+		lg.folds[ky] = fo
+	}
+	if now.Sub(fo.from) >= window {
+		before = *fo
+		*fo = fold{from: now}
+	}
+	if fo.written >= maxLines {
+		fo.folded++
+		fo.last, fo.sample = now, ev
+		return fold{}, false
+	}
+	fo.written++
+	return before, true
+}
+
+func (lg *Log) offer(now time.Time, ev Event, before fold) {
+	if before.folded > 0 {
+		lg.put(line{
+			Time: stamp(before.last), Node: lg.node, Event: before.sample, Folded: before.folded,
+			SpanMS: before.last.Sub(before.from).Milliseconds(),
+		})
+	}
+	lg.put(line{Time: stamp(now), Node: lg.node, Event: ev})
+}
+
+func stamp(now time.Time) string { return now.UTC().Format("2006-01-02T15:04:05.000Z") }
+
+func (lg *Log) put(ln line) {
+	ln.Dropped = lg.dropped.Load()
+	if !lg.lines.Offer(ln) {
+		lg.dropped.Add(1)
+	}
+}
+
+// Run writes lines until ctx ends.
+func (lg *Log) Run(ctx context.Context, out io.Writer) error {
+	ticker := time.NewTicker(window)
+	defer ticker.Stop()
+	enc := json.NewEncoder(out)
+	for {
+		select {
+		case <-ctx.Done():
+			lg.flush(func(*fold) bool { return true })
+			lg.drain(enc)
+			return nil
+		case now := <-ticker.C:
+			lg.flush(func(fo *fold) bool { return now.Sub(fo.from) >= window })
+		case ln := <-lg.lines.Out():
+			if err := enc.Encode(ln); err != nil {
+				lg.dropped.Add(1)
+			}
+		}
+	}
+}
+
+// flush writes what was folded in windows that are over.
+func (lg *Log) flush(isOver func(*fold) bool) {
+	lg.mu.Lock()
+	var over []fold
+	for ky, fo := range lg.folds {
+		if !isOver(fo) {
+			continue
+		}
+		if fo.folded > 0 {
+			over = append(over, *fo)
+		}
+		delete(lg.folds, ky)
+	}
+	lg.mu.Unlock()
+	for _, fo := range over {
+		lg.put(line{
+			Time: stamp(fo.last), Node: lg.node, Event: fo.sample, Folded: fo.folded,
+			SpanMS: fo.last.Sub(fo.from).Milliseconds(),
+		})
+	}
+}
+
+// drain writes what waits at the end.
+func (lg *Log) drain(enc *json.Encoder) {
+	for {
+		select {
+		case ln := <-lg.lines.Out():
+			if enc.Encode(ln) != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// blameWeight is the number of requests that count as failed for each one of a
+// more important kind that fails.
+const blameWeight = 2
+
+// Blame counts the failure of a request of a more important kind, if this kind
+// fails too: then they share what is short, and this one is to give way.
+func (th *Throttle) Blame(now time.Time) {
+	th.decay(now)
+	if th.requests-th.accepts > sharedFailures {
+		th.requests += blameWeight
+	}
+}
+
+// sharedFailures is the weight of failures from which a kind counts as failing;
+// a single one may have another cause.
+const sharedFailures = 1.5
+
 func (th *Throttle) decay(now time.Time) {
 	passed := now.Sub(th.last)
 	if passed <= 0 {
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -120,6 +120,8 @@
 	Importance call.Importance
 	Depth      call.Depth
 	Deadline   time.Time
+	// Label is the id by which the sender of the request knows it.
+	Label string
 	// Started is when the upstream was sent the attempt, and Told the deadline
 	// that it was told, by its rounding.
 	Started, Told time.Time
