--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -23,7 +23,7 @@
 	// platform takes it out after two questions a second apart.
 	stopNotice = 2500 * time.Millisecond
 	// stopReserve is kept of the grace time for the end of the process.
-	stopReserve = 400 * time.Millisecond
+	stopReserve = 800 * time.Millisecond
 )
 
 // platformSettings reads the settings that the platform has laid out.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,7 +40,7 @@
 	// bears the loss of one.
 	elasticVoters = 3
 	// shutdownTimeout bounds the time for requests in flight at a stop.
-	shutdownTimeout = 5 * time.Second
+	shutdownTimeout = 3 * time.Second
 )
 
 // ErrNotListed is returned when the settings list control replicas without
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -89,9 +88,7 @@
 	routes    *route.Table
 	ratios    map[call.Service]*retry.Ratio
 	addresses map[call.VM]string
-	throttles map[call.Class]*throttle.Throttle
-	// importances are those of the kinds that are throttled.
-	importances map[call.Class]call.Importance
+	throttles *throttle.Group
 	// nodes is the largest number of nodes that was known at a time: those
 	// that are cut off go on spending their shares.
 	nodes int
@@ -101,20 +98,20 @@
 func New(opt Options) *Entry {
 	rng := rand.New(rand.NewPCG(opt.Seed, ^opt.Seed))
 	return &Entry{
-		opt:         opt,
-		rng:         rng,
-		routes:      route.New(route.Settings{Domain: opt.Domain}, rng),
-		ratios:      make(map[call.Service]*retry.Ratio),
-		addresses:   make(map[call.VM]string),
-		throttles:   make(map[call.Class]*throttle.Throttle),
-		importances: make(map[call.Class]call.Importance),
+		opt:       opt,
+		rng:       rng,
+		routes:    route.New(route.Settings{Domain: opt.Domain}, rng),
+		ratios:    make(map[call.Service]*retry.Ratio),
+		addresses: make(map[call.VM]string),
+		throttles: throttle.New(),
 	}
 }
 
 // SetConfiguration brings a configuration into force.
 func (en *Entry) SetConfiguration(cd *config.Compiled) {
 	en.mu.Lock()
-	maps.DeleteFunc(en.throttles, func(class call.Class, _ *throttle.Throttle) bool { return !cd.Names(class) })
+	en.throttles.Keep(cd.Names)
+	en.opt.Trees.Keep(cd.Names)
 	for _, svc := range cd.Services {
 		rt := en.ratios[svc.Name]
 		if rt == nil {
@@ -270,11 +267,11 @@
 // their call trees. A call is part of work that was admitted, and is not
 // refused here.
 func (en *Entry) serveThrottled(ctx context.Context, rq *request) *attempt.Answer {
-	if rq.parent != nil || en.opt.HopRetries > 0 {
+	if rq.inner || en.opt.HopRetries > 0 {
 		return en.serve(ctx, rq)
 	}
-	if !en.admit(rq) {
-		an := attempt.Refusal(ReasonOverload, en.jitter(shedRetryAfter))
+	if retryAfter, ok := en.admit(rq); !ok {
+		an := attempt.Refusal(ReasonOverload, en.jitter(retryAfter))
 		an.Overload = true
 		return an
 	}
@@ -282,38 +279,18 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	if ctx.Err() == nil {
-		en.finishThrottled(rq.kind, !an.Failed() && an.Status != http.StatusInternalServerError)
+		through := !an.Failed() && an.Status != http.StatusInternalServerError
+		en.throttles.Finish(time.Now(), rq.kind.Class, through)
 	}
 	return an
 }
 
-// finishThrottled counts what became of an admitted request. A failure also
-// counts for the less important kinds. The lock is held.
-func (en *Entry) finishThrottled(kind *config.Kind, through bool) {
-	now := time.Now()
-	if th := en.throttles[kind.Class]; th != nil {
-		th.Finish(now, through)
-	}
-	if through {
-		return
-	}
-	for class, th := range en.throttles {
-		if class != kind.Class && en.importances[class] < kind.Importance {
-			th.Blame(now)
-		}
-	}
-}
-
-func (en *Entry) admit(rq *request) bool {
+// admit decides on a request of a caller. It returns the mean time after which
+// one that is refused may come back.
+func (en *Entry) admit(rq *request) (retryAfter time.Duration, ok bool) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	th := en.throttles[rq.kind.Class]
-	if th == nil {
-		th = new(throttle.Throttle)
-		en.throttles[rq.kind.Class] = th
-		en.importances[rq.kind.Class] = rq.kind.Importance
-	}
-	return th.Admit(time.Now(), en.rng.Float64())
+	return en.throttles.Admit(time.Now(), rq.kind.Class, rq.importance, en.rng.Float64())
 }
 
 // Serves reports whether the configuration in force names the service. Before
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -59,7 +59,11 @@
 	}
 	rq.history.Idempotent = kind.Idempotent
 	rq.send, rq.label = rd.ID, rd.Label
-	if in, ok := en.opt.Trees.Adopt(kind.Class, kind.Deadline, rd.Deadline); ok {
+	rq.inner = en.opt.Trees.IsCall(kind.Class, rd.Deadline)
+	if !rq.inner {
+		return rq, nil
+	}
+	if in, ok := en.opt.Trees.Adopt(kind.Deadline, rd.Deadline); ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
 	return rq, nil
@@ -87,6 +91,9 @@
 	// if it has a parent; the zero id if not.
 	send  call.RequestID
 	label string
+	// inner says that the request is a call of an upstream, be its parent
+	// known or not.
+	inner bool
 	// orphan says that the request names a parent that does not run here.
 	orphan bool
 	resend uint32
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -11,8 +11,11 @@
 package throttle
 
 import (
+	"maps"
 	"math"
 	"time"
+
+	"camphortrail/call"
 )
 
 const (
@@ -23,61 +26,112 @@
 	// halfLife is the time in which the weight of a past request halves: well
 	// under the bursts of some seconds that the rule answers.
 	halfLife = 500 * time.Millisecond
+	// blameWeight is the number of requests that count as failed for each one
+	// of a more important kind that fails.
+	blameWeight = 2
+	// sharedFailures is the weight of failures from which a kind counts as
+	// failing; a single one may have another cause.
+	sharedFailures = 1.5
+	// mostlyRefused is the share of refusals from which a kind counts as
+	// refused.
+	mostlyRefused = 0.85
+	// minRetryAfter is about the time in which the rule reacts, and
+	// maxRetryAfter about that in which the share of refusals falls from
+	// nearly all to few.
+	minRetryAfter = 400 * time.Millisecond
+	maxRetryAfter = 4 * time.Second
 )
 
-// Throttle decides for one kind of request at one entry. The zero value refuses
-// nothing. It is not safe for concurrent use.
-type Throttle struct {
-	requests, accepts float64
-	last              time.Time
+// Group decides on the requests of all kinds at one entry. It is not safe for
+// concurrent use.
+type Group struct {
+	kinds map[call.Class]*kind
 }
 
-// Admit decides on a request, and counts it if it is refused. The draw is
-// uniform from 0 to 1.
-func (th *Throttle) Admit(now time.Time, draw float64) bool {
-	th.decay(now)
-	refusing := (th.requests - excess*th.accepts) / (th.requests + 1)
-	if draw >= refusing {
-		return true
+// New returns a group that refuses nothing.
+func New() *Group { return &Group{kinds: make(map[call.Class]*kind)} }
+
+// Admit decides on a request. The draw is uniform from 0 to 1. A kind is
+// refused only after the less important ones that fail with it. A request that
+// is refused may come back after retryAfter in the mean.
+func (gp *Group) Admit(now time.Time, class call.Class, imp call.Importance, draw float64) (retryAfter time.Duration, ok bool) {
+	kd := gp.kinds[class]
+	if kd == nil {
+		kd = new(kind)
+		gp.kinds[class] = kd
+	}
+	kd.importance = imp
+	refusing := kd.refusing(now)
+	if draw >= refusing || gp.othersYield(now, imp) {
+		return 0, true
+	}
+	kd.requests++
+	return minRetryAfter + time.Duration(refusing*refusing*float64(maxRetryAfter-minRetryAfter)), false
+}
+
+// othersYield reports whether a less important kind fails, and is not refused
+// for the most part yet.
+func (gp *Group) othersYield(now time.Time, imp call.Importance) bool {
+	for _, kd := range gp.kinds {
+		if kd.importance < imp && kd.refusing(now) < mostlyRefused && kd.fails() {
+			return true
+		}
 	}
-	th.requests++
 	return false
 }
 
-// Finish counts a request that was admitted, and whether it came through.
-// Requests whose callers left are not counted.
-func (th *Throttle) Finish(now time.Time, through bool) {
-	th.decay(now)
-	th.requests++
+// Finish counts a request that was admitted, and whether it came through. A
+// failure also counts for the less important kinds that fail: they share what is
+// short, and are to give way. Requests whose callers left are not counted.
+func (gp *Group) Finish(now time.Time, class call.Class, through bool) {
+	kd := gp.kinds[class]
+	if kd == nil {
+		return
+	}
+	kd.decay(now)
+	kd.requests++
 	if through {
-		th.accepts++
+		kd.accepts++
+		return
+	}
+	for _, other := range gp.kinds {
+		if other.importance >= kd.importance {
+			continue
+		}
+		if other.decay(now); other.fails() {
+			other.requests += blameWeight
+		}
 	}
 }
 
-// blameWeight is the number of requests that count as failed for each one of a
-// more important kind that fails.
-const blameWeight = 2
+// Keep forgets the kinds that are not to be kept.
+func (gp *Group) Keep(keep func(call.Class) bool) {
+	maps.DeleteFunc(gp.kinds, func(class call.Class, _ *kind) bool { return !keep(class) })
+}
 
-// Blame counts the failure of a request of a more important kind, if this kind
-// fails too: then they share what is short, and this one is to give way.
-func (th *Throttle) Blame(now time.Time) {
-	th.decay(now)
-	if th.requests-th.accepts > sharedFailures {
-		th.requests += blameWeight
-	}
+// kind counts the requests of one kind, refused ones too, and those that came
+// through.
+type kind struct {
+	importance        call.Importance
+	requests, accepts float64
+	last              time.Time
+}
+
+// refusing returns the share of requests that is refused.
+func (kd *kind) refusing(now time.Time) float64 {
+	kd.decay(now)
+	return max(0, (kd.requests-excess*kd.accepts)/(kd.requests+1))
 }
 
-// sharedFailures is the weight of failures from which a kind counts as failing;
-// a single one may have another cause.
-const sharedFailures = 1.5
+func (kd *kind) fails() bool { return kd.requests-kd.accepts > sharedFailures }
 
-func (th *Throttle) decay(now time.Time) {
-	passed := now.Sub(th.last)
+func (kd *kind) decay(now time.Time) {
+	passed := now.Sub(kd.last)
 	if passed <= 0 {
 		return
 	}
-	th.last = now
+	kd.last = now
 	keep := math.Exp2(-float64(passed) / float64(halfLife))
-	th.requests *= keep
-	th.accepts *= keep
+	kd.requests *= keep
+	kd.accepts *= keep
 }
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -4,70 +4,117 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"camphortrail/call"
 )
 
 // load replays the arrivals of an entry before a tree that carries a number of
-// requests a second, and returns what came through and what was wasted.
+// requests a second.
 type load struct {
-	th      Throttle
-	now     time.Time
-	rng     *rand.Rand
-	through int
-	wasted  int
-	refused int
+	gp   *Group
+	now  time.Time
+	rng  *rand.Rand
+	room float64
+	kinds
 }
 
-func (ld *load) run(arrivals, capacity float64, length time.Duration) {
-	ld.through, ld.wasted, ld.refused = 0, 0, 0
-	room := 0.0
-	interval := time.Duration(float64(time.Second) / arrivals)
-	for range int(length / interval) {
-		ld.now = ld.now.Add(interval)
-		room = min(room+capacity*interval.Seconds(), 1+capacity/20)
-		if !ld.th.Admit(ld.now, ld.rng.Float64()) {
-			ld.refused++
-			continue
-		}
-		through := room >= 1
-		if through {
-			room--
-			ld.through++
-		} else {
-			ld.wasted++
+// kinds is what became of the requests of each importance.
+type kinds [call.MaxImportance + 1]struct{ through, wasted, refused int }
+
+// run replays arrivals a second of each importance, in turn.
+func (ld *load) run(capacity float64, length time.Duration, arrivals map[call.Importance]float64) {
+	ld.kinds = kinds{}
+	due := make(map[call.Importance]float64)
+	for end := ld.now.Add(length); ld.now.Before(end); {
+		const step = time.Millisecond
+		ld.now = ld.now.Add(step)
+		ld.room = min(ld.room+capacity*step.Seconds(), 1+capacity/20)
+		for imp := call.MinImportance; imp <= call.MaxImportance; imp++ {
+			for due[imp] += arrivals[imp] * step.Seconds(); due[imp] >= 1; due[imp]-- {
+				ld.request(imp)
+			}
 		}
-		ld.th.Finish(ld.now, through)
 	}
 }
 
+func (ld *load) request(imp call.Importance) {
+	class := call.Class(rune('0' + imp))
+	of := &ld.kinds[imp]
+	if _, ok := ld.gp.Admit(ld.now, class, imp, ld.rng.Float64()); !ok {
+		of.refused++
+		return
+	}
+	through := ld.room >= 1
+	if through {
+		ld.room--
+		of.through++
+	} else {
+		of.wasted++
+	}
+	ld.gp.Finish(ld.now, class, through)
+}
+
 func newLoad() *load {
-	return &load{now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(1, 1))}
+	return &load{gp: New(), now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(1, 1))}
 }
 
 func TestCalmLoadIsAdmitted(t *testing.T) {
 	ld := newLoad()
-	if ld.run(50, 60, 20*time.Second); ld.refused > 0 {
-		t.Errorf("%d requests refused below the capacity", ld.refused)
+	if ld.run(60, 20*time.Second, map[call.Importance]float64{5: 50}); ld.kinds[5].refused > 0 {
+		t.Errorf("%d requests refused below the capacity", ld.kinds[5].refused)
 	}
 }
 
 // A tree that carries half of the load gets little more than it carries.
 func TestOverloadIsRefusedAtTheEntry(t *testing.T) {
 	ld := newLoad()
-	ld.run(100, 50, 5*time.Second)
-	ld.run(100, 50, 20*time.Second)
-	if ld.through < 850 {
-		t.Errorf("%d of 1000 requests came through that there was room for", ld.through)
+	ld.run(50, 5*time.Second, map[call.Importance]float64{5: 100})
+	ld.run(50, 20*time.Second, map[call.Importance]float64{5: 100})
+	of := ld.kinds[5]
+	if of.through < 850 {
+		t.Errorf("%d of 1000 requests came through that there was room for", of.through)
 	}
-	if share := float64(ld.wasted) / float64(ld.through+ld.wasted); share > 1-1/excess+0.05 {
+	if share := float64(of.wasted) / float64(of.through+of.wasted); share > 1-1/excess+0.05 {
 		t.Errorf("a share of %.2f of the admitted requests was wasted", share)
 	}
 }
 
 func TestRoomThatReturnsIsUsed(t *testing.T) {
 	ld := newLoad()
-	ld.run(100, 10, 10*time.Second)
-	ld.run(100, 200, 10*time.Second)
-	if ld.run(100, 200, 2*time.Second); ld.refused > 4 {
-		t.Errorf("%d of 200 requests are refused 10 s after the overload", ld.refused)
+	ld.run(10, 10*time.Second, map[call.Importance]float64{5: 100})
+	ld.run(200, 10*time.Second, map[call.Importance]float64{5: 100})
+	if ld.run(200, 2*time.Second, map[call.Importance]float64{5: 100}); ld.kinds[5].refused > 4 {
+		t.Errorf("%d of 200 requests are refused 10 s after the overload", ld.kinds[5].refused)
+	}
+}
+
+// Three quarters of the load are of a lesser kind that shares what is short:
+// it gives way, and the greater kind is refused little.
+func TestLesserKindGivesWay(t *testing.T) {
+	ld := newLoad()
+	arrivals := map[call.Importance]float64{5: 90, 7: 30}
+	ld.run(50, 5*time.Second, arrivals)
+	ld.run(50, 20*time.Second, arrivals)
+	if of := ld.kinds[7]; of.through < 480 {
+		t.Errorf("%d of 600 greater requests came through, %d were refused; want 480", of.through, of.refused)
+	}
+	if of := ld.kinds[5]; of.through < 90 {
+		t.Errorf("%d lesser requests came through, want some of the room that is left", of.through)
+	}
+}
+
+// A kind that does not fail has its own capacity, and is not refused for the
+// failures of others.
+func TestKindsApartAreLeftAlone(t *testing.T) {
+	ld := newLoad()
+	for range 2000 {
+		ld.now = ld.now.Add(10 * time.Millisecond)
+		if _, ok := ld.gp.Admit(ld.now, "upload", 5, ld.rng.Float64()); !ok {
+			t.Fatal("an upload is refused")
+		}
+		ld.gp.Finish(ld.now, "upload", true)
+		if _, ok := ld.gp.Admit(ld.now, "issue", 7, ld.rng.Float64()); ok {
+			ld.gp.Finish(ld.now, "issue", false)
+		}
 	}
 }
--- a/internal/tree/adopt_test.go
+++ b/internal/tree/adopt_test.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,8 +9,7 @@
 	"camphortrail/retry"
 )
 
-// A call belongs to the attempt that expires with it; kinds of requests that
-// callers send are not taken for calls when a deadline agrees by chance.
+// A call belongs to the attempt that expires with it.
 func TestAdopt(t *testing.T) {
 	tr := New(retry.DefaultLimits())
 	now := time.Unix(1000, 0)
@@ -17,20 +17,47 @@
 		started := now.Add(time.Duration(n) * 10 * time.Millisecond)
 		tr.Enter(&Inbound{ID: call.AttemptID{byte(n)}, Started: started, Told: now.Add(time.Duration(n) * 100 * time.Millisecond)})
 	}
-	if in, ok := tr.Adopt("tariff-read", 50*time.Millisecond, now.Add(81*time.Millisecond)); !ok || in.ID != (call.AttemptID{3}) {
-		t.Errorf("Adopt = %+v, %t; want the attempt that began 49 ms before", in, ok)
+	for _, tt := range []struct {
+		longest, deadline time.Duration
+		want              byte
+		ok                bool
+	}{
+		{time.Minute, 201 * time.Millisecond, 2, true},
+		{time.Minute, 150 * time.Millisecond, 0, false},
+		{50 * time.Millisecond, 81 * time.Millisecond, 3, true},
+	} {
+		in, ok := tr.Adopt(tt.longest, now.Add(tt.deadline))
+		if ok != tt.ok || ok && in.ID != (call.AttemptID{tt.want}) {
+			t.Errorf("Adopt(%v, %v) = %+v, %t; want attempt %d, %t", tt.longest, tt.deadline, in, ok, tt.want, tt.ok)
+		}
 	}
-	in, ok := tr.Adopt("ledger-read", time.Minute, now.Add(201*time.Millisecond))
-	if !ok || in.ID != (call.AttemptID{2}) {
-		t.Errorf("Adopt = %+v, %t; want the attempt that expires 1 ms before", in, ok)
-	}
-	if _, ok := tr.Adopt("ledger-read", time.Minute, now.Add(150*time.Millisecond)); ok {
-		t.Error("adopted by an attempt that expires 50 ms before")
-	}
-	for n := range 30 {
-		tr.Adopt("look-up", time.Minute, now.Add(time.Duration(n)*time.Second+50*time.Millisecond))
-	}
-	if _, ok := tr.Adopt("look-up", time.Minute, now.Add(100*time.Millisecond)); ok {
-		t.Error("a kind that mostly agrees with no attempt was adopted")
+}
+
+// A call does not outlast the attempts that run; a request that a caller sends
+// outlasts those sent before, but for resends with less time left.
+func TestIsCall(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	const patience = 5 * time.Second
+	for n := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		id := call.AttemptID{byte(n), byte(n >> 8)}
+		tr.Enter(&Inbound{ID: id, Started: now, Told: now.Add(patience)})
+		if n >= 20 {
+			tr.Exit(call.AttemptID{byte(n - 20), byte((n - 20) >> 8)})
+		}
+		now = now.Add(10 * time.Millisecond)
+		wait := patience
+		if rng.IntN(10) < 6 {
+			wait -= time.Duration(rng.IntN(2000)) * time.Millisecond
+		}
+		if got := tr.IsCall("look-up", now.Add(wait)); got && n > 100 {
+			t.Fatalf("request %d of callers counts as a call", n)
+		}
+		left := 700*time.Millisecond - time.Duration(rng.IntN(100))*time.Millisecond
+		if got := tr.IsCall("tariff-read", now.Add(left)); !got {
+			t.Fatalf("call %d counts as a request of a caller", n)
+		}
 	}
 }
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -4,6 +4,7 @@
 package tree
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -16,12 +17,12 @@
 	mu      sync.Mutex
 	ledger  *retry.Ledger
 	inbound map[call.AttemptID]*Inbound
-	calls   map[call.Class]*callShare
+	origins map[call.Class]*origin
 }
 
 // New returns Trees without any.
 func New(lim retry.Limits) *Trees {
-	return &Trees{ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound), calls: make(map[call.Class]*callShare)}
+	return &Trees{ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound), origins: make(map[call.Class]*origin)}
 }
 
 // Step applies an event to the retry ledger.
@@ -59,22 +60,66 @@
 	// it is read from the time at which the call is read.
 	adoptEarly = 3 * time.Millisecond
 	adoptLate  = 6 * time.Millisecond
-	// callSamples is the number of requests of a kind after which older ones
-	// count half.
-	callSamples = 64
+	// originSamples is the number of requests of a kind after which older ones
+	// count half, and minOriginSamples that before which nothing is concluded.
+	originSamples    = 128
+	minOriginSamples = 16
+	// callerShare is the part of the requests of a kind, 1 in so many, that
+	// must outlast all running attempts if callers send them. The calls of an
+	// attempt that was just given up do so too, but are few.
+	callerShare = 8
 )
 
-// callShare counts the requests of a kind, and those among them that look like
+// origin counts the requests of a kind, and those that no running attempt can
+// have made as they outlast it.
+type origin struct{ seen, outlasting int }
+
+// IsCall reports whether requests of the kind are calls that upstreams make. A
+// call does not outlast its parent, while a request that a caller sends now
+// outlasts those sent before. Requests of a kind that is not known yet count as
 // calls.
-type callShare struct{ seen, matched int }
-
-// Adopt returns the running attempt whose upstream makes a call of the given
-// kind, for upstreams that do not name the parents of their calls. A call
-// expires with its parent, or earlier when the longest time for its kind is
-// over since the parent began. So the attempt is the one whose calls expire
-// nearest to the deadline. A kind of which most requests have no such attempt is
-// not one of calls: its deadlines agree by chance.
-func (tr *Trees) Adopt(kind call.Class, longest time.Duration, deadline time.Time) (*Inbound, bool) {
+func (tr *Trees) IsCall(kind call.Class, deadline time.Time) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	or := tr.origins[kind]
+	if or == nil {
+		or = new(origin)
+		tr.origins[kind] = or
+	}
+	if or.seen >= originSamples {
+		or.seen, or.outlasting = or.seen/2, or.outlasting/2
+	}
+	or.seen++
+	if !tr.covers(deadline) {
+		or.outlasting++
+	}
+	return or.seen < minOriginSamples || or.outlasting*callerShare < or.seen
+}
+
+// covers reports whether a running attempt lasts until the deadline. The lock is
+// held.
+func (tr *Trees) covers(deadline time.Time) bool {
+	for _, in := range tr.inbound {
+		if deadline.Sub(in.Told) <= adoptLate {
+			return true
+		}
+	}
+	return false
+}
+
+// Keep forgets the kinds that are not to be kept.
+func (tr *Trees) Keep(keep func(call.Class) bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	maps.DeleteFunc(tr.origins, func(kind call.Class, _ *origin) bool { return !keep(kind) })
+}
+
+// Adopt returns the running attempt whose upstream makes a call, for upstreams
+// that do not name the parents of their calls. A call expires with its parent,
+// or earlier when the longest time for its kind is over since the parent began.
+// So the attempt is the one whose calls expire nearest to the deadline, if one
+// does near enough.
+func (tr *Trees) Adopt(longest time.Duration, deadline time.Time) (*Inbound, bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	var nearest *Inbound
@@ -88,20 +133,7 @@
 			nearest, apart = in, late.Abs()
 		}
 	}
-	cs := tr.calls[kind]
-	if cs == nil {
-		cs = new(callShare)
-		tr.calls[kind] = cs
-	}
-	if cs.seen >= callSamples {
-		cs.seen, cs.matched = cs.seen/2, cs.matched/2
-	}
-	cs.seen++
-	if nearest == nil {
-		return nil, false
-	}
-	cs.matched++
-	return nearest, 2*cs.matched > cs.seen
+	return nearest, nearest != nil
 }
 
 // expiry returns when the calls of the attempt expire that may take the given
