--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -56,6 +57,9 @@
 	partial bool
 	// closing is set once nothing more is answered.
 	closing bool
+	// idleSince is the time in Unix nanoseconds since which nothing is in
+	// flight, or 0.
+	idleSince atomic.Int64
 }
 
 func newConn(sv *Server, nc net.Conn) *conn {
@@ -172,7 +176,9 @@
 	case len(cn.queue) > 0:
 		_ = cn.nc.SetReadDeadline(time.Time{})
 	default:
-		_ = cn.nc.SetReadDeadline(time.Now().Add(lim.IdleTimeout))
+		now := time.Now()
+		cn.idleSince.Store(now.UnixNano())
+		_ = cn.nc.SetReadDeadline(now.Add(lim.IdleTimeout))
 	}
 }
 
@@ -184,6 +190,7 @@
 		return false
 	}
 	cn.partial = true
+	cn.idleSince.Store(0)
 	_ = cn.nc.SetReadDeadline(time.Now().Add(lim.HeaderTimeout))
 	return true
 }
@@ -300,14 +307,16 @@
 	for len(cn.queue) > 0 && cn.queue[0].ready && !cn.closing {
 		head := cn.queue[0]
 		cn.queue = cn.queue[1:]
-		last := head.last || len(cn.queue) == 0 && cn.sv.opt.Leaving()
+		last := head.last || len(cn.queue) == 0 && (head.answer.Close || cn.sv.opt.Leaving())
 		if err := cn.write(head, last); err != nil || last {
 			cn.close()
 			return
 		}
 	}
 	if len(cn.queue) == 0 && !cn.partial && !cn.closing {
-		_ = cn.nc.SetReadDeadline(time.Now().Add(cn.sv.opt.Limits().IdleTimeout))
+		now := time.Now()
+		cn.idleSince.Store(now.UnixNano())
+		_ = cn.nc.SetReadDeadline(now.Add(cn.sv.opt.Limits().IdleTimeout))
 	}
 	cn.room.Signal()
 }
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -40,6 +41,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Close says that the connection is of no more use once no request is in
+	// flight on it.
+	Close bool
 }
 
 // Handler answers a request that was read with its whole body. The context
@@ -53,6 +57,9 @@
 	Refuse func(status int, reason string) Answer
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// MaxConns, if set, is the number of connections from which the one that
+	// has been idle for longest makes room for each new one.
+	MaxConns int
 	// Leaving reports whether connections are to be closed once they have no
 	// request in flight.
 	Leaving func() bool
@@ -114,9 +121,27 @@
 		return false
 	}
 	sv.conns[cn] = struct{}{}
+	if sv.opt.MaxConns > 0 && len(sv.conns) > sv.opt.MaxConns {
+		sv.closeLongestIdle()
+	}
 	return true
 }
 
+// closeLongestIdle closes the connection that has been idle for longest. The
+// lock is held.
+func (sv *Server) closeLongestIdle() {
+	var longest *conn
+	oldest := int64(math.MaxInt64)
+	for cn := range sv.conns {
+		if since := cn.idleSince.Load(); since != 0 && since < oldest {
+			longest, oldest = cn, since
+		}
+	}
+	if longest != nil {
+		go longest.closeIdle()
+	}
+}
+
 func (sv *Server) remove(cn *conn) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/internal/traffic/pipeline/pipeline_test.go
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -204,6 +204,27 @@
 	}
 }
 
+// A new connection takes the place of the one that has been idle for longest,
+// and not of one that is in use.
+func TestLongestIdleMakesRoom(t *testing.T) {
+	bn := newBench(t, testLimits(), "/slow")
+	bn.mu.Lock()
+	bn.opt.MaxConns = 2
+	bn.mu.Unlock()
+	busy, idle := bn.dial(t), bn.dial(t)
+	busy.send("/slow")
+	<-bn.started
+	idle.send("/a")
+	idle.want(200, "/a ", false)
+	<-bn.started
+	bn.dial(t).send("/b")
+	if _, err := idle.br.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: %v, want EOF", err)
+	}
+	close(bn.gates["/slow"])
+	busy.want(200, "/slow ", false)
+}
+
 func TestIdleConnectionEnds(t *testing.T) {
 	lim := testLimits()
 	lim.IdleTimeout = 50 * time.Millisecond
