--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -20,7 +20,7 @@
 // TestScripts runs the requests of testdata. Each answer is followed by the
 // announced set, if it has changed.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/requests", func(t *testing.T, path string) {
 		now := time.UnixMilli(0)
 		var told strings.Builder
 		an := New(func() time.Time { return now }, func(ups []membership.Upstream) {
