Refuse callers once the notice of a stop is over

Test: TestStoppingEntryRefusesCallers (red without the check). Entry's part for front doors has its own file.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,63 +18,6 @@
 	"camphortrail/withdrawal"
 )
 
-// Request is a request that was read by a front door.
-type Request struct {
-	// ID must differ between sends that are not repeats of each other.
-	ID call.RequestID
-	// Label is the id by which the sender knows the request, for logs.
-	Label  string
-	Method string
-	Host   string
-	// URI is the path and query as they were sent.
-	URI string
-	// Header holds what is passed on to the upstream.
-	Header http.Header
-	Body   []byte
-	// Deadline is the time at which the caller gives up. The configuration
-	// can only shorten it. Zero means never.
-	Deadline time.Time
-}
-
-// routed describes a request by its route. It returns a refusal if there is
-// none.
-func (en *Entry) routed(rd *Request, now time.Time) (*request, *attempt.Answer) {
-	cd := en.config.Load()
-	if cd == nil {
-		return nil, attempt.Refusal(ReasonNoConfiguration, time.Second)
-	}
-	path, _, _ := strings.Cut(rd.URI, "?")
-	rt, ok := cd.Route(rd.Host, path)
-	if !ok {
-		return nil, refusal(ReasonNoService, http.StatusNotFound)
-	}
-	kind := rt.Kind(en.draw())
-	rq := &request{
-		kind: kind, tenant: cd.Tenant, id: rd.ID, account: retry.OfRequest(rd.ID), importance: kind.Importance,
-		deadline: now.Add(kind.Deadline), method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
-	}
-	if !rd.Deadline.IsZero() && rd.Deadline.Before(rq.deadline) {
-		rq.deadline = rd.Deadline
-	}
-	rq.history.Idempotent = kind.Idempotent
-	rq.send, rq.label = rd.ID, rd.Label
-	rq.inner = en.opt.Trees.IsCall(kind.Class, rd.Deadline)
-	if !rq.inner {
-		return rq, nil
-	}
-	if in, ok := en.opt.Trees.Adopt(kind.Deadline, rd.Deadline); ok {
-		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
-	}
-	return rq, nil
-}
-
-// draw returns a random number.
-func (en *Entry) draw() uint64 {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	return en.rng.Uint64()
-}
-
 // request is one request at its entry node.
 type request struct {
 	kind       *config.Kind
--- /dev/null
+++ b/internal/entry/routed.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/attempt"
+	"camphortrail/internal/ops/events"
+	"camphortrail/retry"
+)
+
+// Request is a request that was read by a front door.
+type Request struct {
+	// ID must differ between sends that are not repeats of each other.
+	ID call.RequestID
+	// Label is the id by which the sender knows the request, for logs.
+	Label  string
+	Method string
+	Host   string
+	// URI is the path and query as they were sent.
+	URI string
+	// Header holds what is passed on to the upstream.
+	Header http.Header
+	Body   []byte
+	// Deadline is the time at which the caller gives up. The configuration
+	// can only shorten it. Zero means never.
+	Deadline time.Time
+}
+
+// Do answers a request that a front door with an interface of its own has
+// read. Its configuration must have routes.
+func (en *Entry) Do(ctx context.Context, rd *Request) *attempt.Answer {
+	en.active.Enter()
+	defer en.active.Exit()
+	begun := time.Now()
+	rq, an := en.routed(rd, begun)
+	if an == nil {
+		an = en.serveThrottled(ctx, rq)
+	}
+	en.observe(rq, an, time.Since(begun))
+	en.record(rd, rq, an, begun)
+	return an
+}
+
+// stopRetryAfter is the mean time after which a caller of a node that stops may
+// come back: a few seconds until it is there again, or another one is asked.
+const stopRetryAfter = time.Second
+
+// routed describes a request by its route. It returns a refusal if there is
+// none.
+func (en *Entry) routed(rd *Request, now time.Time) (*request, *attempt.Answer) {
+	cd := en.config.Load()
+	if cd == nil {
+		return nil, attempt.Refusal(ReasonNoConfiguration, time.Second)
+	}
+	path, _, _ := strings.Cut(rd.URI, "?")
+	rt, ok := cd.Route(rd.Host, path)
+	if !ok {
+		return nil, refusal(ReasonNoService, http.StatusNotFound)
+	}
+	kind := rt.Kind(en.draw())
+	rq := &request{
+		kind: kind, tenant: cd.Tenant, id: rd.ID, account: retry.OfRequest(rd.ID), importance: kind.Importance,
+		deadline: now.Add(kind.Deadline), method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
+	}
+	if !rd.Deadline.IsZero() && rd.Deadline.Before(rq.deadline) {
+		rq.deadline = rd.Deadline
+	}
+	rq.history.Idempotent = kind.Idempotent
+	rq.send, rq.label = rd.ID, rd.Label
+	rq.inner = en.opt.Trees.IsCall(kind.Class, rd.Deadline)
+	if !rq.inner {
+		if en.stopping.Load() {
+			return rq, attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
+		}
+		return rq, nil
+	}
+	if in, ok := en.opt.Trees.Adopt(kind.Deadline, rd.Deadline); ok {
+		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
+	}
+	return rq, nil
+}
+
+// draw returns a random number.
+func (en *Entry) draw() uint64 {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.rng.Uint64()
+}
+
+// servedSample is the share of plain successes, 1 in so many, that leave a line.
+const servedSample = 64
+
+// record writes what became of a request, and why.
+func (en *Entry) record(rd *Request, rq *request, an *attempt.Answer, begun time.Time) {
+	now := time.Now()
+	ev := events.Event{
+		Kind: events.Served, Request: rd.Label, Reason: an.Reason, Status: an.Status,
+		TookMS: now.Sub(begun).Milliseconds(), RetryAfterMS: an.RetryAfter.Milliseconds(),
+	}
+	switch {
+	case an.Outcome == call.NotRun:
+		ev.Kind = events.Refused
+	case an.Outcome != call.Done:
+		ev.Kind = events.GaveUp
+	case an.Status >= http.StatusInternalServerError:
+		ev.Kind, ev.Reason = events.Failed, "upstream-failed"
+	case rd.ID[0]%servedSample != 0:
+		return
+	}
+	if rq != nil {
+		ev.Class, ev.Service, ev.VM = string(rq.kind.Class), string(rq.kind.Service), string(rq.vm)
+		ev.Importance, ev.Attempts = int(rq.importance), rq.attempts
+		ev.LeftMS = rq.deadline.Sub(now).Milliseconds()
+		if rq.parent != nil {
+			ev.Parent = rq.parent.Label
+		}
+	}
+	en.opt.Events.Add(now, ev)
+}
+
+// serveThrottled serves a request unless those of its kind fail for load in
+// their call trees. A call is part of work that was admitted, and is not
+// refused here.
+func (en *Entry) serveThrottled(ctx context.Context, rq *request) *attempt.Answer {
+	if rq.inner || en.opt.HopRetries > 0 {
+		return en.serve(ctx, rq)
+	}
+	if retryAfter, ok := en.admit(rq); !ok {
+		an := attempt.Refusal(ReasonOverload, en.jitter(retryAfter))
+		an.Overload = true
+		return an
+	}
+	an := en.serve(ctx, rq)
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if ctx.Err() == nil {
+		through := !an.Failed() && an.Status != http.StatusInternalServerError
+		en.throttles.Finish(time.Now(), rq.kind.Class, through)
+	}
+	return an
+}
+
+// admit decides on a request of a caller. It returns the mean time after which
+// one that is refused may come back.
+func (en *Entry) admit(rq *request) (retryAfter time.Duration, ok bool) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.throttles.Admit(time.Now(), rq.kind.Class, rq.importance, en.rng.Float64())
+}
--- /dev/null
+++ b/internal/entry/routed_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/schema"
+)
+
+// newRoutedBench is a bench with a route for look-ups that callers send.
+func newRoutedBench(t *testing.T, upstream http.HandlerFunc) *bench {
+	t.Helper()
+	bn := newBench(t, upstream)
+	cd, err := config.Compile(&schema.Configuration{
+		Deployment: "test", Version: 2, FailureDomains: []*schema.FailureDomain{{Name: "d1", Region: "r1"}},
+		Services: []*schema.Service{{Name: "cassa", RetryRatioPercent: 10, MaxRequestBytes: 100, MaxAnswerBytes: 100}},
+		Routes: []*schema.Route{{
+			Name: "look-up", Host: "h", PathPrefix: "/x/", Importance: 5, Idempotent: true, DeadlineMs: 3000, Attempts: 2,
+			Shares: []*schema.RouteShare{{Service: "cassa", Weight: 1}},
+		}},
+	}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bn.SetConfiguration(cd)
+	return bn
+}
+
+// lookUp sends the nth request of a caller.
+func (bn *bench) lookUp(t *testing.T, n int) (outcome call.Outcome, reason string) {
+	an := bn.Do(t.Context(), &Request{
+		ID: call.RequestID{byte(n), byte(n >> 8), 1}, Method: "GET", Host: "h", URI: "/x/1", Header: http.Header{},
+		Deadline: time.Now().Add(5 * time.Second),
+	})
+	return an.Outcome, an.Reason
+}
+
+// A request of a caller is not taken once the notice of a stop is over: there may
+// be no time to finish it.
+func TestStoppingEntryRefusesCallers(t *testing.T) {
+	bn := newRoutedBench(t, ok)
+	for n := range 20 {
+		if outcome, reason := bn.lookUp(t, n); outcome != call.Done {
+			t.Fatalf("request %d: %v %s", n, outcome, reason)
+		}
+	}
+	bn.Stop()
+	if outcome, reason := bn.lookUp(t, 20); outcome != call.NotRun || reason != ReasonStopping {
+		t.Errorf("request after the stop: %v %q, want not-run %q", outcome, reason, ReasonStopping)
+	}
+}
+
+// Requests that fail in their call tree are refused at the entry before any
+// work.
+func TestFailingKindIsRefusedAtTheEntry(t *testing.T) {
+	bn := newRoutedBench(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	refused := 0
+	for n := range 200 {
+		if outcome, reason := bn.lookUp(t, n); outcome == call.NotRun && reason == ReasonOverload {
+			refused++
+		}
+	}
+	if refused < 100 {
+		t.Errorf("%d of 200 requests refused that all fail, want most", refused)
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -107,6 +107,8 @@
 	case <-time.After(plan.Notice):
 	case <-ctx.Done():
 	}
+	// The upstream's own calls are still taken: its work in flight needs them.
+	nd.entry.Stop()
 	if err := nd.guard.Wait(ctx); err != nil {
 		nd.log.WithError(err).Warn("attempts cut off")
 	}
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -36,8 +36,7 @@
 	GaveUp Kind = "gave-up"
 	// Resent sends a request to another VM.
 	Resent Kind = "resent"
-	// Served is a request that was answered by an upstream; one in
-	// sampleShare is written.
+	// Served is a request that an upstream answered. Only a sample is added.
 	Served Kind = "served"
 	// Failed is an answer of an upstream that cannot be passed on.
 	Failed Kind = "failed"
