--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -115,6 +115,9 @@
 		ev.Class, ev.Service, ev.VM = string(rq.kind.Class), string(rq.kind.Service), string(rq.vm)
 		ev.Importance, ev.Attempts = int(rq.importance), rq.attempts
 		ev.LeftMS = rq.deadline.Sub(now).Milliseconds()
+		if an.Reason == ReasonDeadline && now.Before(rq.deadline) {
+			ev.Reason = events.CallerLeft
+		}
 		if rq.parent != nil {
 			ev.Parent = rq.parent.Label
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -146,7 +146,9 @@
 		if !en.mayRetry(rq, rs) {
 			return en.exhausted(ctx, rq, rs)
 		}
-		en.recordResend(rq, rs, vm)
+		if ctx.Err() == nil {
+			en.recordResend(rq, rs, vm)
+		}
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -199,6 +199,9 @@
 	if an.Outcome == call.Unknown {
 		ev.Kind = events.Failed
 	}
+	if an.Reason == ReasonDeadline && now.Before(at.Deadline) {
+		ev.Reason = "guard-" + events.CallerLeft
+	}
 	gd.events.Add(now, ev)
 }
 
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -42,6 +42,10 @@
 	Failed Kind = "failed"
 )
 
+// CallerLeft is the reason of what ended because its sender gave up before the
+// deadline.
+const CallerLeft = "caller-left"
+
 // Event is one decision. Fields that do not apply are left out.
 type Event struct {
 	Kind Kind `json:"event"`
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -124,6 +124,20 @@
 	}
 	nw.heal()
 	nw.run(10 * time.Second)
+	nw.acceptOne(t)
+	for _, id := range nw.ids {
+		if got := nw.hosts[id].list; !slices.Equal(got, nw.applied) {
+			t.Fatalf("%s holds %v, accepted were %v", id, got, nw.applied)
+		}
+		if nw.learner(id) {
+			t.Fatalf("%s is still a learner", id)
+		}
+	}
+}
+
+// acceptOne checks that there is a leader and that it has a proposal accepted.
+func (nw *network) acceptOne(t fataler) {
+	t.Helper()
 	before := len(nw.applied)
 	id, ok := nw.leader()
 	if !ok {
@@ -134,12 +148,4 @@
 	if len(nw.applied) != before+1 {
 		t.Fatalf("proposal not accepted after the faults ended")
 	}
-	for _, id := range nw.ids {
-		if got := nw.hosts[id].list; !slices.Equal(got, nw.applied) {
-			t.Fatalf("%s holds %v, accepted were %v", id, got, nw.applied)
-		}
-		if nw.learner(id) {
-			t.Fatalf("%s is still a learner", id)
-		}
-	}
 }
--- a/quorum/replace_test.go
+++ b/quorum/replace_test.go
@@ -93,16 +93,7 @@
 		nw.heal()
 		nw.tellKnown()
 		nw.run(10 * time.Second)
-		before := len(nw.applied)
-		id, ok := nw.leader()
-		if !ok {
-			t.Fatal("no leader after the faults ended")
-		}
-		nw.propose(id)
-		nw.run(2 * time.Second)
-		if len(nw.applied) != before+1 {
-			t.Fatal("proposal not accepted after the faults ended")
-		}
+		nw.acceptOne(t)
 	})
 	if replaced == 0 {
 		t.Error("no voter was replaced")
