--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -28,7 +28,7 @@
 	halfLife = 500 * time.Millisecond
 	// blameWeight is the number of requests that count as failed for each one
 	// of a more important kind that fails.
-	blameWeight = 2
+	blameWeight = 1
 	// sharedFailures is the weight of failures from which a kind counts as
 	// failing; a single one may have another cause.
 	sharedFailures = 1.5
