Give processes of a test deployment ports that stay theirs

A deployment took the ports of its control replicas from those that the system also gives to outgoing connections, so that while a replica was stopped another connection could take its port. Restarted nodes had the same fault.

Ruled out: a replica that still listened (the port of a stopped one is closed before StopControl returns, and the address is asked for only then).

Before: TestFreeAddress fails on the old function (port 38003, outgoing ports begin at 32768). After: it passes, as do internal/deployment and internal/measure with -race, one run each.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -83,10 +82,7 @@
 	<-pr.done
 }
 
-const (
-	loopback    = "127.0.0.1:0"
-	maxContacts = 6
-)
+const maxContacts = 6
 
 // Start starts a deployment. It ends with ctx or Stop.
 func Start(ctx context.Context, opt Options) (*Deployment, error) {
@@ -188,17 +184,21 @@
 func (dp *Deployment) startPlace(i int, pl Place, contacts []string) error {
 	set := &schema.Settings{
 		Name: string(pl.VM), Deployment: string(dp.opt.Name), FailureDomain: string(pl.Domain),
-		CallerAddress: loopback, PeerAddress: loopback, LocalAddress: loopback,
 		FirstContacts: contacts, ControlReplicas: dp.replicas(),
 	}
+	for _, field := range []*string{&set.CallerAddress, &set.PeerAddress, &set.LocalAddress} {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		*field = address
+	}
 	dp.settings, dp.Nodes, dp.stops = append(dp.settings, set), append(dp.Nodes, nil), append(dp.stops, nil)
 	if err := dp.StartNode(i); err != nil {
 		return err
 	}
-	callers, peers, local := dp.Nodes[i].Addresses()
-	set.CallerAddress, set.PeerAddress, set.LocalAddress = callers, peers, local
 	uopt := pl.Upstream
-	uopt.VM, uopt.Node, uopt.Local = string(pl.VM), "http://"+callers, "http://"+local
+	uopt.VM, uopt.Node, uopt.Local = string(pl.VM), "http://"+set.GetCallerAddress(), "http://"+set.GetLocalAddress()
 	up, err := standin.NewUpstream(uopt)
 	if err != nil {
 		return err
@@ -276,13 +276,3 @@
 	dp.group.Wait()
 	dp.Client.HTTP.CloseIdleConnections()
 }
-
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Wrap(err, "deployment")
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
