Wait for slow guards instead of giving attempts up

When a guard did not answer a question about an idempotent attempt within 500 ms, the attempt was given up even if no retry was allowed or no other VM was there, and ended 502 answer-lost (traced: 786 of 972 questions timed out beside 8 busy processes; all lost requests were idempotent). 2. An acknowledgement was called late without regard to the lag of the process itself: its goroutines were scheduled 40 to 200 ms late. 3. The stand-ins' recorder copied its log under the lock on which all stand-ins wait, and up to six fleets with the race detector ran at once on the processors that four busy processes left (about 3 of 6 by a count of what busy loops get; a trace showed 4,097 s of scheduling latency in 12 s). Upstreams that took 20 ms alone then took 0.4 to 1.2 s, and their guards refused work for load, as they must.

Ruled out: connections that went silent; withdrawn attempts (they are sent elsewhere without charge); too few slots.

Now a doubtful attempt is given up only for another one that is charged; the wait for acknowledgements grows with the lag; the recorder shares what it holds; a third of the processors' number of fleets runs at a time. No check and no bound of a test is changed. The decay that stood twice is one package.

New tests fail with the mechanism off: TestSlowGuardIsWaitedFor, TestSuspicion/lag.

--- a/internal/deployment/fleet_test.go
+++ b/internal/deployment/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -47,10 +48,17 @@
 	revision uint64
 }
 
+// slots bounds the fleets that run at a time. With the race detector one takes
+// about a core, and one that gets too little refuses work for load, which is no
+// fault of it.
+var slots = make(chan struct{}, max(1, runtime.NumCPU()/3))
+
 // startFleet starts a deployment with a VM for each of the upstreams and waits
 // until each node serves.
 func startFleet(t *testing.T, controls int, deadline time.Duration, ups ...standin.UpstreamOptions) *fleet {
 	t.Helper()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
 	fl := &fleet{t: t, recorder: standin.NewRecorder(), client: standin.NewClient()}
 	opt := Options{Name: "lombardy", Folder: t.TempDir(), Controls: controls, Seed: seed}
 	for i, up := range ups {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -60,6 +60,8 @@
 	last      peer.Result
 	restamped bool
 	overload  bool
+	// granted says that the next attempt is charged already.
+	granted bool
 }
 
 // newRequest describes a request from a caller, or from the upstream beside
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -201,7 +201,7 @@
 	if vm == en.opt.VM {
 		rs = en.sendLocal(ctx, at)
 	} else {
-		rs = en.opt.Pool.Send(ctx, vm, address, at, 0)
+		rs = en.opt.Pool.Send(ctx, vm, address, at, func() bool { return en.mayAbandon(rq) })
 	}
 	en.settle(rq, vm, at, rs, time.Since(begun), ctx.Err() != nil)
 	return rs
@@ -236,6 +236,7 @@
 		en.opt.Trees.Step(now, retry.Lost{Account: rq.account, Attempt: at.ID})
 	}
 	if rs.Answer == nil {
+		rq.overload = false
 		en.Route(route.Failed{
 			Service: rq.kind.Service, VM: vm, Importance: rq.importance, Latency: took,
 			Cancelled: ended || rs.State.NotRun() && rs.Sent,
@@ -274,9 +275,26 @@
 	if rq.attempts > maxReroutes && rs.State.NotRun() {
 		return false
 	}
-	if !offered(rs) {
+	if granted := rq.granted; granted || !offered(rs) {
+		rq.granted = false
 		return true
 	}
+	return en.chargeRetry(rq)
+}
+
+// mayAbandon reports whether an attempt whose answer does not come may be given
+// up for another one, which is charged. Without one, giving it up helps nobody.
+func (en *Entry) mayAbandon(rq *request) bool {
+	if en.opt.HopRetries == 0 {
+		rq.granted = en.chargeRetry(rq)
+		return rq.granted
+	}
+	return true
+}
+
+// chargeRetry charges a retry to the service and to the request's account, and
+// reports whether both allow it.
+func (en *Entry) chargeRetry(rq *request) bool {
 	now := time.Now()
 	en.mu.Lock()
 	rt := en.ratios[rq.kind.Service]
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -69,6 +69,9 @@
 	stamp      withdrawal.Stamp
 	idempotent bool
 	found      chan Result
+	// doubtful takes word that the guard does not say what became of an
+	// attempt that may be repeated.
+	doubtful chan struct{}
 }
 
 // Options describe a pool.
@@ -143,28 +146,40 @@
 func (pl *Pool) Dropped() uint64 { return pl.dropped.Load() }
 
 // Send sends the attempt to the guard of a VM and waits for its answer, for
-// news of its state from the guard, or for the end of ctx. Expected is the
-// usual time until the answer, or zero.
-func (pl *Pool) Send(ctx context.Context, vm call.VM, address string, at *attempt.Attempt, expected time.Duration) Result {
+// news of its state from the guard, or for the end of ctx. While the guard does
+// not say what became of an idempotent attempt, resend is asked whether another
+// one may be sent in its place, and if so the result is unknown. Otherwise the
+// answer is waited for: the guard may only be slow.
+func (pl *Pool) Send(ctx context.Context, vm call.VM, address string, at *attempt.Attempt, resend func() bool) Result {
 	sp, err := pl.freshStamp(ctx, vm, address)
 	if err != nil {
 		return Result{State: withdrawal.Dequeued}
 	}
 	at.Stamp = sp
 	cn := pl.current(vm, address)
-	pe := &pending{address: address, stamp: sp, idempotent: at.Idempotent, found: make(chan Result, 2)}
+	pe := &pending{
+		address: address, stamp: sp, idempotent: at.Idempotent,
+		found: make(chan Result, 2), doubtful: make(chan struct{}, 1),
+	}
 	pl.add(at.ID, pe)
 	defer pl.remove(at.ID)
-	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, Expected: expected, Deadline: at.Deadline})
+	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, At: time.Now(), Deadline: at.Deadline})
 	defer pl.signal(withdrawal.Settled{Attempt: at.ID})
 	exchange, stop := context.WithCancel(ctx)
 	defer stop()
 	go pl.exchange(exchange, cn, at, pe)
-	select {
-	case rs := <-pe.found:
-		return rs
-	case <-ctx.Done():
-		return Result{State: withdrawal.Unknown, Sent: true}
+	unknown := Result{State: withdrawal.Unknown, Sent: true}
+	for {
+		select {
+		case rs := <-pe.found:
+			return rs
+		case <-pe.doubtful:
+			if resend() {
+				return unknown
+			}
+		case <-ctx.Done():
+			return unknown
+		}
 	}
 }
 
@@ -194,6 +209,17 @@
 	}
 }
 
+// doubt says that the guard does not tell the state of the attempt.
+func (pe *pending) doubt() {
+	if !pe.idempotent {
+		return
+	}
+	select {
+	case pe.doubtful <- struct{}{}:
+	default:
+	}
+}
+
 // exchange sends the attempt on a connection and delivers the answer.
 func (pl *Pool) exchange(ctx context.Context, cn *conn, at *attempt.Attempt, pe *pending) {
 	tr := &trace{pool: pl, vm: cn.vm, id: at.ID}
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -40,10 +40,15 @@
 // withdrawer serves the calls about attempts.
 type withdrawer struct {
 	schemaconnect.UnimplementedPeerHandler
-	gd *guard.Guard
+	gd     *guard.Guard
+	silent *atomic.Bool
 }
 
-func (wd *withdrawer) Withdraw(_ context.Context, rq *connect.Request[schema.WithdrawRequest]) (*connect.Response[schema.WithdrawResponse], error) {
+func (wd *withdrawer) Withdraw(ctx context.Context, rq *connect.Request[schema.WithdrawRequest]) (*connect.Response[schema.WithdrawResponse], error) {
+	if wd.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	rs, err := wd.gd.AnswerWithdraw(rq.Msg)
 	return connect.NewResponse(rs), err
 }
@@ -55,6 +60,11 @@
 	address string
 	runs    atomic.Int64
 	hold    chan struct{}
+	// silent keeps the guard from answering questions about attempts.
+	silent atomic.Bool
+	// resends counts the questions whether an attempt may be given up.
+	resends   atomic.Int64
+	mayResend bool
 }
 
 func newBench(t *testing.T) *bench {
@@ -83,7 +93,7 @@
 	h2c.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
 	mux.Handle(attempt.PathPrefix+"/", gd)
-	mux.Handle(schemaconnect.NewPeerHandler(&withdrawer{gd: gd}))
+	mux.Handle(schemaconnect.NewPeerHandler(&withdrawer{gd: gd, silent: &bn.silent}))
 	guardListener := listen(t)
 	guardServer := &http.Server{Handler: mux, Protocols: &h2c}
 	go func() { _ = guardServer.Serve(guardListener) }()
@@ -101,7 +111,10 @@
 	return bn.pool.Send(ctx, "vm", bn.address, &attempt.Attempt{
 		ID: newID(), Request: call.RequestID{1}, Service: "cassa", Importance: 4,
 		Deadline: time.Now().Add(20 * time.Second), MaxAnswer: 100, Idempotent: idempotent, Method: http.MethodPost, URI: uri,
-	}, 0)
+	}, func() bool {
+		bn.resends.Add(1)
+		return bn.mayResend
+	})
 }
 
 func TestSendBringsTheAnswer(t *testing.T) {
@@ -156,6 +169,26 @@
 	}
 }
 
+// While a guard is too slow to say what became of an attempt, the attempt is
+// given up only for another one.
+func TestSlowGuardIsWaitedFor(t *testing.T) {
+	for _, mayResend := range []bool{true, false} {
+		bn := newBench(t)
+		bn.mayResend = mayResend
+		bn.send(t.Context(), "/cassa/charges", true)
+		bn.silent.Store(true)
+		done := make(chan Result, 1)
+		go func() { done <- bn.send(t.Context(), "/cassa/held", true) }()
+		for bn.resends.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(bn.hold)
+		if rs := <-done; mayResend != (rs.Answer == nil) || mayResend != (rs.State == withdrawal.Unknown) {
+			t.Errorf("resend %v: result %+v", mayResend, rs)
+		}
+	}
+}
+
 func TestUnreachableGuardIsNotRun(t *testing.T) {
 	bn := newBench(t)
 	ln := listen(t)
--- a/internal/peer/query.go
+++ b/internal/peer/query.go
@@ -100,9 +100,7 @@
 		AttemptId: qu.Attempt[:], Stamp: pe.stamp.String(), Inspect: !qu.Withdraw,
 	})
 	if err != nil {
-		if pe.idempotent {
-			pe.deliver(Result{State: withdrawal.Unknown, Sent: true})
-		}
+		pe.doubt()
 		return
 	}
 	switch st := withdrawal.State(rs.GetState()); st {
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -102,13 +103,10 @@
 	Roots []Root
 }
 
-// Log returns a copy of what was collected so far.
+// Log returns what was collected so far. It must not be changed: nothing is
+// copied, so that those who record do not wait for a reader.
 func (rc *Recorder) Log() Log {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	return Log{
-		Runs:  append([]Run(nil), rc.runs...),
-		Sends: append([]Send(nil), rc.sends...),
-		Roots: append([]Root(nil), rc.roots...),
-	}
+	return Log{Runs: slices.Clip(rc.runs), Sends: slices.Clip(rc.sends), Roots: slices.Clip(rc.roots)}
 }
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -12,10 +12,10 @@
 
 import (
 	"maps"
-	"math"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/traffic/decay"
 )
 
 const (
@@ -114,7 +114,7 @@
 type kind struct {
 	importance        call.Importance
 	requests, accepts float64
-	last              time.Time
+	clock             decay.Clock
 }
 
 // refusing returns the share of requests that is refused.
@@ -126,12 +126,7 @@
 func (kd *kind) fails() bool { return kd.requests-kd.accepts > sharedFailures }
 
 func (kd *kind) decay(now time.Time) {
-	passed := now.Sub(kd.last)
-	if passed <= 0 {
-		return
-	}
-	kd.last = now
-	keep := math.Exp2(-float64(passed) / float64(halfLife))
+	keep := kd.clock.Keep(now, halfLife)
 	kd.requests *= keep
 	kd.accepts *= keep
 }
--- a/retry/ratio.go
+++ b/retry/ratio.go
@@ -1,8 +1,9 @@
 package retry
 
 import (
-	"math"
 	"time"
+
+	"camphortrail/internal/traffic/decay"
 )
 
 // Percent is a ratio in hundredths.
@@ -25,7 +26,7 @@
 	floor     float64
 	successes float64
 	retries   float64
-	last      time.Time
+	clock     decay.Clock
 }
 
 // NewRatio returns a ratio of per retries to 100 successes.
@@ -58,12 +59,7 @@
 }
 
 func (rt *Ratio) decay(now time.Time) {
-	passed := now.Sub(rt.last)
-	if passed <= 0 {
-		return
-	}
-	rt.last = now
-	keep := math.Exp2(-float64(passed) / float64(ratioHalfLife))
+	keep := rt.clock.Keep(now, ratioHalfLife)
 	rt.successes *= keep
 	rt.retries *= keep
 }
--- a/withdrawal/suspicion.go
+++ b/withdrawal/suspicion.go
@@ -17,6 +17,8 @@
 	Conn    ConnID
 	Attempt call.AttemptID
 	VM      call.VM
+	// At is when it was sent. Zero stands for the time of the step.
+	At time.Time
 	// Expected is the usual time until the answer. Zero stands for the mean
 	// of the latest answers of the VM.
 	Expected time.Duration
--- a/withdrawal/suspicion_test.go
+++ b/withdrawal/suspicion_test.go
@@ -48,7 +48,7 @@
 
 // TestSuspicion runs the scripts; each line is a signal, "after" with timely
 // wake-ups, or "stall" with a single late one. "sent" expects an answer in
-// 200 ms, "slow" has no expectation.
+// 200 ms, "slow" has no expectation, and "lagged" is noted late.
 func TestSuspicion(t *testing.T) {
 	datadriven.Walk(t, "testdata/suspicion", func(t *testing.T, path string) {
 		var out strings.Builder
@@ -97,6 +97,14 @@
 		bn.step(withdrawal.Gone{Conn: conn})
 	case "after":
 		bn.pass(d)
+	case "lagged":
+		_, _ = fmt.Sscan(args[2], &conn)
+		sent := bn.now
+		bn.now = bn.now.Add(d)
+		bn.step(withdrawal.Sent{
+			Conn: conn, Attempt: attempt(args[3]), VM: "v", At: sent, Deadline: bn.now.Add(5 * time.Second),
+			Expected: 200 * time.Millisecond,
+		})
 	case "stall":
 		bn.now = bn.now.Add(d)
 		bn.step(withdrawal.Passed{})
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -6,6 +6,7 @@
 
 	"camphortrail/call"
 	"camphortrail/internal/expiry"
+	"camphortrail/internal/traffic/decay"
 )
 
 // Bounds of the waiting times.
@@ -29,6 +30,13 @@
 	lateTolerance = 25 * time.Millisecond
 	// maxStall bounds the time by which stalls put off a suspicion.
 	maxStall = 500 * time.Millisecond
+	// lagHalfLife is the time in which an observed lag of the process halves:
+	// what delays it, such as other processes, comes and goes in seconds.
+	lagHalfLife = time.Second
+	// lagSteps is the number of goroutines that an attempt and its
+	// acknowledgement pass through here, each of which may lag as much as the
+	// one that takes note of the attempt.
+	lagSteps = 4
 )
 
 // Suspicion finds connections that went silent, and attempts whose answers
@@ -42,6 +50,10 @@
 	wakes    expiry.Queue[*pending]
 	// grace is the time before which nothing is suspected.
 	grace time.Time
+	// lag is the recent delay between the sending of attempts and the steps
+	// that take note of it.
+	lag      time.Duration
+	lagClock decay.Clock
 	acts  []Action
 }
 
@@ -122,19 +134,35 @@
 	if su.attempts[sg.Attempt] != nil || len(su.attempts) >= su.lim.Attempts {
 		return
 	}
+	if sg.At.IsZero() {
+		sg.At = now
+	}
+	su.observeLag(now, now.Sub(sg.At))
 	cn := su.connect(now, sg.Conn, sg.VM)
 	pe := &pending{
 		id:       sg.Attempt,
 		conn:     cn,
 		trip:     cn.trip,
-		sent:     now,
+		sent:     sg.At,
 		expected: sg.Expected,
 		deadline: sg.Deadline,
 	}
 	pe.item.Value = pe
 	su.attempts[pe.id] = pe
 	cn.holds = append(cn.holds, pe)
-	su.wake(pe, now.Add(cn.trip.wait()))
+	su.wake(pe, now.Add(su.ackWait(now, cn)))
+}
+
+// observeLag takes in the delay with which the process took note of an attempt.
+func (su *Suspicion) observeLag(now time.Time, late time.Duration) {
+	su.lag = max(late, time.Duration(float64(su.lag)*su.lagClock.Keep(now, lagHalfLife)))
+}
+
+// ackWait returns the time within which an acknowledgement is expected on the
+// connection. It grows while the process lags.
+func (su *Suspicion) ackWait(now time.Time, cn *conn) time.Duration {
+	su.observeLag(now, 0)
+	return cn.trip.wait() + min(lagSteps*su.lag, maxStall)
 }
 
 // connect returns the connection, and adds it if it is new.
@@ -258,9 +286,9 @@
 		su.drop(pe)
 	case pe.acked || cn == nil || cn.suspect:
 		su.query(now, pe)
-	case now.Sub(cn.heard) < cn.trip.wait():
+	case now.Sub(cn.heard) < su.ackWait(now, cn):
 		// The connection works; the guard may be slow.
-		su.wake(pe, cn.heard.Add(cn.trip.wait()))
+		su.wake(pe, cn.heard.Add(su.ackWait(now, cn)))
 	default:
 		su.suspect(now, cn)
 	}
