Give calls to the attempts that make them by connection and age

Now: a call goes on with the attempt of its connection, or that of another connection that was answered a moment ago; or to the attempt that expires with it; or to the one whose kind usually makes its first call at that age. What is usual is learned when an attempt ends, from the chain of calls that ended with it, so that wrong guesses don't feed on themselves.

Tried and dropped: the most important attempt that waits for no call (calls of reads went to issues that still worked, and those of issues to none).

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -41,6 +41,8 @@
 	Stamp withdrawal.Stamp
 	// Label is the id by which the sender of the request knows it, for logs.
 	Label string
+	// Class is the kind of the request.
+	Class call.Class
 
 	Method string
 	Host   string
--- a/internal/attempt/frame.go
+++ b/internal/attempt/frame.go
@@ -27,7 +27,7 @@
 		Importance: uint32(at.Importance), Depth: uint32(at.Depth),
 		DeadlineUs: uint64(max(0, at.Deadline.Add(-hopCost).Sub(now).Microseconds())),
 		Allowance:  uint32(max(0, at.Allowance)), Idempotent: at.Idempotent, MaxAnswerBytes: at.MaxAnswer,
-		Stamp: at.Stamp.String(), Label: at.Label, Method: at.Method, Host: at.Host, Uri: at.URI,
+		Stamp: at.Stamp.String(), Label: at.Label, Class: string(at.Class), Method: at.Method, Host: at.Host, Uri: at.URI,
 		Header: fields(at.Header), Body: at.Body,
 	}}}
 }
@@ -39,7 +39,7 @@
 		Service: call.Service(msg.GetService()), Importance: call.Importance(msg.GetImportance()), Depth: call.Depth(msg.GetDepth()),
 		Deadline:  now.Add(time.Duration(msg.GetDeadlineUs()) * time.Microsecond),
 		Allowance: int(msg.GetAllowance()), Idempotent: msg.GetIdempotent(), MaxAnswer: msg.GetMaxAnswerBytes(),
-		Label: msg.GetLabel(), Method: msg.GetMethod(), Host: msg.GetHost(), URI: msg.GetUri(),
+		Label: msg.GetLabel(), Class: call.Class(msg.GetClass()), Method: msg.GetMethod(), Host: msg.GetHost(), URI: msg.GetUri(),
 		Header: headerOf(msg.GetHeader()), Body: msg.GetBody(),
 	}
 	switch {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -33,6 +33,8 @@
 	// if it has a parent; the zero id if not.
 	send  call.RequestID
 	label string
+	// connection is the one on which the request came, if that matters.
+	connection string
 	// inner says that the request is a call of an upstream, be its parent
 	// known or not.
 	inner bool
@@ -178,6 +180,7 @@
 		ID: id, Request: rq.id, Service: rq.kind.Service, Importance: rq.importance, Depth: rq.depth,
 		Deadline: rq.deadline, Idempotent: rq.kind.Idempotent, MaxAnswer: rq.kind.MaxAnswer,
 		Method: rq.method, Host: rq.host, URI: rq.uri, Header: rq.header, Body: rq.body, Label: rq.label,
+		Class: rq.kind.Class,
 	}
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -9,6 +9,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/attempt"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/tree"
 	"camphortrail/retry"
 )
 
@@ -22,6 +23,8 @@
 	Host   string
 	// URI is the path and query as they were sent.
 	URI string
+	// Connection identifies the connection on which the request came.
+	Connection string
 	// Header holds what is passed on to the upstream.
 	Header http.Header
 	Body   []byte
@@ -78,7 +81,9 @@
 		}
 		return rq, nil
 	}
-	if in, ok := en.opt.Trees.Adopt(kind.Deadline, rd.Deadline); ok {
+	rq.connection = rd.Connection
+	og := tree.Outgoing{Class: kind.Class, Connection: rd.Connection, Deadline: rd.Deadline}
+	if in, ok := en.opt.Trees.Adopt(now, og); ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
 	return rq, nil
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -283,7 +283,7 @@
 
 // execute runs an admitted attempt, and gives its slot back.
 func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
-	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label}
+	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class}
 	now := time.Now()
 	in.Started, in.Told = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
@@ -300,7 +300,7 @@
 	begun := time.Now()
 	an := gd.forward(ctx, at)
 	ended := time.Now()
-	gd.trees.Exit(at.ID)
+	gd.trees.Exit(ended, at.ID)
 	unused := gd.trees.Step(ended, retry.Close{Account: retry.OfAttempt(at.ID)})
 	waited, overload := in.Downstream(ended)
 	an.Unused = int(unused.Allowance)
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -44,6 +44,7 @@
 type conn struct {
 	sv     *Server
 	nc     net.Conn
+	remote string
 	source *meter
 	br     *bufio.Reader
 	ctx    context.Context
@@ -63,7 +64,7 @@
 }
 
 func newConn(sv *Server, nc net.Conn) *conn {
-	cn := &conn{sv: sv, nc: nc, source: &meter{r: nc}}
+	cn := &conn{sv: sv, nc: nc, remote: nc.RemoteAddr().String(), source: &meter{r: nc}}
 	cn.br = bufio.NewReader(cn.source)
 	cn.ctx, cn.cancel = context.WithCancel(context.Background())
 	cn.room = sync.NewCond(&cn.mu)
@@ -142,6 +143,7 @@
 	if headerBytes(r) > lim.MaxHeaderBytes {
 		return cn.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge)
 	}
+	r.RemoteAddr = cn.remote
 	_ = cn.nc.SetReadDeadline(time.Now().Add(lim.IdleTimeout))
 	cn.source.left = 1<<63 - 1
 	body, err := cn.readBody(r, lim.MaxBodyBytes)
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -4,7 +4,6 @@
 package tree
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -18,11 +17,16 @@
 	ledger  *retry.Ledger
 	inbound map[call.AttemptID]*Inbound
 	origins map[call.Class]*origin
+	callers map[call.Class]*caller
+	chains  map[string]*chain
 }
 
 // New returns Trees without any.
 func New(lim retry.Limits) *Trees {
-	return &Trees{ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound), origins: make(map[call.Class]*origin)}
+	return &Trees{
+		ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound),
+		origins: make(map[call.Class]*origin), callers: make(map[call.Class]*caller), chains: make(map[string]*chain),
+	}
 }
 
 // Step applies an event to the retry ledger.
@@ -40,9 +44,12 @@
 }
 
 // Exit removes an attempt that has ended.
-func (tr *Trees) Exit(id call.AttemptID) {
+func (tr *Trees) Exit(now time.Time, id call.AttemptID) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	if in := tr.inbound[id]; in != nil && in.Class != "" {
+		tr.learn(now, in)
+	}
 	delete(tr.inbound, id)
 }
 
@@ -54,97 +61,6 @@
 	return in, ok
 }
 
-const (
-	// adoptEarly and adoptLate are how much a call's deadline may differ from
-	// the one that its parent was told: both are rounded to milliseconds, and
-	// it is read from the time at which the call is read.
-	adoptEarly = 3 * time.Millisecond
-	adoptLate  = 6 * time.Millisecond
-	// originSamples is the number of requests of a kind after which older ones
-	// count half, and minOriginSamples that before which nothing is concluded.
-	originSamples    = 128
-	minOriginSamples = 16
-	// callerShare is the part of the requests of a kind, 1 in so many, that
-	// must outlast all running attempts if callers send them. The calls of an
-	// attempt that was just given up do so too, but are few.
-	callerShare = 8
-)
-
-// origin counts the requests of a kind, and those that no running attempt can
-// have made as they outlast it.
-type origin struct{ seen, outlasting int }
-
-// IsCall reports whether requests of the kind are calls that upstreams make. A
-// call does not outlast its parent, while a request that a caller sends now
-// outlasts those sent before. Requests of a kind that is not known yet count as
-// calls.
-func (tr *Trees) IsCall(kind call.Class, deadline time.Time) bool {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	or := tr.origins[kind]
-	if or == nil {
-		or = new(origin)
-		tr.origins[kind] = or
-	}
-	if or.seen >= originSamples {
-		or.seen, or.outlasting = or.seen/2, or.outlasting/2
-	}
-	or.seen++
-	if !tr.covers(deadline) {
-		or.outlasting++
-	}
-	return or.seen < minOriginSamples || or.outlasting*callerShare < or.seen
-}
-
-// covers reports whether a running attempt lasts until the deadline. The lock is
-// held.
-func (tr *Trees) covers(deadline time.Time) bool {
-	for _, in := range tr.inbound {
-		if deadline.Sub(in.Told) <= adoptLate {
-			return true
-		}
-	}
-	return false
-}
-
-// Keep forgets the kinds that are not to be kept.
-func (tr *Trees) Keep(keep func(call.Class) bool) {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	maps.DeleteFunc(tr.origins, func(kind call.Class, _ *origin) bool { return !keep(kind) })
-}
-
-// Adopt returns the running attempt whose upstream makes a call, for upstreams
-// that do not name the parents of their calls. A call expires with its parent,
-// or earlier when the longest time for its kind is over since the parent began.
-// So the attempt is the one whose calls expire nearest to the deadline, if one
-// does near enough.
-func (tr *Trees) Adopt(longest time.Duration, deadline time.Time) (*Inbound, bool) {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	var nearest *Inbound
-	var apart time.Duration
-	for _, in := range tr.inbound {
-		late := deadline.Sub(in.expiry(longest))
-		if late < -adoptEarly || late > adoptLate {
-			continue
-		}
-		if nearest == nil || late.Abs() < apart {
-			nearest, apart = in, late.Abs()
-		}
-	}
-	return nearest, nearest != nil
-}
-
-// expiry returns when the calls of the attempt expire that may take the given
-// time at the longest.
-func (in *Inbound) expiry(longest time.Duration) time.Time {
-	if own := in.Started.Add(longest); own.Before(in.Told) {
-		return own
-	}
-	return in.Told
-}
-
 // Inbound is an attempt that runs on the upstream beside the node.
 type Inbound struct {
 	ID         call.AttemptID
@@ -152,11 +68,16 @@
 	Importance call.Importance
 	Depth      call.Depth
 	Deadline   time.Time
+	// Class is the kind of the request, if known.
+	Class call.Class
 	// Label is the id by which the sender of the request knows it.
 	Label string
 	// Started is when the upstream was sent the attempt, and Told the deadline
 	// that it was told, by its rounding.
 	Started, Told time.Time
+	// called says that a call of the attempt was recognised. The lock of
+	// Trees guards it.
+	called bool
 
 	mu       sync.Mutex
 	calls    int
