Explain a request from logs

Cause: whoever looked for the reason of a failed request had to search the logs of several VMs by hand and to follow the calls below it.

--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -75,8 +75,8 @@
 	Level   int `json:"level,omitempty"`
 }
 
-// line is an event as it is written.
-type line struct {
+// Line is an event as it is written.
+type Line struct {
 	Time string `json:"timestamp"`
 	Node string `json:"vm"`
 	Event
@@ -105,7 +105,7 @@
 // use.
 type Log struct {
 	node    string
-	lines   *ring.Ring[line]
+	lines   *ring.Ring[Line]
 	dropped atomic.Uint64
 
 	mu    sync.Mutex
@@ -114,7 +114,7 @@
 
 // New returns a log of a process.
 func New(node string) *Log {
-	return &Log{node: node, lines: ring.New[line](ringSize), folds: make(map[key]*fold)}
+	return &Log{node: node, lines: ring.New[Line](ringSize), folds: make(map[key]*fold)}
 }
 
 // Add takes an event.
@@ -153,17 +153,17 @@
 
 func (lg *Log) offer(now time.Time, ev Event, before fold) {
 	if before.folded > 0 {
-		lg.put(line{
+		lg.put(Line{
 			Time: stamp(before.last), Node: lg.node, Event: before.sample, Folded: before.folded,
 			SpanMS: before.last.Sub(before.from).Milliseconds(),
 		})
 	}
-	lg.put(line{Time: stamp(now), Node: lg.node, Event: ev})
+	lg.put(Line{Time: stamp(now), Node: lg.node, Event: ev})
 }
 
 func stamp(now time.Time) string { return now.UTC().Format("2006-01-02T15:04:05.000Z") }
 
-func (lg *Log) put(ln line) {
+func (lg *Log) put(ln Line) {
 	ln.Dropped = lg.dropped.Load()
 	if !lg.lines.Offer(ln) {
 		lg.dropped.Add(1)
@@ -206,7 +206,7 @@
 	}
 	lg.mu.Unlock()
 	for _, fo := range over {
-		lg.put(line{
+		lg.put(Line{
 			Time: stamp(fo.last), Node: lg.node, Event: fo.sample, Folded: fo.folded,
 			SpanMS: fo.last.Sub(fo.from).Milliseconds(),
 		})
--- a/internal/ops/events/events_test.go
+++ b/internal/ops/events/events_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func written(t *testing.T, lg *Log) []line {
+func written(t *testing.T, lg *Log) []Line {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
@@ -17,9 +17,9 @@
 	if err := lg.Run(ctx, &out); err != nil {
 		t.Fatal(err)
 	}
-	var lines []line
+	var lines []Line
 	for text := range strings.Lines(out.String()) {
-		var ln line
+		var ln Line
 		if err := json.Unmarshal([]byte(text), &ln); err != nil {
 			t.Fatalf("%q: %v", text, err)
 		}
--- /dev/null
+++ b/internal/ops/story/story.go
@@ -0,0 +1,195 @@
+// Package story puts the log lines of a request, and of the calls made for it,
+// in causal order.
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/internal/ops/events"
+)
+
+// ErrUnknown is returned for a request of which no line was read.
+var ErrUnknown = errors.New("story: no line names the request")
+
+// maxLine bounds a line of a log, in bytes. Longer ones are no decisions.
+const maxLine = 1 << 20
+
+// Story holds the decisions that were read. The zero value holds none.
+type Story struct {
+	lines  map[string][]events.Line
+	calls  map[string][]string
+	folds  []events.Line
+	parent map[string]string
+	// skipped counts the lines that are no decisions.
+	skipped int
+}
+
+// Read takes in the lines of a log. Text before the first brace of a line is
+// passed over, and so are lines that are no decisions.
+func (st *Story) Read(r io.Reader) error {
+	if st.lines == nil {
+		st.lines, st.calls, st.parent = make(map[string][]events.Line), make(map[string][]string), make(map[string]string)
+	}
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		var ln events.Line
+		begin := bytes.IndexByte(sc.Bytes(), '{')
+		if begin < 0 || json.Unmarshal(sc.Bytes()[begin:], &ln) != nil || ln.Kind == "" {
+			st.skipped++
+			continue
+		}
+		st.add(ln)
+	}
+	return errors.Wrap(sc.Err(), "story")
+}
+
+// Skipped returns the number of lines that were no decisions.
+func (st *Story) Skipped() int { return st.skipped }
+
+func (st *Story) add(ln events.Line) {
+	if ln.Folded > 0 {
+		st.folds = append(st.folds, ln)
+		return
+	}
+	st.lines[ln.Request] = append(st.lines[ln.Request], ln)
+	if ln.Parent != "" && st.parent[ln.Request] == "" {
+		st.parent[ln.Request] = ln.Parent
+		st.calls[ln.Parent] = append(st.calls[ln.Parent], ln.Request)
+	}
+}
+
+// Explain prints what is known of a request and of the calls made for it.
+func (st *Story) Explain(w io.Writer, request string) error {
+	if len(st.lines[request]) == 0 && len(st.calls[request]) == 0 {
+		if len(st.folds) > 0 {
+			return errors.Wrapf(ErrUnknown, "%q (lines stand for %d further decisions that have none of their own)", request, st.folded())
+		}
+		return errors.Wrapf(ErrUnknown, "%q", request)
+	}
+	var out strings.Builder
+	if parent := st.parent[request]; parent != "" {
+		fmt.Fprintf(&out, "call of %s\n", parent)
+	}
+	st.tell(&out, request, 0, make(map[string]bool))
+	st.tellFolds(&out, request)
+	_, err := io.WriteString(w, out.String())
+	return err
+}
+
+func (st *Story) folded() int {
+	sum := 0
+	for _, ln := range st.folds {
+		sum += ln.Folded
+	}
+	return sum
+}
+
+// tell prints the lines of a request and, below, those of its calls.
+func (st *Story) tell(out *strings.Builder, request string, depth int, told map[string]bool) {
+	if told[request] {
+		return
+	}
+	told[request] = true
+	indent := strings.Repeat("  ", depth)
+	lines := st.lines[request]
+	slices.SortStableFunc(lines, func(a, b events.Line) int { return strings.Compare(a.Time, b.Time) })
+	fmt.Fprintf(out, "%srequest %s%s\n", indent, request, about(lines))
+	for _, ln := range lines {
+		fmt.Fprintf(out, "%s  %s %s: %s\n", indent, clock(ln.Time), ln.Node, sentence(ln))
+	}
+	for _, call := range st.calls[request] {
+		st.tell(out, call, depth+1, told)
+	}
+}
+
+// about returns the kind and the service of a request.
+func about(lines []events.Line) string {
+	for _, ln := range lines {
+		if ln.Class != "" {
+			return fmt.Sprintf(" of kind %s to %s", ln.Class, ln.Service)
+		}
+	}
+	return ""
+}
+
+// clock returns the time of day of a timestamp.
+func clock(stamp string) string {
+	_, text, ok := strings.Cut(strings.TrimSuffix(stamp, "Z"), "T")
+	if !ok {
+		return stamp
+	}
+	return text
+}
+
+// sentence says what was decided, and from what.
+func sentence(ln events.Line) string {
+	parts := []string{string(ln.Kind)}
+	add := func(format string, args ...any) { parts = append(parts, fmt.Sprintf(format, args...)) }
+	if ln.Reason != "" {
+		add("for %s", ln.Reason)
+	}
+	if ln.VM != "" {
+		add("by way of %s", ln.VM)
+	}
+	if ln.Status != 0 {
+		add("with status %d", ln.Status)
+	}
+	add("after %d ms, %d ms left", ln.TookMS, ln.LeftMS)
+	if ln.Attempts > 1 {
+		add("(%d attempts)", ln.Attempts)
+	}
+	if ln.RetryAfterMS > 0 {
+		add("(may come back after %d ms)", ln.RetryAfterMS)
+	}
+	if ln.Importance > 0 {
+		add("(importance %d)", ln.Importance)
+	}
+	if ln.Slots > 0 {
+		add("(%d of %d slots taken, %d waited, level %d)", ln.Running, ln.Slots, ln.Waiting, ln.Level)
+	}
+	return strings.Join(parts, " ")
+}
+
+// tellFolds prints the lines that stand for several decisions, of the VMs that
+// the request's lines name and of its time: it may have met one of them.
+func (st *Story) tellFolds(out *strings.Builder, request string) {
+	vms := make(map[string]bool)
+	var from, until time.Time
+	for _, ln := range st.lines[request] {
+		vms[ln.Node] = true
+		begun, ended := span(ln.Time, ln.TookMS)
+		if from.IsZero() || begun.Before(from) {
+			from = begun
+		}
+		if ended.After(until) {
+			until = ended
+		}
+	}
+	for _, ln := range st.folds {
+		begun, ended := span(ln.Time, ln.SpanMS)
+		if vms[ln.Node] && !ended.Before(from) && !begun.After(until) {
+			fmt.Fprintf(out, "until %s, for %d ms, %s also decided %d times without a line each: %s for %s\n",
+				clock(ln.Time), ln.SpanMS, ln.Node, ln.Folded, ln.Kind, ln.Reason)
+		}
+	}
+}
+
+// span returns the time that ends with a timestamp, which is zero if that cannot
+// be read.
+func span(stamp string, ms int64) (begun, ended time.Time) {
+	ended, err := time.Parse(time.RFC3339, stamp)
+	if err != nil {
+		return time.Time{}, time.Time{}
+	}
+	return ended.Add(-time.Duration(ms) * time.Millisecond), ended
+}
