Name the files that check does not read

Cause: `check examples/lombardy` passed over upstreams.json in silence, so that nonsense in it looked accepted. It belongs to the demonstration, not to the configuration.

Before: one line, 'accepted'. Ruled out: refusing such files, as folders hold notes and files of other tools.

--- a/cmd/camphortrail/operate.go
+++ b/cmd/camphortrail/operate.go
@@ -32,16 +32,18 @@
 	} `positional-args:"true" required:"true"`
 }
 
-// load reads the configuration of the folder.
-func (fa *folderArgument) load() (*schema.Configuration, error) {
-	folder := fa.Arguments.Folder
-	inner := filepath.Join(folder, configurationFolder)
+// folder returns the folder of the configuration.
+func (fa *folderArgument) folder() string {
+	inner := filepath.Join(fa.Arguments.Folder, configurationFolder)
 	if st, err := os.Stat(inner); err == nil && st.IsDir() {
-		folder = inner
+		return inner
 	}
-	return config.Load(folder)
+	return fa.Arguments.Folder
 }
 
+// load reads the configuration of the folder.
+func (fa *folderArgument) load() (*schema.Configuration, error) { return config.Load(fa.folder()) }
+
 // timeoutFlag bounds a command.
 type timeoutFlag struct {
 	Timeout time.Duration `long:"timeout" default:"10s" description:"time after which the command gives up"`
@@ -78,6 +80,13 @@
 	}
 	fmt.Printf("accepted: deployment %s, version %d, %d services, %d settings\n",
 		cfg.GetDeployment(), cfg.GetVersion(), len(cfg.GetServices()), len(paths))
+	unread, err := config.Unread(cm.Arguments.Folder, cm.folder(), paths)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	for _, path := range unread {
+		fmt.Println("not read:", path)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/config/unread.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	"io/fs"
+	"path/filepath"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Unread returns the files below a folder that are neither part of the
+// configuration in the folder configuration nor listed in read.
+func Unread(folder, configuration string, read []string) ([]string, error) {
+	files, err := filesOf(configuration)
+	if err != nil {
+		return nil, err
+	}
+	var unread []string
+	err = filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() && !slices.Contains(files, path) && !slices.Contains(read, path) {
+			unread = append(unread, path)
+		}
+		return err
+	})
+	return unread, errors.Wrap(err, "config: files that are not read")
+}
