Move the packages under internal/ into areas

Cause: twenty packages lay side by side under internal/, older ones flat and newer ones by area, so that the tree did not show what belongs together.

Ruled out: public packages, which are decisions for embedding and stay where they are.

--- a/claim/effects_test.go
+++ b/claim/effects_test.go
@@ -9,7 +9,7 @@
 
 	"camphortrail/call"
 	"camphortrail/claim"
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 
 	"pgregory.net/rapid"
 )
--- a/claim/entry.go
+++ b/claim/entry.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // phase is the stage of an entry.
--- a/claim/table.go
+++ b/claim/table.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // Limits bounds a Table. All replicas of a log must use the same.
--- a/cmd/camphortrail/measure.go
+++ b/cmd/camphortrail/measure.go
@@ -3,8 +3,8 @@
 import (
 	"os"
 
-	"camphortrail/internal/demo"
-	"camphortrail/internal/measure"
+	"camphortrail/internal/lab/demo"
+	"camphortrail/internal/lab/measure"
 )
 
 type demoCommand struct{}
--- a/cmd/camphortrail/operate.go
+++ b/cmd/camphortrail/operate.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/config"
-	"camphortrail/internal/operator"
-	"camphortrail/internal/peer"
+	"camphortrail/internal/ops/operator"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/schema"
 )
 
--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -9,8 +9,8 @@
 	jsonlog "github.com/apex/log/handlers/json"
 
 	"camphortrail/config"
-	"camphortrail/internal/control"
-	"camphortrail/internal/node"
+	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/state/control"
 	"camphortrail/platform"
 )
 
--- a/cmd/camphortrail/process.go
+++ b/cmd/camphortrail/process.go
@@ -2,8 +2,8 @@
 
 import (
 	"camphortrail/config"
-	"camphortrail/internal/control"
-	"camphortrail/internal/node"
+	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/state/control"
 
 	"github.com/apex/log"
 )
--- a/internal/node/claims.go
+++ b/internal/fleet/node/claims.go
@@ -4,8 +4,8 @@
 	"context"
 	"net/http"
 
-	"camphortrail/internal/claims"
-	"camphortrail/internal/entry"
+	"camphortrail/internal/state/claims"
+	"camphortrail/internal/traffic/entry"
 )
 
 // claimClient claims idempotency keys at the control replicas.
--- a/internal/node/handlers.go
+++ b/internal/fleet/node/handlers.go
@@ -10,7 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 
-	"camphortrail/internal/guard"
+	"camphortrail/internal/traffic/guard"
 	"camphortrail/internal/traffic/link"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
--- a/internal/node/sockets.go
+++ b/internal/fleet/node/sockets.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/http"
 
-	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/peer"
 )
 
 // Sockets lets a measurement stand between a node and the sockets that it uses
--- a/internal/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -18,8 +18,8 @@
 	"camphortrail/call"
 	"camphortrail/config"
 	"camphortrail/examples"
-	"camphortrail/internal/deployment"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/deployment"
+	"camphortrail/internal/lab/standin"
 	"camphortrail/schema"
 )
 
--- a/internal/deployment/acknowledge_test.go
+++ b/internal/lab/deployment/acknowledge_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
-	"camphortrail/internal/peer"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/peer"
 )
 
 // TestAttemptGivenUpAtOnce gives attempts up while the guard acknowledges them.
--- a/internal/deployment/away_test.go
+++ b/internal/lab/deployment/away_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/operator"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
+	"camphortrail/internal/ops/operator"
 )
 
 // TestCallerGoesAway gives requests up while they wait and while they run at
--- a/internal/deployment/control_stop_test.go
+++ b/internal/lab/deployment/control_stop_test.go
@@ -10,7 +10,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 )
--- a/internal/deployment/cut.go
+++ b/internal/lab/deployment/cut.go
@@ -6,7 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	"camphortrail/internal/node"
+	"camphortrail/internal/fleet/node"
 )
 
 // cut separates the VMs of one failure domain from all other processes. What
--- a/internal/deployment/cut_off_test.go
+++ b/internal/lab/deployment/cut_off_test.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/entry"
-	"camphortrail/internal/header"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
+	"camphortrail/internal/traffic/entry"
+	"camphortrail/internal/traffic/header"
 )
 
 // TestCutOff stops all control replicas. What needs no claim goes on, also at
--- a/internal/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -18,11 +18,11 @@
 
 	"camphortrail/call"
 	"camphortrail/config"
-	"camphortrail/internal/control"
-	"camphortrail/internal/node"
-	"camphortrail/internal/operator"
-	"camphortrail/internal/peer"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/lab/standin"
+	"camphortrail/internal/ops/operator"
+	"camphortrail/internal/state/control"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/schema"
 )
 
--- a/internal/deployment/drain_test.go
+++ b/internal/lab/deployment/drain_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 // drainTime is the time within which a draining upstream gets no more new work.
--- a/internal/deployment/fault_test.go
+++ b/internal/lab/deployment/fault_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 // chain returns two upstreams of each of three services that call one another.
--- a/internal/deployment/fleet_test.go
+++ b/internal/lab/deployment/fleet_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/header"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
+	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 )
 
--- a/internal/deployment/key_test.go
+++ b/internal/lab/deployment/key_test.go
@@ -10,8 +10,8 @@
 
 	"connectrpc.com/connect"
 
-	"camphortrail/internal/header"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
+	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 )
--- a/internal/deployment/long_stop_test.go
+++ b/internal/lab/deployment/long_stop_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 // TestStopWaitsForCalls stops a node whose upstream makes a call of its own only
--- a/internal/measure/arm.go
+++ b/internal/lab/measure/arm.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/node"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/lab/standin"
 )
 
 // arm is a policy under measurement.
--- a/internal/measure/change.go
+++ b/internal/lab/measure/change.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"camphortrail/internal/node"
-	"camphortrail/internal/operator"
+	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/ops/operator"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 )
--- a/internal/measure/count.go
+++ b/internal/lab/measure/count.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 const (
--- a/internal/measure/count_test.go
+++ b/internal/lab/measure/count_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/measure/fleet.go
+++ b/internal/lab/measure/fleet.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
-	"camphortrail/internal/deployment"
-	"camphortrail/internal/node"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/lab/deployment"
+	"camphortrail/internal/lab/standin"
 	"camphortrail/schema"
 )
 
--- a/internal/measure/latency.go
+++ b/internal/lab/measure/latency.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 // The scenario latency compares calls straight to an upstream with calls
--- a/internal/measure/partition.go
+++ b/internal/lab/measure/partition.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphortrail/call"
-	"camphortrail/internal/deployment"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/deployment"
+	"camphortrail/internal/lab/standin"
 	"camphortrail/schema"
 )
 
--- a/internal/measure/partition_test.go
+++ b/internal/lab/measure/partition_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 )
 
 func TestPartitionFigures(t *testing.T) {
--- a/internal/measure/scenario.go
+++ b/internal/lab/measure/scenario.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 	"camphortrail/schema"
 )
 
--- a/internal/measure/scenario_test.go
+++ b/internal/lab/measure/scenario_test.go
@@ -8,7 +8,7 @@
 
 	"camphortrail/call"
 	"camphortrail/config"
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 
 	"github.com/pkg/errors"
 )
--- a/internal/measure/spread_phases.go
+++ b/internal/lab/measure/spread_phases.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"camphortrail/internal/node"
+	"camphortrail/internal/fleet/node"
 )
 
 // use is what happened within a time.
--- a/internal/measure/traffic.go
+++ b/internal/lab/measure/traffic.go
@@ -4,7 +4,7 @@
 	"net"
 	"sync/atomic"
 
-	"camphortrail/internal/node"
+	"camphortrail/internal/fleet/node"
 )
 
 // traffic counts what nodes send for control, at their sockets: datagrams
--- a/internal/standin/fault.go
+++ b/internal/lab/standin/fault.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/header"
 )
 
 // Fault is a way in which an upstream fails.
--- a/internal/standin/send.go
+++ b/internal/lab/standin/send.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/header"
 )
 
 // runRoot sends a root until its whole answer arrives, patience or resends are
--- a/internal/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/header"
 )
 
 // start runs an upstream until the test ends.
--- a/internal/standin/work.go
+++ b/internal/lab/standin/work.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/header"
 )
 
 const maxBodyBytes = 16 << 20
--- a/internal/claims/client_test.go
+++ b/internal/state/claims/client_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"camphortrail/claim"
-	"camphortrail/internal/claims"
+	"camphortrail/internal/state/claims"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 
--- a/internal/control/claims_test.go
+++ b/internal/state/control/claims_test.go
@@ -14,7 +14,7 @@
 
 	"connectrpc.com/connect"
 
-	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 )
--- a/internal/control/control.go
+++ b/internal/state/control/control.go
@@ -19,7 +19,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/claim"
-	"camphortrail/internal/gossip"
+	"camphortrail/internal/fleet/gossip"
 	"camphortrail/quorum"
 	"camphortrail/ring"
 	"camphortrail/schema"
--- a/internal/control/fleet_test.go
+++ b/internal/state/control/fleet_test.go
@@ -13,7 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/quorum"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
--- a/internal/control/hints.go
+++ b/internal/state/control/hints.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
-	"camphortrail/internal/gossip"
+	"camphortrail/internal/fleet/gossip"
 	"camphortrail/membership"
 )
 
--- a/internal/control/sender.go
+++ b/internal/state/control/sender.go
@@ -9,7 +9,7 @@
 
 	"connectrpc.com/connect"
 
-	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/quorum"
 	"camphortrail/ring"
 	"camphortrail/schema"
--- a/internal/control/silent_test.go
+++ b/internal/state/control/silent_test.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"testing"
 
-	"camphortrail/internal/standin"
+	"camphortrail/internal/lab/standin"
 	"camphortrail/quorum"
 )
 
--- a/internal/control/state_test.go
+++ b/internal/state/control/state_test.go
@@ -9,7 +9,7 @@
 
 	"camphortrail/claim"
 	"camphortrail/config"
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 	"camphortrail/quorum"
 	"camphortrail/schema"
 )
--- a/internal/control/stop_test.go
+++ b/internal/state/control/stop_test.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/quorum"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
--- a/internal/expiry/expiry_test.go
+++ b/internal/state/expiry/expiry_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"camphortrail/internal/expiry"
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
+	"camphortrail/internal/state/expiry"
 
 	"pgregory.net/rapid"
 )
--- a/internal/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/header"
 	"camphortrail/withdrawal"
 )
 
--- a/internal/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphortrail/call"
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 	"camphortrail/withdrawal"
 )
--- a/internal/entry/keyed.go
+++ b/internal/traffic/entry/keyed.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
+	"camphortrail/internal/traffic/attempt"
 	"camphortrail/schema"
 )
 
--- a/internal/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -10,10 +10,10 @@
 
 	"camphortrail/call"
 	"camphortrail/config"
-	"camphortrail/internal/attempt"
-	"camphortrail/internal/header"
-	"camphortrail/internal/peer"
-	"camphortrail/internal/tree"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/header"
+	"camphortrail/internal/traffic/peer"
+	"camphortrail/internal/traffic/tree"
 	"camphortrail/retry"
 	"camphortrail/withdrawal"
 )
--- a/internal/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
 	"camphortrail/internal/ops/events"
-	"camphortrail/internal/tree"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/tree"
 	"camphortrail/retry"
 )
 
--- a/internal/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -9,10 +9,10 @@
 
 	"camphortrail/admission"
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
-	"camphortrail/internal/guard"
 	"camphortrail/internal/ops/events"
-	"camphortrail/internal/peer"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/guard"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/retry"
 	"camphortrail/route"
 	"camphortrail/withdrawal"
--- a/internal/guard/dialect.go
+++ b/internal/traffic/guard/dialect.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
-	"camphortrail/internal/header"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/header"
 )
 
 // Verdict says what the header of an upstream's answer proves.
--- a/internal/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
+	"camphortrail/internal/traffic/attempt"
 )
 
 const (
--- a/internal/guard/guard_test.go
+++ b/internal/traffic/guard/guard_test.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
-	"camphortrail/internal/header"
-	"camphortrail/internal/tree"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/header"
+	"camphortrail/internal/traffic/tree"
 	"camphortrail/membership"
 	"camphortrail/retry"
 	"camphortrail/withdrawal"
--- a/internal/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
+	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/link"
 	"camphortrail/ring"
 	"camphortrail/schema"
--- a/internal/peer/query.go
+++ b/internal/traffic/peer/query.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 
 	"camphortrail/call"
-	"camphortrail/internal/attempt"
+	"camphortrail/internal/traffic/attempt"
 	"camphortrail/schema"
 	"camphortrail/schema/schemaconnect"
 	"camphortrail/withdrawal"
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
--- a/membership/rapid_test.go
+++ b/membership/rapid_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"camphortrail/call"
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 	"camphortrail/membership"
 )
 
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 	"camphortrail/quorum"
 )
 
--- a/retry/account.go
+++ b/retry/account.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // account is what one root request or inbound attempt may still spend.
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // Limits bounds a Ledger.
--- a/retry/tree_test.go
+++ b/retry/tree_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 	"camphortrail/retry"
 
 	"pgregory.net/rapid"
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 
 	"pgregory.net/rapid"
 )
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"camphortrail/internal/fuzzing"
+	"camphortrail/internal/lab/fuzzing"
 	"camphortrail/quorum"
 )
 
--- a/withdrawal/record.go
+++ b/withdrawal/record.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // record is what a registry knows of one attempt.
--- a/withdrawal/registry.go
+++ b/withdrawal/registry.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // Registry holds the attempts of one guard. It is not safe for concurrent
--- a/withdrawal/round_trip.go
+++ b/withdrawal/round_trip.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 )
 
 // roundTrip is what was measured of one VM, over all connections to it.
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"camphortrail/call"
-	"camphortrail/internal/expiry"
+	"camphortrail/internal/state/expiry"
 	"camphortrail/internal/traffic/decay"
 )
 
