Tell short requests of callers from calls by what follows their answers

Cause: a request of a caller whose kind has less time than the attempts that run on its machine's upstream counted as a call: such attempts always outlast it. It was then not throttled, and, since calls are given to attempts by age, got the importance of an attempt that it has nothing to do with.

Now a kind counts as one of callers also if fewer than one in four of its answers are followed at once by the next call of an attempt, or its end. Requests that count as those of callers go on being watched, so that a kind is not misjudged for good.

TestIsCallOfShortRequests fails with the rule off (request 51).

--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -74,15 +74,16 @@
 	}
 	rq.history.Idempotent = kind.Idempotent
 	rq.send, rq.label = rd.ID, rd.Label
+	rq.connection = rd.Connection
+	og := tree.Outgoing{Class: kind.Class, Connection: rd.Connection, Deadline: rd.Deadline}
 	rq.inner = en.opt.Trees.IsCall(kind.Class, rd.Deadline)
 	if !rq.inner {
+		en.opt.Trees.Follow(now, og)
 		if en.stopping.Load() {
 			return rq, attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
 		}
 		return rq, nil
 	}
-	rq.connection = rd.Connection
-	og := tree.Outgoing{Class: kind.Class, Connection: rd.Connection, Deadline: rd.Deadline}
 	if in, ok := en.opt.Trees.Adopt(now, og); ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
--- a/internal/traffic/tree/adopt.go
+++ b/internal/traffic/tree/adopt.go
@@ -40,34 +40,63 @@
 	// must outlast all running attempts if callers send them. The calls of an
 	// attempt that was just given up do so too, but are few.
 	callerShare = 8
+	// awaitedShare is the part of the answers to a kind, 1 in so many, after
+	// which an attempt must go on or end if the kind is one of calls. By chance
+	// it is about the number of such moments in a second times chainGap.
+	awaitedShare = 4
 )
 
 // origin counts the requests of a kind, and those that no running attempt can
-// have made as they outlast it.
-type origin struct{ seen, outlasting int }
+// have made as they outlast it; and the answers to them, and those that an
+// upstream seems to have waited for.
+type origin struct{ seen, outlasting, answered, awaited int }
+
+// fade halves what was counted, once there is enough of it.
+func (or *origin) fade() {
+	if or.seen >= originSamples {
+		or.seen, or.outlasting = or.seen/2, or.outlasting/2
+	}
+	if or.answered >= originSamples {
+		or.answered, or.awaited = or.answered/2, or.awaited/2
+	}
+}
+
+// short reports whether callers send requests of the kind that other attempts
+// outlast: hardly an upstream waits for the answers.
+func (or *origin) short() bool {
+	return or.answered >= minOriginSamples && or.awaited*awaitedShare < or.answered
+}
 
 // IsCall reports whether requests of the kind are calls that upstreams make. A
 // call does not outlast its parent, while a request that a caller sends now
-// outlasts those sent before. Requests of a kind that is not known yet count as
-// calls.
+// outlasts those sent before, unless its kind has less time. And when a call is
+// answered, its parent makes the next one or ends. Requests of a kind that is
+// not known yet count as calls.
 func (tr *Trees) IsCall(kind call.Class, deadline time.Time) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	or := tr.origins[kind]
-	if or == nil {
-		or = new(origin)
-		tr.origins[kind] = or
-	}
-	if or.seen >= originSamples {
-		or.seen, or.outlasting = or.seen/2, or.outlasting/2
-	}
+	or := tr.origin(kind)
+	or.fade()
 	or.seen++
 	if !tr.covers(deadline) {
 		or.outlasting++
 	}
+	if or.short() {
+		return false
+	}
 	return or.seen < minOriginSamples || or.outlasting*callerShare < or.seen
 }
 
+// origin returns what is counted of a kind. The lock is held.
+func (tr *Trees) origin(kind call.Class) *origin {
+	or := tr.origins[kind]
+	if or == nil {
+		or = new(origin)
+		tr.origins[kind] = or
+	}
+	return or
+}
+
 // covers reports whether a running attempt lasts until the deadline. The lock is
 // held.
 func (tr *Trees) covers(deadline time.Time) bool {
@@ -103,6 +132,8 @@
 	// kind is that of the first, which came at the time begun.
 	kind  call.Class
 	begun time.Time
+	// last is the kind of the last one.
+	last call.Class
 	// answered is when the last one was answered, and zero while it is open.
 	answered time.Time
 }
@@ -198,12 +229,7 @@
 func (tr *Trees) Adopt(now time.Time, og Outgoing) (*Inbound, bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	ch := tr.continued(now, og)
-	if ch == nil {
-		ch = &chain{kind: og.Class, begun: now}
-	}
-	ch.answered = time.Time{}
-	tr.remember(now, og.Connection, ch)
+	ch := tr.follow(now, og)
 	if !ch.running(tr, og) {
 		if ch.parent = tr.expiring(og); ch.parent == nil {
 			ch.parent = tr.beginning(now, og)
@@ -241,6 +267,28 @@
 	return ch.parent != nil && tr.inbound[ch.parent.ID] == ch.parent && ch.parent.lasts(og.Deadline)
 }
 
+// Follow takes note of a request that counts as one of a caller, so that its
+// kind is found to be one of calls if it is.
+func (tr *Trees) Follow(now time.Time, og Outgoing) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.follow(now, og)
+}
+
+// follow returns the chain of a request, with the request in it.
+func (tr *Trees) follow(now time.Time, og Outgoing) *chain {
+	ch := tr.continued(now, og)
+	if ch == nil {
+		ch = &chain{kind: og.Class, begun: now}
+	} else {
+		tr.origin(ch.last).awaited++
+	}
+	ch.last = og.Class
+	ch.answered = time.Time{}
+	tr.remember(now, og.Connection, ch)
+	return ch
+}
+
 // remember keeps the chain of a connection.
 func (tr *Trees) remember(now time.Time, connection string, ch *chain) {
 	if connection == "" {
@@ -260,6 +308,7 @@
 	defer tr.mu.Unlock()
 	if ch := tr.chains[connection]; ch != nil {
 		ch.answered = now
+		tr.origin(ch.last).answered++
 	}
 }
 
@@ -281,6 +330,7 @@
 	case 1:
 		cr, ch := tr.caller(in.Class), tr.chains[found]
 		cr.end(true)
+		tr.origin(ch.last).awaited++
 		cr.learn(ch.kind, ch.begun.Sub(in.Started))
 		if ch.parent != nil && ch.parent != in {
 			// It has made no call, as far as is known now.
--- a/internal/traffic/tree/adopt_test.go
+++ b/internal/traffic/tree/adopt_test.go
@@ -61,3 +61,44 @@
 		}
 	}
 }
+
+// Requests of callers that have little time are covered by long attempts like
+// calls, but no attempt goes on or ends with their answers.
+func TestIsCallOfShortRequests(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	rng := rand.New(rand.NewPCG(2, 1))
+	now := time.Unix(1000, 0)
+	for n := range 500 {
+		now = now.Add(20 * time.Millisecond)
+		id := call.AttemptID{byte(n), byte(n >> 8)}
+		tr.Enter(&Inbound{ID: id, Class: "look-up", Started: now, Told: now.Add(5 * time.Second)})
+		// The attempt makes two calls and ends.
+		for range 2 {
+			now = now.Add(time.Duration(rng.IntN(400)) * time.Microsecond)
+			deadline := now.Add(700 * time.Millisecond)
+			if isCall := tr.IsCall("tariff-read", deadline); !isCall && n > 50 {
+				t.Fatalf("call %d counts as a request of a caller", n)
+			}
+			tr.Adopt(now, Outgoing{Class: "tariff-read", Connection: "upstream", Deadline: deadline})
+			now = now.Add(20 * time.Millisecond)
+			tr.Answered(now, "upstream")
+		}
+		tr.Exit(now.Add(200*time.Microsecond), id)
+		// A caller sends a request meanwhile, and gets its answer later.
+		now = now.Add(7 * time.Millisecond)
+		tr.Enter(&Inbound{ID: call.AttemptID{byte(n), byte(n >> 8), 1}, Class: "look-up", Started: now, Told: now.Add(5 * time.Second)})
+		deadline := now.Add(800 * time.Millisecond)
+		og := Outgoing{Class: "cancel", Connection: "caller", Deadline: deadline}
+		if tr.IsCall("cancel", deadline) {
+			if n > 50 {
+				t.Fatalf("request %d of callers counts as a call", n)
+			}
+			tr.Adopt(now, og)
+		} else {
+			tr.Follow(now, og)
+		}
+		now = now.Add(30 * time.Millisecond)
+		tr.Answered(now, "caller")
+		tr.Exit(now.Add(5*time.Millisecond), call.AttemptID{byte(n), byte(n >> 8), 1})
+	}
+}
