Measure the processor time of a hop, and the cost of a line of the log

Ruled out: the link as the next thing to improve. Conclusion: a client of our own for the upstream is next.

--- a/internal/lab/deployment/fleet_test.go
+++ b/internal/lab/deployment/fleet_test.go
@@ -42,7 +42,7 @@
 // fleet is a deployment under test.
 type fleet struct {
 	*Deployment
-	t        *testing.T
+	t        testing.TB
 	recorder *standin.Recorder
 	client   *http.Client
 	revision uint64
@@ -55,7 +55,7 @@
 
 // startFleet starts a deployment with a VM for each of the upstreams and waits
 // until each node serves.
-func startFleet(t *testing.T, controls int, deadline time.Duration, ups ...standin.UpstreamOptions) *fleet {
+func startFleet(t testing.TB, controls int, deadline time.Duration, ups ...standin.UpstreamOptions) *fleet {
 	t.Helper()
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
--- /dev/null
+++ b/internal/lab/deployment/hop_test.go
@@ -0,0 +1,63 @@
+package deployment
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"camphortrail/internal/lab/standin"
+)
+
+// BenchmarkHop sends requests by way of one node to the upstream beside another
+// one, on one processor like the users' machines, and reports the processor
+// time of each. That of the caller and of the upstream is included, as all run
+// in one process; a profile tells the parts.
+func BenchmarkHop(b *testing.B) {
+	const senders = 12
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	fl := startFleet(b, 1, 10*time.Second,
+		standin.UpstreamOptions{Service: middle, Slots: 50},
+		standin.UpstreamOptions{Service: front, Slots: 50, Work: 2 * time.Millisecond})
+	url := fl.CallerURLs()[0] + "/" + string(front) + "/" + lookups
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}}
+	defer client.CloseIdleConnections()
+	work := make(chan bool)
+	var group sync.WaitGroup
+	for range senders {
+		group.Go(func() {
+			for range work {
+				res, err := client.Get(url)
+				if err != nil {
+					b.Error(err)
+					continue
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+				if res.StatusCode != http.StatusOK {
+					b.Errorf("status %d", res.StatusCode)
+				}
+			}
+		})
+	}
+	begun := processorTime(b)
+	for b.Loop() {
+		work <- true
+	}
+	close(work)
+	group.Wait()
+	b.ReportMetric(float64((processorTime(b)-begun).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(tb testing.TB) time.Duration {
+	tb.Helper()
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+		tb.Fatal(err)
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
--- a/internal/ops/events/events_test.go
+++ b/internal/ops/events/events_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -75,3 +76,22 @@
 		lg.Add(now, Event{Kind: Refused, Reason: "overload", Request: "r"})
 	}
 }
+
+// BenchmarkWrite takes a line and writes it.
+func BenchmarkWrite(b *testing.B) {
+	lg := New("a")
+	now := time.Now()
+	enc := json.NewEncoder(io.Discard)
+	ev := Event{
+		Kind: Refused, Reason: "guard-overload", Request: "57b54e8796f7c5f0.39e507f7d78680fb", Service: "cassa",
+		Importance: 5, TookMS: 61, LeftMS: 186, Running: 17, Waiting: 13, Slots: 17, Level: 1281,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(window / maxLines)
+		lg.Add(now, ev)
+		if err := enc.Encode(<-lg.lines.Out()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
