Look only at the chains of calls that were just answered

Cause: each end of an attempt, and each call, looked at the last call of all connections, up to 1,024 of them.

Now chains wait in the order of their answers for the millisecond in which something may follow; older ones are dropped as time passes. A request that is refused at once is answered too (its chain was kept).

Ruled out: dropping the chains; they carry the importance of calls into the smallest service.

--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -43,6 +43,9 @@
 	if an == nil {
 		an = en.serveThrottled(ctx, rq)
 	}
+	if rq != nil && rq.connection != "" {
+		en.opt.Trees.Answered(time.Now(), rq.connection)
+	}
 	en.observe(rq, an, time.Since(begun))
 	en.record(rd, rq, an, begun)
 	return an
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -34,9 +34,6 @@
 	if rq.parent != nil {
 		rq.parent.EndCall(now, rq.failedForLoad(an))
 	}
-	if rq.connection != "" {
-		en.opt.Trees.Answered(now, rq.connection)
-	}
 	if rq.accounted() {
 		en.opt.Trees.Step(now, retry.Close{Account: rq.account})
 	}
--- a/internal/traffic/tree/adopt.go
+++ b/internal/traffic/tree/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"camphortrail/call"
@@ -18,8 +19,6 @@
 	// of the same attempt on the same connection: the upstream only has to
 	// read the one and write the other.
 	chainGap = time.Millisecond
-	// maxChains bounds the connections whose last call is remembered.
-	maxChains = 1024
 	// callingShare is the part of the attempts of a kind, 1 in so many, from
 	// which the kind counts as one that makes calls.
 	callingShare = 4
@@ -134,13 +133,9 @@
 	begun time.Time
 	// last is the kind of the last one.
 	last call.Class
-	// answered is when the last one was answered, and zero while it is open.
-	answered time.Time
-}
-
-// recent reports whether the last call was answered a moment ago.
-func (ch *chain) recent(now time.Time) bool {
-	return !ch.answered.IsZero() && now.Sub(ch.answered) <= chainGap
+	// connection is that of the last one, and answered when it was answered.
+	connection string
+	answered   time.Time
 }
 
 // caller is what is known of the attempts of a kind: how many made calls, and
@@ -242,23 +237,20 @@
 	return ch.parent, true
 }
 
-// continued returns the chain that a call continues, if any, and takes it off
-// its connection: that of the call, or else the one that was answered first of
-// those that wait for a call.
+// continued returns the chain that a call continues, if any, which waits no more:
+// that of its connection, or else the one that was answered first of those whose
+// attempt may make the call.
 func (tr *Trees) continued(now time.Time, og Outgoing) *chain {
-	from := og.Connection
-	ch := tr.chains[from]
-	if ch == nil || !ch.recent(now) {
-		ch = nil
-		for connection, other := range tr.chains {
-			if other.recent(now) && other.running(tr, og) && (ch == nil || other.answered.Before(ch.answered)) {
-				from, ch = connection, other
-			}
-		}
+	tr.forget(now)
+	at := slices.IndexFunc(tr.waiting, func(ch *chain) bool { return ch.connection == og.Connection })
+	if at < 0 {
+		at = slices.IndexFunc(tr.waiting, func(ch *chain) bool { return ch.running(tr, og) })
 	}
-	if ch != nil {
-		delete(tr.chains, from)
+	if at < 0 {
+		return nil
 	}
+	ch := tr.waiting[at]
+	tr.waiting = slices.Delete(tr.waiting, at, at+1)
 	return ch
 }
 
@@ -283,44 +275,46 @@
 	} else {
 		tr.origin(ch.last).awaited++
 	}
-	ch.last = og.Class
-	ch.answered = time.Time{}
-	tr.remember(now, og.Connection, ch)
-	return ch
-}
-
-// remember keeps the chain of a connection.
-func (tr *Trees) remember(now time.Time, connection string, ch *chain) {
-	if connection == "" {
-		return
-	}
-	if len(tr.chains) >= maxChains {
-		maps.DeleteFunc(tr.chains, func(_ string, ch *chain) bool { return !ch.answered.IsZero() && !ch.recent(now) })
-	}
-	if len(tr.chains) < maxChains {
-		tr.chains[connection] = ch
+	ch.last, ch.connection = og.Class, og.Connection
+	if og.Connection != "" {
+		tr.chains[og.Connection] = ch
 	}
+	return ch
 }
 
 // Answered notes that a call was answered on a connection.
 func (tr *Trees) Answered(now time.Time, connection string) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if ch := tr.chains[connection]; ch != nil {
-		ch.answered = now
-		tr.origin(ch.last).answered++
+	ch := tr.chains[connection]
+	if ch == nil {
+		return
+	}
+	delete(tr.chains, connection)
+	tr.origin(ch.last).answered++
+	ch.answered = now
+	tr.forget(now)
+	tr.waiting = append(tr.waiting, ch)
+}
+
+// forget drops the chains that nothing follows any more.
+func (tr *Trees) forget(now time.Time) {
+	old := 0
+	for old < len(tr.waiting) && now.Sub(tr.waiting[old].answered) > chainGap {
+		old++
 	}
+	tr.waiting = slices.Delete(tr.waiting, 0, old)
 }
 
 // learn takes in that an attempt has ended. An upstream answers an attempt at
 // once when the last of its calls is answered, so that the chain that ended a
 // moment ago is that of the attempt, whichever it was given to.
 func (tr *Trees) learn(now time.Time, in *Inbound) {
-	var found string
-	count := 0
-	for connection, ch := range tr.chains {
-		if ch.recent(now) && !ch.begun.Before(in.Started) {
-			found = connection
+	tr.forget(now)
+	found, count := 0, 0
+	for at, ch := range tr.waiting {
+		if !ch.begun.Before(in.Started) {
+			found = at
 			count++
 		}
 	}
@@ -328,7 +322,7 @@
 	case 0:
 		tr.caller(in.Class).end(false)
 	case 1:
-		cr, ch := tr.caller(in.Class), tr.chains[found]
+		cr, ch := tr.caller(in.Class), tr.waiting[found]
 		cr.end(true)
 		tr.origin(ch.last).awaited++
 		cr.learn(ch.kind, ch.begun.Sub(in.Started))
@@ -336,7 +330,7 @@
 			// It has made no call, as far as is known now.
 			ch.parent.called = false
 		}
-		delete(tr.chains, found)
+		tr.waiting = slices.Delete(tr.waiting, found, found+1)
 	}
 }
 
--- a/internal/traffic/tree/tree.go
+++ b/internal/traffic/tree/tree.go
@@ -18,7 +18,10 @@
 	inbound map[call.AttemptID]*Inbound
 	origins map[call.Class]*origin
 	callers map[call.Class]*caller
+	// chains holds those with an open call by its connection, and waiting those
+	// that were answered a moment ago, oldest first.
 	chains  map[string]*chain
+	waiting []*chain
 }
 
 // New returns Trees without any.
