Remember an upstream that leaves before the node knows it

Cause: a node that had just started acknowledged the departure of an upstream that it did not know yet, forgot it, and took a report of the same upstream that came later as a sign of life.

Ruled out: a report with an older number (refused, with a line in the log; there is none); a restart after the departure (none until 29.7).

The scripted test fails before: the later report made the upstream ready.

--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -39,8 +39,10 @@
 	current life
 	number  uint64
 	service call.Service
-	// departed are lives that have ended, oldest first.
+	// departed are lives that have ended, and leavers instances that said so
+	// before they reported, oldest first.
 	departed []life
+	leavers  []string
 }
 
 // take reports whether a report is the newest of a life that has not ended.
@@ -48,6 +50,10 @@
 // does not bring an earlier one back.
 func (rs *reports) take(rp Report) bool {
 	lf := life{instance: rp.Upstream.Instance, born: rp.Born}
+	if at := slices.Index(rs.leavers, lf.instance); at >= 0 {
+		rs.leavers = slices.Delete(rs.leavers, at, at+1)
+		rs.departed = remember(rs.departed, lf)
+	}
 	switch {
 	case slices.Contains(rs.departed, lf):
 		return false
@@ -62,18 +68,30 @@
 	return true
 }
 
-// depart ends the present life of an instance, and reports whether it has one.
+// depart ends the present life of an instance, and reports whether it has one. A
+// node that has just started may not know it yet, and get a report that was held
+// up later.
 func (rs *reports) depart(instance string) bool {
 	if rs.current.instance != instance {
+		if !slices.ContainsFunc(rs.departed, func(lf life) bool { return lf.instance == instance }) {
+			rs.leavers = remember(rs.leavers, instance)
+		}
 		return false
 	}
-	if !slices.Contains(rs.departed, rs.current) {
-		rs.departed = append(rs.departed, rs.current)
+	rs.departed = remember(rs.departed, rs.current)
+	return true
+}
+
+// remember adds to what has departed, unless it is there, and forgets the oldest
+// beyond the bound.
+func remember[T comparable](list []T, item T) []T {
+	if slices.Contains(list, item) {
+		return list
 	}
-	if len(rs.departed) > maxDeparted {
-		rs.departed = slices.Delete(rs.departed, 0, 1)
+	if list = append(list, item); len(list) > maxDeparted {
+		list = slices.Delete(list, 0, 1)
 	}
-	return true
+	return list
 }
 
 // Report takes a numbered announcement. It replaces what another instance
