Leave a VM whose guard takes nothing for the service

Such an answer counted as that of a healthy, quick upstream, so that it was preferred until the members told of the change; each call lost an attempt and, after three, failed.

Now the answers wrong-service and no-upstream take the VM out for the service like 'leaving' did, until the members tell of it again.

Ruled out: an error in what the guard answers (the VM served another service by then); excluding it for one request only, which is what was done.

--- a/internal/traffic/entry/entry_test.go
+++ b/internal/traffic/entry/entry_test.go
@@ -13,8 +13,10 @@
 	"testing"
 	"time"
 
+	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/config"
+	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/guard"
 	"camphortrail/internal/traffic/header"
 	"camphortrail/internal/traffic/peer"
@@ -23,6 +25,7 @@
 	"camphortrail/retry"
 	"camphortrail/route"
 	"camphortrail/schema"
+	"camphortrail/withdrawal"
 )
 
 const retryTotal = 3
@@ -384,3 +387,24 @@
 		check(t, bn.do("GET", "/cassa/payments", ""), 200, call.Done, "")
 	}
 }
+
+// A VM whose guard takes nothing for the service gets no further attempts until
+// the members tell of it again.
+func TestRefusingGuardIsLeft(t *testing.T) {
+	for _, reason := range []string{guard.ReasonService, admission.NoUpstream.String(), admission.Leaving.String()} {
+		en := New(Options{VM: "entry", Trees: tree.New(retry.DefaultLimits()), Domain: "d1", Seed: 1})
+		up := route.Upsert{Service: "cassa", Domain: "d1", Slots: 4, Incarnation: 1}
+		for _, up.VM = range []call.VM{"gone", "there"} {
+			en.Route(up)
+		}
+		rq := &request{kind: &config.Kind{Service: "cassa"}, importance: 5}
+		at := rq.attempt(call.AttemptID{1})
+		rs := peer.Result{Answer: attempt.Refusal(reason, 0), State: withdrawal.Dequeued, Sent: true}
+		en.settle(rq, "gone", at, rs, time.Millisecond, false)
+		for range 50 {
+			if vm, _, err := en.choose(time.Now(), rq, nil); err != nil || vm == "gone" {
+				t.Fatalf("%s: chose %q, error %v, want there", reason, vm, err)
+			}
+		}
+	}
+}
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -248,10 +248,21 @@
 		Service: rq.kind.Service, VM: vm, Latency: took, Outcome: rs.Answer.Outcome,
 		Importance: rq.importance, Level: rs.Answer.Level, Pressure: rs.Answer.Pressure,
 		Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
-		Leaving:  rs.Answer.Reason == admission.Leaving.String(),
+		Leaving:  leaves(rs.Answer.Reason),
 	})
 }
 
+// leaves reports whether a guard refuses all attempts for the service: its
+// upstream leaves or is gone, or has given its place to one of another service.
+// The members tell so too, but later.
+func leaves(reason string) bool {
+	switch reason {
+	case admission.Leaving.String(), admission.NoUpstream.String(), guard.ReasonService:
+		return true
+	}
+	return false
+}
+
 func (en *Entry) newAttemptID() call.AttemptID {
 	en.mu.Lock()
 	defer en.mu.Unlock()
