Outlive SIGHUP, and check the settings again

Now a process checks its settings again and says in its log whether they can be used; they are in force from the next start, as before. Ruled out: taking new seeds at once, as a process that runs has learned the members.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -36,6 +36,12 @@
 	return set, err
 }
 
+// checkPlatformSettings reads the settings again.
+func checkPlatformSettings() error {
+	_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	return err
+}
+
 type platformNodeCommand struct{}
 
 // Execute runs a node on the platform.
@@ -56,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	watchReload(ctx, checkPlatformSettings)
 	return nd.Run(ctx)
 }
 
@@ -74,5 +81,6 @@
 	if err != nil {
 		return err
 	}
+	watchReload(ctx, checkPlatformSettings)
 	return co.Run(ctx)
 }
--- a/cmd/camphortrail/process.go
+++ b/cmd/camphortrail/process.go
@@ -13,6 +13,14 @@
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings of this process"`
 }
 
+// watch checks the settings again when the process is told that they changed.
+func (sf *settingsFlag) watch() {
+	watchReload(ctx, func() error {
+		_, err := config.LoadSettings(sf.Settings)
+		return err
+	})
+}
+
 type nodeCommand struct{ settingsFlag }
 
 // Execute runs a node.
@@ -25,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	cm.watch()
 	return nd.Run(ctx)
 }
 
@@ -40,5 +49,6 @@
 	if err != nil {
 		return err
 	}
+	cm.watch()
 	return co.Run(ctx)
 }
--- /dev/null
+++ b/cmd/camphortrail/reload_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// TestWatchReload sends hangups to the process, which must outlive them whether
+// its settings are good or not.
+func TestWatchReload(t *testing.T) {
+	checked := make(chan bool, 1)
+	results := []error{nil, errors.New("settings.json: name: is missing"), nil}
+	watchReload(t.Context(), func() error {
+		err := results[0]
+		results = results[1:]
+		checked <- true
+		return err
+	})
+	for n := range 3 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-checked:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("hangup %d: settings not checked", n+1)
+		}
+	}
+}
