Send requests to the upstream from the goroutine that waits for them

Cause: a fifth of the processor time of a hop went into the client of net/http, which hands each request and answer between three goroutines (profile of BenchmarkHop: 30 % of the samples in forward, writeLoop and readLoop).

Ruled out: the log and gossip (under 1 % of the profile each).

Change: internal/traffic/upstream, connections that carry one request at a time, written and read by the sender with the parser of net/http. An idle connection is looked at before it is used, and not used beyond the time that the upstream states. A late answer to the request before on a connection is skipped instead of failing the next one (TestLateAnswerOfAnotherAttempt).

--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -147,9 +147,3 @@
 	return an.Status == http.StatusBadGateway || an.Status == http.StatusServiceUnavailable ||
 		an.Status == http.StatusGatewayTimeout
 }
-
-// OnceBody returns a request body that net/http cannot rewind, so that its
-// transport does not send the request again by itself.
-func OnceBody(body []byte) io.ReadCloser {
-	return io.NopCloser(bytes.NewReader(body))
-}
--- a/internal/traffic/guard/dialect.go
+++ b/internal/traffic/guard/dialect.go
@@ -35,6 +35,9 @@
 	Prepare(hd http.Header, at *attempt.Attempt, instance string, left time.Duration)
 	// Judge reads the header of an answer.
 	Judge(res *http.Response, at *attempt.Attempt) Verdict
+	// Answers reports whether an answer names the request that was sent with
+	// the header asked.
+	Answers(hd, asked http.Header) bool
 }
 
 // ownDialect is the interface that docs/CALLERS.md describes.
@@ -60,6 +63,12 @@
 	return Answered
 }
 
+// Answers implements Dialect.
+func (ownDialect) Answers(hd, asked http.Header) bool {
+	echo := hd.Get(header.Attempt)
+	return echo != "" && echo == asked.Get(header.Attempt)
+}
+
 // framed reports whether the end of the body can be told from its message.
 func framed(res *http.Response) bool {
 	return res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -10,55 +9,32 @@
 
 	"camphortrail/call"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/upstream"
 )
 
-const (
-	dialTimeout        = time.Second
-	idleUpstreamConns  = 2048
-	idleUpstreamExpiry = 30 * time.Second
-)
-
-func newClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConns:        idleUpstreamConns,
-			MaxIdleConnsPerHost: idleUpstreamConns,
-			IdleConnTimeout:     idleUpstreamExpiry,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
 // forward sends the attempt to the upstream and reads its whole answer.
 func (gd *Guard) forward(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
-	up := gd.upstream.Load()
+	up := gd.current.Load()
 	if up == nil {
 		return attempt.Refusal("no-upstream", fullRetryAfter)
 	}
-	req, err := http.NewRequestWithContext(ctx, at.Method, "http://"+up.Address+at.URI, attempt.OnceBody(at.Body))
-	if err != nil {
-		return attempt.Refusal("bad-request", 0)
-	}
-	req.Header = at.Header.Clone()
-	gd.dialect.Prepare(req.Header, at, up.Instance, time.Until(at.Deadline))
-	req.Host = at.Host
-	req.ContentLength = int64(len(at.Body))
-	res, err := gd.client.Do(req)
+	rq := &upstream.Request{Method: at.Method, URI: at.URI, Host: at.Host, Header: at.Header.Clone(), Body: at.Body}
+	gd.dialect.Prepare(rq.Header, at, up.Instance, time.Until(at.Deadline))
+	var an *attempt.Answer
+	err := gd.client.Do(ctx, up.Address, rq, func(res upstream.Answer) (next bool) {
+		an, next = gd.wholeAnswer(ctx, res, at)
+		return next
+	})
 	if err != nil {
 		return transportFailure(ctx, err)
 	}
-	defer res.Body.Close()
-	return gd.wholeAnswer(ctx, res, at)
+	return an
 }
 
 // transportFailure returns the answer for an exchange that failed before the
 // answer's header came.
 func transportFailure(ctx context.Context, err error) *attempt.Answer {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, upstream.ErrNoConnection) {
 		return attempt.Refusal(ReasonConnect, fullRetryAfter)
 	}
 	if ctx.Err() != nil {
@@ -68,25 +44,27 @@
 }
 
 // wholeAnswer reads an answer to its end. One that the dialect finds unusable
-// is not passed on. An upstream that refuses an attempt of its own accord ends
-// it before the body of the refusal matters.
-func (gd *Guard) wholeAnswer(ctx context.Context, res *http.Response, at *attempt.Attempt) *attempt.Answer {
-	verdict := gd.dialect.Judge(res, at)
+// is not passed on; if it is a late answer to the request before on the
+// connection, the next one is to be read. An upstream that refuses an attempt of
+// its own accord ends it before the body of the refusal matters.
+func (gd *Guard) wholeAnswer(ctx context.Context, res upstream.Answer, at *attempt.Attempt) (an *attempt.Answer, next bool) {
+	verdict := gd.dialect.Judge(res.Response, at)
 	if verdict == Unusable {
-		return attempt.Broken(ReasonBroken, http.StatusBadGateway)
+		late := res.Previous != nil && gd.dialect.Answers(res.Header, res.Previous)
+		return attempt.Broken(ReasonBroken, http.StatusBadGateway), late
 	}
-	body, err := attempt.ReadBody(res.Body, bodyLength(res, at.Method), at.MaxAnswer)
+	body, err := attempt.ReadBody(res.Body, bodyLength(res.Response, at.Method), at.MaxAnswer)
 	switch {
 	case verdict == Full || verdict == Misdirected:
 		an := attempt.Refusal(ReasonRefused, fullRetryAfter)
 		an.Overload, an.Offered = verdict == Full, true
-		return an
+		return an, false
 	case err != nil && ctx.Err() != nil:
-		return attempt.Broken(ReasonDeadline, http.StatusGatewayTimeout)
+		return attempt.Broken(ReasonDeadline, http.StatusGatewayTimeout), false
 	case err != nil:
-		return attempt.Broken(ReasonBroken, http.StatusBadGateway)
+		return attempt.Broken(ReasonBroken, http.StatusBadGateway), false
 	}
-	return &attempt.Answer{Outcome: call.Done, Status: res.StatusCode, Header: attempt.PassOn(res.Header), Body: body}
+	return &attempt.Answer{Outcome: call.Done, Status: res.StatusCode, Header: attempt.PassOn(res.Header), Body: body}, false
 }
 
 func bodyLength(res *http.Response, method string) int64 {
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -20,6 +20,7 @@
 	"camphortrail/internal/traffic/flight"
 	"camphortrail/internal/traffic/link"
 	"camphortrail/internal/traffic/tree"
+	"camphortrail/internal/traffic/upstream"
 	"camphortrail/membership"
 	"camphortrail/retry"
 	"camphortrail/withdrawal"
@@ -67,15 +68,15 @@
 // Guard runs attempts on the upstream beside its node. Its methods are safe
 // for concurrent use.
 type Guard struct {
-	trees    *tree.Trees
-	duty     *duty
-	client   *http.Client
-	dialect  Dialect
-	events   *events.Log
-	upstream atomic.Pointer[membership.Upstream]
-	fifo     bool
-	metrics  *metrics.Set
-	active   flight.Counter
+	trees   *tree.Trees
+	duty    *duty
+	client  *upstream.Client
+	dialect Dialect
+	events  *events.Log
+	current atomic.Pointer[membership.Upstream]
+	fifo    bool
+	metrics *metrics.Set
+	active  flight.Counter
 
 	mu       sync.Mutex
 	registry *withdrawal.Registry[*attempt.Answer]
@@ -98,7 +99,7 @@
 		duty:     newDuty(mc),
 		fifo:     opt.FIFO,
 		metrics:  opt.Metrics,
-		client:   newClient(),
+		client:   upstream.New(),
 		links:    make(map[*link.Link]bool),
 		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
@@ -107,15 +108,15 @@
 // Run decides on admission until ctx ends.
 func (gd *Guard) Run(ctx context.Context) error {
 	gd.duty.run(ctx)
-	gd.client.CloseIdleConnections()
+	gd.client.Reset()
 	return nil
 }
 
 // SetUpstream states what the upstream has announced. A nil upstream has left.
 func (gd *Guard) SetUpstream(ctx context.Context, up *membership.Upstream) error {
-	old := gd.upstream.Swap(up)
+	old := gd.current.Swap(up)
 	if old != nil && (up == nil || up.Instance != old.Instance) {
-		gd.client.CloseIdleConnections()
+		gd.client.Reset()
 		old = nil
 	}
 	if up == nil {
@@ -210,7 +211,7 @@
 
 // begin registers the attempt. It returns an answer if that is refused.
 func (gd *Guard) begin(at *attempt.Attempt) *attempt.Answer {
-	if up := gd.upstream.Load(); up != nil && up.Service != at.Service {
+	if up := gd.current.Load(); up != nil && up.Service != at.Service {
 		return attempt.Refusal(ReasonService, 0)
 	}
 	rs := gd.step(withdrawal.Begin[*attempt.Answer]{Attempt: at.ID, Stamp: at.Stamp})
--- a/internal/traffic/guard/guard_test.go
+++ b/internal/traffic/guard/guard_test.go
@@ -205,3 +205,36 @@
 		t.Errorf("outcome %v after %d runs, want unknown after 2", an.Outcome, runs.Load())
 	}
 }
+
+// An answer that comes late, to the attempt before on the connection, is not
+// taken for that of the next attempt, which gets its own behind it.
+func TestLateAnswerOfAnotherAttempt(t *testing.T) {
+	var last string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
+		nc, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer nc.Close()
+		for err == nil {
+			id := rq.Header.Get(header.Attempt)
+			for _, echoed := range []string{last, id} {
+				if echoed != "" {
+					_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 32\r\n\r\n%s", header.Attempt, echoed, echoed)
+				}
+			}
+			_ = rw.Flush()
+			last = id
+			rq, err = http.ReadRequest(rw.Reader)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	gd := startGuard(t, false, strings.TrimPrefix(srv.URL, "http://"))
+	for range 3 {
+		at := newAttempt(gd, false, 5*time.Second)
+		if an := gd.Handle(t.Context(), at); an.Outcome != call.Done || string(an.Body) != at.ID.String() {
+			t.Errorf("answer %+v to attempt %v", an, at.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/upstream/conn.go
@@ -0,0 +1,143 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxSkipped bounds the body, in bytes, of an answer that is skipped.
+const maxSkipped = 1 << 20
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	nc      net.Conn
+	raw     syscall.RawConn
+	br      *bufio.Reader
+	address string
+	epoch   uint64
+	// previous is the header of the request that was sent last.
+	previous  http.Header
+	idleSince time.Time
+	// idleLimit is the time for which the connection may be idle.
+	idleLimit time.Duration
+}
+
+func newConn(nc net.Conn, address string, epoch uint64) (*conn, error) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		_ = nc.Close()
+		return nil, errors.Wrap(ErrNoConnection, err.Error())
+	}
+	return &conn{nc: nc, raw: raw, br: bufio.NewReader(nc), address: address, epoch: epoch, idleLimit: idleExpiry}, nil
+}
+
+func (cn *conn) close() { _ = cn.nc.Close() }
+
+// interrupt ends reading and writing.
+func (cn *conn) interrupt() { _ = cn.nc.SetDeadline(time.Unix(1, 0)) }
+
+func (cn *conn) expired(now time.Time) bool { return now.Sub(cn.idleSince) >= cn.idleLimit }
+
+// usable reports whether an idle connection may carry another request.
+func (cn *conn) usable(address string, now time.Time) bool {
+	return cn.address == address && !cn.expired(now) && cn.silent()
+}
+
+// silent reports whether the upstream has neither closed the connection nor sent
+// anything since its last answer.
+func (cn *conn) silent() bool {
+	if cn.br.Buffered() > 0 {
+		return false
+	}
+	var one [1]byte
+	var err error
+	failed := cn.raw.Read(func(fd uintptr) bool {
+		_, err = syscall.Read(int(fd), one[:])
+		return true
+	})
+	return failed == nil && err == syscall.EAGAIN
+}
+
+// exchange sends a request and hands the answer to the handler. It reports
+// whether the connection can carry another request.
+func (cn *conn) exchange(rq *Request, handle Handler) (reusable bool, err error) {
+	written, sendErr := rq.send(cn.nc)
+	previous := cn.previous
+	cn.previous = rq.Header
+	for {
+		// An upstream may answer and close before it has read all.
+		res, err := cn.read(rq.Method)
+		if err != nil {
+			if sendErr != nil {
+				err = sendErr
+			}
+			return false, errors.Wrap(err, "upstream")
+		}
+		next := handle(Answer{Response: res, Previous: previous})
+		if next {
+			_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxSkipped))
+		}
+		whole := ended(res.Body)
+		if next && whole && !res.Close {
+			previous = nil
+			continue
+		}
+		cn.limitIdle(res.Header)
+		return !next && sendErr == nil && whole && !res.Close && cn.br.Buffered() == 0 && sent(rq, written), nil
+	}
+}
+
+// read returns the next answer that is not interim (RFC 9110, section 15.2).
+func (cn *conn) read(method string) (*http.Response, error) {
+	rq := &http.Request{Method: method}
+	for {
+		res, err := http.ReadResponse(cn.br, rq)
+		if err != nil || res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+			return res, err
+		}
+	}
+}
+
+// ended reports whether a body was read to its end.
+func ended(body io.Reader) bool {
+	var one [1]byte
+	n, err := body.Read(one[:])
+	return n == 0 && err == io.EOF
+}
+
+// sent reports whether the whole request was written.
+func sent(rq *Request, written <-chan struct{}) bool {
+	if len(rq.Body) <= directBody {
+		return true
+	}
+	timer := time.NewTimer(bodyGrace)
+	defer timer.Stop()
+	select {
+	case <-written:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// limitIdle takes over the time after which the upstream closes the connection
+// when it is idle, less a part for what is on the way.
+func (cn *conn) limitIdle(hd http.Header) {
+	const part = 5
+	for _, param := range strings.Split(hd.Get("Keep-Alive"), ",") {
+		name, text, _ := strings.Cut(strings.TrimSpace(param), "=")
+		secs, err := strconv.ParseUint(text, 10, 16)
+		if err == nil && strings.EqualFold(name, "timeout") {
+			stated := time.Duration(secs) * time.Second
+			cn.idleLimit = min(idleExpiry, stated-stated/part)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/upstream/upstream_test.go
@@ -0,0 +1,293 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// startServer takes connections and hands them to serve, which speaks raw bytes.
+func startServer(t *testing.T, serve func(nc net.Conn, br *bufio.Reader)) (address string, conns *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	conns = new(atomic.Int64)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer nc.Close()
+				serve(nc, bufio.NewReader(nc))
+			}()
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+// echo answers each request with its URI and body until the connection ends.
+func echo(nc net.Conn, br *bufio.Reader) {
+	for {
+		rq, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(rq.Body)
+		text := rq.Host + rq.RequestURI + string(body)
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+}
+
+func get(uri string) *Request {
+	return &Request{Method: http.MethodGet, URI: uri, Host: "host", Header: http.Header{"Id": {uri}}}
+}
+
+// do returns the body of the answer.
+func do(t *testing.T, cl *Client, address string, rq *Request) (string, error) {
+	t.Helper()
+	var text string
+	err := cl.Do(t.Context(), address, rq, func(an Answer) bool {
+		body, err := io.ReadAll(an.Body)
+		if err != nil {
+			text = err.Error()
+			return false
+		}
+		text = string(body)
+		return false
+	})
+	return text, err
+}
+
+func wantAnswer(t *testing.T, cl *Client, address string, rq *Request, want string) {
+	t.Helper()
+	if got, err := do(t, cl, address, rq); err != nil || got != want {
+		t.Errorf("%s: got %q, %v, want %q", rq.URI, got, err, want)
+	}
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	address, conns := startServer(t, echo)
+	cl := New()
+	for range 3 {
+		wantAnswer(t, cl, address, get("/a?b=%2F"), "host/a?b=%2F")
+	}
+	post := &Request{Method: http.MethodPost, URI: "/p", Host: "host", Body: []byte("+body")}
+	wantAnswer(t, cl, address, post, "host/p+body")
+	if conns.Load() != 1 {
+		t.Errorf("%d connections, want 1", conns.Load())
+	}
+	cl.Reset()
+	wantAnswer(t, cl, address, get("/b"), "host/b")
+	if conns.Load() != 2 {
+		t.Errorf("%d connections after Reset, want 2", conns.Load())
+	}
+}
+
+// A connection that the upstream closed, or on which more than the answer came,
+// carries no other request.
+func TestSpoiltConnectionIsNotUsed(t *testing.T) {
+	for name, tail := range map[string]string{
+		"extra bytes": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra",
+		"closed":      "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := make(chan bool, 8)
+			address, conns := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+				rq, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				text := rq.RequestURI
+				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+				time.Sleep(5 * time.Millisecond)
+				_, _ = io.WriteString(nc, tail)
+				if tail != "" {
+					defer io.Copy(io.Discard, br) //nolint:errcheck // the test ends it
+				} else {
+					_ = nc.Close()
+				}
+				served <- true
+			})
+			cl := New()
+			wantAnswer(t, cl, address, get("/1"), "/1")
+			<-served
+			time.Sleep(5 * time.Millisecond)
+			wantAnswer(t, cl, address, get("/2"), "/2")
+			if conns.Load() != 2 {
+				t.Errorf("%d connections, want 2", conns.Load())
+			}
+		})
+	}
+}
+
+// A late answer to the request before is skipped if the handler says so.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	address, _ := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+		for last := ""; ; {
+			rq, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if last != "" {
+				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\nlate", last)
+			}
+			last = rq.Header.Get("Id")
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 3\r\n\r\nown", last)
+		}
+	})
+	cl := New()
+	for _, uri := range []string{"/1", "/2", "/3"} {
+		var text string
+		err := cl.Do(t.Context(), address, get(uri), func(an Answer) bool {
+			if id := an.Header.Get("Id"); id != uri {
+				return an.Previous != nil && an.Previous.Get("Id") == id
+			}
+			body, _ := io.ReadAll(an.Body)
+			text = string(body)
+			return false
+		})
+		if err != nil || text != "own" {
+			t.Errorf("%s: got %q, %v", uri, text, err)
+		}
+	}
+}
+
+func TestInterimAnswerIsSkipped(t *testing.T) {
+	address, _ := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(nc, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	wantAnswer(t, New(), address, get("/"), "ok")
+}
+
+// A body without a length ends with its connection, and not when that is reset.
+func TestBodyToTheEndOfTheConnection(t *testing.T) {
+	for _, tt := range []struct {
+		uri   string
+		reset bool
+	}{{"/whole", false}, {"/reset", true}} {
+		address, _ := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+			_, _ = http.ReadRequest(br)
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\npart")
+			if tt.reset {
+				time.Sleep(5 * time.Millisecond)
+				_ = nc.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		got, err := do(t, New(), address, get(tt.uri))
+		if err != nil || (got == "part") == tt.reset {
+			t.Errorf("%s: got %q, %v", tt.uri, got, err)
+		}
+	}
+}
+
+// A long body is answered before it is read; the rest of it follows on the
+// connection, which carries no other request before that.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 8<<20)
+	rest := make(chan int64, 1)
+	address, conns := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+		rq, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
+		time.Sleep(4 * bodyGrace)
+		n, _ := io.Copy(io.Discard, io.LimitReader(rq.Body, int64(len(body))))
+		rest <- n
+	})
+	cl := New()
+	wantAnswer(t, cl, address, &Request{Method: http.MethodPost, URI: "/", Host: "host", Body: body}, "early")
+	if got := <-rest; got == int64(len(body)) {
+		t.Error("the whole body was taken before it was read; the test is of no use")
+	}
+	if len(cl.idle) > 0 || conns.Load() != 1 {
+		t.Errorf("%d idle connections after a body that was not written, want 0", len(cl.idle))
+	}
+}
+
+func TestFailures(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ln.Addr().String()
+	_ = ln.Close()
+	if _, err := do(t, New(), closed, get("/")); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("closed port: %v, want ErrNoConnection", err)
+	}
+
+	address, conns := startServer(t, func(_ net.Conn, br *bufio.Reader) { _, _ = http.ReadRequest(br) })
+	if _, err := do(t, New(), address, get("/")); err == nil || errors.Is(err, ErrNoConnection) {
+		t.Errorf("closed without an answer: %v, want another error", err)
+	}
+	if conns.Load() != 1 {
+		t.Errorf("the request was sent %d times, want once", conns.Load())
+	}
+}
+
+// The connection closes when the context ends, so that the upstream drops the
+// request.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	gone := make(chan bool)
+	address, _ := startServer(t, func(_ net.Conn, br *bufio.Reader) {
+		_, _ = http.ReadRequest(br)
+		_, _ = br.ReadByte()
+		close(gone)
+	})
+	ctx, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer stop()
+	cl := New()
+	if err := cl.Do(ctx, address, get("/"), func(Answer) bool { return false }); err == nil {
+		t.Error("no error after the end of the context")
+	}
+	<-gone
+}
+
+func TestStatedIdleTime(t *testing.T) {
+	for _, tt := range []struct {
+		header string
+		want   time.Duration
+	}{
+		{"timeout=10", 8 * time.Second},
+		{"max=5, timeout=5", 4 * time.Second},
+		{"timeout=600", idleExpiry},
+		{"timeout=soon", idleExpiry},
+		{"", idleExpiry},
+	} {
+		cn := &conn{idleLimit: idleExpiry}
+		cn.limitIdle(http.Header{"Keep-Alive": {tt.header}})
+		if cn.idleLimit != tt.want {
+			t.Errorf("%q: idle limit %v, want %v", tt.header, cn.idleLimit, tt.want)
+		}
+	}
+}
+
+func TestRequestIsWrittenAsItCame(t *testing.T) {
+	var buf bytes.Buffer
+	rq := &Request{
+		Method: http.MethodPost, URI: "/a%2fb/?q=%20", Host: "h.example", Body: []byte("xyz"),
+		Header: http.Header{"X-One": {"1", "2"}, "Content-Length": {"77"}, "Transfer-Encoding": {"chunked"}},
+	}
+	if err := rq.write(&buf); err != nil {
+		t.Fatal(err)
+	}
+	want := "POST /a%2fb/?q=%20 HTTP/1.1\r\nHost: h.example\r\nX-One: 1\r\nX-One: 2\r\nContent-Length: 3\r\n\r\nxyz"
+	if got := buf.String(); got != want {
+		t.Errorf("wrote %q, want %q", got, want)
+	}
+}
