Admit requests of callers by the occupancy that their call trees meet

Entries learned of that only by failures, and refused calls killed trees on which other services had worked already. The service also slows down when it is nearly full, and ran there.

Ruled out: processor time (a node used 0.27 of 0.64 cores at most).

Change: answers bring the occupancy of the guard and the highest of the services below; an entry holds the share of each kind that it admits by it, with a controller whose gains were chosen in a replay of such a load (share_test.go). Calls are not refused for the length of a queue. On the platform one slot in 16 is left free.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -31,6 +31,9 @@
 	MaxWaiting int
 	// MaxSlots bounds the announced slots (default 4096).
 	MaxSlots int
+	// FreeShare is the part of the slots, 1 in so many, that is left free:
+	// upstreams may slow down when they are nearly full. Zero leaves none.
+	FreeShare int
 	// RetryAfter is the mean time proposed to refused callers at the lowest
 	// overload (default 200 ms).
 	RetryAfter time.Duration
@@ -70,6 +73,7 @@
 	arrivals uint64
 	es       estimate
 	ov       overload
+	oc       occupancy
 	out      output
 }
 
@@ -112,6 +116,7 @@
 	if mc.ov.on && mc.waiting.len() == 0 && mc.total < mc.lm.Current(now) {
 		mc.ov.end()
 	}
+	mc.oc.set(now, mc.total+mc.waiting.len(), mc.lm.Current(now))
 	return mc.out.actions
 }
 
@@ -130,12 +135,24 @@
 // in the last 50 ms to 100 ms. Work of a higher level starts at once.
 func (mc *Machine) Pressure() call.Level { return mc.ov.pressure() }
 
+// Occupancy returns the attempts that run or wait for each that may run at once,
+// in the mean of about the last 100 ms.
+func (mc *Machine) Occupancy() call.Occupancy { return mc.oc.percent() }
+
 // Running returns the number of attempts that run.
 func (mc *Machine) Running() int { return mc.total }
 
 // Waiting returns the number of attempts that wait.
 func (mc *Machine) Waiting() int { return mc.waiting.len() }
 
+// usable returns how many of the slots are used.
+func (st Settings) usable(slots int) int {
+	if st.FreeShare == 0 {
+		return slots
+	}
+	return slots - (slots+st.FreeShare/2)/st.FreeShare
+}
+
 // Slots returns the announced slots, and zero without an upstream.
 func (mc *Machine) Slots() int { return mc.slots }
 
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -161,3 +161,43 @@
 		}
 	}
 }
+
+// With a part of the slots left free, no more than the others are used, and a
+// single slot is.
+func TestFreeShare(t *testing.T) {
+	for _, tt := range []struct{ slots, want int }{{1, 1}, {8, 7}, {17, 16}, {41, 38}, {353, 331}} {
+		mc := New(Settings{FreeShare: 16}, testRand())
+		mc.Step(epoch, Announce{Slots: tt.slots})
+		for range tt.slots {
+			mc.Step(epoch, Arrive{ID: call.NewAttemptID(mc.rng), Importance: 5, Deadline: epoch.Add(time.Minute)})
+		}
+		if mc.Running() != tt.want {
+			t.Errorf("%d of %d slots used, want %d", mc.Running(), tt.slots, tt.want)
+		}
+	}
+}
+
+// The occupancy counts what runs and waits, and follows it within some 100 ms.
+func TestOccupancy(t *testing.T) {
+	mc := New(Settings{TargetWait: time.Minute}, testRand())
+	mc.Step(epoch, Announce{Slots: 4})
+	ids := make([]call.AttemptID, 6)
+	for at := range ids {
+		ids[at] = call.NewAttemptID(mc.rng)
+		mc.Step(epoch, Arrive{ID: ids[at], Importance: 5, Deadline: epoch.Add(time.Minute)})
+	}
+	mc.Step(epoch.Add(400*time.Millisecond), Tick{})
+	if oc := mc.Occupancy(); oc < 148 || oc > 150 {
+		t.Errorf("occupancy %d with 6 attempts in 4 slots, want 150", oc)
+	}
+	for _, id := range ids {
+		mc.Step(epoch.Add(400*time.Millisecond), Finish{ID: id, OK: true})
+	}
+	for _, id := range ids {
+		mc.Step(epoch.Add(400*time.Millisecond), Finish{ID: id, OK: true})
+	}
+	mc.Step(epoch.Add(600*time.Millisecond), Tick{})
+	if oc := mc.Occupancy(); oc > 10 {
+		t.Errorf("occupancy %d some 200 ms after the last attempt, want nearly 0", oc)
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -27,6 +27,8 @@
 
 func (rk rank) importance() call.Importance { return call.Importance(rk >> importanceShift) }
 
+func (rk rank) depth() call.Depth { return call.Depth(rk >> depthShift) }
+
 func (rk rank) level() call.Level { return call.Level(rk >> cohortShift) }
 
 // queue holds the waiting tasks by rank and by the time at which they give
--- a/admission/step.go
+++ b/admission/step.go
@@ -36,7 +36,7 @@
 		mc.es = estimate{}
 	}
 	mc.slots = min(max(ev.Slots, 0), mc.st.MaxSlots)
-	mc.lm.Announce(now, mc.slots, ev.WarmUp)
+	mc.lm.Announce(now, mc.st.usable(mc.slots), ev.WarmUp)
 	if mc.slots == 0 {
 		mc.refuseWaiting(NoUpstream)
 	}
@@ -160,14 +160,20 @@
 }
 
 // trim refuses the least important waiting attempts beyond what can start
-// within the target.
+// within the target. The load pattern that it answers is a surge of requests of
+// callers: their number is not bounded by what is served. Calls are not refused
+// for it, since there are no more of them at a time than work that was admitted
+// above, which would be lost with them; they wait until they would be late.
 func (mc *Machine) trim(now time.Time) {
 	for mc.waiting.len() > mc.st.MaxWaiting {
 		at, _ := mc.waiting.worstTask()
 		mc.refuseWaiter(at, Full)
 	}
 	for mc.waiting.len() > 1 && mc.wait(now, mc.waiting.len()) > mc.target() {
-		at, _ := mc.waiting.worstTask()
+		at, rk := mc.waiting.worstTask()
+		if rk.depth() > 0 {
+			return
+		}
 		mc.refuseWaiter(at, Overload)
 	}
 }
--- a/call/call.go
+++ b/call/call.go
@@ -41,6 +41,10 @@
 // Depth is the number of calls between the root request and this one.
 type Depth uint8
 
+// Occupancy is the number of attempts that run or wait, in percent of those that
+// may run at once. Above 100 some wait.
+type Occupancy uint16
+
 // Level is an admission level. Work is admitted when its own level is equal
 // or higher. The zero Level admits everything.
 type Level uint16
--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
 
+	"camphortrail/admission"
 	"camphortrail/config"
 	"camphortrail/internal/fleet/node"
 	"camphortrail/internal/state/control"
@@ -19,6 +20,10 @@
 	// runtime keeps the heap within; the rest is for stacks, sockets and the
 	// program.
 	heapShare = 60
+	// freeShare is the part of the slots of an upstream, 1 in so many, that is
+	// left free: some of the platform's upstreams slow down when they are nearly
+	// full.
+	freeShare = 16
 	// stopNotice is the time for which a stopping node serves on. The
 	// platform takes it out after two questions a second apart.
 	stopNotice = 2500 * time.Millisecond
@@ -52,7 +57,7 @@
 	}
 	nd, err := node.New(set.Node(), node.Options{
 		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{}, RetrySlack: set.RetrySlack,
-		Events: os.Stdout,
+		Events: os.Stdout, Admission: admission.Settings{FreeShare: freeShare},
 		Doors: []node.Door{
 			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
 			{Address: set.ControlAddress, Handler: set.NewReports},
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/config"
 	"camphortrail/internal/fleet/announce"
@@ -71,6 +72,8 @@
 	// RetrySlack is the number of retries to a service that all nodes
 	// together may make without successes; see entry.Options.
 	RetrySlack float64
+	// Admission tunes the admission to the upstream beside the node.
+	Admission admission.Settings
 	// Stop says how the node stops. The zero value stands for DefaultStop.
 	Stop StopPlan
 }
@@ -153,7 +156,7 @@
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()), Dialect: opt.Dialect,
-		Events: nd.events,
+		Events: nd.events, Admission: opt.Admission,
 	})
 	nd.pool = peer.New(peer.Options{OnState: nd.connState, Dial: opt.Dial})
 	eopt := entry.Options{
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -73,6 +73,12 @@
 	Waiting int `json:"waiting,omitempty"`
 	Slots   int `json:"slots,omitempty"`
 	Level   int `json:"level,omitempty"`
+	// Occupancy is the highest that the request met in its call tree, or that of
+	// the guard, in percent.
+	Occupancy int `json:"occupancy-percent,omitempty"`
+	// Share is the part of the requests of the kind that the entry admits, in
+	// percent.
+	Share int `json:"share-percent,omitempty"`
 }
 
 // Line is an event as it is written.
--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -63,6 +63,9 @@
 	Level call.Level
 	// Pressure is the level up to which work waited at the guard.
 	Pressure call.Level
+	// Occupancy is that of the guard, and Downstream the highest of the services
+	// that the calls of the attempt went to.
+	Occupancy, Downstream call.Occupancy
 	// Unused is the number of retries that come back.
 	Unused int
 	// Overload is true when the attempt failed because a guard, here or
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -82,7 +82,8 @@
 		AttemptId: id[:], Stamp: stamp, Answer: an.Record(), Reason: an.Reason,
 		Level: uint32(an.Level), Pressure: uint32(an.Pressure), Unused: uint32(max(0, an.Unused)),
 		Overload: an.Overload, Offered: an.Offered, RetryAfterMs: uint32(an.RetryAfter.Milliseconds()),
-		WorkUs: uint64(max(0, an.Work.Microseconds())),
+		WorkUs:           uint64(max(0, an.Work.Microseconds())),
+		OccupancyPercent: uint32(an.Occupancy), DownstreamPercent: uint32(an.Downstream),
 	}}}
 }
 
@@ -97,6 +98,10 @@
 		return nil, errors.Wrap(ErrBadFrame, "unused")
 	case msg.GetWorkUs() > maxTime:
 		return nil, errors.Wrap(ErrBadFrame, "work_us")
+	case msg.GetOccupancyPercent() > maxOccupancy:
+		return nil, errors.Wrap(ErrBadFrame, "occupancy_percent")
+	case msg.GetDownstreamPercent() > maxOccupancy:
+		return nil, errors.Wrap(ErrBadFrame, "downstream_percent")
 	case msg.GetAnswer().GetStatus() < http.StatusContinue || msg.GetAnswer().GetStatus() > maxStatus:
 		return nil, errors.Wrap(ErrBadFrame, "status")
 	}
@@ -104,13 +109,15 @@
 	an.Reason, an.Overload, an.Offered = msg.GetReason(), msg.GetOverload(), msg.GetOffered()
 	an.Level, an.Pressure, an.Unused = call.Level(msg.GetLevel()), call.Level(msg.GetPressure()), int(msg.GetUnused())
 	an.RetryAfter = time.Duration(msg.GetRetryAfterMs()) * time.Millisecond
+	an.Occupancy, an.Downstream = call.Occupancy(msg.GetOccupancyPercent()), call.Occupancy(msg.GetDownstreamPercent())
 	an.Work = time.Duration(msg.GetWorkUs()) * time.Microsecond
 	return an, nil
 }
 
 const (
-	maxLevel  = 1<<16 - 1
-	maxStatus = 999
+	maxLevel     = 1<<16 - 1
+	maxOccupancy = 1<<16 - 1
+	maxStatus    = 999
 )
 
 // fields returns a header in the order of its names.
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -43,6 +43,7 @@
 	ReasonNoUpstream      = "no-upstream"
 	ReasonUnreachable     = "unreachable"
 	ReasonOverload        = "overload"
+	ReasonFailing         = "kind-fails"
 	ReasonDeadline        = "deadline"
 	ReasonLost            = "answer-lost"
 	ReasonClaimHeld       = "key-in-progress"
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -62,6 +62,11 @@
 	last      peer.Result
 	restamped bool
 	overload  bool
+	// occupancy is the highest of the services that the request went to, also
+	// by its calls.
+	occupancy call.Occupancy
+	// share is the part of the requests of the kind that is admitted, in percent.
+	share int
 	// granted says that the next attempt is charged already.
 	granted bool
 }
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -9,6 +9,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/throttle"
 	"camphortrail/internal/traffic/tree"
 	"camphortrail/retry"
 )
@@ -87,6 +88,7 @@
 		}
 		return rq, nil
 	}
+	rq.depth = 1
 	if in, ok := en.opt.Trees.Adopt(now, og); ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
@@ -124,6 +126,7 @@
 		ev.Class, ev.Service, ev.VM = string(rq.kind.Class), string(rq.kind.Service), string(rq.vm)
 		ev.Importance, ev.Attempts = int(rq.importance), rq.attempts
 		ev.LeftMS = rq.deadline.Sub(now).Milliseconds()
+		ev.Occupancy, ev.Share = int(rq.occupancy), rq.share
 		if an.Reason == ReasonDeadline && now.Before(rq.deadline) {
 			ev.Reason = events.CallerLeft
 		}
@@ -141,8 +144,12 @@
 	if rq.inner || en.opt.HopRetries > 0 {
 		return en.serve(ctx, rq)
 	}
-	if retryAfter, ok := en.admit(rq); !ok {
-		an := attempt.Refusal(ReasonOverload, en.jitter(retryAfter))
+	if de := en.admit(rq); !de.Admitted {
+		reason := ReasonOverload
+		if de.Failing {
+			reason = ReasonFailing
+		}
+		an := attempt.Refusal(reason, en.jitter(de.RetryAfter))
 		an.Overload = true
 		return an
 	}
@@ -151,15 +158,16 @@
 	defer en.mu.Unlock()
 	if ctx.Err() == nil {
 		through := !an.Failed() && an.Status != http.StatusInternalServerError
-		en.throttles.Finish(time.Now(), rq.kind.Class, through)
+		en.throttles.Finish(time.Now(), rq.kind.Class, throttle.Result{Through: through, Occupancy: rq.occupancy})
 	}
 	return an
 }
 
-// admit decides on a request of a caller. It returns the mean time after which
-// one that is refused may come back.
-func (en *Entry) admit(rq *request) (retryAfter time.Duration, ok bool) {
+// admit decides on a request of a caller.
+func (en *Entry) admit(rq *request) throttle.Decision {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return en.throttles.Admit(time.Now(), rq.kind.Class, rq.importance, en.rng.Float64())
+	de := en.throttles.Admit(time.Now(), rq.kind.Class, rq.importance, en.rng.Float64())
+	rq.share = int(100 * de.Share)
+	return de
 }
--- a/internal/traffic/entry/routed_test.go
+++ b/internal/traffic/entry/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 	bn := newRoutedBench(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 	refused := 0
 	for n := range 200 {
-		if outcome, reason := bn.lookUp(t, n); outcome == call.NotRun && reason == ReasonOverload {
+		if outcome, reason := bn.lookUp(t, n); outcome == call.NotRun && reason == ReasonFailing {
 			refused++
 		}
 	}
@@ -67,3 +68,29 @@
 		t.Errorf("%d of 200 requests refused that all fail, want most", refused)
 	}
 }
+
+// The occupancy of a guard comes back with its answers and lowers the share of
+// requests that are admitted.
+func TestOccupancyLowersTheShare(t *testing.T) {
+	bn := newRoutedBench(t, func(_ http.ResponseWriter, _ *http.Request) { time.Sleep(20 * time.Millisecond) })
+	for n := range 20 {
+		bn.lookUp(t, n)
+	}
+	least, begun := 1.0, time.Now()
+	var group sync.WaitGroup
+	for sender := range 16 {
+		group.Go(func() {
+			for n := 0; time.Since(begun) < 600*time.Millisecond; n++ {
+				bn.lookUp(t, 1000*(sender+1)+n)
+				time.Sleep(2 * time.Millisecond)
+				bn.mu.Lock()
+				least = min(least, bn.throttles.Admit(time.Now(), "look-up", 5, 0).Share)
+				bn.mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	if least > 0.9 {
+		t.Errorf("the share was %.2f at the least, with four senders for each slot; want 0.9 or less", least)
+	}
+}
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -33,6 +33,7 @@
 	now := time.Now()
 	if rq.parent != nil {
 		rq.parent.EndCall(now, rq.failedForLoad(an))
+		en.opt.Trees.Met(now, rq.parent.Class, rq.kind.Service, rq.occupancy)
 	}
 	if rq.accounted() {
 		en.opt.Trees.Step(now, retry.Close{Account: rq.account})
@@ -244,14 +245,23 @@
 		return
 	}
 	rq.overload = rs.Answer.Overload
+	defer en.noteOccupancy(now, rq, rs.Answer)
 	en.Route(route.Answered{
 		Service: rq.kind.Service, VM: vm, Latency: took, Outcome: rs.Answer.Outcome,
-		Importance: rq.importance, Level: rs.Answer.Level, Pressure: rs.Answer.Pressure,
+		Importance: rq.importance, Level: rs.Answer.Level, Pressure: rs.Answer.Pressure, Occupancy: rs.Answer.Occupancy,
 		Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
 		Leaving:  leaves(rs.Answer.Reason),
 	})
 }
 
+// noteOccupancy keeps the highest occupancy of the services that the request
+// needs, as far as its attempt met them.
+func (en *Entry) noteOccupancy(now time.Time, rq *request, an *attempt.Answer) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	rq.occupancy = max(rq.occupancy, an.Downstream, en.routes.Occupancy(now, rq.kind.Service))
+}
+
 // leaves reports whether a guard refuses all attempts for the service: its
 // upstream leaves or is gone, or has given its place to one of another service.
 // The members tell so too, but later.
--- a/internal/traffic/guard/duty.go
+++ b/internal/traffic/guard/duty.go
@@ -24,6 +24,7 @@
 	Running() int
 	Waiting() int
 	Slots() int
+	Occupancy() call.Occupancy
 }
 
 // verdict is the decision on one attempt.
@@ -51,7 +52,7 @@
 	inputs  *ring.Ring[input]
 	tickets map[call.AttemptID]*ticket
 
-	level, pressure, running, waiting, slots atomic.Int64
+	level, pressure, occupancy, running, waiting, slots atomic.Int64
 }
 
 func newDuty(mc machine) *duty {
@@ -96,6 +97,7 @@
 	}
 	du.level.Store(int64(du.machine.Level()))
 	du.pressure.Store(int64(du.machine.Pressure()))
+	du.occupancy.Store(int64(du.machine.Occupancy()))
 	du.running.Store(int64(du.machine.Running()))
 	du.waiting.Store(int64(du.machine.Waiting()))
 	du.slots.Store(int64(du.machine.Slots()))
--- a/internal/traffic/guard/fifo.go
+++ b/internal/traffic/guard/fifo.go
@@ -44,4 +44,5 @@
 func (ff *fifo) Pressure() call.Level                 { return 0 }
 func (ff *fifo) Running() int                         { return len(ff.running) }
 func (ff *fifo) Waiting() int                         { return len(ff.queue) }
+func (ff *fifo) Occupancy() call.Occupancy            { return 0 }
 func (ff *fifo) Slots() int                           { return ff.slots }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -177,6 +177,7 @@
 	gd.count(at, an)
 	gd.writeEvent(at, an, begun)
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
+	an.Occupancy = call.Occupancy(gd.duty.occupancy.Load())
 	return an
 }
 
@@ -199,6 +200,7 @@
 		Kind: events.Refused, Request: at.Label, Reason: "guard-" + an.Reason, Service: string(at.Service),
 		Importance: int(at.Importance), TookMS: now.Sub(begun).Milliseconds(), LeftMS: at.Deadline.Sub(now).Milliseconds(),
 		RetryAfterMS: an.RetryAfter.Milliseconds(), Running: ld.Running, Waiting: ld.Waiting, Slots: ld.Slots, Level: int(ld.Level),
+		Occupancy: int(gd.duty.occupancy.Load()),
 	}
 	if an.Outcome == call.Unknown {
 		ev.Kind = events.Failed
@@ -306,6 +308,7 @@
 	waited, overload := in.Downstream(ended)
 	an.Unused = int(unused.Allowance)
 	an.Work = ended.Sub(begun)
+	an.Downstream = gd.trees.Occupancy(ended, at.Class)
 	an.Overload = an.Overload || overload && (an.Failed() || an.Status == http.StatusInternalServerError)
 	fin.OK, fin.Downstream = an.Outcome == call.Done, waited
 	gd.record(at, an)
--- /dev/null
+++ b/internal/traffic/throttle/share.go
@@ -0,0 +1,112 @@
+package throttle
+
+import (
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/traffic/decay"
+)
+
+const (
+	// baseTarget is the occupancy at which the least important kind is held: all
+	// slots are busy, and few attempts wait. What waits deep in a tree holds the
+	// slots of the services above it.
+	baseTarget call.Occupancy = 120
+	// targetStep is added for each less important kind, so that those have given
+	// way by then. A queue of that length delays a call by a part of its service time.
+	targetStep call.Occupancy = 80
+	// proportional is the change of a share for a relative error of 1, and
+	// integral that in each second. What is admitted too much stays in the queue
+	// until it is served, so that the occupancy integrates the error of the
+	// share: without the proportional part both would swing. The replay of
+	// share_test.go shows the loop damped with these.
+	proportional = 0.7
+	integral     = 0.4
+	// growth multiplies an error below the target, so that the share is back soon
+	// after an overload.
+	growth = 2
+	// maxExcess bounds the excess of the occupancy over its target, as a part
+	// of the target, that counts.
+	maxExcess = 1.5
+	// smoothing is the half-life of the weight of an occupancy: the requests of a
+	// kind meet different VMs, one after the other.
+	smoothing = 100 * time.Millisecond
+	// occupancyLife is the time for which an occupancy counts.
+	occupancyLife = 500 * time.Millisecond
+	// unknownExcess is assumed while no occupancy is known, so that the share
+	// grows slowly.
+	unknownExcess = -0.25 * growth
+	// maxAdjustment bounds the time that one adjustment accounts for.
+	maxAdjustment = 200 * time.Millisecond
+	// leastPart is the part of the share of all kinds that each kind gets
+	// whatever the load is: no kind is to be served less than a quarter as often
+	// as all.
+	leastPart = 0.3
+	// leastShare keeps a few requests coming, whose answers tell the occupancy.
+	leastShare = 0.02
+	// shareHalfLife is the time in which the weight of a past request halves.
+	shareHalfLife = time.Second
+)
+
+// share is the part of the requests of a kind that is admitted. A controller with
+// a proportional and an integral part holds the occupancy that they meet at its
+// target. All entries meet the same occupancy, and so admit the same share.
+type share struct {
+	value, integral float64
+	// credit is what is left of the shares of the requests so far, at least 1 to
+	// admit one.
+	credit float64
+	// occupancy is the moving mean of what the requests met until the time met.
+	occupancy float64
+	met       decay.Clock
+	metAt     time.Time
+	adjusted  time.Time
+	// arrived and admitted count recent requests.
+	arrived, admitted float64
+	clock             decay.Clock
+}
+
+func newShare() share { return share{value: 1, integral: 1} }
+
+// admit decides on a request. The share follows the target for the occupancy,
+// and is not less than the least.
+func (sh *share) admit(now time.Time, target call.Occupancy, least float64) bool {
+	sh.decay(now)
+	sh.adjust(now, target)
+	sh.value = max(sh.value, least, leastShare)
+	sh.arrived++
+	sh.credit += sh.value
+	if sh.credit < 1 {
+		return false
+	}
+	sh.credit--
+	sh.admitted++
+	return true
+}
+
+// meet takes in the occupancy that a request has met.
+func (sh *share) meet(now time.Time, oc call.Occupancy) {
+	keep := sh.met.Keep(now, smoothing)
+	sh.occupancy = sh.occupancy*keep + float64(oc)*(1-keep)
+	sh.metAt = now
+}
+
+// adjust changes the share for the time since the last adjustment.
+func (sh *share) adjust(now time.Time, target call.Occupancy) {
+	passed := min(now.Sub(sh.adjusted), maxAdjustment).Seconds()
+	sh.adjusted = now
+	excess := unknownExcess
+	if now.Sub(sh.metAt) < occupancyLife {
+		if excess = min(sh.occupancy/float64(target)-1, maxExcess); excess < 0 {
+			excess *= growth
+		}
+	}
+	sh.integral = min(max(sh.integral-integral*excess*passed, 0), 1)
+	sh.value = min(max(sh.integral-proportional*excess, 0), 1)
+}
+
+func (sh *share) decay(now time.Time) {
+	keep := sh.clock.Keep(now, shareHalfLife)
+	sh.arrived *= keep
+	sh.admitted *= keep
+}
--- /dev/null
+++ b/internal/traffic/throttle/share_test.go
@@ -0,0 +1,165 @@
+package throttle
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+)
+
+// deepLoad replays the arrivals at several entries of requests whose calls, one
+// after the other, all go to one service with a queue. The service refuses
+// nothing.
+type deepLoad struct {
+	now     time.Time
+	rng     *rand.Rand
+	entries []*Group
+	// blind keeps the occupancy from the entries.
+	blind bool
+
+	waiting, running []*deepTree
+	occupancy        float64
+	kinds
+}
+
+// deepTree is one request that was admitted.
+type deepTree struct {
+	entry    int
+	class    call.Class
+	imp      call.Importance
+	calls    int
+	ends     time.Time
+	deadline time.Time
+}
+
+const (
+	deepEntries  = 8
+	deepSlots    = 20
+	deepCalls    = 8
+	deepService  = 20 * time.Millisecond
+	deepDeadline = time.Second
+	// deepCapacity is the number of requests that the service carries in a
+	// second.
+	deepCapacity = float64(deepSlots) * float64(time.Second) / float64(deepCalls*deepService)
+)
+
+func newDeepLoad(seed uint64) *deepLoad {
+	dl := &deepLoad{now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, seed))}
+	for range deepEntries {
+		dl.entries = append(dl.entries, New())
+	}
+	return dl
+}
+
+// run replays arrivals a second of each importance, as multiples of the capacity.
+func (dl *deepLoad) run(length time.Duration, arrivals map[call.Importance]float64) kinds {
+	const step = time.Millisecond
+	dl.kinds = kinds{}
+	for end := dl.now.Add(length); dl.now.Before(end); {
+		dl.now = dl.now.Add(step)
+		for imp := call.MinImportance; imp <= call.MaxImportance; imp++ {
+			if dl.rng.Float64() < arrivals[imp]*deepCapacity*step.Seconds() {
+				dl.arrive(imp)
+			}
+		}
+		dl.serve()
+	}
+	return dl.kinds
+}
+
+func (dl *deepLoad) arrive(imp call.Importance) {
+	tr := &deepTree{
+		entry: dl.rng.IntN(deepEntries), class: call.Class(rune('0' + imp)), imp: imp,
+		calls: deepCalls, deadline: dl.now.Add(deepDeadline),
+	}
+	if !dl.entries[tr.entry].Admit(dl.now, tr.class, imp, dl.rng.Float64()).Admitted {
+		dl.kinds[imp].refused++
+		return
+	}
+	dl.waiting = append(dl.waiting, tr)
+}
+
+// serve ends and starts calls, those of the more important requests first.
+func (dl *deepLoad) serve() {
+	var left []*deepTree
+	for _, tr := range dl.running {
+		if tr.ends.After(dl.now) {
+			left = append(left, tr)
+		} else if tr.calls--; tr.calls > 0 {
+			dl.waiting = append(dl.waiting, tr)
+		} else {
+			dl.finish(tr, true)
+		}
+	}
+	dl.running = left
+	for imp := call.MaxImportance; imp >= call.MinImportance; imp-- {
+		left = nil
+		for _, tr := range dl.waiting {
+			switch {
+			case !tr.deadline.After(dl.now):
+				dl.finish(tr, false)
+			case tr.imp == imp && len(dl.running) < deepSlots:
+				tr.ends = dl.now.Add(deepService/2 + time.Duration(dl.rng.Int64N(int64(deepService))))
+				dl.running = append(dl.running, tr)
+			default:
+				left = append(left, tr)
+			}
+		}
+		dl.waiting = left
+	}
+	const smooth = 0.02
+	dl.occupancy += smooth * (100*float64(len(dl.running)+len(dl.waiting))/deepSlots - dl.occupancy)
+}
+
+func (dl *deepLoad) finish(tr *deepTree, through bool) {
+	rs := Result{Through: through, Occupancy: call.Occupancy(dl.occupancy)}
+	if dl.blind {
+		rs.Occupancy = 0
+	}
+	dl.entries[tr.entry].Finish(dl.now, tr.class, rs)
+	if through {
+		dl.kinds[tr.imp].through++
+	} else {
+		dl.kinds[tr.imp].wasted++
+	}
+}
+
+// A deep service that gets two and a half times what it carries is kept busy
+// with work that comes to an end, the important work first, and is free again at
+// once when the load falls. Without the occupancy more of its work is lost.
+func TestDeepServiceAtItsLimit(t *testing.T) {
+	const length = 10 * time.Second
+	capacity := deepCapacity * length.Seconds()
+	overload := map[call.Importance]float64{7: 0.5, 5: 2}
+	for seed := range uint64(3) {
+		dl := newDeepLoad(seed)
+		dl.run(3*time.Second, overload)
+		got := dl.run(length, overload)
+		through := float64(got[5].through + got[7].through)
+		t.Logf("seed %d: capacity %.0f, important %+v, others %+v, occupancy %.0f", seed, capacity, got[7], got[5], dl.occupancy)
+		if through < 0.9*capacity {
+			t.Errorf("seed %d: %.0f of %.0f requests that the service carries came through", seed, through, capacity)
+		}
+		if wasted := got[5].wasted + got[7].wasted; float64(wasted) > 0.02*through {
+			t.Errorf("seed %d: %d requests were given up after work", seed, wasted)
+		}
+		if all := got[7].through + got[7].wasted + got[7].refused; float64(got[7].through) < 0.95*float64(all) {
+			t.Errorf("seed %d: %d of %d important requests came through", seed, got[7].through, all)
+		}
+		calm := map[call.Importance]float64{7: 0.25, 5: 0.25}
+		dl.run(time.Second, calm)
+		if got := dl.run(length, calm); float64(got[5].refused+got[7].refused) > 0.02*capacity {
+			t.Errorf("seed %d: %d requests refused more than a second after the overload", seed, got[5].refused+got[7].refused)
+		}
+
+		dl = newDeepLoad(seed)
+		dl.blind = true
+		dl.run(3*time.Second, overload)
+		blind := dl.run(length, overload)
+		t.Logf("seed %d, without occupancy: important %+v, others %+v", seed, blind[7], blind[5])
+		if blind[5].wasted <= got[5].wasted {
+			t.Errorf("seed %d: no more work is lost without the occupancy: %d, with it %d", seed, blind[5].wasted, got[5].wasted)
+		}
+	}
+}
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -1,13 +1,16 @@
-// Package throttle refuses requests at their entry, before any work, in
-// proportion to those of their kind that fail for load somewhere in their call
-// tree.
+// Package throttle refuses requests at their entry, before any work, when their
+// call trees meet a service that is at its limit.
 //
 // The load pattern is a small service deep in the tree at its limit: what it
-// refuses has spent the work of all services above it. The refusals there go by
-// importance, so the kinds that fail are the ones to refuse here. The rule is
-// the adaptive throttling of Beyer et al., "Site Reliability Engineering",
-// chapter 21: of n requests of which a came through, max(0, (n - k*a)/(n + 1))
-// are refused.
+// refuses has spent the work of all services above it. Two rules answer it.
+// Answers bring the highest occupancy of the services of the tree, and the share
+// of the requests that is admitted follows it (share), so that the service is
+// busy and refuses nothing. What fails all the same, as it does where a service
+// refuses without being full, is refused by its outcome: of n requests of which
+// a came through, max(0, (n - k*a)/(n + 1)) are refused, which is the adaptive
+// throttling of Beyer et al., "Site Reliability Engineering", chapter 21. The
+// refusals deep in the tree go by importance, so the kinds that fail are the ones
+// to refuse here.
 package throttle
 
 import (
@@ -51,22 +54,79 @@
 // New returns a group that refuses nothing.
 func New() *Group { return &Group{kinds: make(map[call.Class]*kind)} }
 
+// Decision is what happens to a request.
+type Decision struct {
+	Admitted bool
+	// Failing says that it is refused because those before it failed, and not
+	// because of the occupancy that they met.
+	Failing bool
+	// Share is the part of the requests of the kind that is admitted by the
+	// occupancy that they meet.
+	Share float64
+	// RetryAfter is the mean time after which it may come back.
+	RetryAfter time.Duration
+}
+
 // Admit decides on a request. The draw is uniform from 0 to 1. A kind is
-// refused only after the less important ones that fail with it. A request that
-// is refused may come back after retryAfter in the mean.
-func (gp *Group) Admit(now time.Time, class call.Class, imp call.Importance, draw float64) (retryAfter time.Duration, ok bool) {
+// refused for failures only after the less important ones that fail with it.
+func (gp *Group) Admit(now time.Time, class call.Class, imp call.Importance, draw float64) Decision {
 	kd := gp.kinds[class]
 	if kd == nil {
-		kd = new(kind)
+		kd = &kind{share: newShare()}
 		gp.kinds[class] = kd
 	}
 	kd.importance = imp
+	// Requests that the share refuses don't count as failing: the second rule
+	// would take them for a reason to refuse more.
+	if !kd.share.admit(now, gp.target(kd), gp.leastShare(now)) {
+		return Decision{Share: kd.share.value, RetryAfter: returnTime(1 - kd.share.value)}
+	}
 	refusing := kd.refusing(now)
-	if draw >= refusing || gp.othersYield(now, imp) {
-		return 0, true
+	if draw < refusing && !gp.othersYield(now, imp) {
+		kd.requests++
+		return Decision{Failing: true, Share: kd.share.value, RetryAfter: returnTime(refusing)}
 	}
-	kd.requests++
-	return minRetryAfter + time.Duration(refusing*refusing*float64(maxRetryAfter-minRetryAfter)), false
+	return Decision{Admitted: true, Share: kd.share.value}
+}
+
+// returnTime grows with the share of requests that is refused.
+func returnTime(refused float64) time.Duration {
+	return minRetryAfter + time.Duration(refused*refused*float64(maxRetryAfter-minRetryAfter))
+}
+
+// leastShare returns the share that each kind gets whatever the load is: a part
+// of that of all kinds together.
+func (gp *Group) leastShare(now time.Time) float64 {
+	arrived, admitted := 0.0, 0.0
+	for _, kd := range gp.kinds {
+		kd.share.decay(now)
+		arrived += kd.share.arrived
+		admitted += kd.share.admitted
+	}
+	return leastPart * admitted / max(arrived, 1)
+}
+
+// target returns the occupancy up to which a kind is admitted more: higher for
+// each less important kind there is, so that those give way first.
+func (gp *Group) target(kd *kind) call.Occupancy {
+	var lower [call.MaxImportance + 1]bool
+	steps := 0
+	for _, other := range gp.kinds {
+		if other.importance < kd.importance && !lower[other.importance] {
+			lower[other.importance] = true
+			steps++
+		}
+	}
+	return baseTarget + call.Occupancy(steps)*targetStep
+}
+
+// Result is what became of a request.
+type Result struct {
+	// Through says that it brought what the caller asked for.
+	Through bool
+	// Occupancy is the highest of the services of its call tree, or zero if it
+	// is not known.
+	Occupancy call.Occupancy
 }
 
 // othersYield reports whether a less important kind fails, and is not refused
@@ -80,17 +140,20 @@
 	return false
 }
 
-// Finish counts a request that was admitted, and whether it came through. A
-// failure also counts for the less important kinds that fail: they share what is
+// Finish counts a request that was admitted, and what became of it. A failure
+// also counts for the less important kinds that fail: they share what is
 // short, and are to give way. Requests whose callers left are not counted.
-func (gp *Group) Finish(now time.Time, class call.Class, through bool) {
+func (gp *Group) Finish(now time.Time, class call.Class, rs Result) {
 	kd := gp.kinds[class]
 	if kd == nil {
 		return
 	}
+	if rs.Occupancy > 0 {
+		kd.share.meet(now, rs.Occupancy)
+	}
 	kd.decay(now)
 	kd.requests++
-	if through {
+	if rs.Through {
 		kd.accepts++
 		return
 	}
@@ -115,6 +178,7 @@
 	importance        call.Importance
 	requests, accepts float64
 	clock             decay.Clock
+	share             share
 }
 
 // refusing returns the share of requests that is refused.
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -40,7 +40,7 @@
 func (ld *load) request(imp call.Importance) {
 	class := call.Class(rune('0' + imp))
 	of := &ld.kinds[imp]
-	if _, ok := ld.gp.Admit(ld.now, class, imp, ld.rng.Float64()); !ok {
+	if !ld.gp.Admit(ld.now, class, imp, ld.rng.Float64()).Admitted {
 		of.refused++
 		return
 	}
@@ -51,7 +51,7 @@
 	} else {
 		of.wasted++
 	}
-	ld.gp.Finish(ld.now, class, through)
+	ld.gp.Finish(ld.now, class, Result{Through: through})
 }
 
 func newLoad() *load {
@@ -109,12 +109,12 @@
 	ld := newLoad()
 	for range 2000 {
 		ld.now = ld.now.Add(10 * time.Millisecond)
-		if _, ok := ld.gp.Admit(ld.now, "upload", 5, ld.rng.Float64()); !ok {
+		if !ld.gp.Admit(ld.now, "upload", 5, ld.rng.Float64()).Admitted {
 			t.Fatal("an upload is refused")
 		}
-		ld.gp.Finish(ld.now, "upload", true)
-		if _, ok := ld.gp.Admit(ld.now, "issue", 7, ld.rng.Float64()); ok {
-			ld.gp.Finish(ld.now, "issue", false)
+		ld.gp.Finish(ld.now, "upload", Result{Through: true})
+		if ld.gp.Admit(ld.now, "issue", 7, ld.rng.Float64()).Admitted {
+			ld.gp.Finish(ld.now, "issue", Result{})
 		}
 	}
 }
--- a/internal/traffic/tree/adopt.go
+++ b/internal/traffic/tree/adopt.go
@@ -20,6 +20,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	maps.DeleteFunc(tr.origins, func(kind call.Class, _ *origin) bool { return !keep(kind) })
+	maps.DeleteFunc(tr.met, func(kind call.Class, _ map[call.Service]reading) bool { return !keep(kind) })
 	maps.DeleteFunc(tr.callers, func(kind call.Class, _ *caller) bool { return !keep(kind) })
 }
 
--- /dev/null
+++ b/internal/traffic/tree/occupancy_test.go
@@ -0,0 +1,29 @@
+package tree
+
+import (
+	"testing"
+	"time"
+
+	"camphortrail/retry"
+)
+
+func TestOccupancyOfKinds(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	now := time.Unix(0, 0)
+	tr.Met(now, "look-up", "cassa", 180)
+	tr.Met(now, "look-up", "emissione", 40)
+	tr.Met(now, "issue", "emissione", 30)
+	if oc := tr.Occupancy(now, "look-up"); oc != 180 {
+		t.Errorf("occupancy %d, want that of the fullest service, 180", oc)
+	}
+	if oc := tr.Occupancy(now, "issue"); oc != 30 {
+		t.Errorf("occupancy %d of another kind, want 30", oc)
+	}
+	tr.Met(now, "look-up", "cassa", 90)
+	if oc := tr.Occupancy(now, "look-up"); oc != 90 {
+		t.Errorf("occupancy %d, want the latest, 90", oc)
+	}
+	if oc := tr.Occupancy(now.Add(readingLife), "look-up"); oc != 0 {
+		t.Errorf("occupancy %d after its life, want 0", oc)
+	}
+}
--- a/internal/traffic/tree/tree.go
+++ b/internal/traffic/tree/tree.go
@@ -21,6 +21,7 @@
 	// chains holds those with an open call by its connection, and waiting those
 	// that were answered a moment ago, oldest first.
 	chains  map[string]*chain
+	met     map[call.Class]map[call.Service]reading
 	waiting []*chain
 }
 
@@ -29,6 +30,7 @@
 	return &Trees{
 		ledger: retry.New(lim), inbound: make(map[call.AttemptID]*Inbound),
 		origins: make(map[call.Class]*origin), callers: make(map[call.Class]*caller), chains: make(map[string]*chain),
+		met: make(map[call.Class]map[call.Service]reading),
 	}
 }
 
--- a/route/event.go
+++ b/route/event.go
@@ -62,6 +62,8 @@
 	// Pressure is the level up to which work was delayed at the guard, if it
 	// returned one.
 	Pressure call.Level
+	// Occupancy is that of the guard.
+	Occupancy call.Occupancy
 	// Overload says that the guard refused the attempt for overload.
 	Overload bool
 	// Leaving says that the guard refused the attempt because its upstream
--- a/route/route.go
+++ b/route/route.go
@@ -130,6 +130,29 @@
 	return entries
 }
 
+// occupancyLife is the time for which the occupancy of a VM counts: several times
+// that from one answer to the next, unless hardly anything is sent to it.
+const occupancyLife = time.Second
+
+// Occupancy returns the mean occupancy of the reachable VMs of a service, weighted
+// by their slots. VMs that did not answer lately are left out; it is zero if there
+// is no other.
+func (tb *Table) Occupancy(at time.Time, service call.Service) call.Occupancy {
+	sv := tb.services[service]
+	if sv == nil {
+		return 0
+	}
+	now := tb.instant(at)
+	sum, slots := 0, 0
+	for _, up := range sv.byVM {
+		if up.usable(now) && up.levelAt != never && now.since(up.levelAt) < occupancyLife {
+			sum += int(up.occupancy) * up.slots
+			slots += up.slots
+		}
+	}
+	return call.Occupancy(sum / max(slots, 1))
+}
+
 // Services returns the names of all services, ordered.
 func (tb *Table) Services() []call.Service {
 	names := make([]call.Service, 0, len(tb.services))
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -259,3 +259,30 @@
 		})
 	})
 }
+
+// The occupancy of a service is the mean of the VMs that answered lately, by
+// their slots.
+func TestOccupancy(t *testing.T) {
+	tb := New(Settings{Domain: "d1"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	for _, up := range []struct {
+		vm    call.VM
+		slots int
+	}{{"a", 10}, {"b", 30}, {"c", 30}} {
+		tb.Step(now, Upsert{VM: up.vm, Service: "cassa", Domain: "d1", Slots: up.slots})
+	}
+	answer := func(vm call.VM, oc call.Occupancy) {
+		tb.Step(now, Sent{Service: "cassa", VM: vm, Importance: 5})
+		tb.Step(now, Answered{Service: "cassa", VM: vm, Importance: 5, Latency: time.Millisecond, Occupancy: oc})
+	}
+	if oc := tb.Occupancy(now, "cassa"); oc != 0 {
+		t.Errorf("occupancy %d before any answer, want 0", oc)
+	}
+	answer("c", 400)
+	now = now.Add(occupancyLife)
+	answer("a", 200)
+	answer("b", 40)
+	if oc := tb.Occupancy(now, "cassa"); oc != 80 {
+		t.Errorf("occupancy %d, want 80", oc)
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -158,6 +158,7 @@
 	}
 	up.count(ev.Importance, -1)
 	up.level, up.pressure, up.levelAt = ev.Level, ev.Pressure, now
+	up.occupancy = ev.Occupancy
 	sv.lv.answered(now, up)
 	if ev.Leaving {
 		up.draining = true
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -51,6 +51,7 @@
 	latencyAt instant
 	level     call.Level
 	pressure  call.Level
+	occupancy call.Occupancy
 	// levelAt is the time of the last answer.
 	levelAt instant
 	// failures counts the last failures in a row.
