Announce the departure of an upstream late in a planned stop

Ruled out: a shorter notice; callers are sent elsewhere only after two questions a second apart.

Change: StopPlan.Drain. TestLateDrain fails without it (no runs after the first second), and checks that nothing is cut off.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -27,6 +27,9 @@
 	// stopNotice is the time for which a stopping node serves on. The
 	// platform takes it out after two questions a second apart.
 	stopNotice = 2500 * time.Millisecond
+	// stopDrain is the end of the notice in which the upstream gets no new work:
+	// longer than 200 nodes take to learn that (docs/CAPACITY.md).
+	stopDrain = time.Second
 	// stopReserve is kept of the grace time for the end of the process.
 	stopReserve = 800 * time.Millisecond
 )
@@ -62,7 +65,7 @@
 			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
 			{Address: set.ControlAddress, Handler: set.NewReports},
 		},
-		Stop: node.StopPlan{Notice: stopNotice, Finish: set.Grace() - stopNotice - stopReserve, Serve: true},
+		Stop: node.StopPlan{Notice: stopNotice, Drain: stopDrain, Finish: set.Grace() - stopNotice - stopReserve, Serve: true},
 	})
 	if err != nil {
 		return err
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -97,6 +97,10 @@
 	// Notice is the time for which the node stays, until the others have
 	// learned that it leaves.
 	Notice time.Duration
+	// Drain, if set, is how long before the end of Notice the upstream is
+	// announced as leaving. Until then other nodes send it work. Otherwise it is
+	// announced at once.
+	Drain time.Duration
 	// Finish bounds the wait for work in flight after that.
 	Finish time.Duration
 	// Serve says that requests of callers are taken during Notice: they are
--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -93,16 +93,18 @@
 	nd.log.Info("node stopping")
 	plan := nd.opt.Stop
 	nd.stopping.Store(true)
-	nd.announce.Drain()
 	if !plan.Serve {
 		nd.entry.Stop()
 	}
 	ctx, cancel := context.WithTimeout(ctx, plan.Notice+plan.Finish)
 	defer cancel()
-	select {
-	case <-time.After(plan.Notice):
-	case <-ctx.Done():
+	drain := plan.Notice
+	if plan.Drain > 0 {
+		drain = min(plan.Drain, plan.Notice)
 	}
+	pause(ctx, plan.Notice-drain)
+	nd.announce.Drain()
+	pause(ctx, drain)
 	// The upstream's own calls are still taken: its work in flight needs them.
 	nd.entry.Stop()
 	if err := nd.guard.Wait(ctx); err != nil {
@@ -122,6 +124,14 @@
 	}
 }
 
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
 func closeAll(servers map[Server]net.Listener) {
 	for server := range servers {
 		_ = server.Close()
--- a/internal/lab/deployment/fleet_test.go
+++ b/internal/lab/deployment/fleet_test.go
@@ -56,11 +56,17 @@
 // startFleet starts a deployment with a VM for each of the upstreams and waits
 // until each node serves.
 func startFleet(t testing.TB, controls int, deadline time.Duration, ups ...standin.UpstreamOptions) *fleet {
+	t.Helper()
+	return startFleetWith(t, Options{Controls: controls}, deadline, ups...)
+}
+
+// startFleetWith starts a deployment with further options.
+func startFleetWith(t testing.TB, opt Options, deadline time.Duration, ups ...standin.UpstreamOptions) *fleet {
 	t.Helper()
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
 	fl := &fleet{t: t, recorder: standin.NewRecorder(), client: standin.NewClient()}
-	opt := Options{Name: "lombardy", Folder: t.TempDir(), Controls: controls, Seed: seed}
+	opt.Name, opt.Folder, opt.Seed = "lombardy", t.TempDir(), seed
 	for i, up := range ups {
 		up.Recorder, up.AnswerBytes, up.Connections = fl.recorder, bytesOut, 1000
 		vm := call.VM(fmt.Sprintf("%s-%d", up.Service, i+1))
--- a/internal/lab/deployment/stop_test.go
+++ b/internal/lab/deployment/stop_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/fleet/node"
 	"camphortrail/internal/lab/standin"
 )
 
@@ -100,3 +101,26 @@
 		fl.t.Errorf("%d sends before the stop and %d after it began, want at least 50 and 1", before, during)
 	}
 }
+
+// TestLateDrain stops a node that announces the departure of its upstream only
+// towards the end of its notice. The upstream gets work until then, and none of
+// it is cut off.
+func TestLateDrain(t *testing.T) {
+	t.Parallel()
+	plan := node.StopPlan{Notice: 3 * time.Second, Drain: time.Second, Finish: 30 * time.Second, Serve: true}
+	up := standin.UpstreamOptions{Service: front, Slots: 100, Work: 50 * time.Millisecond}
+	fl := startFleetWith(t, Options{Controls: 1, Stop: plan}, 10*time.Second, up, up, up)
+	const stopped = 2
+	vm := string(fl.opt.Places[stopped].VM)
+	callers := fl.startCallers(t.Context(), front, 6*time.Second, 30, lookups, issues)
+	fl.until("work at the upstream", func() bool {
+		return len(fl.runs(vm, time.Time{})) > 10 && len(fl.recorder.Log().Sends) > 100
+	})
+	begun := time.Now()
+	fl.StopNode(stopped)
+	if during := fl.runs(vm, begun.Add(plan.Notice/3)); len(during) < 10 {
+		t.Errorf("%d runs from a third of the notice on, want at least 10", len(during))
+	}
+	callers.Wait()
+	fl.checkSends(stopped, begun)
+}
