--- a/internal/traffic/throttle/share.go
+++ b/internal/traffic/throttle/share.go
@@ -14,7 +14,7 @@
 	baseTarget call.Occupancy = 120
 	// targetStep is added for each less important kind, so that those have given
 	// way by then. A queue of that length delays a call by a part of its service time.
-	targetStep call.Occupancy = 80
+	targetStep call.Occupancy = 60
 	// proportional is the change of a share for a relative error of 1, and
 	// integral that in each second. What is admitted too much stays in the queue
 	// until it is served, so that the occupancy integrates the error of the
@@ -33,6 +33,11 @@
 	smoothing = 100 * time.Millisecond
 	// occupancyLife is the time for which an occupancy counts.
 	occupancyLife = 500 * time.Millisecond
+	// roomBelow is the occupancy below which all services of the tree have room,
+	// if they had for roomTime: longer than an overload takes to come back after
+	// requests were refused for it.
+	roomBelow = 80
+	roomTime  = 2 * time.Second
 	// unknownExcess is assumed while no occupancy is known, so that the share
 	// grows slowly.
 	unknownExcess = -0.25 * growth
@@ -42,10 +47,15 @@
 	// whatever the load is: no kind is to be served less than a quarter as often
 	// as all.
 	leastPart = 0.3
+	// clearlyMore is the multiple of its least share from which a kind can give
+	// way to a more important one.
+	clearlyMore = 1.25
 	// leastShare keeps a few requests coming, whose answers tell the occupancy.
 	leastShare = 0.02
-	// shareHalfLife is the time in which the weight of a past request halves.
-	shareHalfLife = time.Second
+	// shareHalfLife is the time in which the weight of a past request halves:
+	// longer than callers that were refused take to come back, so that what is
+	// admitted does not rise and fall with them.
+	shareHalfLife = 2 * time.Second
 )
 
 // share is the part of the requests of a kind that is admitted. A controller with
@@ -60,7 +70,9 @@
 	occupancy float64
 	met       decay.Clock
 	metAt     time.Time
-	adjusted  time.Time
+	// busyAt is when the occupancy was last so that a service had no room.
+	busyAt   time.Time
+	adjusted time.Time
 	// arrived and admitted count recent requests.
 	arrived, admitted float64
 	clock             decay.Clock
@@ -89,6 +101,9 @@
 	keep := sh.met.Keep(now, smoothing)
 	sh.occupancy = sh.occupancy*keep + float64(oc)*(1-keep)
 	sh.metAt = now
+	if sh.occupancy >= roomBelow {
+		sh.busyAt = now
+	}
 }
 
 // adjust changes the share for the time since the last adjustment.
@@ -105,6 +120,11 @@
 	sh.value = min(max(sh.integral-proportional*excess, 0), 1)
 }
 
+// occupied reports whether a service of the tree may be busy.
+func (sh *share) occupied(now time.Time) bool {
+	return now.Sub(sh.metAt) >= occupancyLife || now.Sub(sh.busyAt) < roomTime
+}
+
 func (sh *share) decay(now time.Time) {
 	keep := sh.clock.Keep(now, shareHalfLife)
 	sh.arrived *= keep
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -5,12 +5,13 @@
 // refuses has spent the work of all services above it. Two rules answer it.
 // Answers bring the highest occupancy of the services of the tree, and the share
 // of the requests that is admitted follows it (share), so that the service is
-// busy and refuses nothing. What fails all the same, as it does where a service
-// refuses without being full, is refused by its outcome: of n requests of which
+// busy and refuses nothing. What fails all the same while a service is busy is
+// refused by its outcome: of n requests of which
 // a came through, max(0, (n - k*a)/(n + 1)) are refused, which is the adaptive
 // throttling of Beyer et al., "Site Reliability Engineering", chapter 21. The
 // refusals deep in the tree go by importance, so the kinds that fail are the ones
-// to refuse here.
+// to refuse here. Where all services have room, a request that is likely to fail
+// takes nothing from others, and is admitted.
 package throttle
 
 import (
@@ -78,11 +79,12 @@
 	kd.importance = imp
 	// Requests that the share refuses don't count as failing: the second rule
 	// would take them for a reason to refuse more.
-	if !kd.share.admit(now, gp.target(kd), gp.leastShare(now)) {
+	least := gp.leastShare(now)
+	if !kd.share.admit(now, gp.target(kd), least) && !gp.lesserAdmitted(now, imp, least) {
 		return Decision{Share: kd.share.value, RetryAfter: returnTime(1 - kd.share.value)}
 	}
 	refusing := kd.refusing(now)
-	if draw < refusing && !gp.othersYield(now, imp) {
+	if draw < refusing && kd.share.occupied(now) && !gp.othersYield(now, imp) {
 		kd.requests++
 		return Decision{Failing: true, Share: kd.share.value, RetryAfter: returnTime(refusing)}
 	}
@@ -120,6 +122,17 @@
 	return baseTarget + call.Occupancy(steps)*targetStep
 }
 
+// lesserAdmitted reports whether a less important kind that meets a busy service
+// is admitted clearly more than the least.
+func (gp *Group) lesserAdmitted(now time.Time, imp call.Importance, least float64) bool {
+	for _, kd := range gp.kinds {
+		if kd.importance < imp && kd.share.occupied(now) && kd.share.value > clearlyMore*max(least, leastShare) {
+			return true
+		}
+	}
+	return false
+}
+
 // Result is what became of a request.
 type Result struct {
 	// Through says that it brought what the caller asked for.
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -118,3 +118,30 @@
 		}
 	}
 }
+
+// Half of the requests fail, as where a service refuses them without being full.
+// They are admitted while there is room, and few are once there is none.
+func TestFailuresWithRoomAreAdmitted(t *testing.T) {
+	gp, now := New(), time.Unix(0, 0)
+	for _, tt := range []struct {
+		occupancy   call.Occupancy
+		least, most int
+	}{{40, 1000, 1000}, {100, 0, 300}} {
+		admitted := 0
+		for n := range 2000 {
+			now = now.Add(5 * time.Millisecond)
+			// The draws are spread evenly.
+			draw := float64(n%97) / 97
+			if !gp.Admit(now, "issue", 6, draw).Admitted {
+				continue
+			}
+			if n >= 1000 {
+				admitted++
+			}
+			gp.Finish(now, "issue", Result{Through: n%2 == 0, Occupancy: tt.occupancy})
+		}
+		if admitted < tt.least || admitted > tt.most {
+			t.Errorf("occupancy %d: %d of 1000 admitted, want %d to %d", tt.occupancy, admitted, tt.least, tt.most)
+		}
+	}
+}
