Count what is admitted although a share is used up; docs of the shares

The least share of a kind is a part of what all kinds are admitted, which left out important requests that came through because others are to give way first. explain prints occupancy and share.

--- a/internal/ops/story/story.go
+++ b/internal/ops/story/story.go
@@ -157,6 +157,12 @@
 	if ln.Slots > 0 {
 		add("(%d of %d slots taken, %d waited, level %d)", ln.Running, ln.Slots, ln.Waiting, ln.Level)
 	}
+	if ln.Occupancy > 0 {
+		add("(occupancy %d %%)", ln.Occupancy)
+	}
+	if ln.Share > 0 {
+		add("(%d %% of its kind admitted)", ln.Share)
+	}
 	return strings.Join(parts, " ")
 }
 
--- a/internal/traffic/throttle/share.go
+++ b/internal/traffic/throttle/share.go
@@ -22,9 +22,9 @@
 	// share_test.go shows the loop damped with these.
 	proportional = 0.7
 	integral     = 0.4
-	// growth multiplies an error below the target, so that the share is back soon
-	// after an overload.
-	growth = 2
+	// belowTarget multiplies an error below the target, so that the share is back
+	// soon after an overload.
+	belowTarget = 2
 	// maxExcess bounds the excess of the occupancy over its target, as a part
 	// of the target, that counts.
 	maxExcess = 1.5
@@ -40,7 +40,7 @@
 	roomTime  = 2 * time.Second
 	// unknownExcess is assumed while no occupancy is known, so that the share
 	// grows slowly.
-	unknownExcess = -0.25 * growth
+	unknownExcess = -0.25 * belowTarget
 	// maxAdjustment bounds the time that one adjustment accounts for.
 	maxAdjustment = 200 * time.Millisecond
 	// leastPart is the part of the share of all kinds that each kind gets
@@ -66,9 +66,9 @@
 	// credit is what is left of the shares of the requests so far, at least 1 to
 	// admit one.
 	credit float64
-	// occupancy is the moving mean of what the requests met until the time met.
+	// occupancy is the moving mean of what the requests met until metAt.
 	occupancy float64
-	met       decay.Clock
+	smoother  decay.Clock
 	metAt     time.Time
 	// busyAt is when the occupancy was last so that a service had no room.
 	busyAt   time.Time
@@ -80,9 +80,9 @@
 
 func newShare() share { return share{value: 1, integral: 1} }
 
-// admit decides on a request. The share follows the target for the occupancy,
-// and is not less than the least.
-func (sh *share) admit(now time.Time, target call.Occupancy, least float64) bool {
+// grant reports whether a request that came is within the share. The share
+// follows the target for the occupancy, and is not less than the least.
+func (sh *share) grant(now time.Time, target call.Occupancy, least float64) bool {
 	sh.decay(now)
 	sh.adjust(now, target)
 	sh.value = max(sh.value, least, leastShare)
@@ -92,13 +92,12 @@
 		return false
 	}
 	sh.credit--
-	sh.admitted++
 	return true
 }
 
 // meet takes in the occupancy that a request has met.
 func (sh *share) meet(now time.Time, oc call.Occupancy) {
-	keep := sh.met.Keep(now, smoothing)
+	keep := sh.smoother.Keep(now, smoothing)
 	sh.occupancy = sh.occupancy*keep + float64(oc)*(1-keep)
 	sh.metAt = now
 	if sh.occupancy >= roomBelow {
@@ -113,7 +112,7 @@
 	excess := unknownExcess
 	if now.Sub(sh.metAt) < occupancyLife {
 		if excess = min(sh.occupancy/float64(target)-1, maxExcess); excess < 0 {
-			excess *= growth
+			excess *= belowTarget
 		}
 	}
 	sh.integral = min(max(sh.integral-integral*excess*passed, 0), 1)
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -6,12 +6,12 @@
 // Answers bring the highest occupancy of the services of the tree, and the share
 // of the requests that is admitted follows it (share), so that the service is
 // busy and refuses nothing. What fails all the same while a service is busy is
-// refused by its outcome: of n requests of which
-// a came through, max(0, (n - k*a)/(n + 1)) are refused, which is the adaptive
-// throttling of Beyer et al., "Site Reliability Engineering", chapter 21. The
-// refusals deep in the tree go by importance, so the kinds that fail are the ones
-// to refuse here. Where all services have room, a request that is likely to fail
-// takes nothing from others, and is admitted.
+// refused by its outcome: of n requests of which a came through,
+// max(0, (n - k*a)/(n + 1)) are refused, which is the adaptive throttling of Beyer
+// et al., "Site Reliability Engineering", chapter 21. The refusals deep in the
+// tree go by importance, so the kinds that fail are the ones to refuse here. Where
+// all services have room, a request that is likely to fail takes nothing from
+// others, and is admitted.
 package throttle
 
 import (
@@ -68,8 +68,8 @@
 	RetryAfter time.Duration
 }
 
-// Admit decides on a request. The draw is uniform from 0 to 1. A kind is
-// refused for failures only after the less important ones that fail with it.
+// Admit decides on a request. The draw is uniform from 0 to 1. A kind is refused
+// only after the less important ones that meet a busy service, or fail with it.
 func (gp *Group) Admit(now time.Time, class call.Class, imp call.Importance, draw float64) Decision {
 	kd := gp.kinds[class]
 	if kd == nil {
@@ -77,12 +77,12 @@
 		gp.kinds[class] = kd
 	}
 	kd.importance = imp
-	// Requests that the share refuses don't count as failing: the second rule
-	// would take them for a reason to refuse more.
 	least := gp.leastShare(now)
-	if !kd.share.admit(now, gp.target(kd), least) && !gp.lesserAdmitted(now, imp, least) {
+	if !kd.share.grant(now, gp.target(kd), least) && !gp.lesserAdmitted(now, imp, least) {
+		// This does not count as a failure, for which more would be refused.
 		return Decision{Share: kd.share.value, RetryAfter: returnTime(1 - kd.share.value)}
 	}
+	kd.share.admitted++
 	refusing := kd.refusing(now)
 	if draw < refusing && kd.share.occupied(now) && !gp.othersYield(now, imp) {
 		kd.requests++
@@ -133,15 +133,6 @@
 	return false
 }
 
-// Result is what became of a request.
-type Result struct {
-	// Through says that it brought what the caller asked for.
-	Through bool
-	// Occupancy is the highest of the services of its call tree, or zero if it
-	// is not known.
-	Occupancy call.Occupancy
-}
-
 // othersYield reports whether a less important kind fails, and is not refused
 // for the most part yet.
 func (gp *Group) othersYield(now time.Time, imp call.Importance) bool {
@@ -153,6 +144,15 @@
 	return false
 }
 
+// Result is what became of a request.
+type Result struct {
+	// Through says that it brought what the caller asked for.
+	Through bool
+	// Occupancy is the highest of the services of its call tree, or zero if it
+	// is not known.
+	Occupancy call.Occupancy
+}
+
 // Finish counts a request that was admitted, and what became of it. A failure
 // also counts for the less important kinds that fail: they share what is
 // short, and are to give way. Requests whose callers left are not counted.
