--- a/internal/traffic/throttle/share_test.go
+++ b/internal/traffic/throttle/share_test.go
@@ -169,3 +169,30 @@
 		t.Errorf("%d requests lost and %d through without the occupancy, %d and %d with it", lostBlind, servedBlind, lost, served)
 	}
 }
+
+// An important kind is refused only when the lesser one that meets the same
+// service is near its least share; what it gets meanwhile counts as admitted.
+func TestImportantKindYieldsLast(t *testing.T) {
+	gp, now := New(), time.Unix(0, 0)
+	refused := 0
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		for imp, class := range map[call.Importance]call.Class{5: "look-up", 7: "issue"} {
+			least := max(gp.leastShare(now), leastShare)
+			if gp.Admit(now, class, imp, 1).Admitted {
+				gp.Finish(now, class, Result{Through: true, Occupancy: 400})
+				continue
+			}
+			if class != "issue" {
+				continue
+			}
+			refused++
+			if got := gp.kinds["look-up"].share.value; got > clearlyMore*least {
+				t.Fatalf("an issue is refused while %.2f of the look-ups are admitted, least %.2f", got, least)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("no issue is refused at an occupancy far above all targets; the test is of no use")
+	}
+}
