Ask all replicas of a small deployment for the configuration at a start

A starting node asked two replicas at random every 0.5 to 1 s; only the leader of four answers.

Ruled out: waiting for answers (a replica that is not current refuses at once).

Change: four replicas at a time. TestStartingNodeAsksAllReplicas fails with two.

--- a/internal/fleet/rollout/follower.go
+++ b/internal/fleet/rollout/follower.go
@@ -20,7 +20,10 @@
 	// hintJitter spreads the fetches after a hint.
 	hintJitter = 50 * time.Millisecond
 
-	controlsAtStart = 2
+	// controlsAtStart is the number of control replicas that a starting node asks
+	// at a time: all of the usual three or four, as only the leader answers, and
+	// there is no other source after all processes have stopped.
+	controlsAtStart = 4
 	peersAtStart    = 3
 	maxFetches      = 2
 	maxHints        = 8
--- a/internal/fleet/rollout/follower_test.go
+++ b/internal/fleet/rollout/follower_test.go
@@ -225,3 +225,22 @@
 		t.Errorf("actions %v, want %v among them", actions, want)
 	}
 }
+
+// Only the leader of control answers, so that a starting node asks all replicas
+// of a small deployment at once.
+func TestStartingNodeAsksAllReplicas(t *testing.T) {
+	controls := []string{"a", "b", "c", "d"}
+	fo := NewFollower(controls, time.Minute, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	fo.Step(now, Loaded{})
+	var asked []string
+	for _, ac := range fo.Step(now, Tick{Controls: controls}) {
+		if fe, ok := ac.(Fetch); ok && fe.Source.Kind == ControlSource {
+			asked = append(asked, fe.Source.Address)
+		}
+	}
+	slices.Sort(asked)
+	if !slices.Equal(asked, controls) {
+		t.Errorf("asked %v, want %v", asked, controls)
+	}
+}
