Sum up each second what became of requests and how slots were used

Cause: folded lines bear the route of their last event, so that refusals by route could not be counted; nothing told first sends from returning ones, answers in time from late ones, or taken slots from free ones.

Change: a line for each route and one for the upstream a second, and counters by route; lines are folded by route and service too, five a second each in place of ten of all. Callers that return are told by the time that they have left.

--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -18,6 +18,7 @@
 	group, duties := errgroup.WithContext(duties)
 	for _, duty := range []func(context.Context) error{
 		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announce.Run, nd.routing, nd.claimDuty, nd.eventDuty,
+		nd.summaryDuty,
 	} {
 		group.Go(func() error { return ended(duties, duty(duties)) })
 	}
@@ -62,6 +63,29 @@
 	return nd.events.Run(ctx, nd.opt.Events)
 }
 
+// summaryInterval is the time between two summaries of the traffic.
+const summaryInterval = time.Second
+
+// summaryDuty sums up what became of requests and how the upstream was used.
+func (nd *Node) summaryDuty(ctx context.Context) error {
+	timer := time.NewTimer(summaryInterval)
+	defer timer.Stop()
+	for due := time.Now().Add(summaryInterval); ; due = due.Add(summaryInterval) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		now := time.Now()
+		nd.entry.Summarize(now)
+		nd.guard.Summarize(now, now.Sub(due))
+		if due.Before(now.Add(-summaryInterval)) {
+			due = now
+		}
+		timer.Reset(due.Add(summaryInterval).Sub(now))
+	}
+}
+
 // claimDuty runs the client of the claims, if there are control replicas.
 func (nd *Node) claimDuty(ctx context.Context) error {
 	if nd.claims == nil {
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -1,8 +1,8 @@
 // Package events writes one JSON line for each decision that touches a request
 // or changes what a process believes. It never blocks the decision: lines wait
-// in a bounded ring, those beyond a rate for each kind and reason are folded
-// into one line with their count and span, and what is dropped is counted and
-// told.
+// in a bounded ring, those beyond a rate for each kind, reason, route and service
+// are folded into one line with their count and span, and what is dropped is
+// counted and told. What became of all requests is summed up each second.
 package events
 
 import (
@@ -19,10 +19,13 @@
 const (
 	// ringSize bounds the lines that wait for a slow reader.
 	ringSize = 4096
-	// maxLines is the number of lines of one kind and reason in each window;
-	// the others are folded.
-	maxLines = 10
-	window   = time.Second
+	// maxLines is the number of lines of one kind, reason, route and service in
+	// each window; the others are folded.
+	maxLines = 5
+	// maxKeys bounds the kinds, reasons, routes and services that are told
+	// apart; beyond it routes and services are not.
+	maxKeys = 256
+	window  = time.Second
 )
 
 // Kind names what was decided or learned.
@@ -94,12 +97,20 @@
 	Dropped uint64 `json:"dropped,omitempty"`
 }
 
+func (Line) line() {}
+
+// line is what is written at once: Line, or the line of a summary.
+type line interface{ line() }
+
+// key tells events apart that are folded into different lines.
 type key struct {
-	kind   Kind
-	reason string
+	kind    Kind
+	reason  string
+	class   string
+	service string
 }
 
-// fold counts the events of one kind and reason in a window.
+// fold counts the events of one key in a window.
 type fold struct {
 	from, last time.Time
 	written    int
@@ -111,7 +122,7 @@
 // use.
 type Log struct {
 	node    string
-	lines   *ring.Ring[Line]
+	lines   *ring.Ring[line]
 	dropped atomic.Uint64
 
 	mu    sync.Mutex
@@ -120,7 +131,7 @@
 
 // New returns a log of a process.
 func New(node string) *Log {
-	return &Log{node: node, lines: ring.New[Line](ringSize), folds: make(map[key]*fold)}
+	return &Log{node: node, lines: ring.New[line](ringSize), folds: make(map[key]*fold)}
 }
 
 // Add takes an event.
@@ -138,7 +149,10 @@
 func (lg *Log) admit(now time.Time, ev Event) (before fold, ok bool) {
 	lg.mu.Lock()
 	defer lg.mu.Unlock()
-	ky := key{ev.Kind, ev.Reason}
+	ky := key{ev.Kind, ev.Reason, ev.Class, ev.Service}
+	if len(lg.folds) >= maxKeys && lg.folds[ky] == nil {
+		ky.class, ky.service = "", ""
+	}
 	fo := lg.folds[ky]
 	if fo == nil {
 		fo = &fold{from: now}
@@ -171,9 +185,7 @@
 
 func (lg *Log) put(ln Line) {
 	ln.Dropped = lg.dropped.Load()
-	if !lg.lines.Offer(ln) {
-		lg.dropped.Add(1)
-	}
+	lg.offerLine(ln)
 }
 
 // Run writes lines until ctx ends.
--- a/internal/ops/events/events_test.go
+++ b/internal/ops/events/events_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -69,6 +71,55 @@
 	}
 }
 
+// A folded line of refusals of one route does not stand for those of another.
+func TestRoutesAreFoldedApart(t *testing.T) {
+	lg := New("a")
+	begin := time.Now()
+	count := map[string]int{"look-up": 300, "issue": 100}
+	for n := range 400 {
+		class := "look-up"
+		if n%4 == 3 {
+			class = "issue"
+		}
+		lg.Add(begin, Event{Kind: Refused, Reason: "overload", Class: class})
+	}
+	got := make(map[string]int)
+	for _, ln := range written(t, lg) {
+		got[ln.Class] += max(1, ln.Folded)
+	}
+	if !maps.Equal(got, count) {
+		t.Errorf("lines stand for %v, want %v", got, count)
+	}
+}
+
+// Routes beyond the bound do not raise the number of lines.
+func TestManyRoutesStayWithinTheBound(t *testing.T) {
+	lg := New("a")
+	begin := time.Now()
+	for n := range 100 * maxKeys {
+		lg.Add(begin, Event{Kind: Refused, Reason: "overload", Class: strconv.Itoa(n)})
+	}
+	if len(lg.folds) > maxKeys+1 {
+		t.Errorf("%d routes are told apart, want %d", len(lg.folds), maxKeys)
+	}
+}
+
+// A summary holds its own fields at the top of the line.
+func TestSummary(t *testing.T) {
+	lg := New("a")
+	lg.Summarize(time.Unix(0, 0), Traffic{Class: "look-up", Asked: 7, InTarget: 5})
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	var out bytes.Buffer
+	if err := lg.Run(ctx, &out); err != nil {
+		t.Fatal(err)
+	}
+	const want = `{"timestamp":"1970-01-01T00:00:00.000Z","vm":"a","event":"requests","class":"look-up","service":"","asked":7,"in-target":5}` + "\n"
+	if out.String() != want {
+		t.Errorf("line %s, want %s", out.String(), want)
+	}
+}
+
 func BenchmarkAdd(b *testing.B) {
 	lg := New("a")
 	now := time.Now()
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -83,6 +84,7 @@
 	config   atomic.Pointer[config.Compiled]
 	stopping atomic.Bool
 	active   flight.Counter
+	tallies  tallies
 
 	mu        sync.Mutex
 	rng       *rand.Rand
@@ -90,6 +92,8 @@
 	ratios    map[call.Service]*retry.Ratio
 	addresses map[call.VM]string
 	throttles *throttle.Group
+	// spans holds the longest waits that callers state, by route.
+	spans map[call.Class]*span
 	// nodes is the largest number of nodes that was known at a time: those
 	// that are cut off go on spending their shares.
 	nodes int
@@ -105,6 +109,7 @@
 		ratios:    make(map[call.Service]*retry.Ratio),
 		addresses: make(map[call.VM]string),
 		throttles: throttle.New(),
+		spans:     make(map[call.Class]*span),
 	}
 }
 
@@ -113,6 +118,7 @@
 	en.mu.Lock()
 	en.throttles.Keep(cd.Names)
 	en.opt.Trees.Keep(cd.Names)
+	maps.DeleteFunc(en.spans, func(class call.Class, _ *span) bool { return !cd.Names(class) })
 	for _, svc := range cd.Services {
 		rt := en.ratios[svc.Name]
 		if rt == nil {
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -67,6 +67,10 @@
 	occupancy call.Occupancy
 	// share is the part of the requests of the kind that is admitted, in percent.
 	share int
+	// waited is the time since the caller sent the request first, as far as its
+	// deadline tells, and returning says that it has sent it before.
+	waited    time.Duration
+	returning bool
 	// granted says that the next attempt is charged already.
 	granted bool
 }
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -47,7 +47,12 @@
 	if rq != nil && rq.connection != "" {
 		en.opt.Trees.Answered(time.Now(), rq.connection)
 	}
-	en.observe(rq, an, time.Since(begun))
+	took := time.Since(begun)
+	en.observe(rq, an, took)
+	if rq != nil {
+		left := an.Reason == ReasonDeadline && time.Now().Before(rq.deadline)
+		en.tallies.add(rq, result{answer: an, late: rq.waited+took > rq.kind.Target, left: left})
+	}
 	en.record(rd, rq, an, begun)
 	return an
 }
@@ -79,6 +84,7 @@
 	rq.history.Idempotent = kind.Idempotent
 	rq.send, rq.label = rd.ID, rd.Label
 	rq.connection = rd.Connection
+	rq.waited, rq.returning = en.patience(kind.Class, now, rd.Deadline)
 	og := tree.Outgoing{Class: kind.Class, Connection: rd.Connection, Deadline: rd.Deadline}
 	rq.inner = en.opt.Trees.IsCall(kind.Class, rd.Deadline)
 	if !rq.inner {
--- /dev/null
+++ b/internal/traffic/entry/tally.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/ops/events"
+	"camphortrail/internal/traffic/attempt"
+)
+
+// tallies counts what became of the requests of each route and service since
+// they were last taken.
+type tallies struct {
+	mu sync.Mutex
+	by map[tallyKey]*tally
+}
+
+type tallyKey struct {
+	class   call.Class
+	service call.Service
+}
+
+type tally struct {
+	events.Traffic
+	// shares is the sum of the shares, in percent, of those that have one.
+	shares, shared int
+}
+
+// result is what became of one request, as far as it is counted.
+type result struct {
+	answer *attempt.Answer
+	// late says that it was answered after the target.
+	late bool
+	left bool
+}
+
+func (tl *tallies) add(rq *request, rs result) {
+	tl.mu.Lock()
+	defer tl.mu.Unlock()
+	if tl.by == nil {
+		tl.by = make(map[tallyKey]*tally)
+	}
+	ky := tallyKey{rq.kind.Class, rq.kind.Service}
+	ta := tl.by[ky]
+	if ta == nil {
+		ta = &tally{Traffic: events.Traffic{Class: string(ky.class), Service: string(ky.service)}}
+		tl.by[ky] = ta
+	}
+	ta.add(rq, rs)
+}
+
+func (ta *tally) add(rq *request, rs result) {
+	ta.Asked++
+	if rq.returning {
+		ta.Returning++
+	}
+	if !rq.inner {
+		ta.shares += rq.share
+		ta.shared++
+	}
+	switch an := rs.answer; {
+	case an.Outcome == call.NotRun:
+		ta.refused(rq, an)
+	case rs.left:
+		ta.Left++
+	case an.Failed() || an.Status == http.StatusInternalServerError:
+		ta.Broken++
+	case rs.late:
+		ta.Late++
+	default:
+		ta.InTarget++
+	}
+}
+
+func (ta *tally) refused(rq *request, an *attempt.Answer) {
+	switch {
+	case an.Reason == ReasonOverload && rq.attempts == 0:
+		ta.Throttled++
+	case an.Reason == ReasonFailing:
+		ta.Failing++
+	default:
+		ta.Refused++
+	}
+	if rq.returning {
+		ta.ReturnRefused++
+	}
+	if an.RetryAfter > rq.kind.Target-rq.waited {
+		ta.TooLate++
+	}
+}
+
+// take returns what was counted, in the order of the routes, and starts anew.
+func (tl *tallies) take() []events.Traffic {
+	tl.mu.Lock()
+	by := tl.by
+	tl.by = nil
+	tl.mu.Unlock()
+	list := make([]events.Traffic, 0, len(by))
+	for _, ta := range by {
+		if ta.shared > 0 {
+			ta.MeanShare = ta.shares / ta.shared
+		}
+		list = append(list, ta.Traffic)
+	}
+	slices.SortFunc(list, func(a, b events.Traffic) int {
+		return strings.Compare(a.Class+"\x00"+a.Service, b.Class+"\x00"+b.Service)
+	})
+	return list
+}
+
+// Summarize writes what became of the requests of each route since the last
+// summary, and counts it in the metrics.
+func (en *Entry) Summarize(now time.Time) {
+	for _, tf := range en.tallies.take() {
+		en.opt.Events.Summarize(now, tf)
+		en.countTraffic(tf)
+	}
+}
+
+// countTraffic adds to the counters of requests by route and result.
+func (en *Entry) countTraffic(tf events.Traffic) {
+	if en.opt.Metrics == nil {
+		return
+	}
+	for _, ct := range []struct {
+		result string
+		count  int
+	}{
+		{"in-target", tf.InTarget},
+		{"late", tf.Late},
+		{"throttled", tf.Throttled},
+		{"failing", tf.Failing},
+		{"refused", tf.Refused},
+		{"broken", tf.Broken},
+		{"left", tf.Left},
+	} {
+		if ct.count > 0 {
+			name := fmt.Sprintf(`camphortrail_requests_total{class=%q,service=%q,result=%q}`, tf.Class, tf.Service, ct.result)
+			en.opt.Metrics.GetOrCreateCounter(name).Add(ct.count)
+		}
+	}
+	if tf.Returning > 0 {
+		name := fmt.Sprintf(`camphortrail_requests_returning_total{class=%q,service=%q}`, tf.Class, tf.Service)
+		en.opt.Metrics.GetOrCreateCounter(name).Add(tf.Returning)
+	}
+}
--- /dev/null
+++ b/internal/traffic/entry/tally_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/internal/ops/events"
+	"camphortrail/internal/traffic/attempt"
+)
+
+// A caller that returns is told from one that is less patient than others.
+func TestPatience(t *testing.T) {
+	en := New(Options{})
+	now := time.Unix(0, 0)
+	for _, tt := range []struct {
+		wait, waited time.Duration
+	}{
+		{6 * time.Second, 0},
+		{5200 * time.Millisecond, 0},
+		{3 * time.Second, 2 * time.Second},
+		{6 * time.Second, 0},
+	} {
+		waited, returning := en.patience("look-up", now, now.Add(tt.wait))
+		if waited != tt.waited || returning != (tt.waited > 0) {
+			t.Errorf("%v left: waited %v, returning %t, want %v", tt.wait, waited, returning, tt.waited)
+		}
+	}
+	now = now.Add(2 * spanLife)
+	en.patience("look-up", now, now.Add(time.Second))
+	now = now.Add(spanLife)
+	if waited, _ := en.patience("look-up", now, now.Add(time.Second)); waited != 0 {
+		t.Errorf("waited %v, by a wait that was stated long ago", waited)
+	}
+}
+
+// Each request is counted once, by what became of it.
+func TestTally(t *testing.T) {
+	kind := &config.Kind{Class: "look-up", Service: "cassa", Target: time.Second}
+	done := &attempt.Answer{Outcome: call.Done, Status: http.StatusOK}
+	var tl tallies
+	for _, tt := range []struct {
+		rq request
+		rs result
+	}{
+		{request{share: 50}, result{answer: done}},
+		{request{share: 100, returning: true}, result{answer: done, late: true}},
+		{request{}, result{answer: &attempt.Answer{Outcome: call.Done, Status: http.StatusInternalServerError}}},
+		{request{}, result{answer: attempt.Broken(ReasonDeadline, http.StatusGatewayTimeout), left: true}},
+		{request{returning: true, waited: 900 * time.Millisecond}, result{answer: attempt.Refusal(ReasonOverload, 200*time.Millisecond)}},
+		{request{}, result{answer: attempt.Refusal(ReasonFailing, 0)}},
+		{request{attempts: 1}, result{answer: attempt.Refusal(ReasonOverload, 0)}},
+	} {
+		tt.rq.kind = kind
+		tl.add(&tt.rq, tt.rs)
+	}
+	want := events.Traffic{
+		Class: "look-up", Service: "cassa", Asked: 7, Returning: 2, InTarget: 1, Late: 1, Broken: 1, Left: 1,
+		Throttled: 1, Failing: 1, Refused: 1, ReturnRefused: 1, TooLate: 1, MeanShare: 150 / 7,
+	}
+	got := tl.take()
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("counted %+v, want %+v", got, want)
+	}
+	if left := tl.take(); len(left) != 0 {
+		t.Errorf("counted again: %+v", left)
+	}
+}
--- a/internal/traffic/guard/duty.go
+++ b/internal/traffic/guard/duty.go
@@ -24,6 +24,7 @@
 	Running() int
 	Waiting() int
 	Slots() int
+	Limit(now time.Time) int
 	Occupancy() call.Occupancy
 }
 
@@ -49,15 +50,17 @@
 // duty owns the admission machine in one goroutine.
 type duty struct {
 	machine machine
+	usage   *usage
 	inputs  *ring.Ring[input]
 	tickets map[call.AttemptID]*ticket
 
 	level, pressure, occupancy, running, waiting, slots atomic.Int64
 }
 
-func newDuty(mc machine) *duty {
+func newDuty(mc machine, us *usage) *duty {
 	return &duty{
 		machine: mc,
+		usage:   us,
 		inputs:  ring.New[input](admissionRingSize),
 		tickets: make(map[call.AttemptID]*ticket),
 	}
@@ -92,9 +95,11 @@
 	case admission.Finish:
 		delete(du.tickets, ev.ID)
 	}
-	for _, ac := range du.machine.Step(time.Now(), in.event) {
+	now := time.Now()
+	for _, ac := range du.machine.Step(now, in.event) {
 		du.perform(ac)
 	}
+	du.usage.set(now, du.machine.Running(), du.machine.Waiting(), du.machine.Limit(now))
 	du.level.Store(int64(du.machine.Level()))
 	du.pressure.Store(int64(du.machine.Pressure()))
 	du.occupancy.Store(int64(du.machine.Occupancy()))
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -78,6 +78,8 @@
 	metrics *metrics.Set
 	active  flight.Counter
 
+	usage usage
+
 	mu       sync.Mutex
 	registry *withdrawal.Registry[*attempt.Answer]
 	links    map[*link.Link]bool
@@ -92,17 +94,18 @@
 	if opt.Dialect == nil {
 		opt.Dialect = ownDialect{}
 	}
-	return &Guard{
+	gd := &Guard{
 		dialect:  opt.Dialect,
 		events:   opt.Events,
 		trees:    opt.Trees,
-		duty:     newDuty(mc),
 		fifo:     opt.FIFO,
 		metrics:  opt.Metrics,
 		client:   upstream.New(),
 		links:    make(map[*link.Link]bool),
 		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
+	gd.duty = newDuty(mc, &gd.usage)
+	return gd
 }
 
 // Run decides on admission until ctx ends.
@@ -175,6 +178,7 @@
 		an.Unused = at.Allowance
 	}
 	gd.count(at, an)
+	gd.usage.count(an)
 	gd.writeEvent(at, an, begun)
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	an.Occupancy = call.Occupancy(gd.duty.occupancy.Load())
--- /dev/null
+++ b/internal/traffic/guard/usage.go
@@ -0,0 +1,92 @@
+package guard
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/ops/events"
+	"camphortrail/internal/traffic/attempt"
+)
+
+// usage sums up how the slots were used since it was last taken.
+type usage struct {
+	mu   sync.Mutex
+	from time.Time
+	last time.Time
+	// running, waiting and slots are those since last, and the sums those times
+	// seconds.
+	running, waiting, slots          float64
+	sumRunning, sumWaiting, sumSlots float64
+	started, rejected, spoilt        int
+	spoiltTime                       time.Duration
+}
+
+// set states what runs and waits from now on.
+func (us *usage) set(now time.Time, running, waiting, slots int) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	us.pass(now)
+	us.running, us.waiting, us.slots = float64(running), float64(waiting), float64(slots)
+}
+
+// pass adds up the time until now.
+func (us *usage) pass(now time.Time) {
+	if us.from.IsZero() {
+		us.from, us.last = now, now
+	}
+	passed := max(0, now.Sub(us.last).Seconds())
+	us.sumRunning += us.running * passed
+	us.sumWaiting += us.waiting * passed
+	us.sumSlots += us.slots * passed
+	us.last = now
+}
+
+// count counts an attempt that has ended.
+func (us *usage) count(an *attempt.Answer) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	if an.Outcome == call.NotRun {
+		us.rejected++
+		return
+	}
+	us.started++
+	if an.Failed() || an.Status == http.StatusInternalServerError {
+		us.spoilt++
+		us.spoiltTime += an.Work
+	}
+}
+
+// take returns the means since the last call, and starts anew.
+func (us *usage) take(now time.Time) events.Usage {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	us.pass(now)
+	length := max(now.Sub(us.from).Seconds(), time.Millisecond.Seconds())
+	ev := events.Usage{
+		MeanSlots: us.sumSlots / length, MeanRunning: us.sumRunning / length, MeanWaiting: us.sumWaiting / length,
+		Started: us.started, Rejected: us.rejected, Spoilt: us.spoilt, SpoiltMS: us.spoiltTime.Milliseconds(),
+	}
+	us.from = now
+	us.sumRunning, us.sumWaiting, us.sumSlots = 0, 0, 0
+	us.started, us.rejected, us.spoilt, us.spoiltTime = 0, 0, 0, 0
+	return ev
+}
+
+// Summarize writes how the slots were used since the last summary. The lag is the
+// time by which it is late.
+func (gd *Guard) Summarize(now time.Time, lag time.Duration) {
+	ev := gd.usage.take(now)
+	if up := gd.current.Load(); up != nil {
+		ev.Service = string(up.Service)
+	}
+	ev.LagMS = lag.Milliseconds()
+	gd.events.Summarize(now, ev)
+	if gd.metrics == nil {
+		return
+	}
+	gd.metrics.GetOrCreateFloatCounter("camphortrail_guard_spoilt_slot_seconds_total").Add(time.Duration(ev.SpoiltMS * int64(time.Millisecond)).Seconds())
+	gd.metrics.GetOrCreateHistogram("camphortrail_process_lag_seconds").Update(lag.Seconds())
+	gd.metrics.GetOrCreateHistogram("camphortrail_guard_slots_used_ratio").Update(ev.MeanRunning / max(ev.MeanSlots, 1))
+}
