Replay the small service whose room is not served, which fails

The test drives throttle.Group for 12 and 75 unequal entries and admission.Machine for the guards in virtual time, with trees of 0.3 and 1 s and callers that come back.

--- /dev/null
+++ b/internal/traffic/throttle/mesh_test.go
@@ -0,0 +1,454 @@
+package throttle
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"camphortrail/admission"
+	"camphortrail/call"
+)
+
+// mesh replays, in virtual time, the arrivals at many unequal entries of kinds
+// whose trees go to one small service, and its guards. Callers that are refused
+// come back once.
+type mesh struct {
+	shape   meshShape
+	now     time.Time
+	rng     *rand.Rand
+	agenda  agenda
+	entries []*meshEntry
+	guards  []*meshGuard
+	calls   map[call.AttemptID]*meshCall
+	serial  uint64
+	counts  map[call.Class]*meshCount
+}
+
+// meshShape is the size of a mesh and what its requests need.
+type meshShape struct {
+	entries, guards, slots int
+	kinds                  []meshKind
+}
+
+// meshKind is a kind of request: it works, and makes series of calls side by side.
+type meshKind struct {
+	class      call.Class
+	importance call.Importance
+	// perSecond is the number of requests at all entries.
+	perSecond float64
+	// work is the time before the calls, and call that of each.
+	work, call time.Duration
+	// series is the number of series, and length that of the calls in each.
+	series, length   int
+	target, deadline time.Duration
+	// limit is the longest time for which the system works on it.
+	limit time.Duration
+}
+
+type meshCount struct {
+	asked, inTarget, late, refused, broken int
+	// guardRefused counts the calls that the guards refused.
+	guardRefused int
+}
+
+type meshEntry struct {
+	group  *Group
+	weight float64
+}
+
+type meshGuard struct {
+	mc *admission.Machine
+	// tick is when the machine is to be woken.
+	tick time.Time
+}
+
+// meshRequest is a request at an entry.
+type meshRequest struct {
+	kind  *meshKind
+	entry *meshEntry
+	first time.Time
+	// deadline is that of the caller.
+	deadline time.Time
+	returned bool
+
+	sent    time.Time
+	cohort  call.Cohort
+	pending int
+	over    bool
+}
+
+type meshCall struct {
+	guard *meshGuard
+	begin func()
+	fail  func()
+}
+
+type moment struct {
+	at    time.Time
+	order uint64
+	do    func()
+}
+
+type agenda []moment
+
+func (ag agenda) Len() int { return len(ag) }
+
+func (ag agenda) Less(i, j int) bool {
+	if ag[i].at.Equal(ag[j].at) {
+		return ag[i].order < ag[j].order
+	}
+	return ag[i].at.Before(ag[j].at)
+}
+func (ag agenda) Swap(i, j int) { ag[i], ag[j] = ag[j], ag[i] }
+
+// Push adds a moment.
+func (ag *agenda) Push(v any) { *ag = append(*ag, v.(moment)) }
+
+// Pop removes the last moment.
+func (ag *agenda) Pop() any {
+	last := (*ag)[len(*ag)-1]
+	*ag = (*ag)[:len(*ag)-1]
+	return last
+}
+
+func newMesh(shape meshShape, seed uint64) *mesh {
+	ms := &mesh{
+		shape: shape, now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, seed)),
+		calls: make(map[call.AttemptID]*meshCall), counts: make(map[call.Class]*meshCount),
+	}
+	sum := 0.0
+	for range shape.entries {
+		en := &meshEntry{group: New(), weight: 0.5 + ms.rng.Float64()}
+		sum += en.weight
+		ms.entries = append(ms.entries, en)
+	}
+	for _, en := range ms.entries {
+		en.weight /= sum
+	}
+	for n := range shape.guards {
+		gd := &meshGuard{mc: admission.New(admission.Settings{FreeShare: 16}, rand.New(rand.NewPCG(seed, uint64(n))))}
+		ms.guards = append(ms.guards, gd)
+		ms.step(gd, admission.Announce{Slots: shape.slots})
+	}
+	for i := range shape.kinds {
+		ms.counts[shape.kinds[i].class] = &meshCount{}
+		ms.arrivals(&shape.kinds[i])
+	}
+	return ms
+}
+
+func (ms *mesh) after(wait time.Duration, do func()) {
+	ms.serial++
+	heap.Push(&ms.agenda, moment{ms.now.Add(wait), ms.serial, do})
+}
+
+func (ms *mesh) run(length time.Duration) {
+	for end := ms.now.Add(length); len(ms.agenda) > 0 && ms.agenda[0].at.Before(end); {
+		next := heap.Pop(&ms.agenda).(moment)
+		ms.now = next.at
+		next.do()
+	}
+}
+
+// reset starts counting anew, with the requests that come from now on.
+func (ms *mesh) reset() {
+	for class := range ms.counts {
+		ms.counts[class] = &meshCount{}
+	}
+}
+
+// arrivals lets requests of a kind come at random times.
+func (ms *mesh) arrivals(kd *meshKind) {
+	ms.after(time.Duration(ms.rng.ExpFloat64()/kd.perSecond*float64(time.Second)), func() {
+		place := ms.rng.Float64()
+		at := slices.IndexFunc(ms.entries, func(en *meshEntry) bool { place -= en.weight; return place < 0 })
+		ms.counts[kd.class].asked++
+		ms.send(&meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.now, deadline: ms.now.Add(kd.deadline)})
+		ms.arrivals(kd)
+	})
+}
+
+// send is a try of a request at its entry.
+func (ms *mesh) send(rq *meshRequest) {
+	rq.sent, rq.cohort = ms.now, call.Cohort(ms.rng.Uint32())
+	de := rq.entry.group.Admit(ms.now, rq.kind.class, rq.kind.importance, ms.rng.Float64())
+	if !de.Admitted {
+		ms.refused(rq, de.RetryAfter)
+		return
+	}
+	rq.pending = rq.kind.series
+	ms.after(ms.spread(rq.kind.work), func() {
+		for range rq.kind.series {
+			ms.series(rq, rq.kind.length)
+		}
+	})
+}
+
+// refused lets the caller come back once, no later than after a third of the time
+// that it has left.
+func (ms *mesh) refused(rq *meshRequest, after time.Duration) {
+	if rq.returned {
+		ms.counts[rq.kind.class].refused++
+		return
+	}
+	after = after/2 + time.Duration(ms.rng.Int64N(int64(after)+1))
+	back := *rq
+	back.returned = true
+	ms.after(min(after, rq.deadline.Sub(ms.now)/3), func() { ms.send(&back) })
+}
+
+// spread draws a time around its mean.
+func (ms *mesh) spread(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(ms.rng.Int64N(int64(mean)+1))
+}
+
+// series makes the calls of a series that are left, one after the other.
+func (ms *mesh) series(rq *meshRequest, left int) {
+	if rq.over {
+		return
+	}
+	if left == 0 {
+		if rq.pending--; rq.pending == 0 {
+			ms.end(rq, true)
+		}
+		return
+	}
+	ms.place(rq, nil, func(through bool) {
+		if !through {
+			ms.end(rq, false)
+			return
+		}
+		ms.series(rq, left-1)
+	})
+}
+
+// place sends a call to the emptier of two guards, and to others that have not
+// refused it if it is refused.
+func (ms *mesh) place(rq *meshRequest, exclude []*meshGuard, done func(bool)) {
+	var gd *meshGuard
+	for range 2 {
+		other := ms.guards[ms.rng.IntN(len(ms.guards))]
+		if !slices.Contains(exclude, other) && (gd == nil || other.mc.Occupancy() < gd.mc.Occupancy()) {
+			gd = other
+		}
+	}
+	if gd == nil || rq.over {
+		done(false)
+		return
+	}
+	id := call.NewAttemptID(ms.rng)
+	mc := &meshCall{guard: gd}
+	mc.begin = func() {
+		ms.after(ms.spread(rq.kind.call), func() {
+			ms.step(gd, admission.Finish{ID: id, OK: true})
+			done(true)
+		})
+	}
+	mc.fail = func() {
+		ms.counts[rq.kind.class].guardRefused++
+		ms.place(rq, append(slices.Clone(exclude), gd), done)
+	}
+	ms.calls[id] = mc
+	const callLimit = 700 * time.Millisecond
+	deadline := ms.now.Add(callLimit)
+	if own := rq.sent.Add(rq.kind.limit); own.Before(deadline) {
+		deadline = own
+	}
+	depth := call.Depth(1)
+	if rq.kind.work == 0 {
+		depth = 0
+	}
+	ms.step(gd, admission.Arrive{ID: id, Importance: rq.kind.importance, Cohort: rq.cohort, Depth: depth, Deadline: deadline})
+}
+
+// step brings an event to a guard's machine, and sees that it is woken.
+func (ms *mesh) step(gd *meshGuard, ev admission.Event) {
+	var begun, failed []*meshCall
+	for _, ac := range gd.mc.Step(ms.now, ev) {
+		switch ac := ac.(type) {
+		case *admission.Start:
+			begun = append(begun, ms.calls[ac.ID])
+			delete(ms.calls, ac.ID)
+		case *admission.Refuse:
+			failed = append(failed, ms.calls[ac.ID])
+			delete(ms.calls, ac.ID)
+		}
+	}
+	if at, ok := gd.mc.NextWake(ms.now); ok && (gd.tick.Before(ms.now) || at.Before(gd.tick)) {
+		gd.tick = at
+		ms.after(max(at.Sub(ms.now), 0), func() { ms.step(gd, admission.Tick{}) })
+	}
+	for _, mc := range begun {
+		mc.begin()
+	}
+	for _, mc := range failed {
+		mc.fail()
+	}
+}
+
+// end is the end of an admitted request.
+func (ms *mesh) end(rq *meshRequest, through bool) {
+	if rq.over {
+		return
+	}
+	rq.over = true
+	ct := ms.counts[rq.kind.class]
+	switch {
+	case !through:
+		ct.broken++
+	case ms.now.Sub(rq.first) > rq.kind.target:
+		ct.late++
+	default:
+		ct.inTarget++
+	}
+	rq.entry.group.Finish(ms.now, rq.kind.class, Result{Through: through, Occupancy: ms.occupancy()})
+}
+
+// occupancy is the mean of the guards.
+func (ms *mesh) occupancy() call.Occupancy {
+	sum := 0
+	for _, gd := range ms.guards {
+		sum += int(gd.mc.Occupancy())
+	}
+	return call.Occupancy(sum / len(ms.guards))
+}
+
+const (
+	lookUp  call.Class = "look-up"
+	release call.Class = "release"
+	issue   call.Class = "issue"
+)
+
+// smallMesh has 12 entries; its trees take 0.3 s.
+func smallMesh(guards int, load float64) meshShape {
+	return meshShape{entries: 12, guards: guards, slots: 41, kinds: []meshKind{
+		{
+			class: lookUp, importance: 5, perSecond: 584 * load, work: 90 * time.Millisecond, call: 15 * time.Millisecond,
+			series: 1, length: 10, target: 1500 * time.Millisecond, deadline: 6 * time.Second, limit: 6 * time.Second,
+		},
+		{
+			class: release, importance: 7, perSecond: 321 * load, work: 93 * time.Millisecond, call: 15 * time.Millisecond,
+			series: 2, length: 5, target: 1500 * time.Millisecond, deadline: 6 * time.Second, limit: 6 * time.Second,
+		},
+		{
+			class: issue, importance: 6, perSecond: 234 * load, call: 24 * time.Millisecond,
+			series: 1, length: 1, target: 100 * time.Millisecond, deadline: 400 * time.Millisecond, limit: 400 * time.Millisecond,
+		},
+	}}
+}
+
+// largeMesh has 75 entries; its trees take 1 s, and are given up after two.
+func largeMesh(load float64) meshShape {
+	return meshShape{entries: 75, guards: 5, slots: 186, kinds: []meshKind{
+		{
+			class: lookUp, importance: 5, perSecond: 993 * load, work: 320 * time.Millisecond, call: 72 * time.Millisecond,
+			series: 1, length: 10, target: 2 * time.Second, deadline: 6 * time.Second, limit: 2 * time.Second,
+		},
+		{
+			class: release, importance: 7, perSecond: 546 * load, work: 395 * time.Millisecond, call: 72 * time.Millisecond,
+			series: 2, length: 5, target: 2500 * time.Millisecond, deadline: 6 * time.Second, limit: 2500 * time.Millisecond,
+		},
+		{
+			class: issue, importance: 6, perSecond: 397 * load, call: 120 * time.Millisecond,
+			series: 1, length: 1, target: 500 * time.Millisecond, deadline: 2 * time.Second, limit: time.Second,
+		},
+	}}
+}
+
+// slotTime is the time that a request of the kind takes of the small service.
+func (kd *meshKind) slotTime() time.Duration { return time.Duration(kd.series*kd.length) * kd.call }
+
+// fits returns the requests of a kind in a second for which there is room beside
+// the more important ones.
+func (sp meshShape) fits(class call.Class) float64 {
+	kinds := slices.Clone(sp.kinds)
+	slices.SortFunc(kinds, func(a, b meshKind) int { return cmp.Compare(b.importance, a.importance) })
+	// The machine leaves one slot in 16 free.
+	room := float64(sp.guards * (sp.slots - (sp.slots+8)/16))
+	for _, kd := range kinds {
+		most := room / kd.slotTime().Seconds()
+		if kd.class == class {
+			return min(most, kd.perSecond)
+		}
+		room -= min(most, kd.perSecond) * kd.slotTime().Seconds()
+	}
+	return 0
+}
+
+// The most important kinds fit and are refused, while look-ups for which there is
+// room are refused, late or broken off.
+func TestRoomOfASmallServiceIsNotServed(t *testing.T) {
+	const (
+		// served is the part of what fits that is to be served in time.
+		served = 0.9
+		// important is the part of the more important kinds that is.
+		important = 0.95
+		// spoilt bounds the part of the admitted that may break off.
+		spoilt = 0.02
+		warmUp = 6 * time.Second
+		length = 10 * time.Second
+	)
+	for _, tt := range []struct {
+		name  string
+		shape meshShape
+	}{
+		{"12 entries in a burst", smallMesh(3, 1.6)},
+		{"12 entries", smallMesh(3, 1)},
+		{"75 entries in a burst", largeMesh(1.5)},
+		{"75 entries", largeMesh(1)},
+	} {
+		for seed := range uint64(2) {
+			ms := newMesh(tt.shape, seed)
+			ms.run(warmUp)
+			ms.reset()
+			ms.run(length)
+			for _, kd := range tt.shape.kinds {
+				ct := *ms.counts[kd.class]
+				fits := tt.shape.fits(kd.class) * length.Seconds()
+				t.Logf("%s, seed %d: %s %+v, %.0f fit", tt.name, seed, kd.class, ct, fits)
+				want := served * fits
+				if fits > 0.99*kd.perSecond*length.Seconds() {
+					want = important * float64(ct.asked)
+				}
+				if float64(ct.inTarget) < want {
+					t.Errorf("%s, seed %d: %d %s requests served in time, want %.0f", tt.name, seed, ct.inTarget, kd.class, want)
+				}
+				if most := spoilt * float64(ct.inTarget+ct.late+ct.broken); float64(ct.broken) > most {
+					t.Errorf("%s, seed %d: %d %s requests broken off, want at most %.0f", tt.name, seed, ct.broken, kd.class, most)
+				}
+			}
+		}
+	}
+}
+
+// What is left of a service carries less than the most important kind needs: that
+// is refused at the entries then, and not after work.
+func TestImportantWorkIsAdmittedAndBrokenOff(t *testing.T) {
+	const (
+		length = 10 * time.Second
+		served = 0.9
+		spoilt = 0.02
+	)
+	for seed := range uint64(2) {
+		shape := smallMesh(1, 1)
+		ms := newMesh(shape, seed)
+		ms.run(6 * time.Second)
+		ms.reset()
+		ms.run(length)
+		used, room := 0.0, float64(shape.slots-(shape.slots+8)/16)*length.Seconds()
+		for _, kd := range shape.kinds {
+			ct := *ms.counts[kd.class]
+			t.Logf("seed %d: %s %+v", seed, kd.class, ct)
+			used += float64(ct.inTarget) * kd.slotTime().Seconds()
+			if most := spoilt * float64(ct.inTarget+ct.late+ct.broken); float64(ct.broken) > most {
+				t.Errorf("seed %d: %d %s requests broken off, want at most %.0f", seed, ct.broken, kd.class, most)
+			}
+		}
+		if used < served*room {
+			t.Errorf("seed %d: %.0f of %.0f slot seconds went to requests served in time", seed, used, room)
+		}
+	}
+}
