--- a/internal/traffic/tree/occupancy_test.go
+++ b/internal/traffic/tree/occupancy_test.go
@@ -27,3 +27,15 @@
 		t.Errorf("occupancy %d after its life, want 0", oc)
 	}
 }
+
+// A call that no guard answered, as where load made it fail, hides the load that the
+// others met.
+func TestUnansweredCallHidesTheLoad(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	now := time.Unix(0, 0)
+	tr.Met(now, "look-up", "cassa", 180)
+	tr.Met(now, "look-up", "cassa", 0)
+	if oc := tr.Occupancy(now, "look-up"); oc != 180 {
+		t.Errorf("occupancy %d after a call without an answer, want 180", oc)
+	}
+}
