Rank requests that take little of a service with the more important

Cause: releases, of which there are more than fit, took all slots by rank; an issue takes a sixth of the slot time of a release, so that refusing six served one. Uploads go to another service, but calls that were found to be theirs by mistake made them wait for this one. Class: ranks without regard to what a rank costs.

Change: a request that takes a quarter or less of a more important one's slot time of a service ranks with it there. A kind that took less than a third of another's calls on a node made none, and needs under a sixth of a kind's largest do not count.

--- a/internal/traffic/throttle/mesh_test.go
+++ b/internal/traffic/throttle/mesh_test.go
@@ -559,3 +559,24 @@
 		}
 	}
 }
+
+// Issues, which take a sixth of the slot time of a release, are refused for releases
+// until nearly none is served.
+func TestCheapKindIsStarved(t *testing.T) {
+	const quarter = 0.25
+	for seed := range uint64(2) {
+		ms := replay(smallMesh(1, 1), seed)
+		asked, served := 0, 0
+		for _, ct := range ms.counts {
+			asked += ct.asked
+			served += ct.inTarget + ct.late
+		}
+		all := float64(served) / float64(asked)
+		ct := ms.counts[issue]
+		got := float64(ct.inTarget+ct.late) / float64(ct.asked)
+		t.Logf("seed %d: %.3f of the issues are served, %.3f of all", seed, got, all)
+		if got < quarter*all {
+			t.Errorf("seed %d: %.3f of the issues are served, want a quarter of %.3f", seed, got, all)
+		}
+	}
+}
--- a/internal/traffic/throttle/room.go
+++ b/internal/traffic/throttle/room.go
@@ -16,8 +16,14 @@
 	rateHalfLife = 400 * time.Millisecond
 	// needWeight is the divisor of a new sample of what a request takes.
 	needWeight = 4
-	// minSlotTime is the slot time under which a need does not matter, in seconds.
+	// minSlotTime is the slot time under which a need does not matter, in seconds, and
+	// minorNeed the part of the largest need of a kind, 1 in so many: what is less may
+	// come from calls that were given to the wrong kind.
 	minSlotTime = 1e-4
+	minorNeed   = 6
+	// cheap is the part of the slot time of a more important request, 1 in so many, up
+	// to which a request ranks with it: refusing it makes hardly any room.
+	cheap = 4
 	// busyOccupancy is the occupancy from which the guards of a service are asked
 	// for the room that they have, and busyLife the time for which it counts.
 	busyOccupancy = 70
@@ -151,24 +157,43 @@
 // needed reports whether requests of a kind take slots of the service.
 func (gp *Group) needed(svc call.Service) bool {
 	for _, kd := range gp.kinds {
-		if kd.slotTime[svc] >= minSlotTime {
+		if kd.needs(svc) {
 			return true
 		}
 	}
 	return false
 }
 
+// needs reports whether requests of the kind take slots of the service.
+func (kd *kind) needs(svc call.Service) bool {
+	most := minSlotTime
+	for _, slotTime := range kd.slotTime {
+		most = max(most, slotTime/minorNeed)
+	}
+	return kd.slotTime[svc] >= most
+}
+
+// rank returns the rank of requests of a kind at a service.
+func (gp *Group) rank(kd *kind, svc call.Service, late bool) room.Rank {
+	imp := kd.importance
+	for _, other := range gp.kinds {
+		if other.importance > imp && other.slotTime[svc] >= cheap*kd.slotTime[svc] && other.needs(svc) {
+			imp = other.importance
+		}
+	}
+	return room.RankOf(imp, late)
+}
+
 // roomFor returns the share of the requests of a kind for which the guards of all
 // services of its tree have room, if any told it.
 func (gp *Group) roomFor(now time.Time, kd *kind, late bool) (share float64, ok bool) {
 	share = 1
-	rk := room.RankOf(kd.importance, late)
-	for svc, slotTime := range kd.slotTime {
+	for svc := range kd.slotTime {
 		sv := gp.services[svc]
-		if slotTime < minSlotTime || sv == nil || now.Sub(sv.toldAt) >= roomLife {
+		if sv == nil || now.Sub(sv.toldAt) >= roomLife || !kd.needs(svc) {
 			continue
 		}
-		share, ok = min(share, sv.shares[rk]), true
+		share, ok = min(share, sv.shares[gp.rank(kd, svc, late)]), true
 	}
 	return share, ok
 }
@@ -236,19 +261,17 @@
 // tree let through to a service. Those that have as little room as this one do not
 // count: each of them would else wait for the other.
 func (gp *Group) comes(now time.Time, kd *kind, svc call.Service, late bool) float64 {
-	rk := room.RankOf(kd.importance, late)
-	part := 1.0
-	own := 1.0
+	part, own := 1.0, 1.0
 	if sv := gp.services[svc]; sv != nil && now.Sub(sv.toldAt) < roomLife {
-		own = sv.shares[rk]
+		own = sv.shares[gp.rank(kd, svc, late)]
 	}
-	for other, slotTime := range kd.slotTime {
+	for other := range kd.slotTime {
 		sv := gp.services[other]
-		if other == svc || slotTime < minSlotTime || sv == nil || now.Sub(sv.toldAt) >= roomLife {
+		if other == svc || sv == nil || now.Sub(sv.toldAt) >= roomLife || !kd.needs(other) {
 			continue
 		}
-		if sv.shares[rk] < own {
-			part = min(part, sv.shares[rk])
+		if share := sv.shares[gp.rank(kd, other, late)]; share < own {
+			part = min(part, share)
 		}
 	}
 	return part
@@ -275,17 +298,17 @@
 func (gp *Group) wantsOf(now time.Time, svc call.Service) []room.Want {
 	var wants []room.Want
 	for _, kd := range gp.kinds {
-		slotTime := kd.slotTime[svc]
-		if slotTime < minSlotTime {
+		if !kd.needs(svc) {
 			continue
 		}
+		slotTime := kd.slotTime[svc]
 		timely, overdue := gp.comes(now, kd, svc, false), gp.comes(now, kd, svc, true)
 		wants = append(wants,
 			room.Want{
-				Rank: room.RankOf(kd.importance, false), Slots: timely * kd.timely.perSecond(now) * slotTime,
+				Rank: gp.rank(kd, svc, false), Slots: timely * kd.timely.perSecond(now) * slotTime,
 				Least: min(gp.least(kd)/max(timely, leastShare), 1),
 			},
-			room.Want{Rank: room.RankOf(kd.importance, true), Slots: overdue * kd.overdue.perSecond(now) * slotTime},
+			room.Want{Rank: gp.rank(kd, svc, true), Slots: overdue * kd.overdue.perSecond(now) * slotTime},
 		)
 	}
 	slices.SortFunc(wants, func(a, b room.Want) int { return cmp.Compare(a.Rank, b.Rank) })
--- a/internal/traffic/tree/needs.go
+++ b/internal/traffic/tree/needs.go
@@ -18,7 +18,7 @@
 	ownDivisor = 16
 	// wrongShare is the part of what an attempt of another kind takes, 1 in so many,
 	// under which calls that were found are taken for those of the other kind.
-	wrongShare = 4
+	wrongShare = 3
 	// minSlotTime is the slot time from which a need is told.
 	minSlotTime = 100 * time.Microsecond
 	// needsLife is the time for which needs are told without a new look.
