--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -121,6 +121,7 @@
 	en.mu.Lock()
 	en.throttles.Keep(cd.Names)
 	en.opt.Trees.Keep(cd.Names)
+	maps.DeleteFunc(en.rooms, func(svc call.Service, _ map[call.VM]told) bool { return !names(cd, svc) })
 	maps.DeleteFunc(en.spans, func(class call.Class, _ *span) bool { return !cd.Names(class) })
 	for _, svc := range cd.Services {
 		rt := en.ratios[svc.Name]
@@ -231,7 +232,12 @@
 // there is one, every service may be named.
 func (en *Entry) Serves(svc call.Service) bool {
 	cd := en.config.Load()
-	return cd == nil || slices.ContainsFunc(cd.Services, func(sv config.Service) bool { return sv.Name == svc })
+	return cd == nil || names(cd, svc)
+}
+
+// names reports whether the configuration names the service.
+func names(cd *config.Compiled, svc call.Service) bool {
+	return slices.ContainsFunc(cd.Services, func(sv config.Service) bool { return sv.Name == svc })
 }
 
 // Limits returns the limits in force for what callers send.
--- a/internal/traffic/guard/usage_test.go
+++ b/internal/traffic/guard/usage_test.go
@@ -24,8 +24,12 @@
 		name      string
 		got, want float64
 	}{
-		{"running", got.MeanRunning, 9.099}, {"waiting", got.MeanWaiting, 0.396}, {"slots", got.MeanSlots, 10.99},
-		{"started", float64(got.Started), 2}, {"rejected", float64(got.Rejected), 1}, {"spoilt", float64(got.SpoiltMS), 1000},
+		{"running", got.MeanRunning, 9.099},
+		{"waiting", got.MeanWaiting, 0.396},
+		{"slots", got.MeanSlots, 10.99},
+		{"started", float64(got.Started), 2},
+		{"rejected", float64(got.Rejected), 1},
+		{"spoilt", float64(got.SpoiltMS), 1000},
 	} {
 		if math.Abs(tt.got-tt.want) > 1e-9 {
 			t.Errorf("%s %v, want %v", tt.name, tt.got, tt.want)
--- /dev/null
+++ b/internal/traffic/throttle/served.go
@@ -0,0 +1,69 @@
+package throttle
+
+import (
+	"time"
+
+	"camphortrail/internal/traffic/decay"
+)
+
+const (
+	// leastRoom is the part of the requests of a kind that is to be served, relative
+	// to that of all: no kind is to be served less than a quarter as often as all.
+	leastRoom = 0.25
+	// servedHalfLife is the time over which that is to hold: longer than a burst, in
+	// which the important kinds go first.
+	servedHalfLife = 20 * time.Second
+	// nearLeast is the multiple of its least part under which a kind begins to be
+	// given room ahead of more important ones.
+	nearLeast = 1.5
+)
+
+// firstSends estimates the recent requests of the kind: those that are refused come
+// back, and count as tries again.
+func (kd *kind) firstSends() float64 {
+	refused := kd.share.arrived - kd.share.admitted
+	return kd.share.arrived / (1 + refused/max(kd.share.arrived, 1))
+}
+
+// longRun is the part of the requests that was admitted, over a long time.
+type longRun struct {
+	part  float64
+	clock decay.Clock
+	begun bool
+}
+
+// add takes in the part that was admitted lately. All count as admitted before the
+// first time.
+func (lr *longRun) add(now time.Time, recent float64) {
+	keep := lr.clock.Keep(now, servedHalfLife)
+	if !lr.begun {
+		lr.part, lr.begun = 1, true
+		return
+	}
+	lr.part = lr.part*keep + recent*(1-keep)
+}
+
+// countServed brings what is served of each kind and of all up to date.
+func (gp *Group) countServed(now time.Time) {
+	requests, admitted := 0.0, 0.0
+	for _, kd := range gp.kinds {
+		kd.share.decay(now)
+		first := kd.firstSends()
+		requests += first
+		admitted += kd.share.admitted
+		if first >= 1 {
+			kd.served.add(now, min(kd.share.admitted/first, 1))
+		}
+	}
+	gp.recent = min(admitted/max(requests, 1), 1)
+	gp.served.add(now, gp.recent)
+}
+
+// least returns the part of the tries in time that is to be admitted whatever the
+// load is: none, unless the kind was served little for long.
+func (gp *Group) least(kd *kind) float64 {
+	need := leastRoom * gp.served.part
+	short := (nearLeast*need - kd.served.part) / ((nearLeast - 1) * max(need, leastShare))
+	part := leastRoom * gp.recent * min(max(short, 0), 1)
+	return min(max(part*kd.firstSends()/max(kd.share.timely, 1), leastShare), 1)
+}
