--- a/internal/traffic/throttle/mesh_test.go
+++ b/internal/traffic/throttle/mesh_test.go
@@ -449,12 +449,26 @@
 	meshLength = 10 * time.Second
 )
 
+// replayed is a mesh that was replayed.
+type replayed struct {
+	name string
+	seed uint64
+}
+
+// replays keeps what was replayed for the tests that look at the same.
+var replays = make(map[replayed]*mesh)
+
 // replay runs a mesh past its start, and counts.
-func replay(shape meshShape, seed uint64) *mesh {
-	ms := newMesh(shape, seed)
-	ms.run(meshWarmUp)
-	ms.reset()
-	ms.run(meshLength)
+func replay(name string, shape meshShape, seed uint64) *mesh {
+	ky := replayed{name, seed}
+	ms := replays[ky]
+	if ms == nil {
+		ms = newMesh(shape, seed)
+		ms.run(meshWarmUp)
+		ms.reset()
+		ms.run(meshLength)
+		replays[ky] = ms
+	}
 	return ms
 }
 
@@ -491,7 +505,7 @@
 func TestRoomOfASmallServiceIsNotServed(t *testing.T) {
 	for _, tt := range meshes {
 		for seed := range uint64(2) {
-			ms := replay(tt.shape, seed)
+			ms := replay(tt.name, tt.shape, seed)
 			for _, kd := range tt.shape.kinds {
 				ct := *ms.counts[kd.class]
 				t.Logf("%s, seed %d: %s %+v", tt.name, seed, kd.class, ct)
@@ -515,7 +529,7 @@
 func TestRoomThatIsLeftIsNotServed(t *testing.T) {
 	for _, tt := range meshes {
 		for seed := range uint64(2) {
-			ct := replay(tt.shape, seed).counts[lookUp]
+			ct := replay(tt.name, tt.shape, seed).counts[lookUp]
 			fits := tt.shape.fits(lookUp) * meshLength.Seconds()
 			t.Logf("%s, seed %d: %+v, %.0f fit", tt.name, seed, *ct, fits)
 			if float64(ct.inTarget) < served*fits {
@@ -533,7 +547,7 @@
 func TestImportantWorkIsAdmittedAndBrokenOff(t *testing.T) {
 	for seed := range uint64(2) {
 		shape := smallMesh(1, 1)
-		ms := replay(shape, seed)
+		ms := replay("one VM", shape, seed)
 		ct := ms.counts[release]
 		t.Logf("seed %d: %+v", seed, *ct)
 		if most := spoilt * float64(ct.inTarget+ct.late+ct.broken); float64(ct.broken) > most {
@@ -549,7 +563,7 @@
 // their calls wait behind those of the most important kind for too long.
 func TestLeastPartIsBrokenOff(t *testing.T) {
 	for seed := range uint64(2) {
-		ms := replay(smallMesh(1, 1), seed)
+		ms := replay("one VM", smallMesh(1, 1), seed)
 		for _, class := range []call.Class{lookUp, issue} {
 			ct := ms.counts[class]
 			t.Logf("seed %d: %s %+v", seed, class, *ct)
@@ -565,7 +579,7 @@
 func TestCheapKindIsStarved(t *testing.T) {
 	const quarter = 0.25
 	for seed := range uint64(2) {
-		ms := replay(smallMesh(1, 1), seed)
+		ms := replay("one VM", smallMesh(1, 1), seed)
 		asked, served := 0, 0
 		for _, ct := range ms.counts {
 			asked += ct.asked
