Bound the head of an upstream's answer

Cause: the head of an answer, and interim answers before it, were read without a bound until the deadline of the attempt, so that one upstream in trouble could fill the memory of its node. Class: input of others without a bound.

Change: 256 KB for a head with the interim answers before it, then the connection is closed and the answer is broken.

--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,14 +14,42 @@
 	"github.com/pkg/errors"
 )
 
-// maxSkipped bounds the body, in bytes, of an answer that is skipped.
-const maxSkipped = 1 << 20
+const (
+	// maxSkipped bounds the body, in bytes, of an answer that is skipped.
+	maxSkipped = 1 << 20
+	// maxAnswerHead bounds the head of an answer, in bytes, with those of interim
+	// answers before it.
+	maxAnswerHead = 256 << 10
+)
+
+// ErrHeadTooLarge is returned for an answer whose head does not end within a bound.
+var ErrHeadTooLarge = errors.New("upstream: head of the answer is too large")
+
+// meter reads up to a bound.
+type meter struct {
+	r    io.Reader
+	left int64
+}
+
+// Read reads up to the bound, and returns ErrHeadTooLarge at it.
+func (me *meter) Read(p []byte) (int, error) {
+	if me.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	if int64(len(p)) > me.left {
+		p = p[:me.left]
+	}
+	n, err := me.r.Read(p)
+	me.left -= int64(n)
+	return n, err
+}
 
 // conn is a connection that carries one request at a time.
 type conn struct {
 	nc      net.Conn
 	raw     syscall.RawConn
 	br      *bufio.Reader
+	source  *meter
 	address string
 	epoch   uint64
 	// previous is the header of the request that was sent last.
@@ -36,7 +65,10 @@
 		_ = nc.Close()
 		return nil, errors.Wrap(ErrNoConnection, err.Error())
 	}
-	return &conn{nc: nc, raw: raw, br: bufio.NewReader(nc), address: address, epoch: epoch, idleLimit: idleExpiry}, nil
+	source := &meter{r: nc}
+	return &conn{
+		nc: nc, raw: raw, br: bufio.NewReader(source), source: source, address: address, epoch: epoch, idleLimit: idleExpiry,
+	}, nil
 }
 
 func (cn *conn) close() { _ = cn.nc.Close() }
@@ -98,8 +130,15 @@
 // read returns the next answer that is not interim (RFC 9110, section 15.2).
 func (cn *conn) read(method string) (*http.Response, error) {
 	rq := &http.Request{Method: method}
+	cn.source.left = maxAnswerHead
+	// The body has a bound of its own.
+	defer func() { cn.source.left = math.MaxInt64 }()
 	for {
 		res, err := http.ReadResponse(cn.br, rq)
+		if err != nil && cn.source.left <= 0 {
+			// What was cut off at the bound may have been read as malformed.
+			err = ErrHeadTooLarge
+		}
 		if err != nil || res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
 			return res, err
 		}
