Bound the bodies of answers that a node reads together

Cause: each body was bounded (64 MB), all of them were not, so that a few without end filled the memory of a node. Class: a bound for one where the resource is shared.

Change: bodies that are being read count against a sixteenth of the machine's memory (64 MB without the platform); when it is used up, those over an eighth of it are given up, and small answers go on.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -24,6 +24,9 @@
 	// left free: some of the platform's upstreams slow down when they are nearly
 	// full.
 	freeShare = 16
+	// answerShare is the part of a machine's memory, 1 in so many, that bodies of
+	// answers take while they are read; buffers that grow take up to three times it.
+	answerShare = 16
 	// stopNotice is the time for which a stopping node serves on. The
 	// platform takes it out after two questions a second apart.
 	stopNotice = 2500 * time.Millisecond
@@ -61,6 +64,7 @@
 	nd, err := node.New(set.Node(), node.Options{
 		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{}, RetrySlack: set.RetrySlack,
 		Events: os.Stdout, Admission: admission.Settings{FreeShare: freeShare},
+		AnswerMemory: set.MemoryMB << 20 / answerShare,
 		Doors: []node.Door{
 			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
 			{Address: set.ControlAddress, Handler: set.NewReports},
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -74,6 +74,9 @@
 	RetrySlack float64
 	// Admission tunes the admission to the upstream beside the node.
 	Admission admission.Settings
+	// AnswerMemory bounds the bodies of answers that are read at a time, in bytes;
+	// see guard.Options.
+	AnswerMemory int64
 	// Stop says how the node stops. The zero value stands for DefaultStop.
 	Stop StopPlan
 }
@@ -160,7 +163,7 @@
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNumber()), Dialect: opt.Dialect,
-		Events: nd.events, Admission: opt.Admission,
+		Events: nd.events, Admission: opt.Admission, AnswerMemory: opt.AnswerMemory,
 	})
 	nd.pool = peer.New(peer.Options{OnState: nd.connState, OnRoom: nd.setRoom, Dial: opt.Dial})
 	eopt := entry.Options{
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -53,7 +53,9 @@
 		late := res.Previous != nil && gd.dialect.Answers(res.Header, res.Previous)
 		return attempt.Broken(ReasonBroken, http.StatusBadGateway), late
 	}
-	body, err := attempt.ReadBody(res.Body, bodyLength(res.Response, at.Method), at.MaxAnswer)
+	held := gd.memory.hold(res.Body)
+	defer held.release()
+	body, err := attempt.ReadBody(held, bodyLength(res.Response, at.Method), at.MaxAnswer)
 	switch {
 	case verdict == Full || verdict == Misdirected:
 		an := attempt.Refusal(ReasonRefused, fullRetryAfter)
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -3,6 +3,7 @@
 package guard
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -64,6 +65,9 @@
 	Events *events.Log
 	// Dialect replaces the interface to upstreams, if it is set.
 	Dialect Dialect
+	// AnswerMemory bounds the bodies of answers that are read at a time, in bytes
+	// (default 64 MB).
+	AnswerMemory int64
 }
 
 // Guard runs attempts on the upstream beside its node. Its methods are safe
@@ -81,7 +85,8 @@
 
 	usage usage
 
-	rooms rooms
+	rooms  rooms
+	memory memory
 
 	mu       sync.Mutex
 	registry *withdrawal.Registry[*attempt.Answer]
@@ -109,6 +114,7 @@
 	}
 	gd.duty = newDuty(mc, &gd.usage)
 	gd.rooms.divider = room.New()
+	gd.memory.most = cmp.Or(opt.AnswerMemory, defaultAnswerMemory)
 	return gd
 }
 
--- /dev/null
+++ b/internal/traffic/guard/memory_test.go
@@ -0,0 +1,67 @@
+package guard
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+)
+
+// Bodies without end on many connections fill the memory of the node, and small
+// answers fail with them.
+func TestBodiesWithoutEndFillTheMemory(t *testing.T) {
+	const most = 1 << 20
+	var mu sync.Mutex
+	peak := int64(0)
+	var running atomic.Pointer[Guard]
+	address, _ := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		if rq.RequestURI == "/small" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return
+		}
+		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+			return
+		}
+		chunk := "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n"
+		for {
+			mu.Lock()
+			peak = max(peak, running.Load().memory.held.Load())
+			mu.Unlock()
+			if _, err := io.WriteString(conn, chunk); err != nil {
+				return
+			}
+		}
+	})
+	gd := startGuard(t, false, address)
+	gd.memory.most = most
+	running.Store(gd)
+	var group sync.WaitGroup
+	for n := range 4 {
+		group.Go(func() {
+			at := newAttempt(gd, true, 5*time.Second)
+			at.MaxAnswer, at.Method = 1<<30, http.MethodGet
+			if n == 0 {
+				at.URI = "/small"
+			}
+			an := gd.Handle(t.Context(), at)
+			if want := n == 0; (an.Outcome == call.Done) != want {
+				t.Errorf("%s: outcome %v, reason %s", at.URI, an.Outcome, an.Reason)
+			}
+		})
+	}
+	group.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	if bound := int64(most + 4*most/largeAnswer); peak > bound {
+		t.Errorf("%d bytes were held at a time, want at most %d", peak, bound)
+	}
+	if held := gd.memory.held.Load(); held != 0 {
+		t.Errorf("%d bytes count as held after the answers", held)
+	}
+}
