Give a kind its least part by what came through

Cause: the rule that no kind is to be served less than a quarter as often as all looked at what was admitted, also while trees failed for a fault of a service, and gave each kind credit for 20 s at the start of a process, as after calm times that there were not. Class: an attempt counted as its effect.

Change: what came through counts, without credit at the start; 0.28 in place of 0.25, as some of what is admitted fails.

--- a/internal/traffic/throttle/served.go
+++ b/internal/traffic/throttle/served.go
@@ -8,10 +8,11 @@
 
 const (
 	// leastRoom is the part of the requests of a kind that is to be served, relative
-	// to that of all: no kind is to be served less than a quarter as often as all.
-	leastRoom = 0.25
-	// servedHalfLife is the time over which that is to hold: longer than a burst, in
-	// which the important kinds go first.
+	// to that of all: no kind is to be served less than a quarter as often as all, and
+	// some of what is admitted fails.
+	leastRoom = 0.28
+	// servedHalfLife is the time over which that is to hold, so that calm times make
+	// up for a burst, in which the important kinds go first.
 	servedHalfLife = 20 * time.Second
 	// nearLeast is the multiple of its least part under which a kind begins to be
 	// given room ahead of more important ones.
@@ -25,42 +26,42 @@
 	return kd.share.arrived / (1 + refused/max(kd.share.arrived, 1))
 }
 
-// longRun is the part of the requests that was admitted, over a long time.
+// longRun is the part of the requests that came through, over a long time.
 type longRun struct {
 	part  float64
 	clock decay.Clock
 	begun bool
 }
 
-// add takes in the part that was admitted lately. All count as admitted before the
-// first time.
-func (lr *longRun) add(now time.Time, recent float64) {
+// add takes in the part that came through lately. The first time counts as before.
+func (lr *longRun) add(now time.Time, recent, before float64) {
 	keep := lr.clock.Keep(now, servedHalfLife)
 	if !lr.begun {
-		lr.part, lr.begun = 1, true
+		lr.part, lr.begun = before, true
 		return
 	}
 	lr.part = lr.part*keep + recent*(1-keep)
 }
 
-// countServed brings what is served of each kind and of all up to date.
+// countServed brings what is served of each kind and of all up to date. At first a
+// kind counts as one that was served as little as may be: there was no calm time.
 func (gp *Group) countServed(now time.Time) {
-	requests, admitted := 0.0, 0.0
+	requests, through := 0.0, 0.0
 	for _, kd := range gp.kinds {
 		kd.share.decay(now)
 		first := kd.firstSends()
 		requests += first
-		admitted += kd.share.admitted
+		through += kd.share.through
 		if first >= 1 {
-			kd.served.add(now, min(kd.share.admitted/first, 1))
+			kd.served.add(now, min(kd.share.through/first, 1), leastRoom)
 		}
 	}
-	gp.recent = min(admitted/max(requests, 1), 1)
-	gp.served.add(now, gp.recent)
+	gp.recent = min(through/max(requests, 1), 1)
+	gp.served.add(now, gp.recent, 1)
 }
 
 // least returns the part of the tries in time that is to be admitted whatever the
-// load is: none, unless the kind was served little for long.
+// load is: none, unless the kind was served little.
 func (gp *Group) least(kd *kind) float64 {
 	need := leastRoom * gp.served.part
 	short := (nearLeast*need - kd.served.part) / ((nearLeast - 1) * max(need, leastShare))
--- a/internal/traffic/throttle/share.go
+++ b/internal/traffic/throttle/share.go
@@ -71,9 +71,10 @@
 	// busyAt is when the occupancy was last so that a service had no room.
 	busyAt   time.Time
 	adjusted time.Time
-	// arrived and admitted count recent tries, and timely those that came in time.
-	arrived, admitted, timely float64
-	clock                     decay.Clock
+	// arrived and admitted count recent tries, timely those that came in time, and
+	// through those that came through.
+	arrived, admitted, timely, through float64
+	clock                              decay.Clock
 }
 
 func newShare() share { return share{value: 1, integral: 1} }
@@ -117,4 +118,5 @@
 	sh.arrived *= keep
 	sh.admitted *= keep
 	sh.timely *= keep
+	sh.through *= keep
 }
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -215,6 +215,7 @@
 	kd.requests++
 	if rs.Through {
 		kd.accepts++
+		kd.share.through++
 		kd.usual += (rs.Took - kd.usual) / usualWeight
 		return
 	}
