Show by second what a process takes of its machine

Logs could not tell whether the processors of the busiest nodes are short: `lag-ms` is the lateness of a timer, and timers run before goroutines that wait.

New each second: a line `process` with processor time, time of the collector, the time that goroutines wait to run, and the time that other nodes take to acknowledge; in `slots` the time between the end of an attempt and the start of the next one in its slot. The same as metrics. A test shows that a queue of goroutines is seen, with one processor.

--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"camphortrail/internal/ops/process"
 )
 
 // Run runs the node until ctx ends, and then stops it: new work is refused,
@@ -70,6 +72,7 @@
 func (nd *Node) summaryDuty(ctx context.Context) error {
 	timer := time.NewTimer(summaryInterval)
 	defer timer.Stop()
+	me := process.New()
 	for due := time.Now().Add(summaryInterval); ; due = due.Add(summaryInterval) {
 		select {
 		case <-ctx.Done():
@@ -79,6 +82,7 @@
 		now := time.Now()
 		nd.entry.Summarize(now)
 		nd.guard.Summarize(now, now.Sub(due))
+		nd.summarizeProcess(now, me)
 		if due.Before(now.Add(-summaryInterval)) {
 			due = now
 		}
@@ -86,6 +90,21 @@
 	}
 }
 
+// summarizeProcess writes what the process took of its machine, and counts it in
+// the metrics.
+func (nd *Node) summarizeProcess(now time.Time, me *process.Meter) {
+	ps := me.Take()
+	mean, slowest, longest := nd.pool.TakeAcknowledged()
+	ps.AcknowledgedUS = mean.Microseconds()
+	ps.Slowest, ps.SlowestUS = string(slowest), longest.Microseconds()
+	nd.events.Summarize(now, ps)
+	const micro, milli = 1e-6, 1e-3
+	nd.metrics.GetOrCreateFloatCounter("camphortrail_process_processor_seconds_total").Add(float64(ps.ProcessorMS) * milli)
+	nd.metrics.GetOrCreateFloatCounter("camphortrail_process_collector_seconds_total").Add(float64(ps.CollectorMS) * milli)
+	nd.metrics.GetOrCreateHistogram("camphortrail_process_run_wait_seconds").Update(float64(ps.RunWaitMeanUS) * micro)
+	nd.metrics.GetOrCreateHistogram("camphortrail_peer_acknowledged_seconds").Update(mean.Seconds())
+}
+
 // claimDuty runs the client of the claims, if there are control replicas.
 func (nd *Node) claimDuty(ctx context.Context) error {
 	if nd.claims == nil {
--- a/internal/ops/events/summary.go
+++ b/internal/ops/events/summary.go
@@ -8,9 +8,11 @@
 	Requests Kind = "requests"
 	// Slots sums up the use of the upstream beside the node in a second.
 	Slots Kind = "slots"
+	// Processes sums up what the process took of its machine in a second.
+	Processes Kind = "process"
 )
 
-// Summary is what a process sums up each second: Traffic or Usage.
+// Summary is what a process sums up each second: Traffic, Usage or Process.
 type Summary interface{ kind() Kind }
 
 // Traffic says what became of the requests of one route that ended within a
@@ -64,13 +66,41 @@
 	// and RoomPercent what was given to them, relative to the slots.
 	Wanted      float64 `json:"wanted-slots,omitempty"`
 	RoomPercent int     `json:"room-percent,omitempty"`
-	// LagMS is the time by which the timer of the summary was late: the delay of
-	// the process itself.
+	// LagMS is the time by which the timer of the summary was late. Timers run
+	// before goroutines that wait, so that it does not show a queue of those.
 	LagMS int64 `json:"lag-ms"`
+	// TurnaroundMeanUS and TurnaroundMostUS are the mean and the longest time from
+	// the end of an attempt until its slot was free for another one, and from the
+	// decision to start one until it was sent, in microseconds.
+	TurnaroundMeanUS int64 `json:"turnaround-mean-us"`
+	TurnaroundMostUS int64 `json:"turnaround-most-us"`
+}
+
+// Process says what the process took of its machine, and how long others took to
+// answer it.
+type Process struct {
+	// ProcessorMS is the processor time of the process, and CollectorMS that of
+	// its collector in the cycles that ended, of which there were Collections.
+	ProcessorMS int64  `json:"processor-ms"`
+	CollectorMS int64  `json:"collector-ms"`
+	Collections uint64 `json:"collections"`
+	// RunWaitMeanUS and RunWaitHighUS are the mean time that goroutines waited to
+	// run, and the one that 1 in 100 exceeded, in microseconds.
+	RunWaitMeanUS int64 `json:"run-wait-mean-us"`
+	RunWaitHighUS int64 `json:"run-wait-high-us"`
+	// HeapKB is the size of the objects on the heap.
+	HeapKB     uint64 `json:"heap-kb"`
+	Goroutines uint64 `json:"goroutines"`
+	// Acknowledged is the mean time from sending an attempt to another node until
+	// its acknowledgement, and Slowest the VM with the longest mean, SlowestUS.
+	AcknowledgedUS int64  `json:"acknowledged-mean-us"`
+	Slowest        string `json:"slowest-vm,omitempty"`
+	SlowestUS      int64  `json:"slowest-mean-us,omitempty"`
 }
 
 func (Traffic) kind() Kind { return Requests }
 func (Usage) kind() Kind   { return Slots }
+func (Process) kind() Kind { return Processes }
 
 // Heading begins the line of a summary.
 type Heading struct {
@@ -89,8 +119,14 @@
 	Usage
 }
 
+type processLine struct {
+	Heading
+	Process
+}
+
 func (trafficLine) line() {}
 func (usageLine) line()   {}
+func (processLine) line() {}
 
 // Summarize writes a summary. It is not folded: the sender bounds the rate.
 func (lg *Log) Summarize(now time.Time, sm Summary) {
@@ -103,6 +139,8 @@
 		lg.offerLine(trafficLine{hd, sm})
 	case Usage:
 		lg.offerLine(usageLine{hd, sm})
+	case Process:
+		lg.offerLine(processLine{hd, sm})
 	}
 }
 
--- /dev/null
+++ b/internal/ops/process/process.go
@@ -0,0 +1,121 @@
+// Package process reads what the process itself takes of its machine: processor
+// time, the time that goroutines wait to run, and the work of the collector.
+package process
+
+import (
+	"math"
+	"runtime/metrics"
+	"syscall"
+	"time"
+
+	"camphortrail/internal/ops/events"
+)
+
+// Names of package runtime/metrics.
+const (
+	latencies  = "/sched/latencies:seconds"
+	collector  = "/cpu/classes/gc/total:cpu-seconds"
+	cycles     = "/gc/cycles/total:gc-cycles"
+	heap       = "/memory/classes/heap/objects:bytes"
+	goroutines = "/sched/goroutines:goroutines"
+)
+
+// highQuantile is the part of the waits to run that are no longer than the one
+// that is told.
+const highQuantile = 0.99
+
+// Meter sums up what the process took since it was last taken. It is not safe for
+// concurrent use.
+type Meter struct {
+	samples   []metrics.Sample
+	used      time.Duration
+	waits     []uint64
+	collected float64
+	cycles    uint64
+}
+
+// New returns a meter that begins now.
+func New() *Meter {
+	me := &Meter{}
+	for _, name := range []string{latencies, collector, cycles, heap, goroutines} {
+		me.samples = append(me.samples, metrics.Sample{Name: name})
+	}
+	me.Take()
+	return me
+}
+
+// Take returns what the process took since the last call. The time of the collector
+// is that of the cycles that have ended.
+func (me *Meter) Take() events.Process {
+	metrics.Read(me.samples)
+	used := processorTime()
+	ps := events.Process{ProcessorMS: (used - me.used).Milliseconds()}
+	me.used = used
+	for i := range me.samples {
+		switch sm := &me.samples[i]; sm.Name {
+		case latencies:
+			ps.RunWaitMeanUS, ps.RunWaitHighUS = me.waited(sm.Value.Float64Histogram())
+		case collector:
+			ps.CollectorMS = int64((sm.Value.Float64() - me.collected) * 1e3)
+			me.collected = sm.Value.Float64()
+		case cycles:
+			ps.Collections = sm.Value.Uint64() - me.cycles
+			me.cycles = sm.Value.Uint64()
+		case heap:
+			ps.HeapKB = sm.Value.Uint64() >> 10
+		case goroutines:
+			ps.Goroutines = sm.Value.Uint64()
+		}
+	}
+	return ps
+}
+
+// waited returns the mean and the high quantile of the waits since the last call,
+// in microseconds.
+func (me *Meter) waited(hg *metrics.Float64Histogram) (mean, high int64) {
+	last := me.waits
+	if len(last) != len(hg.Counts) {
+		last = make([]uint64, len(hg.Counts))
+	}
+	now := make([]uint64, len(hg.Counts))
+	copy(now, hg.Counts)
+	me.waits = now
+	count, sum := 0.0, 0.0
+	for i, all := range now {
+		many := float64(all - last[i])
+		count += many
+		sum += many * middle(hg.Buckets[i], hg.Buckets[i+1])
+	}
+	if count == 0 {
+		return 0, 0
+	}
+	below := 0.0
+	for i, all := range now {
+		if below += float64(all - last[i]); below >= highQuantile*count {
+			return microseconds(sum / count), microseconds(middle(hg.Buckets[i], hg.Buckets[i+1]))
+		}
+	}
+	return microseconds(sum / count), 0
+}
+
+// middle returns the middle of a bucket, or its bound if it has one.
+func middle(from, to float64) float64 {
+	switch {
+	case math.IsInf(from, -1):
+		return max(to, 0)
+	case math.IsInf(to, 1):
+		return from
+	}
+	return (from + to) / 2
+}
+
+func microseconds(seconds float64) int64 { return int64(seconds * 1e6) }
+
+// processorTime returns the time that the process has run so far.
+func processorTime() time.Duration {
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+		return 0 // The call fails for wrong arguments only.
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
--- /dev/null
+++ b/internal/ops/process/process_test.go
@@ -0,0 +1,36 @@
+package process
+
+import (
+	"runtime"
+	"testing"
+	"time"
+)
+
+// Timers run before goroutines that wait, so that their delay tells nothing of a
+// processor that is short.
+func TestQueueOfGoroutinesIsSeen(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	me := New()
+	const many, turn = 20, 2 * time.Millisecond
+	done := make(chan bool, many)
+	for range many {
+		go func() {
+			for end := time.Now().Add(turn); time.Now().Before(end); {
+			}
+			done <- true
+		}()
+	}
+	for range many {
+		<-done
+	}
+	ps := me.Take()
+	if least := (many / 4 * turn).Microseconds(); ps.RunWaitHighUS < least {
+		t.Errorf("goroutines waited for %d us to run, mean %d; want at least %d", ps.RunWaitHighUS, ps.RunWaitMeanUS, least)
+	}
+	if least := (many / 2 * turn).Milliseconds(); ps.ProcessorMS < least {
+		t.Errorf("%d ms of processor time, want at least %d", ps.ProcessorMS, least)
+	}
+	if ps = me.Take(); ps.RunWaitHighUS > turn.Microseconds()*many || ps.ProcessorMS > (many*turn).Milliseconds() {
+		t.Errorf("what was taken is told again: %+v", ps)
+	}
+}
--- a/internal/traffic/guard/duty.go
+++ b/internal/traffic/guard/duty.go
@@ -31,7 +31,9 @@
 
 // verdict is the decision on one attempt.
 type verdict struct {
-	start      bool
+	start bool
+	// at is when it was decided.
+	at         time.Time
 	reason     admission.Reason
 	retryAfter time.Duration
 }
@@ -42,10 +44,12 @@
 	abort   context.CancelFunc
 }
 
-// input is an event for the admission duty. The ticket is set for arrivals.
+// input is an event for the admission duty. The ticket is set for arrivals, and the
+// time at which the attempt ended for finishes.
 type input struct {
 	event  admission.Event
 	ticket *ticket
+	ended  time.Time
 }
 
 // duty owns the admission machine in one goroutine.
@@ -99,8 +103,11 @@
 		delete(du.tickets, ev.ID)
 	}
 	now := time.Now()
+	if !in.ended.IsZero() {
+		du.usage.freed.add(now.Sub(in.ended))
+	}
 	for _, ac := range du.machine.Step(now, in.event) {
-		du.perform(ac)
+		du.perform(now, ac)
 	}
 	limit := du.machine.Limit(now)
 	du.limit.Store(int64(limit))
@@ -116,11 +123,11 @@
 	du.slots.Store(int64(du.machine.Slots()))
 }
 
-func (du *duty) perform(ac admission.Action) {
+func (du *duty) perform(now time.Time, ac admission.Action) {
 	switch ac := ac.(type) {
 	case *admission.Start:
 		if tk, ok := du.tickets[ac.ID]; ok {
-			tk.verdict <- verdict{start: true}
+			tk.verdict <- verdict{start: true, at: now}
 		}
 	case *admission.Refuse:
 		if tk, ok := du.tickets[ac.ID]; ok {
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -267,7 +267,9 @@
 	stop := context.AfterFunc(ctx, func() { gd.cancel(at.ID) })
 	defer stop()
 	vd := <-tk.verdict
-	if !vd.start {
+	if vd.start {
+		gd.usage.begun.add(time.Since(vd.at))
+	} else {
 		an := attempt.Refusal(vd.reason.String(), vd.retryAfter)
 		an.Overload = vd.reason.Load()
 		return gd.refuse(at, an)
@@ -305,7 +307,8 @@
 	now := time.Now()
 	in.Started, in.Told = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
-	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin}) }()
+	ended := now
+	defer func() { _ = gd.duty.inputs.Put(context.WithoutCancel(ctx), input{event: fin, ended: ended}) }()
 	open := retry.OpenAttempt{Attempt: at.ID, Allowance: retry.Allowance(at.Allowance), Deadline: at.Deadline}
 	if gd.trees.Step(time.Now(), open).Decision != retry.FirstSend {
 		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
@@ -317,7 +320,7 @@
 	gd.trees.Enter(in)
 	begun := time.Now()
 	an := gd.forward(ctx, at)
-	ended := time.Now()
+	ended = time.Now()
 	gd.trees.Exit(ended, at.ID)
 	unused := gd.trees.Step(ended, retry.Close{Account: retry.OfAttempt(at.ID)})
 	waited, overload := in.Downstream(ended)
--- a/internal/traffic/guard/usage.go
+++ b/internal/traffic/guard/usage.go
@@ -21,6 +21,34 @@
 	sumRunning, sumWaiting, sumSlots float64
 	started, rejected, spoilt        int
 	spoiltTime                       time.Duration
+
+	// freed are the times from the end of an attempt until its slot was free, and
+	// begun those from the decision to start one until it went on.
+	freed, begun delays
+}
+
+// delays sums up delays since it was last taken. It is safe for concurrent use.
+type delays struct {
+	mu        sync.Mutex
+	count     int
+	sum, most time.Duration
+}
+
+func (de *delays) add(d time.Duration) {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	de.count++
+	de.sum += d
+	de.most = max(de.most, d)
+}
+
+// take returns the mean and the longest, and starts anew.
+func (de *delays) take() (mean, most time.Duration) {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	mean, most = de.sum/time.Duration(max(de.count, 1)), de.most
+	de.count, de.sum, de.most = 0, 0, 0
+	return mean, most
 }
 
 // set states what runs and waits from now on.
@@ -83,11 +111,15 @@
 	}
 	ev.LagMS = lag.Milliseconds()
 	ev.Wanted, ev.RoomPercent = gd.rooms.last()
+	freed, freedMost := gd.usage.freed.take()
+	begun, begunMost := gd.usage.begun.take()
+	ev.TurnaroundMeanUS, ev.TurnaroundMostUS = (freed + begun).Microseconds(), (freedMost + begunMost).Microseconds()
 	gd.events.Summarize(now, ev)
 	if gd.metrics == nil {
 		return
 	}
 	gd.metrics.GetOrCreateFloatCounter("camphortrail_guard_spoilt_slot_seconds_total").Add(time.Duration(ev.SpoiltMS * int64(time.Millisecond)).Seconds())
 	gd.metrics.GetOrCreateHistogram("camphortrail_process_lag_seconds").Update(lag.Seconds())
+	gd.metrics.GetOrCreateHistogram("camphortrail_guard_turnaround_seconds").Update((freed + begun).Seconds())
 	gd.metrics.GetOrCreateHistogram("camphortrail_guard_slots_used_ratio").Update(ev.MeanRunning / max(ev.MeanSlots, 1))
 }
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -57,8 +57,19 @@
 	pending  map[call.AttemptID]*pending
 	onState  func(vm call.VM, suspect bool)
 	onRoom   func(vm call.VM, svc call.Service, sh room.Shares)
+	// acknowledged sums up the times until acknowledgements came, by VM.
+	acknowledged map[call.VM]waits
 }
 
+// waits sums up times.
+type waits struct {
+	count int
+	sum   time.Duration
+}
+
+// mean returns the mean of the times.
+func (wa waits) mean() time.Duration { return wa.sum / time.Duration(max(wa.count, 1)) }
+
 // stamp is the latest reading of a guard's clock, and when it arrived.
 type stamp struct {
 	value    withdrawal.Stamp
@@ -68,6 +79,7 @@
 // pending is an attempt that waits for its answer.
 type pending struct {
 	conn       *conn
+	sent       time.Time
 	maxAnswer  int64
 	address    string
 	stamp      withdrawal.Stamp
@@ -95,15 +107,16 @@
 		opt.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &Pool{
-		dial:    opt.Dial,
-		signals: ring.New[withdrawal.Signal](signalRingSize),
-		conns:   make(map[call.VM]*conn),
-		all:     make(map[withdrawal.ConnID]*conn),
-		probes:  make(map[call.VM]*probe),
-		stamps:  make(map[call.VM]stamp),
-		pending: make(map[call.AttemptID]*pending),
-		onState: opt.OnState,
-		onRoom:  opt.OnRoom,
+		dial:         opt.Dial,
+		signals:      ring.New[withdrawal.Signal](signalRingSize),
+		conns:        make(map[call.VM]*conn),
+		all:          make(map[withdrawal.ConnID]*conn),
+		probes:       make(map[call.VM]*probe),
+		stamps:       make(map[call.VM]stamp),
+		pending:      make(map[call.AttemptID]*pending),
+		onState:      opt.OnState,
+		acknowledged: make(map[call.VM]waits),
+		onRoom:       opt.OnRoom,
 	}
 }
 
@@ -165,14 +178,14 @@
 	}
 	at.Stamp = sp
 	pe := &pending{
-		address: address, stamp: sp, idempotent: at.Idempotent, maxAnswer: at.MaxAnswer,
+		sent: time.Now(), address: address, stamp: sp, idempotent: at.Idempotent, maxAnswer: at.MaxAnswer,
 		found: make(chan Result, 2), doubtful: make(chan struct{}, 1),
 	}
 	cn := pl.enroll(vm, address, at.ID, pe)
 	defer pl.remove(at.ID)
-	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, At: time.Now(), Deadline: at.Deadline})
+	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, At: pe.sent, Deadline: at.Deadline})
 	defer pl.signal(withdrawal.Settled{Attempt: at.ID})
-	if err := cn.link.Send(at.Frame(time.Now())); err != nil {
+	if err := cn.link.Send(at.Frame(pe.sent)); err != nil {
 		return Result{State: withdrawal.Dequeued}
 	}
 	unknown := Result{State: withdrawal.Unknown, Sent: true}
@@ -264,6 +277,7 @@
 		if id, ok := attemptID(kd.Acknowledgement.GetAttemptId()); ok {
 			pl.keepStamp(cn.vm, kd.Acknowledgement.GetStamp())
 			pl.signal(withdrawal.Acked{Attempt: id})
+			pl.countAcknowledged(cn.vm, id)
 		}
 	case *schema.Frame_Answer:
 		pl.keepStamp(cn.vm, kd.Answer.GetStamp())
@@ -279,6 +293,35 @@
 	}
 }
 
+// countAcknowledged counts the time that an acknowledgement took.
+func (pl *Pool) countAcknowledged(vm call.VM, id call.AttemptID) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if pe := pl.pending[id]; pe != nil {
+		wa := pl.acknowledged[vm]
+		wa.count++
+		wa.sum += time.Since(pe.sent)
+		pl.acknowledged[vm] = wa
+	}
+}
+
+// TakeAcknowledged returns the mean time until attempts were acknowledged since the
+// last call, the VM whose mean was the longest, and that mean.
+func (pl *Pool) TakeAcknowledged() (mean time.Duration, slowest call.VM, longest time.Duration) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	var all waits
+	for vm, wa := range pl.acknowledged {
+		all.count += wa.count
+		all.sum += wa.sum
+		if wa.mean() > longest {
+			slowest, longest = vm, wa.mean()
+		}
+	}
+	clear(pl.acknowledged)
+	return all.mean(), slowest, longest
+}
+
 // takeAnswer hands an answer to the sender of the attempt, if it still waits.
 func (pl *Pool) takeAnswer(id call.AttemptID, msg *schema.AttemptAnswer) {
 	pe := pl.lookup(id)
