Keep no slots free where they come free at once

Callers saw too few look-ups served: with 38 slots a guard left two of them empty for more important work while calls waited, though a slot came free every 0.3 ms. That is 5 % of the smallest service, and the kind that comes last gets what is left of it.

Slots are kept only if the mean time until one comes free is at least that from which a start counts as late (10 ms). The oracle of the state machine test has the same rule.

--- a/admission/machine_test.go
+++ b/admission/machine_test.go
@@ -84,6 +84,10 @@
 }
 
 func (or *oracle) kept(imp call.Importance) (slots int) {
+	const late = 10 * time.Millisecond
+	if or.mc.serviceTime()/time.Duration(max(or.mc.Limit(or.now), 1)) < late {
+		return 0
+	}
 	for _, ar := range or.running {
 		if ar.Importance > imp {
 			slots++
--- a/admission/step.go
+++ b/admission/step.go
@@ -131,7 +131,7 @@
 	limit := mc.lm.Current(now)
 	for mc.waiting.len() > 0 && mc.total < limit {
 		at, rk := mc.waiting.bestTask()
-		if mc.total+mc.headroom(rk.importance(), limit) >= limit {
+		if mc.total+mc.headroom(now, rk.importance(), limit) >= limit {
 			return
 		}
 		tk := &mc.tasks[at]
@@ -143,15 +143,19 @@
 		tk.running, tk.started = true, now
 		mc.running[rk.importance()]++
 		mc.total++
-		mc.ov.start(rk.level(), now.Sub(tk.arrived) >= mc.st.TargetWait/lateDivisor)
+		mc.ov.start(rk.level(), now.Sub(tk.arrived) >= mc.lateStart())
 		mc.out.start(tk.id)
 	}
 }
 
 // headroom returns the number of slots kept for work that is more important
 // than imp. It follows the work of that kind that runs, so that no slot is
-// kept when there is none.
-func (mc *Machine) headroom(imp call.Importance, limit int) int {
+// kept when there is none, nor when slots come free so soon that such work is
+// not late.
+func (mc *Machine) headroom(now time.Time, imp call.Importance, limit int) int {
+	if mc.wait(now, 1) < mc.lateStart() {
+		return 0
+	}
 	higher := 0
 	for above := imp + 1; above <= call.MaxImportance; above++ {
 		higher += mc.running[above]
@@ -194,6 +198,9 @@
 	return max(mc.st.TargetWait, min(mc.es.mean, mc.st.MaxWait/2))
 }
 
+// lateStart returns the time of waiting from which a start is late.
+func (mc *Machine) lateStart() time.Duration { return mc.st.TargetWait / lateDivisor }
+
 // serviceTime returns the mean service time, or a guess before the first
 // attempt has ended.
 func (mc *Machine) serviceTime() time.Duration {
