Send headers between nodes as one block

Callers saw too few look-ups served where processors are short. A header took some 80 of the 206 allocations of a request over two nodes: a message and two texts for each field, four times.

Nodes that both know it, which they tell each other in the upgrade of a link, send a header as one block of bytes; answers are kept in that form too, and count with their header towards the bound (8 MB of bodies had some 25 MB of headers with them).

--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -43,13 +43,16 @@
 	want := example()
 	want.Deadline = now.Add(1500 * time.Millisecond)
 	want.Label, want.Class = "label", "counter"
-	got, err := FromFrame(sent(t, want.Frame(now)).GetAttempt(), now)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want.Deadline = want.Deadline.Add(-hopCost)
-	if !reflect.DeepEqual(got, want) {
-		t.Errorf("FromFrame = %+v, want %+v", got, want)
+	arrived := *want
+	arrived.Deadline = want.Deadline.Add(-hopCost)
+	for _, blocks := range []bool{false, true} {
+		got, err := FromFrame(sent(t, want.Frame(now, blocks)).GetAttempt(), now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, &arrived) {
+			t.Errorf("FromFrame = %+v, want %+v", got, &arrived)
+		}
 	}
 }
 
@@ -63,8 +66,9 @@
 		"allowance":        func(msg *schema.Attempt) { msg.Allowance = 1 << 31 },
 		"max_answer_bytes": func(msg *schema.Attempt) { msg.MaxAnswerBytes = -1 },
 		"stamp":            func(msg *schema.Attempt) { msg.Stamp = "-1x" },
+		"header_block":     func(msg *schema.Attempt) { msg.HeaderBlock = []byte{9} },
 	} {
-		msg := example().Frame(time.Now()).GetAttempt()
+		msg := example().Frame(time.Now(), true).GetAttempt()
 		spoil(msg)
 		if _, err := FromFrame(msg, time.Now()); !errors.Is(err, ErrBadFrame) || !strings.Contains(err.Error(), field) {
 			t.Errorf("wrong %s: error %v, want ErrBadFrame with its name", field, err)
@@ -79,25 +83,28 @@
 		Level: call.LevelOf(3, 4), Pressure: call.LevelOf(5, 6), Unused: 1, Overload: true, Offered: true,
 		RetryAfter: 30 * time.Millisecond, Work: time.Millisecond,
 	}
-	msg := sent(t, want.Frame(at.ID, "7.1")).GetAnswer()
-	got, err := FromAnswerFrame(msg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !reflect.DeepEqual(got, want) || string(msg.GetAttemptId()) != string(at.ID[:]) || msg.GetStamp() != "7.1" {
-		t.Errorf("FromAnswerFrame = %+v, want %+v", got, want)
+	for _, blocks := range []bool{false, true} {
+		msg := sent(t, want.Frame(at.ID, "7.1", blocks)).GetAnswer()
+		got, err := FromAnswerFrame(msg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, want) || string(msg.GetAttemptId()) != string(at.ID[:]) || msg.GetStamp() != "7.1" {
+			t.Errorf("FromAnswerFrame = %+v, want %+v", got, want)
+		}
 	}
 }
 
 func TestFromAnswerFrameRefusesBadFields(t *testing.T) {
 	for field, spoil := range map[string]func(msg *schema.AttemptAnswer){
-		"level":    func(msg *schema.AttemptAnswer) { msg.Level = 1 << 16 },
-		"pressure": func(msg *schema.AttemptAnswer) { msg.Pressure = 1 << 16 },
-		"unused":   func(msg *schema.AttemptAnswer) { msg.Unused = 1 << 31 },
-		"work_us":  func(msg *schema.AttemptAnswer) { msg.WorkUs = 1 << 62 },
-		"status":   func(msg *schema.AttemptAnswer) { msg.Answer = nil },
+		"level":        func(msg *schema.AttemptAnswer) { msg.Level = 1 << 16 },
+		"pressure":     func(msg *schema.AttemptAnswer) { msg.Pressure = 1 << 16 },
+		"unused":       func(msg *schema.AttemptAnswer) { msg.Unused = 1 << 31 },
+		"work_us":      func(msg *schema.AttemptAnswer) { msg.WorkUs = 1 << 62 },
+		"status":       func(msg *schema.AttemptAnswer) { msg.Answer = nil },
+		"header_block": func(msg *schema.AttemptAnswer) { msg.Answer.HeaderBlock = []byte{9} },
 	} {
-		msg := (&Answer{Outcome: call.Done, Status: 200}).Frame(call.AttemptID{1}, "7.1").GetAnswer()
+		msg := (&Answer{Outcome: call.Done, Status: 200}).Frame(call.AttemptID{1}, "7.1", true).GetAnswer()
 		spoil(msg)
 		if _, err := FromAnswerFrame(msg); !errors.Is(err, ErrBadFrame) || !strings.Contains(err.Error(), field) {
 			t.Errorf("wrong %s: error %v, want ErrBadFrame with its name", field, err)
@@ -139,8 +146,14 @@
 
 func TestRecordRoundTrip(t *testing.T) {
 	want := &Answer{Outcome: call.Done, Status: 200, Header: http.Header{"B": {"1", "2"}, "A": {"3"}}, Body: []byte("x")}
-	got := FromRecord(want.Record())
-	if got.Outcome != want.Outcome || got.Status != 200 || string(got.Body) != "x" || len(got.Header["B"]) != 2 || got.Header.Get("A") != "3" {
-		t.Errorf("FromRecord(Record) = %+v", got)
+	expanded, err := Expand(want.Compact())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for form, rec := range map[string]*schema.RecordedAnswer{"fields": want.Record(), "block": want.Compact(), "expanded": expanded} {
+		got, err := FromRecord(rec)
+		if err != nil || got.Outcome != want.Outcome || got.Status != 200 || string(got.Body) != "x" || len(got.Header["B"]) != 2 || got.Header.Get("A") != "3" {
+			t.Errorf("%s: FromRecord = %+v, %v", form, got, err)
+		}
 	}
 }
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
+	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 	"camphortrail/withdrawal"
 )
@@ -20,16 +21,23 @@
 // the answer still has time to come back.
 const hopCost = time.Millisecond
 
-// Frame returns the form in which the attempt is sent to a guard.
-func (at *Attempt) Frame(now time.Time) *schema.Frame {
-	return &schema.Frame{Kind: &schema.Frame_Attempt{Attempt: &schema.Attempt{
+// Frame returns the form in which the attempt is sent to a guard, which may know
+// blocks of headers.
+func (at *Attempt) Frame(now time.Time, blocks bool) *schema.Frame {
+	msg := &schema.Attempt{
 		AttemptId: at.ID[:], RequestId: at.Request[:], Service: string(at.Service),
 		Importance: uint32(at.Importance), Depth: uint32(at.Depth),
 		DeadlineUs: uint64(max(0, at.Deadline.Add(-hopCost).Sub(now).Microseconds())),
 		Allowance:  uint32(max(0, at.Allowance)), Idempotent: at.Idempotent, MaxAnswerBytes: at.MaxAnswer,
 		Stamp: at.Stamp.String(), Label: at.Label, Class: string(at.Class), Method: at.Method, Host: at.Host, Uri: at.URI,
-		Header: fields(at.Header), Body: at.Body,
-	}}}
+		Body: at.Body,
+	}
+	if blocks {
+		msg.HeaderBlock = header.AppendBlock(make([]byte, 0, headerBytes), at.Header)
+	} else {
+		msg.Header = fields(at.Header)
+	}
+	return &schema.Frame{Kind: &schema.Frame_Attempt{Attempt: msg}}
 }
 
 // FromFrame returns the attempt that was sent. Its deadline is counted from
@@ -40,7 +48,11 @@
 		Deadline:  now.Add(time.Duration(msg.GetDeadlineUs()) * time.Microsecond),
 		Allowance: int(msg.GetAllowance()), Idempotent: msg.GetIdempotent(), MaxAnswer: msg.GetMaxAnswerBytes(),
 		Label: msg.GetLabel(), Class: call.Class(msg.GetClass()), Method: msg.GetMethod(), Host: msg.GetHost(), URI: msg.GetUri(),
-		Header: headerOf(msg.GetHeader()), Body: msg.GetBody(),
+		Body: msg.GetBody(),
+	}
+	var err error
+	if at.Header, err = headerFrom(msg.GetHeader(), msg.GetHeaderBlock()); err != nil {
+		return nil, errors.Wrap(ErrBadFrame, "header_block")
 	}
 	switch {
 	case len(msg.GetAttemptId()) != len(at.ID):
@@ -60,7 +72,6 @@
 	}
 	copy(at.ID[:], msg.GetAttemptId())
 	copy(at.Request[:], msg.GetRequestId())
-	var err error
 	if at.Stamp, err = withdrawal.ParseStamp(msg.GetStamp()); err != nil {
 		return nil, errors.Wrap(ErrBadFrame, "stamp")
 	}
@@ -76,10 +87,17 @@
 )
 
 // Frame returns the form in which the answer goes back to the entry that sent
-// the attempt with the given id. The stamp is that of the guard.
-func (an *Answer) Frame(id call.AttemptID, stamp string) *schema.Frame {
+// the attempt with the given id, which may know blocks of headers. The stamp is that
+// of the guard.
+func (an *Answer) Frame(id call.AttemptID, stamp string, blocks bool) *schema.Frame {
+	var rec *schema.RecordedAnswer
+	if blocks {
+		rec = an.Compact()
+	} else {
+		rec = an.Record()
+	}
 	return &schema.Frame{Kind: &schema.Frame_Answer{Answer: &schema.AttemptAnswer{
-		AttemptId: id[:], Stamp: stamp, Answer: an.Record(), Reason: an.Reason,
+		AttemptId: id[:], Stamp: stamp, Answer: rec, Reason: an.Reason,
 		Level: uint32(an.Level), Pressure: uint32(an.Pressure), Unused: uint32(max(0, an.Unused)),
 		Overload: an.Overload, Offered: an.Offered, RetryAfterMs: uint32(an.RetryAfter.Milliseconds()),
 		WorkUs:           uint64(max(0, an.Work.Microseconds())),
@@ -109,7 +127,10 @@
 	if err != nil {
 		return nil, err
 	}
-	an := FromRecord(msg.GetAnswer())
+	an, err := FromRecord(msg.GetAnswer())
+	if err != nil {
+		return nil, err
+	}
 	an.Needs = needs
 	an.Reason, an.Overload, an.Offered = msg.GetReason(), msg.GetOverload(), msg.GetOffered()
 	an.Level, an.Pressure, an.Unused = call.Level(msg.GetLevel()), call.Level(msg.GetPressure()), int(msg.GetUnused())
@@ -141,6 +162,14 @@
 	return list
 }
 
+// headerFrom returns the header of a message, which holds it as a block or as fields.
+func headerFrom(list []*schema.HeaderField, block []byte) (http.Header, error) {
+	if len(block) > 0 {
+		return header.ParseBlock(block)
+	}
+	return headerOf(list), nil
+}
+
 // headerOf returns the header with the given fields.
 func headerOf(list []*schema.HeaderField) http.Header {
 	hd := make(http.Header, len(list))
--- a/internal/traffic/entry/keyed.go
+++ b/internal/traffic/entry/keyed.go
@@ -76,7 +76,9 @@
 // finished answers a request whose key has been executed before.
 func (en *Entry) finished(rq *request, rs *schema.ClaimResult) *attempt.Answer {
 	if rec := rs.GetAnswer(); rec != nil {
-		return attempt.FromRecord(rec)
+		if an, err := attempt.FromRecord(rec); err == nil {
+			return an
+		}
 	}
 	rq.history.Resent = true
 	return en.giveUp(rq, ReasonClaimFinished, http.StatusConflict, 0)
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -25,6 +25,7 @@
 	"camphortrail/internal/traffic/upstream"
 	"camphortrail/membership"
 	"camphortrail/retry"
+	"camphortrail/schema"
 	"camphortrail/withdrawal"
 )
 
@@ -45,6 +46,8 @@
 	fullRetryAfter = 500 * time.Millisecond
 	cancelTimeout  = time.Second
 	fifoRunLimit   = time.Minute
+	// recordBytes is what a kept answer takes besides its header and body, about.
+	recordBytes = 512
 )
 
 // Options describe a guard.
@@ -89,7 +92,7 @@
 	memory memory
 
 	mu       sync.Mutex
-	registry *withdrawal.Registry[*attempt.Answer]
+	registry *withdrawal.Registry[*schema.RecordedAnswer]
 	links    map[*link.Link]bool
 }
 
@@ -110,7 +113,7 @@
 		metrics:  opt.Metrics,
 		client:   upstream.New(),
 		links:    make(map[*link.Link]bool),
-		registry: withdrawal.NewRegistry[*attempt.Answer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
+		registry: withdrawal.NewRegistry[*schema.RecordedAnswer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
 	gd.duty = newDuty(mc, &gd.usage)
 	gd.rooms.divider = room.New()
@@ -231,7 +234,7 @@
 	if up := gd.current.Load(); up != nil && up.Service != at.Service {
 		return attempt.Refusal(ReasonService, 0)
 	}
-	rs := gd.step(withdrawal.Begin[*attempt.Answer]{Attempt: at.ID, Stamp: at.Stamp})
+	rs := gd.step(withdrawal.Begin[*schema.RecordedAnswer]{Attempt: at.ID, Stamp: at.Stamp})
 	switch rs.Decision {
 	case withdrawal.Accepted:
 		return nil
@@ -246,7 +249,7 @@
 	}
 }
 
-func (gd *Guard) step(ev withdrawal.Event[*attempt.Answer]) withdrawal.Result[*attempt.Answer] {
+func (gd *Guard) step(ev withdrawal.Event[*schema.RecordedAnswer]) withdrawal.Result[*schema.RecordedAnswer] {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
 	return gd.registry.Step(time.Now(), ev)
@@ -280,7 +283,7 @@
 // refuse registers that the attempt did not begin, and gives its whole
 // allowance back.
 func (gd *Guard) refuse(at *attempt.Attempt, an *attempt.Answer) *attempt.Answer {
-	gd.step(withdrawal.Refuse[*attempt.Answer]{Attempt: at.ID})
+	gd.step(withdrawal.Refuse[*schema.RecordedAnswer]{Attempt: at.ID})
 	an.Unused = at.Allowance
 	return an
 }
@@ -313,7 +316,7 @@
 	if gd.trees.Step(time.Now(), open).Decision != retry.FirstSend {
 		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
 	}
-	if gd.step(withdrawal.Start[*attempt.Answer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
+	if gd.step(withdrawal.Start[*schema.RecordedAnswer]{Attempt: at.ID}).Decision != withdrawal.Accepted {
 		gd.trees.Step(time.Now(), retry.Close{Account: retry.OfAttempt(at.ID)})
 		return gd.refuse(at, attempt.Refusal(ReasonWithdrawn, 0))
 	}
@@ -337,19 +340,22 @@
 // record keeps the answer for a later question about the attempt.
 func (gd *Guard) record(at *attempt.Attempt, an *attempt.Answer) {
 	if an.Outcome == call.Unknown {
-		gd.step(withdrawal.Abort[*attempt.Answer]{Attempt: at.ID})
+		gd.step(withdrawal.Abort[*schema.RecordedAnswer]{Attempt: at.ID})
 		return
 	}
-	gd.step(withdrawal.Finish[*attempt.Answer]{Attempt: at.ID, Answer: an, Bytes: len(an.Body)})
+	rec := an.Compact()
+	gd.step(withdrawal.Finish[*schema.RecordedAnswer]{
+		Attempt: at.ID, Answer: rec, Bytes: len(rec.GetBody()) + len(rec.GetHeaderBlock()) + recordBytes,
+	})
 }
 
 // Withdraw reports the state of an attempt. Unless inspect is set, an attempt
 // that has not begun is prevented from beginning.
-func (gd *Guard) Withdraw(id call.AttemptID, sp withdrawal.Stamp, inspect bool) withdrawal.Result[*attempt.Answer] {
+func (gd *Guard) Withdraw(id call.AttemptID, sp withdrawal.Stamp, inspect bool) withdrawal.Result[*schema.RecordedAnswer] {
 	if inspect {
-		return gd.step(withdrawal.Inspect[*attempt.Answer]{Attempt: id, Stamp: sp})
+		return gd.step(withdrawal.Inspect[*schema.RecordedAnswer]{Attempt: id, Stamp: sp})
 	}
-	rs := gd.step(withdrawal.Withdraw[*attempt.Answer]{Attempt: id, Stamp: sp})
+	rs := gd.step(withdrawal.Withdraw[*schema.RecordedAnswer]{Attempt: id, Stamp: sp})
 	if rs.State == withdrawal.Dequeued {
 		gd.cancel(id)
 	}
--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -79,7 +79,7 @@
 		defer gd.active.Exit()
 		defer ses.cancel(at.ID[:])
 		an := gd.Handle(ctx, at)
-		_ = ses.link.Send(an.Frame(at.ID, gd.Stamp().String()))
+		_ = ses.link.Send(an.Frame(at.ID, gd.Stamp().String(), ses.link.Blocks()))
 	}()
 }
 
@@ -92,7 +92,7 @@
 	}
 	an := attempt.Refusal(err.Error(), 0)
 	an.Unused = int(msg.GetAllowance())
-	_ = lk.Send(an.Frame(id, gd.Stamp().String()))
+	_ = lk.Send(an.Frame(id, gd.Stamp().String(), lk.Blocks()))
 }
 
 // cancel ends an attempt for which nobody waits any more.
@@ -150,7 +150,10 @@
 	res := gd.Withdraw(call.AttemptID(rq.GetAttemptId()), sp, rq.GetInspect())
 	rs.State = schema.AttemptState(res.State)
 	if res.Kept {
-		rs.Answer = res.Answer.Record()
+		// The question does not tell whether its sender knows blocks.
+		if rs.Answer, err = attempt.Expand(res.Answer); err != nil {
+			return nil, errors.Wrap(err, "withdraw")
+		}
 	}
 	return rs, nil
 }
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 )
 
@@ -40,6 +41,11 @@
 	// deadlineRenewals is how often the deadline of reading is renewed within
 	// the time for which nothing may be received.
 	deadlineRenewals = 4
+	// framesHeader tells in the upgrade and in the answer to it what a node knows of
+	// frames beyond those of the first version, and blocks that it knows blocks of
+	// headers.
+	framesHeader = header.Prefix + "Frames"
+	blocks       = "header-blocks"
 	// upgradeTimeout bounds the time from the dial until the peer has agreed.
 	upgradeTimeout = time.Second
 )
@@ -69,6 +75,8 @@
 	// deadlineSet is when the deadline of reading was renewed last.
 	deadlineSet time.Time
 	began       atomic.Bool
+	// blocks says that the peer knows blocks of headers.
+	blocks atomic.Bool
 	// ready is closed when nc is there, or the link has failed.
 	ready chan struct{}
 	wake  chan struct{}
@@ -120,7 +128,8 @@
 // upgrade asks the peer to speak frames.
 func (lk *Link) upgrade(nc net.Conn, address string) error {
 	_ = nc.SetDeadline(time.Now().Add(upgradeTimeout))
-	_, err := io.WriteString(nc, "GET "+Path+" HTTP/1.1\r\nHost: "+address+"\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+	_, err := io.WriteString(nc, "GET "+Path+" HTTP/1.1\r\nHost: "+address+"\r\nConnection: Upgrade\r\nUpgrade: "+protocol+
+		"\r\n"+framesHeader+": "+blocks+"\r\n\r\n")
 	lk.br = bufio.NewReaderSize(nc, readBuffer)
 	var res *http.Response
 	if err == nil {
@@ -133,6 +142,7 @@
 		_ = nc.Close()
 		return err
 	}
+	lk.blocks.Store(res.Header.Get(framesHeader) == blocks)
 	return nc.SetDeadline(time.Time{})
 }
 
@@ -150,8 +160,10 @@
 		return nil, errors.Wrap(err, "link")
 	}
 	lk := newLink()
+	lk.blocks.Store(r.Header.Get(framesHeader) == blocks)
 	lk.br = bufio.NewReaderSize(io.MultiReader(buffered(rw.Reader), nc), readBuffer)
-	lk.out = append(lk.out, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"...)
+	lk.out = append(lk.out, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+
+		"\r\n"+framesHeader+": "+blocks+"\r\n\r\n"...)
 	lk.wake <- struct{}{}
 	go lk.start(nc)
 	<-lk.ready
@@ -217,6 +229,10 @@
 	}
 }
 
+// Blocks reports whether the peer is known to read headers as blocks. Frames that are
+// sent before the connection is there must hold them as fields.
+func (lk *Link) Blocks() bool { return lk.blocks.Load() }
+
 // Began reports whether bytes of frames may have left.
 func (lk *Link) Began() bool { return lk.began.Load() }
 
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -185,7 +185,7 @@
 	defer pl.remove(at.ID)
 	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, At: pe.sent, Deadline: at.Deadline})
 	defer pl.signal(withdrawal.Settled{Attempt: at.ID})
-	if err := cn.link.Send(at.Frame(pe.sent)); err != nil {
+	if err := cn.link.Send(at.Frame(pe.sent, cn.link.Blocks())); err != nil {
 		return Result{State: withdrawal.Dequeued}
 	}
 	unknown := Result{State: withdrawal.Unknown, Sent: true}
--- a/internal/traffic/peer/query.go
+++ b/internal/traffic/peer/query.go
@@ -80,7 +80,12 @@
 		// The answer should have come on the attempt's own connection.
 		pl.signal(withdrawal.Failed{Attempt: qu.Attempt})
 		if rec := rs.GetAnswer(); rec != nil {
-			pe.deliver(answered(attempt.FromRecord(rec)))
+			an, err := attempt.FromRecord(rec)
+			if err != nil {
+				pe.deliver(Result{State: withdrawal.Unknown, Sent: true})
+				return
+			}
+			pe.deliver(answered(an))
 			return
 		}
 		pe.deliver(Result{State: st, Sent: true})
