Acknowledge only attempts that are not answered soon

Callers saw too few look-ups served where the processors of nodes are short. Each attempt was acknowledged at once by a frame of its own: a message to write and to read, and with little on a link a system call and a wake-up on both nodes, though most calls of the busy services are answered within 10 ms.

In place of the time to the acknowledgement, the lines `process` tell the time of attempts and answers between the nodes. TestQuickAnswersAreAcknowledged fails without the change.

--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -94,15 +94,15 @@
 // the metrics.
 func (nd *Node) summarizeProcess(now time.Time, me *process.Meter) {
 	ps := me.Take()
-	mean, slowest, longest := nd.pool.TakeAcknowledged()
-	ps.AcknowledgedUS = mean.Microseconds()
+	mean, slowest, longest := nd.pool.TakeTransits()
+	ps.TransitMeanUS = mean.Microseconds()
 	ps.Slowest, ps.SlowestUS = string(slowest), longest.Microseconds()
 	nd.events.Summarize(now, ps)
 	const micro, milli = 1e-6, 1e-3
 	nd.metrics.GetOrCreateFloatCounter("camphortrail_process_processor_seconds_total").Add(float64(ps.ProcessorMS) * milli)
 	nd.metrics.GetOrCreateFloatCounter("camphortrail_process_collector_seconds_total").Add(float64(ps.CollectorMS) * milli)
 	nd.metrics.GetOrCreateHistogram("camphortrail_process_run_wait_seconds").Update(float64(ps.RunWaitMeanUS) * micro)
-	nd.metrics.GetOrCreateHistogram("camphortrail_peer_acknowledged_seconds").Update(mean.Seconds())
+	nd.metrics.GetOrCreateHistogram("camphortrail_peer_transit_seconds").Update(mean.Seconds())
 }
 
 // claimDuty runs the client of the claims, if there are control replicas.
--- a/internal/ops/events/summary.go
+++ b/internal/ops/events/summary.go
@@ -91,11 +91,11 @@
 	// HeapKB is the size of the objects on the heap.
 	HeapKB     uint64 `json:"heap-kb"`
 	Goroutines uint64 `json:"goroutines"`
-	// Acknowledged is the mean time from sending an attempt to another node until
-	// its acknowledgement, and Slowest the VM with the longest mean, SlowestUS.
-	AcknowledgedUS int64  `json:"acknowledged-mean-us"`
-	Slowest        string `json:"slowest-vm,omitempty"`
-	SlowestUS      int64  `json:"slowest-mean-us,omitempty"`
+	// TransitMeanUS is the mean time that attempts and their answers took between
+	// this node and others, and Slowest the VM with the longest mean, SlowestUS.
+	TransitMeanUS int64  `json:"transit-mean-us"`
+	Slowest       string `json:"slowest-vm,omitempty"`
+	SlowestUS     int64  `json:"slowest-mean-us,omitempty"`
 }
 
 func (Traffic) kind() Kind { return Requests }
--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -75,8 +75,9 @@
 	Offered bool
 	// RetryAfter is the time after which a caller may come back.
 	RetryAfter time.Duration
-	// Work is the time that the upstream took.
-	Work time.Duration
+	// Work is the time that the upstream took, and Held that from the arrival of
+	// the attempt at the guard until its answer was sent.
+	Work, Held time.Duration
 	// Needs is what attempts of the kind take of each service, with all their
 	// calls.
 	Needs []call.Need
--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -81,7 +81,7 @@
 	want := &Answer{
 		Outcome: call.Done, Reason: "reason", Status: 201, Header: http.Header{"Etag": {"a", "b"}}, Body: []byte("whole"),
 		Level: call.LevelOf(3, 4), Pressure: call.LevelOf(5, 6), Unused: 1, Overload: true, Offered: true,
-		RetryAfter: 30 * time.Millisecond, Work: time.Millisecond,
+		RetryAfter: 30 * time.Millisecond, Work: time.Millisecond, Held: 2 * time.Millisecond,
 	}
 	for _, blocks := range []bool{false, true} {
 		msg := sent(t, want.Frame(at.ID, "7.1", blocks)).GetAnswer()
@@ -100,6 +100,7 @@
 		"level":        func(msg *schema.AttemptAnswer) { msg.Level = 1 << 16 },
 		"pressure":     func(msg *schema.AttemptAnswer) { msg.Pressure = 1 << 16 },
 		"unused":       func(msg *schema.AttemptAnswer) { msg.Unused = 1 << 31 },
+		"held_us":      func(msg *schema.AttemptAnswer) { msg.HeldUs = 1 << 62 },
 		"work_us":      func(msg *schema.AttemptAnswer) { msg.WorkUs = 1 << 62 },
 		"status":       func(msg *schema.AttemptAnswer) { msg.Answer = nil },
 		"header_block": func(msg *schema.AttemptAnswer) { msg.Answer.HeaderBlock = []byte{9} },
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -101,6 +101,7 @@
 		Level: uint32(an.Level), Pressure: uint32(an.Pressure), Unused: uint32(max(0, an.Unused)),
 		Overload: an.Overload, Offered: an.Offered, RetryAfterMs: uint32(an.RetryAfter.Milliseconds()),
 		WorkUs:           uint64(max(0, an.Work.Microseconds())),
+		HeldUs:           uint64(max(0, an.Held.Microseconds())),
 		OccupancyPercent: uint32(an.Occupancy), DownstreamPercent: uint32(an.Downstream), Needs: needFields(an.Needs),
 	}}}
 }
@@ -116,6 +117,8 @@
 		return nil, errors.Wrap(ErrBadFrame, "unused")
 	case msg.GetWorkUs() > maxTime:
 		return nil, errors.Wrap(ErrBadFrame, "work_us")
+	case msg.GetHeldUs() > maxTime:
+		return nil, errors.Wrap(ErrBadFrame, "held_us")
 	case msg.GetOccupancyPercent() > maxOccupancy:
 		return nil, errors.Wrap(ErrBadFrame, "occupancy_percent")
 	case msg.GetDownstreamPercent() > maxOccupancy:
@@ -137,6 +140,7 @@
 	an.RetryAfter = time.Duration(msg.GetRetryAfterMs()) * time.Millisecond
 	an.Occupancy, an.Downstream = call.Occupancy(msg.GetOccupancyPercent()), call.Occupancy(msg.GetDownstreamPercent())
 	an.Work = time.Duration(msg.GetWorkUs()) * time.Microsecond
+	an.Held = time.Duration(msg.GetHeldUs()) * time.Microsecond
 	return an, nil
 }
 
--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -17,6 +17,12 @@
 	"camphortrail/withdrawal"
 )
 
+// acknowledgeDelay is the time within which an attempt is acknowledged that has not
+// been answered: a part of that after which its sender doubts the connection
+// (package withdrawal). Most calls of busy services are answered sooner, and each
+// frame that is left out saves a write, and a wake-up of the other node.
+const acknowledgeDelay = 40 * time.Millisecond
+
 // idleLink is the time for which an entry may send nothing. It closes links
 // that it does not use well before.
 const idleLink = 10 * time.Minute
@@ -56,33 +62,57 @@
 
 	mu      sync.Mutex
 	cancels map[call.AttemptID]context.CancelFunc
+	// arrived holds the attempts since the last acknowledgements. If there are any,
+	// the next ones are due.
+	arrived []call.AttemptID
 }
 
-// begin acknowledges an attempt, runs it and answers.
+// begin runs an attempt and answers.
 func (ses *session) begin(msg *schema.Attempt) {
 	gd := ses.guard
-	at, err := attempt.FromFrame(msg, time.Now())
+	arrival := time.Now()
+	at, err := attempt.FromFrame(msg, arrival)
 	if err != nil {
 		gd.refuseFrame(ses.link, msg, err)
 		return
 	}
 	gd.active.Enter()
-	// An acknowledgement or answer that is not taken is found by withdrawal.
-	_ = ses.link.Send(&schema.Frame{Kind: &schema.Frame_Acknowledgement{Acknowledgement: &schema.Acknowledgement{
-		AttemptId: at.ID[:], Stamp: gd.Stamp().String(),
-	}}})
 	ctx, stop := context.WithCancel(ses.ctx)
 	ses.mu.Lock()
 	ses.cancels[at.ID] = stop
+	if len(ses.arrived) == 0 {
+		time.AfterFunc(acknowledgeDelay, ses.acknowledge)
+	}
+	ses.arrived = append(ses.arrived, at.ID)
 	ses.mu.Unlock()
 	gd.workers.Go(func() {
 		defer gd.active.Exit()
 		defer ses.cancel(at.ID[:])
 		an := gd.Handle(ctx, at)
+		an.Held = time.Since(arrival)
+		// An acknowledgement or answer that is not taken is found by withdrawal.
 		_ = ses.link.Send(an.Frame(at.ID, gd.Stamp().String(), ses.link.Blocks()))
 	})
 }
 
+// acknowledge tells the entry which of the attempts that arrived lately have no answer
+// yet.
+func (ses *session) acknowledge() {
+	ses.mu.Lock()
+	arrived := slices.DeleteFunc(ses.arrived, func(id call.AttemptID) bool { return ses.cancels[id] == nil })
+	ses.arrived = nil
+	ses.mu.Unlock()
+	if len(arrived) == 0 {
+		return
+	}
+	stamp := ses.guard.Stamp().String()
+	for _, id := range arrived {
+		_ = ses.link.Send(&schema.Frame{Kind: &schema.Frame_Acknowledgement{Acknowledgement: &schema.Acknowledgement{
+			AttemptId: id[:], Stamp: stamp,
+		}}})
+	}
+}
+
 // refuseFrame answers an attempt that can't be read.
 func (gd *Guard) refuseFrame(lk *link.Link, msg *schema.Attempt, err error) {
 	var id call.AttemptID
--- /dev/null
+++ b/internal/traffic/guard/serve_test.go
@@ -0,0 +1,64 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"camphortrail/internal/traffic/link"
+	"camphortrail/schema"
+)
+
+// Each attempt was acknowledged by a frame of its own, which wakes the other node up
+// although the answer follows at once.
+func TestQuickAnswersAreAcknowledged(t *testing.T) {
+	held := make(chan bool)
+	address, _ := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		if strings.HasPrefix(rq.RequestURI, "/held") {
+			<-held
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	gd := startGuard(t, false, address)
+	srv := httptest.NewServer(gd)
+	defer srv.Close()
+	lk := link.Open(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}, srv.Listener.Addr().String())
+	defer lk.Close()
+	send := func(uri string) []byte {
+		at := newAttempt(gd, true, 10*time.Second)
+		at.URI = uri
+		if err := lk.Send(at.Frame(time.Now(), lk.Blocks())); err != nil {
+			t.Fatal(err)
+		}
+		return at.ID[:]
+	}
+	receive := func() *schema.Frame {
+		fr, err := lk.Receive(10 * time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fr
+	}
+	slow := send("/held")
+	if ack := receive().GetAcknowledgement(); string(ack.GetAttemptId()) != string(slow) {
+		t.Errorf("%v comes before the answer that is held, want an acknowledgement", ack)
+	}
+	const quick = 20
+	for range quick {
+		id := send("/quick")
+		if an := receive().GetAnswer(); string(an.GetAttemptId()) != string(id) {
+			t.Fatalf("%v comes, want the answer", an)
+		}
+	}
+	close(held)
+	if an := receive().GetAnswer(); string(an.GetAttemptId()) != string(slow) || an.GetHeldUs() < uint64(acknowledgeDelay.Microseconds()) {
+		t.Errorf("the last frame is %v, want the answer that was held", an)
+	}
+}
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -40,6 +40,8 @@
 	State  withdrawal.State
 	// Sent is false when no byte of the attempt was sent.
 	Sent bool
+	// own says that the answer came on the attempt's own connection.
+	own bool
 }
 
 // Pool holds the connections to other guards. It is safe for concurrent use.
@@ -57,8 +59,8 @@
 	pending  map[call.AttemptID]*pending
 	onState  func(vm call.VM, suspect bool)
 	onRoom   func(vm call.VM, svc call.Service, sh room.Shares)
-	// acknowledged sums up the times until acknowledgements came, by VM.
-	acknowledged map[call.VM]waits
+	// transits sums up the times of attempts and answers between the nodes, by VM.
+	transits map[call.VM]waits
 }
 
 // waits sums up times.
@@ -107,16 +109,16 @@
 		opt.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &Pool{
-		dial:         opt.Dial,
-		signals:      ring.New[withdrawal.Signal](signalRingSize),
-		conns:        make(map[call.VM]*conn),
-		all:          make(map[withdrawal.ConnID]*conn),
-		probes:       make(map[call.VM]*probe),
-		stamps:       make(map[call.VM]stamp),
-		pending:      make(map[call.AttemptID]*pending),
-		onState:      opt.OnState,
-		acknowledged: make(map[call.VM]waits),
-		onRoom:       opt.OnRoom,
+		dial:     opt.Dial,
+		signals:  ring.New[withdrawal.Signal](signalRingSize),
+		conns:    make(map[call.VM]*conn),
+		all:      make(map[withdrawal.ConnID]*conn),
+		probes:   make(map[call.VM]*probe),
+		stamps:   make(map[call.VM]stamp),
+		pending:  make(map[call.AttemptID]*pending),
+		onState:  opt.OnState,
+		transits: make(map[call.VM]waits),
+		onRoom:   opt.OnRoom,
 	}
 }
 
@@ -184,7 +186,8 @@
 	cn := pl.enroll(vm, address, at.ID, pe)
 	defer pl.remove(at.ID)
 	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, At: pe.sent, Deadline: at.Deadline})
-	defer pl.signal(withdrawal.Settled{Attempt: at.ID})
+	settled := withdrawal.Settled{Attempt: at.ID}
+	defer func() { pl.signal(settled) }()
 	if err := cn.link.Send(at.Frame(pe.sent, cn.link.Blocks())); err != nil {
 		return Result{State: withdrawal.Dequeued}
 	}
@@ -192,6 +195,7 @@
 	for {
 		select {
 		case rs := <-pe.found:
+			settled.Answered = rs.own
 			return rs
 		case <-pe.doubtful:
 			if resend() {
@@ -277,13 +281,12 @@
 		if id, ok := attemptID(kd.Acknowledgement.GetAttemptId()); ok {
 			pl.keepStamp(cn.vm, kd.Acknowledgement.GetStamp())
 			pl.signal(withdrawal.Acked{Attempt: id})
-			pl.countAcknowledged(cn.vm, id)
 		}
 	case *schema.Frame_Answer:
 		pl.keepStamp(cn.vm, kd.Answer.GetStamp())
 		pl.onState(cn.vm, false)
 		if id, ok := attemptID(kd.Answer.GetAttemptId()); ok {
-			pl.takeAnswer(id, kd.Answer)
+			pl.takeAnswer(cn, id, kd.Answer)
 		}
 	case *schema.Frame_Room:
 		// What cannot be read is told again soon.
@@ -293,37 +296,35 @@
 	}
 }
 
-// countAcknowledged counts the time that an acknowledgement took.
-func (pl *Pool) countAcknowledged(vm call.VM, id call.AttemptID) {
+// countTransit counts the time that an attempt and its answer took between the nodes.
+func (pl *Pool) countTransit(vm call.VM, took time.Duration) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if pe := pl.pending[id]; pe != nil {
-		wa := pl.acknowledged[vm]
-		wa.count++
-		wa.sum += time.Since(pe.sent)
-		pl.acknowledged[vm] = wa
-	}
+	wa := pl.transits[vm]
+	wa.count++
+	wa.sum += took
+	pl.transits[vm] = wa
 }
 
-// TakeAcknowledged returns the mean time until attempts were acknowledged since the
-// last call, the VM whose mean was the longest, and that mean.
-func (pl *Pool) TakeAcknowledged() (mean time.Duration, slowest call.VM, longest time.Duration) {
+// TakeTransits returns the mean time that attempts and their answers took between the
+// nodes since the last call, the VM with the longest mean, and that.
+func (pl *Pool) TakeTransits() (mean time.Duration, slowest call.VM, longest time.Duration) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	var all waits
-	for vm, wa := range pl.acknowledged {
+	for vm, wa := range pl.transits {
 		all.count += wa.count
 		all.sum += wa.sum
 		if wa.mean() > longest {
 			slowest, longest = vm, wa.mean()
 		}
 	}
-	clear(pl.acknowledged)
+	clear(pl.transits)
 	return all.mean(), slowest, longest
 }
 
 // takeAnswer hands an answer to the sender of the attempt, if it still waits.
-func (pl *Pool) takeAnswer(id call.AttemptID, msg *schema.AttemptAnswer) {
+func (pl *Pool) takeAnswer(cn *conn, id call.AttemptID, msg *schema.AttemptAnswer) {
 	pe := pl.lookup(id)
 	if pe == nil {
 		return
@@ -334,7 +335,10 @@
 		pl.signal(withdrawal.Failed{Attempt: id})
 		return
 	}
-	pe.deliver(answered(an))
+	rs := answered(an)
+	rs.own = true
+	pe.deliver(rs)
+	pl.countTransit(cn.vm, time.Since(pe.sent)-an.Held)
 }
 
 func attemptID(text []byte) (id call.AttemptID, ok bool) {
--- a/withdrawal/suspicion.go
+++ b/withdrawal/suspicion.go
@@ -34,6 +34,8 @@
 // answer came, its state is final, or its request ended.
 type Settled struct {
 	Attempt call.AttemptID
+	// Answered says that the answer came on the attempt's own connection.
+	Answered bool
 }
 
 // Failed reports that sending an attempt, or reading its answer, failed. The
--- a/withdrawal/watch.go
+++ b/withdrawal/watch.go
@@ -63,7 +63,7 @@
 	id      ConnID
 	trip    *roundTrip
 	suspect bool
-	// heard is the time of the latest acknowledgement.
+	// heard is the time of the latest acknowledgement or answer.
 	heard time.Time
 	holds []*pending
 }
@@ -119,7 +119,7 @@
 	case Acked:
 		su.acked(now, sg.Attempt)
 	case Settled:
-		su.settled(now, sg.Attempt)
+		su.settled(now, sg)
 	case Failed:
 		su.failed(now, sg.Attempt)
 	case Gone:
@@ -190,12 +190,15 @@
 	su.wake(pe, now.Add(su.pollWait(pe)))
 }
 
-func (su *Suspicion) settled(now time.Time, id call.AttemptID) {
-	pe := su.attempts[id]
+func (su *Suspicion) settled(now time.Time, sg Settled) {
+	pe := su.attempts[sg.Attempt]
 	if pe == nil {
 		return
 	}
-	if pe.acked {
+	if sg.Answered && pe.conn != nil {
+		pe.conn.heard = now
+	}
+	if pe.acked || sg.Answered {
 		pe.trip.answered(now.Sub(pe.sent))
 	}
 	su.drop(pe)
