Try a request of a kind that fails while nothing is known

Callers could be refused for as long as they came after a fault had passed: while all requests of a kind fail no answer tells the occupancy of its services, the lack of it counts as busy, and of 33 requests a second one in 25 is let through, fewer as none comes through.

While no occupancy is known and hardly a request came through, one is let through each half second, whose answer tells that there is room.

--- a/internal/traffic/throttle/share.go
+++ b/internal/traffic/throttle/share.go
@@ -99,7 +99,7 @@
 	passed := min(now.Sub(sh.adjusted), maxAdjustment).Seconds()
 	sh.adjusted = now
 	excess := unknownExcess
-	if now.Sub(sh.metAt) < occupancyLife {
+	if sh.known(now) {
 		if excess = min(sh.occupancy/float64(target)-1, maxExcess); excess < 0 {
 			excess *= belowTarget
 		}
@@ -108,9 +108,12 @@
 	sh.value = min(max(sh.integral-proportional*excess, 0), 1)
 }
 
+// known reports whether an occupancy was met lately.
+func (sh *share) known(now time.Time) bool { return now.Sub(sh.metAt) < occupancyLife }
+
 // occupied reports whether a service of the tree may be busy.
 func (sh *share) occupied(now time.Time) bool {
-	return now.Sub(sh.metAt) >= occupancyLife || now.Sub(sh.busyAt) < roomTime
+	return !sh.known(now) || now.Sub(sh.busyAt) < roomTime
 }
 
 func (sh *share) decay(now time.Time) {
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -13,7 +13,9 @@
 // et al., "Site Reliability Engineering", chapter 21. The refusals deep in the
 // tree go by importance, so the kinds that fail are the ones to refuse here. Where
 // all services have room, a request that is likely to fail takes nothing from
-// others, and is admitted.
+// others, and is admitted. While nothing is known of the services, as nothing comes
+// through, one is tried now and then: a fault that has passed is to leave no refusals
+// behind.
 package throttle
 
 import (
@@ -29,6 +31,11 @@
 	// through. With it a share of 1/5 may fail, and the share that is let
 	// through doubles in 2 s when none does.
 	excess = 1.25
+	// tryInterval is the time after which a request is let through whatever fails,
+	// while nothing is known of the services of its tree and the weight of those
+	// that came through is under noAccepts.
+	tryInterval = 500 * time.Millisecond
+	noAccepts   = 0.5
 	// halfLife is the time in which the weight of a past request halves: well
 	// under the bursts of some seconds that the rule answers.
 	halfLife = 500 * time.Millisecond
@@ -104,10 +111,11 @@
 	}
 	kd.share.admitted++
 	refusing := kd.refusing(now)
-	if draw < refusing && kd.share.occupied(now) && !gp.othersYield(now, rq.Importance) {
+	if draw < refusing && kd.share.occupied(now) && !gp.othersYield(now, rq.Importance) && !kd.try(now) {
 		kd.requests++
 		return Decision{Failing: true, Share: share, RetryAfter: returnTime(refusing)}
 	}
+	kd.triedAt = now
 	return Decision{Admitted: true, Share: share}
 }
 
@@ -241,7 +249,9 @@
 	importance        call.Importance
 	requests, accepts float64
 	clock             decay.Clock
-	share             share
+	// triedAt is when a request was let through last.
+	triedAt time.Time
+	share   share
 	// timely are the requests that can still be answered within their target, and
 	// overdue the others.
 	timely, overdue flow
@@ -252,6 +262,12 @@
 	usual time.Duration
 }
 
+// try reports whether a request is to be let through to learn how busy its services
+// are, as none was for some time and none came through.
+func (kd *kind) try(now time.Time) bool {
+	return !kd.share.known(now) && kd.accepts < noAccepts && now.Sub(kd.triedAt) >= tryInterval
+}
+
 // refusing returns the share of requests that is refused.
 func (kd *kind) refusing(now time.Time) float64 {
 	kd.decay(now)
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -145,3 +146,61 @@
 		}
 	}
 }
+
+// All requests fail for some seconds, as where a service is cut off, and are refused
+// long after it is back although nothing is busy.
+func TestRequestsAreRefusedAfterAFault(t *testing.T) {
+	const (
+		rate, fault, back = 33, 4 * time.Second, 1500 * time.Millisecond
+		failsAfter, took  = 700 * time.Millisecond, 300 * time.Millisecond
+		length            = 10 * time.Second
+	)
+	for _, perSecond := range []int{rate / 3, rate, 3 * rate} {
+		for seed := range uint64(5) {
+			gp, rng := New(), rand.New(rand.NewPCG(seed, seed))
+			begin := time.Unix(0, 0)
+			var results []func(now time.Time) bool
+			inFault, asked, admitted := 0, 0, 0
+			for now := begin; now.Before(begin.Add(length)); now = now.Add(time.Millisecond) {
+				results = slices.DeleteFunc(results, func(end func(time.Time) bool) bool { return end(now) })
+				if rng.IntN(1000) >= perSecond {
+					continue
+				}
+				// Calm for 2 s, and then the fault.
+				age := now.Sub(begin) - 2*time.Second
+				ok := gp.Admit(now, Request{Class: "look-up", Importance: 5}, rng.Float64()).Admitted
+				if age > fault+back {
+					asked++
+					if ok {
+						admitted++
+					}
+				}
+				if !ok {
+					continue
+				}
+				failing := age >= 0 && age < fault
+				if failing && age > back {
+					inFault++
+				}
+				rs, due := Result{Through: true, Occupancy: 60, Took: took}, now.Add(took)
+				if failing {
+					rs, due = Result{Took: failsAfter}, now.Add(failsAfter)
+				}
+				results = append(results, func(now time.Time) bool {
+					if now.Before(due) {
+						return false
+					}
+					gp.Finish(now, "look-up", rs)
+					return true
+				})
+			}
+			if least := asked * 9 / 10; admitted < least {
+				t.Errorf("%d a second, seed %d: %d of %d requests admitted from 1.5 s after the fault, want %d", perSecond, seed, admitted, asked, least)
+			}
+			// A fifth, or four a second where that is more: few callers are held up in vain.
+			if most := int(max(float64(perSecond)/5, 4) * (fault - back).Seconds()); inFault > most {
+				t.Errorf("%d a second, seed %d: %d admitted in the fault, want at most %d", perSecond, seed, inFault, most)
+			}
+		}
+	}
+}
