Keep virtual time and the reading of processor time in one place each

The replays of admission and of throttle had an agenda in virtual time each, and three places read the processor time of the process.

--- a/admission/turnaround_test.go
+++ b/admission/turnaround_test.go
@@ -1,22 +1,21 @@
 package admission
 
 import (
-	agenda "container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/lab/agenda"
 )
 
 // turnaround replays, in virtual time, a guard that is never without waiting calls,
 // and whose process takes a time of its one processor for each call that it sends and
 // for each answer that it reads.
 type turnaround struct {
-	mc     *Machine
-	rng    *rand.Rand
-	now    time.Time
-	events turns
+	*agenda.Agenda
+	mc  *Machine
+	rng *rand.Rand
 	// free is when the processor has done all that it has been given.
 	free time.Time
 	busy int
@@ -26,27 +25,6 @@
 	ended   int
 }
 
-type turn struct {
-	at time.Time
-	do func()
-}
-
-type turns []turn
-
-func (tu turns) Len() int           { return len(tu) }
-func (tu turns) Less(i, j int) bool { return tu[i].at.Before(tu[j].at) }
-func (tu turns) Swap(i, j int)      { tu[i], tu[j] = tu[j], tu[i] }
-
-// Push adds a turn.
-func (tu *turns) Push(v any) { *tu = append(*tu, v.(turn)) }
-
-// Pop removes the last one.
-func (tu *turns) Pop() any {
-	last := (*tu)[len(*tu)-1]
-	*tu = (*tu)[:len(*tu)-1]
-	return last
-}
-
 const (
 	turnaroundSlots = 41
 	// turnaroundCall is the mean time of a call, and turnaroundCost that of the
@@ -57,28 +35,24 @@
 	turnaroundQueue = 20
 )
 
-func (tu *turnaround) after(wait time.Duration, do func()) {
-	agenda.Push(&tu.events, turn{tu.now.Add(wait), do})
-}
-
 // process does something once the processor has got to it.
 func (tu *turnaround) process(do func()) {
-	if tu.free.Before(tu.now) {
-		tu.free = tu.now
+	if tu.free.Before(tu.Now()) {
+		tu.free = tu.Now()
 	}
 	tu.free = tu.free.Add(turnaroundCost)
-	tu.after(tu.free.Sub(tu.now), do)
+	tu.After(tu.free.Sub(tu.Now()), do)
 }
 
 // change counts the slots of the upstream that are at work.
 func (tu *turnaround) change(by int) {
-	tu.used += time.Duration(tu.busy) * tu.now.Sub(tu.changed)
-	tu.busy, tu.changed = tu.busy+by, tu.now
+	tu.used += time.Duration(tu.busy) * tu.Now().Sub(tu.changed)
+	tu.busy, tu.changed = tu.busy+by, tu.Now()
 }
 
 func (tu *turnaround) step(ev Event) {
 	var begun []call.AttemptID
-	for _, ac := range tu.mc.Step(tu.now, ev) {
+	for _, ac := range tu.mc.Step(tu.Now(), ev) {
 		if st, ok := ac.(*Start); ok {
 			begun = append(begun, st.ID)
 		}
@@ -92,7 +66,7 @@
 func (tu *turnaround) send(id call.AttemptID) {
 	tu.change(1)
 	took := turnaroundCall/2 + time.Duration(tu.rng.Int64N(int64(turnaroundCall)))
-	tu.after(took, func() {
+	tu.After(took, func() {
 		tu.change(-1)
 		tu.process(func() {
 			tu.ended++
@@ -112,7 +86,7 @@
 		before := tu.mc.Waiting() + tu.mc.Running()
 		tu.step(Arrive{
 			ID: call.NewAttemptID(tu.rng), Importance: imp, Cohort: call.Cohort(tu.rng.Uint32()), Depth: 3,
-			Deadline: tu.now.Add(700 * time.Millisecond),
+			Deadline: tu.Now().Add(700 * time.Millisecond),
 		})
 		if tu.mc.Waiting()+tu.mc.Running() <= before {
 			return
@@ -128,19 +102,13 @@
 	const least = 0.95
 	for seed := range uint64(3) {
 		rng := rand.New(rand.NewPCG(seed, seed))
-		tu := &turnaround{mc: New(Settings{FreeShare: 16}, rng), rng: rng, now: time.Unix(0, 0)}
-		tu.changed = tu.now
+		tu := &turnaround{mc: New(Settings{FreeShare: 16}, rng), rng: rng, Agenda: agenda.New(time.Unix(0, 0))}
+		tu.changed = tu.Now()
 		tu.step(Announce{Slots: turnaroundSlots})
 		tu.fill()
-		end := tu.now.Add(length)
-		for tu.events[0].at.Before(end) {
-			next := agenda.Pop(&tu.events).(turn)
-			tu.now = next.at
-			next.do()
-		}
-		tu.now = end
+		tu.Run(length)
 		tu.change(0)
-		limit := tu.mc.Limit(end)
+		limit := tu.mc.Limit(tu.Now())
 		part := tu.used.Seconds() / length.Seconds() / float64(limit)
 		t.Logf("seed %d: %.1f of %d slots at work, %d calls ended", seed, part*float64(limit), limit, tu.ended)
 		if part < least {
--- a/internal/lab/deployment/hop_test.go
+++ b/internal/lab/deployment/hop_test.go
@@ -5,11 +5,11 @@
 	"net/http"
 	"runtime"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"camphortrail/internal/lab/standin"
+	meter "camphortrail/internal/ops/process"
 )
 
 // BenchmarkHop sends requests by way of one node to the upstream beside another
@@ -43,21 +43,11 @@
 			}
 		})
 	}
-	begun := processorTime(b)
+	begun := meter.ProcessorTime()
 	for b.Loop() {
 		work <- true
 	}
 	close(work)
 	group.Wait()
-	b.ReportMetric(float64((processorTime(b)-begun).Microseconds())/float64(b.N), "cpu-us/op")
-}
-
-// processorTime returns the processor time that the process has used.
-func processorTime(tb testing.TB) time.Duration {
-	tb.Helper()
-	var ru syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
-		tb.Fatal(err)
-	}
-	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+	b.ReportMetric(float64((meter.ProcessorTime()-begun).Microseconds())/float64(b.N), "cpu-us/op")
 }
--- a/internal/ops/process/process.go
+++ b/internal/ops/process/process.go
@@ -48,7 +48,7 @@
 // is that of the cycles that have ended.
 func (me *Meter) Take() events.Process {
 	metrics.Read(me.samples)
-	used := processorTime()
+	used := ProcessorTime()
 	ps := events.Process{ProcessorMS: (used - me.used).Milliseconds()}
 	me.used = used
 	for i := range me.samples {
@@ -111,8 +111,8 @@
 
 func microseconds(seconds float64) int64 { return int64(seconds * 1e6) }
 
-// processorTime returns the time that the process has run so far.
-func processorTime() time.Duration {
+// ProcessorTime returns the time that the process has run so far.
+func ProcessorTime() time.Duration {
 	var ru syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
 		return 0 // The call fails for wrong arguments only.
--- a/internal/ops/process/process_test.go
+++ b/internal/ops/process/process_test.go
@@ -15,7 +15,9 @@
 	done := make(chan bool, many)
 	for range many {
 		go func() {
-			for end := time.Now().Add(turn); time.Now().Before(end); {
+			end := time.Now().Add(turn)
+			for n := 0; time.Now().Before(end); n++ {
+				_ = n
 			}
 			done <- true
 		}()
--- a/internal/traffic/throttle/mesh_test.go
+++ b/internal/traffic/throttle/mesh_test.go
@@ -1,7 +1,6 @@
 package throttle
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -9,6 +8,7 @@
 
 	"camphortrail/admission"
 	"camphortrail/call"
+	"camphortrail/internal/lab/agenda"
 	"camphortrail/internal/traffic/room"
 )
 
@@ -16,14 +16,12 @@
 // whose trees go to one small service, and its guards. Callers that are refused
 // come back once.
 type mesh struct {
-	shape   meshShape
-	now     time.Time
+	shape meshShape
+	*agenda.Agenda
 	rng     *rand.Rand
-	agenda  agenda
 	entries []*meshEntry
 	guards  []*meshGuard
 	calls   map[call.AttemptID]*meshCall
-	serial  uint64
 	counts  map[call.Class]*meshCount
 }
 
@@ -90,37 +88,9 @@
 	fail  func()
 }
 
-type moment struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-type agenda []moment
-
-func (ag agenda) Len() int { return len(ag) }
-
-func (ag agenda) Less(i, j int) bool {
-	if ag[i].at.Equal(ag[j].at) {
-		return ag[i].order < ag[j].order
-	}
-	return ag[i].at.Before(ag[j].at)
-}
-func (ag agenda) Swap(i, j int) { ag[i], ag[j] = ag[j], ag[i] }
-
-// Push adds a moment.
-func (ag *agenda) Push(v any) { *ag = append(*ag, v.(moment)) }
-
-// Pop removes the last moment.
-func (ag *agenda) Pop() any {
-	last := (*ag)[len(*ag)-1]
-	*ag = (*ag)[:len(*ag)-1]
-	return last
-}
-
 func newMesh(shape meshShape, seed uint64) *mesh {
 	ms := &mesh{
-		shape: shape, now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, seed)),
+		shape: shape, Agenda: agenda.New(time.Unix(0, 0)), rng: rand.New(rand.NewPCG(seed, seed)),
 		calls: make(map[call.AttemptID]*meshCall), counts: make(map[call.Class]*meshCount),
 	}
 	sum := 0.0
@@ -147,19 +117,6 @@
 	return ms
 }
 
-func (ms *mesh) after(wait time.Duration, do func()) {
-	ms.serial++
-	heap.Push(&ms.agenda, moment{ms.now.Add(wait), ms.serial, do})
-}
-
-func (ms *mesh) run(length time.Duration) {
-	for end := ms.now.Add(length); len(ms.agenda) > 0 && ms.agenda[0].at.Before(end); {
-		next := heap.Pop(&ms.agenda).(moment)
-		ms.now = next.at
-		next.do()
-	}
-}
-
 // reset starts counting anew, with the requests that come from now on.
 func (ms *mesh) reset() {
 	for class := range ms.counts {
@@ -173,58 +130,58 @@
 		interval = 200 * time.Millisecond
 		transit  = 2 * time.Millisecond
 	)
-	ms.after(time.Duration(ms.rng.Int64N(int64(interval))), func() { ms.tell(en, transit, interval) })
+	ms.After(time.Duration(ms.rng.Int64N(int64(interval))), func() { ms.tell(en, transit, interval) })
 }
 
 func (ms *mesh) tell(en *meshEntry, transit, interval time.Duration) {
-	ms.after(interval, func() { ms.tell(en, transit, interval) })
-	wants := en.group.Wants(ms.now)[service0]
+	ms.After(interval, func() { ms.tell(en, transit, interval) })
+	wants := en.group.Wants(ms.Now())[service0]
 	if len(wants) == 0 {
 		return
 	}
 	for i := range wants {
 		wants[i].Slots /= float64(len(ms.guards))
 	}
-	ms.after(transit, func() {
+	ms.After(transit, func() {
 		var mean room.Shares
 		for _, gd := range ms.guards {
-			gd.dv.Want(ms.now, en.name, wants)
-			ld := room.Load{Slots: gd.mc.Limit(ms.now), Occupancy: gd.mc.Occupancy()}
+			gd.dv.Want(ms.Now(), en.name, wants)
+			ld := room.Load{Slots: gd.mc.Limit(ms.Now()), Occupancy: gd.mc.Occupancy()}
 			for imp := range ld.Waiting {
 				ld.Waiting[imp] = gd.mc.WaitingOf(call.Importance(imp))
 			}
-			sh := gd.dv.Divide(ms.now, ld)
+			sh := gd.dv.Divide(ms.Now(), ld)
 			for rk := range mean {
 				mean[rk] += sh[rk] / float64(len(ms.guards))
 			}
 		}
-		ms.after(transit, func() { en.group.SetShares(ms.now, service0, mean) })
+		ms.After(transit, func() { en.group.SetShares(ms.Now(), service0, mean) })
 	})
 }
 
 // arrivals lets requests of a kind come at random times.
 func (ms *mesh) arrivals(kd *meshKind) {
-	ms.after(time.Duration(ms.rng.ExpFloat64()/kd.perSecond*float64(time.Second)), func() {
+	ms.After(time.Duration(ms.rng.ExpFloat64()/kd.perSecond*float64(time.Second)), func() {
 		place := ms.rng.Float64()
 		at := slices.IndexFunc(ms.entries, func(en *meshEntry) bool { place -= en.weight; return place < 0 })
 		ms.counts[kd.class].asked++
-		ms.send(&meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.now, deadline: ms.now.Add(kd.deadline)})
+		ms.send(&meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.Now(), deadline: ms.Now().Add(kd.deadline)})
 		ms.arrivals(kd)
 	})
 }
 
 // send is a try of a request at its entry.
 func (ms *mesh) send(rq *meshRequest) {
-	rq.sent, rq.cohort = ms.now, call.Cohort(ms.rng.Uint32())
-	de := rq.entry.group.Admit(ms.now, Request{
-		Class: rq.kind.class, Importance: rq.kind.importance, Waited: rq.waited(ms.now), Target: rq.kind.target,
+	rq.sent, rq.cohort = ms.Now(), call.Cohort(ms.rng.Uint32())
+	de := rq.entry.group.Admit(ms.Now(), Request{
+		Class: rq.kind.class, Importance: rq.kind.importance, Waited: rq.waited(ms.Now()), Target: rq.kind.target,
 	}, ms.rng.Float64())
 	if !de.Admitted {
 		ms.refused(rq, de.RetryAfter)
 		return
 	}
 	rq.pending = rq.kind.series
-	ms.after(ms.spread(rq.kind.work), func() {
+	ms.After(ms.spread(rq.kind.work), func() {
 		for range rq.kind.series {
 			ms.series(rq, rq.kind.length)
 		}
@@ -246,7 +203,7 @@
 	after = after/2 + time.Duration(ms.rng.Int64N(int64(after)+1))
 	back := *rq
 	back.returned = true
-	ms.after(min(after, rq.deadline.Sub(ms.now)/3), func() { ms.send(&back) })
+	ms.After(min(after, rq.deadline.Sub(ms.Now())/3), func() { ms.send(&back) })
 }
 
 // spread draws a time around its mean.
@@ -293,7 +250,7 @@
 	mc.begin = func() {
 		length := ms.spread(rq.kind.call)
 		rq.used += length
-		ms.after(length, func() {
+		ms.After(length, func() {
 			ms.step(gd, admission.Finish{ID: id, OK: true})
 			done(true)
 		})
@@ -304,7 +261,7 @@
 	}
 	ms.calls[id] = mc
 	const callLimit = 700 * time.Millisecond
-	deadline := ms.now.Add(callLimit)
+	deadline := ms.Now().Add(callLimit)
 	if own := rq.sent.Add(rq.kind.limit); own.Before(deadline) {
 		deadline = own
 	}
@@ -318,7 +275,7 @@
 // step brings an event to a guard's machine, and sees that it is woken.
 func (ms *mesh) step(gd *meshGuard, ev admission.Event) {
 	var begun, failed []*meshCall
-	for _, ac := range gd.mc.Step(ms.now, ev) {
+	for _, ac := range gd.mc.Step(ms.Now(), ev) {
 		switch ac := ac.(type) {
 		case *admission.Start:
 			begun = append(begun, ms.calls[ac.ID])
@@ -328,9 +285,9 @@
 			delete(ms.calls, ac.ID)
 		}
 	}
-	if at, ok := gd.mc.NextWake(ms.now); ok && (gd.tick.Before(ms.now) || at.Before(gd.tick)) {
+	if at, ok := gd.mc.NextWake(ms.Now()); ok && (gd.tick.Before(ms.Now()) || at.Before(gd.tick)) {
 		gd.tick = at
-		ms.after(max(at.Sub(ms.now), 0), func() { ms.step(gd, admission.Tick{}) })
+		ms.After(max(at.Sub(ms.Now()), 0), func() { ms.step(gd, admission.Tick{}) })
 	}
 	for _, mc := range begun {
 		mc.begin()
@@ -350,14 +307,14 @@
 	switch {
 	case !through:
 		ct.broken++
-	case ms.now.Sub(rq.first) > rq.kind.target:
+	case ms.Now().Sub(rq.first) > rq.kind.target:
 		ct.late++
 	default:
 		ct.inTarget++
 	}
-	rq.entry.group.Finish(ms.now, rq.kind.class, Result{Through: through, Occupancy: ms.occupancy(), Took: ms.now.Sub(rq.sent)})
+	rq.entry.group.Finish(ms.Now(), rq.kind.class, Result{Through: through, Occupancy: ms.occupancy(), Took: ms.Now().Sub(rq.sent)})
 	if through {
-		rq.entry.group.Learn(ms.now, rq.kind.class, []call.Need{{Service: service0, SlotTime: rq.used, Occupancy: ms.occupancy()}})
+		rq.entry.group.Learn(ms.Now(), rq.kind.class, []call.Need{{Service: service0, SlotTime: rq.used, Occupancy: ms.occupancy()}})
 	}
 }
 
--- a/internal/traffic/throttle/room_test.go
+++ b/internal/traffic/throttle/room_test.go
@@ -98,9 +98,9 @@
 	ms := replays[ky]
 	if ms == nil {
 		ms = newMesh(shape, seed)
-		ms.run(meshWarmUp)
+		ms.Run(meshWarmUp)
 		ms.reset()
-		ms.run(meshLength)
+		ms.Run(meshLength)
 		replays[ky] = ms
 	}
 	return ms
--- a/internal/traffic/worker/worker_test.go
+++ b/internal/traffic/worker/worker_test.go
@@ -36,7 +36,7 @@
 
 // A task that waits does not hold up those that come after it.
 func TestTasksRunSideBySide(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		var po Pool
 		first, last := make(chan bool), make(chan bool)
 		for range 3 {
