Remember closed retry accounts without objects, and make room among them

Callers would have been refused, and the collector was kept busy: the ledger of retry accounts remembers each account until half a minute after its deadline. With 4,000 attempts a second, which is what the quickest VM of the smallest service takes, that are 120,000 objects in a map and in a heap of pointers, at the bound of 131,072. From some 4,270 a second on the ledger was full of accounts of attempts that had ended, and the guard refused new ones as `full`.

A closed account is an entry without pointers; when the ledger is full, closed accounts of attempts are forgotten before their time, those of requests never: they bound the retries of what callers send again. A second opening of an attempt is refused by the registry of its guard as well. Package expiry has the order of keys without pointers for both.

--- a/retry/account.go
+++ b/retry/account.go
@@ -12,7 +12,6 @@
 type account struct {
 	id       AccountID
 	left     Allowance
-	closed   bool
 	deadline time.Time
 	// resends is the highest number of a resend seen.
 	resends uint32
@@ -27,8 +26,15 @@
 	allowance Allowance
 }
 
-func (ac *account) usable(now time.Time) bool {
-	return !ac.closed && now.Before(ac.deadline)
+func (ac *account) usable(now time.Time) bool { return now.Before(ac.deadline) }
+
+// closed is what is left of an account that was closed. There are many, and they hold
+// no pointers for the collector to follow.
+type closed struct {
+	left    Allowance
+	resends uint32
+	// deadline is that of the account, counted from the start of the ledger.
+	deadline time.Duration
 }
 
 func (ac *account) spend() bool {
@@ -76,19 +82,6 @@
 	return credit
 }
 
-// close forfeits what is in flight. An attempt's account hands over what is
-// left; a root request's keeps it.
-func (ac *account) close() Allowance {
-	left := ac.left
-	ac.closed = true
-	ac.sends = nil
-	ac.calls = nil
-	if !ac.id.root {
-		ac.left = 0
-	}
-	return left
-}
-
 func (ac *account) find(at call.AttemptID) int {
 	return slices.IndexFunc(ac.sends, func(es escrow) bool { return es.attempt == at })
 }
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -17,7 +17,8 @@
 
 // Limits bounds a Ledger.
 type Limits struct {
-	// Accounts is the largest number of accounts, closed ones included.
+	// Accounts is the largest number of accounts. Closed ones of attempts make room
+	// for others before their time.
 	Accounts int
 	// Calls is the largest number of different calls and of attempts in
 	// flight that an account remembers. Calls beyond it count as repeats.
@@ -35,21 +36,31 @@
 // Ledger holds the retry accounts of one node. It is not safe for concurrent
 // use.
 type Ledger struct {
-	lim      Limits
+	lim Limits
+	// start is the time of the first step.
+	start time.Time
+	// accounts holds the open ones.
 	accounts map[AccountID]*account
 	expiry   expiry.Queue[*account]
+	closed   map[AccountID]closed
+	// requests and attempts order the closed accounts by the time at which they are
+	// forgotten. An account that was opened again meanwhile is there once more.
+	requests, attempts expiry.Keys[AccountID]
 }
 
 // New returns an empty ledger.
 func New(lim Limits) *Ledger {
-	return &Ledger{lim: lim, accounts: make(map[AccountID]*account)}
+	return &Ledger{lim: lim, accounts: make(map[AccountID]*account), closed: make(map[AccountID]closed)}
 }
 
 // Len returns the number of accounts held, closed ones included.
-func (lg *Ledger) Len() int { return len(lg.accounts) }
+func (lg *Ledger) Len() int { return len(lg.accounts) + len(lg.closed) }
 
 // Step applies ev at the time now.
 func (lg *Ledger) Step(now time.Time, ev Event) Result {
+	if lg.start.IsZero() {
+		lg.start = now
+	}
 	lg.expire(now)
 	switch ev := ev.(type) {
 	case OpenRequest:
@@ -67,7 +78,7 @@
 	case Lost:
 		return lg.settle(ev.Account, ev.Attempt, 0)
 	case Close:
-		return lg.close(ev.Account)
+		return lg.shut(ev.Account)
 	}
 	return Result{Decision: Noted}
 }
@@ -76,27 +87,59 @@
 	for {
 		ac, ok := lg.expiry.PopBefore(now)
 		if !ok {
-			return
+			break
 		}
 		delete(lg.accounts, ac.id)
 	}
+	for _, ks := range [...]*expiry.Keys[AccountID]{&lg.requests, &lg.attempts} {
+		for {
+			_, at, ok := ks.First()
+			if !ok || now.Sub(lg.start) < at {
+				break
+			}
+			lg.forget(ks)
+		}
+	}
+}
+
+// forget drops the closed account that is due first, and reports whether it did.
+func (lg *Ledger) forget(ks *expiry.Keys[AccountID]) bool {
+	id, at, _ := ks.First()
+	ks.Pop()
+	cl, ok := lg.closed[id]
+	if !ok || cl.deadline+lg.lim.Linger > at {
+		return false
+	}
+	delete(lg.closed, id)
+	return true
+}
+
+// makeRoom forgets a closed account if the ledger is full, and reports whether there is
+// room. What is known of a request bounds its retries, and is not forgotten early; a
+// second opening of an attempt is refused by its guard too (package withdrawal).
+func (lg *Ledger) makeRoom() bool {
+	for lg.Len() >= lg.lim.Accounts {
+		if lg.attempts.Len() == 0 {
+			return false
+		}
+		lg.forget(&lg.attempts)
+	}
+	return true
 }
 
 // open adds an account. It returns nil when the ledger is full.
 func (lg *Ledger) open(id AccountID, all Allowance, deadline time.Time) *account {
-	if len(lg.accounts) >= lg.lim.Accounts {
+	if !lg.makeRoom() {
 		return nil
 	}
 	ac := &account{id: id, left: all, deadline: deadline}
-	lg.accounts[id] = ac
-	ac.item.Value = ac
-	lg.expiry.Set(&ac.item, deadline.Add(lg.lim.Linger))
+	lg.add(ac)
 	return ac
 }
 
 func (lg *Ledger) openAttempt(now time.Time, ev OpenAttempt) Result {
 	id := OfAttempt(ev.Attempt)
-	if lg.accounts[id] != nil || !now.Before(ev.Deadline) {
+	if _, ended := lg.closed[id]; ended || lg.accounts[id] != nil || !now.Before(ev.Deadline) {
 		return Result{Decision: Refused}
 	}
 	ac := lg.open(id, ev.Allowance, ev.Deadline)
@@ -111,8 +154,12 @@
 	if !now.Before(ev.Deadline) {
 		return Result{Decision: Refused}
 	}
-	if ac := lg.accounts[id]; ac != nil {
-		return lg.reopen(ac, ev)
+	if _, ended := lg.closed[id]; ended || lg.accounts[id] != nil {
+		res := lg.reopen(lg.revive(id), ev)
+		if ended && res.Decision == Refused {
+			lg.shut(id)
+		}
+		return res
 	}
 	share, ok := Share(ev.Total, ev.Resend)
 	if !ok {
@@ -129,6 +176,26 @@
 	return Result{Decision: FirstSend, Allowance: ac.left}
 }
 
+// revive returns the account of a root request that is known, and makes it anew from
+// what is left if it was closed.
+func (lg *Ledger) revive(id AccountID) *account {
+	cl, ended := lg.closed[id]
+	if !ended {
+		return lg.accounts[id]
+	}
+	delete(lg.closed, id)
+	ac := &account{id: id, left: cl.left, resends: cl.resends, deadline: lg.start.Add(cl.deadline)}
+	lg.add(ac)
+	return ac
+}
+
+// add takes an open account in.
+func (lg *Ledger) add(ac *account) {
+	lg.accounts[ac.id] = ac
+	ac.item.Value = ac
+	lg.expiry.Set(&ac.item, ac.deadline.Add(lg.lim.Linger))
+}
+
 // reopen continues the account of a request that the caller sends again. The
 // share of a resend with a new number is added, and has paid for the resend;
 // any other resend is paid from what the account holds.
@@ -141,7 +208,6 @@
 	case !ac.spend():
 		return Result{Decision: Refused}
 	}
-	ac.closed = false
 	if ev.Deadline.After(ac.deadline) {
 		ac.deadline = ev.Deadline
 		lg.expiry.Set(&ac.item, ev.Deadline.Add(lg.lim.Linger))
@@ -155,7 +221,7 @@
 
 func (lg *Ledger) call(now time.Time, ev Call) Result {
 	ac := lg.accounts[ev.Account]
-	if ac == nil {
+	if _, ended := lg.closed[ev.Account]; ac == nil && !ended {
 		ac = lg.open(ev.Account, 0, now.Add(orphanLife))
 	}
 	if ac == nil || !ac.usable(now) {
@@ -185,18 +251,29 @@
 
 func (lg *Ledger) settle(id AccountID, at call.AttemptID, unused Allowance) Result {
 	ac := lg.accounts[id]
-	if ac == nil || ac.closed {
+	if ac == nil {
 		return Result{Decision: Noted}
 	}
 	return Result{Decision: Noted, Allowance: ac.settle(at, unused)}
 }
 
-func (lg *Ledger) close(id AccountID) Result {
+// shut closes an account and forfeits what is in flight. An attempt's account hands
+// over what is left; a root request's keeps it.
+func (lg *Ledger) shut(id AccountID) Result {
 	ac := lg.accounts[id]
-	if ac == nil || ac.closed {
+	if ac == nil {
 		return Result{Decision: Noted}
 	}
-	return Result{Decision: Noted, Allowance: ac.close()}
+	delete(lg.accounts, id)
+	lg.expiry.Remove(&ac.item)
+	cl := closed{left: ac.left, resends: ac.resends, deadline: ac.deadline.Sub(lg.start)}
+	ks := &lg.requests
+	if !id.root {
+		cl.left, ks = 0, &lg.attempts
+	}
+	lg.closed[id] = cl
+	ks.Push(id, cl.deadline+lg.lim.Linger)
+	return Result{Decision: Noted, Allowance: ac.left}
 }
 
 func charge(ac *account) Result {
--- a/withdrawal/record.go
+++ b/withdrawal/record.go
@@ -68,12 +68,13 @@
 // evict forgets the ended attempt with the earliest stamp. All attempts with
 // that stamp or an earlier one become stale.
 func (rg *Registry[A]) evict() bool {
-	first, ok := rg.ended.pop()
+	id, stamp, ok := rg.ended.First()
 	if !ok {
 		return false
 	}
-	rg.horizon = max(rg.horizon, first.stamp)
-	rg.forget(first.id)
+	rg.ended.Pop()
+	rg.horizon = max(rg.horizon, stamp)
+	rg.forget(id)
 	return true
 }
 
@@ -89,7 +90,7 @@
 func (rg *Registry[A]) forgetLater(rc *record[A]) {
 	delete(rg.records, rc.id)
 	rg.past[rc.id] = past{stamp: rc.stamp, state: rc.state}
-	rg.ended.push(stamped{stamp: rc.stamp, id: rc.id})
+	rg.ended.Push(rc.id, rc.stamp)
 }
 
 func (rg *Registry[A]) expiryOf(stamp time.Duration) time.Time {
@@ -143,11 +144,11 @@
 		delete(rg.records, rc.id)
 	}
 	for {
-		first, ok := rg.ended.first()
-		if !ok || rg.expiryOf(first.stamp).After(now) {
+		id, stamp, ok := rg.ended.First()
+		if !ok || rg.expiryOf(stamp).After(now) {
 			return
 		}
-		rg.ended.pop()
-		rg.forget(first.id)
+		rg.ended.Pop()
+		rg.forget(id)
 	}
 }
--- a/withdrawal/registry.go
+++ b/withdrawal/registry.go
@@ -28,7 +28,8 @@
 	// that have ended.
 	records map[call.AttemptID]*record[A]
 	past    map[call.AttemptID]past
-	ended   byStamp
+	// ended orders those that have ended by their stamps.
+	ended   expiry.Keys[call.AttemptID]
 	live    expiry.Queue[*record[A]]
 	answers expiry.Queue[*record[A]]
 	bytes   int
