Choose between equal attempts in a fixed order

Where two running attempts expire equally near the deadline of a call, or are equally likely to make it, the order of a map decided.

--- a/internal/traffic/tree/adopt.go
+++ b/internal/traffic/tree/adopt.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"bytes"
 	"maps"
 	"time"
 
@@ -67,7 +68,7 @@
 		if late < -adoptEarly || late > adoptLate {
 			continue
 		}
-		if nearest == nil || late.Abs() < apart {
+		if nearest == nil || late.Abs() < apart || late.Abs() == apart && in.before(nearest) {
 			nearest, apart = in, late.Abs()
 		}
 	}
@@ -86,12 +87,21 @@
 		if !ok {
 			continue
 		}
-		if likely == nil || ul < least || ul == least && in.Started.Before(likely.Started) {
+		if likely == nil || ul < least || ul == least && in.before(likely) {
 			likely, least = in, ul
 		}
 	}
 	return likely
 }
 
+// before orders attempts by their start, and those that started together by their ids,
+// so that a choice does not depend on the order of a map.
+func (in *Inbound) before(other *Inbound) bool {
+	if !in.Started.Equal(other.Started) {
+		return in.Started.Before(other.Started)
+	}
+	return bytes.Compare(in.ID[:], other.ID[:]) < 0
+}
+
 // lasts reports whether the attempt lasts until the deadline of a call.
 func (in *Inbound) lasts(deadline time.Time) bool { return deadline.Sub(in.Told) <= adoptLate }
