--- a/withdrawal/record.go
+++ b/withdrawal/record.go
@@ -23,8 +23,8 @@
 	held bool
 }
 
-// past is what a registry knows of an attempt that has ended and whose answer is not
-// kept. There are many, and they hold no pointers for the collector to follow.
+// past is what a registry knows of an attempt that has ended, besides its answer. There
+// are many, and they hold no pointers for the collector to follow.
 type past struct {
 	stamp time.Duration
 	state State
