Let the heap grow only while a node is busy

Memory is the users' too.

The growth of a node's heap begins at that of the runtime, doubles after each second with a collection and 100 ms of processor time or more, up to five times what lives on it in all, and is halved after ten other seconds (process.Growth, with a test that fails on one growth for all). Control replicas keep the default.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -20,9 +20,8 @@
 	// runtime keeps the heap within; the rest is for stacks, sockets and the
 	// program.
 	heapShare = 60
-	// heapGrowth is how far the heap grows over what lives on it before it is
-	// collected, in percent, within heapShare. A collection holds up a process with
-	// one processor, and its work does not depend on what has been allocated.
+	// heapGrowth is how far the heap of a busy node grows over what lives on it
+	// before it is collected, in percent, within heapShare.
 	heapGrowth = 400
 	// freeShare is the part of the slots of an upstream, 1 in so many, that is
 	// left free: some of the platform's upstreams slow down when they are nearly
@@ -47,7 +46,6 @@
 	set, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err == nil {
 		debug.SetMemoryLimit(set.MemoryMB << 20 * heapShare / 100)
-		debug.SetGCPercent(heapGrowth)
 	}
 	return set, err
 }
@@ -69,7 +67,7 @@
 	nd, err := node.New(set.Node(), node.Options{
 		Log: log.Log, Front: set.NewFront, Dialect: platform.Dialect{}, RetrySlack: set.RetrySlack,
 		Events: os.Stdout, Admission: admission.Settings{FreeShare: freeShare},
-		AnswerMemory: set.MemoryMB << 20 / answerShare,
+		AnswerMemory: set.MemoryMB << 20 / answerShare, HeapGrowth: heapGrowth,
 		Doors: []node.Door{
 			{Address: set.ReadinessAddress, Handler: set.NewReadiness},
 			{Address: set.ControlAddress, Handler: set.NewReports},
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -77,6 +77,9 @@
 	// AnswerMemory bounds the bodies of answers that are read at a time, in bytes;
 	// see guard.Options.
 	AnswerMemory int64
+	// HeapGrowth, if set, is how far the heap may grow over what lives on it while the
+	// node is busy, in percent; see process.Growth.
+	HeapGrowth int
 	// Stop says how the node stops. The zero value stands for DefaultStop.
 	Stop StopPlan
 }
@@ -133,7 +136,9 @@
 	claims                claimClient
 	events                *events.Log
 	notices               <-chan gossip.Notice
-	rpc                   *http.Client
+	// heapGrowth is the growth of the heap that was set last, in percent.
+	heapGrowth int
+	rpc        *http.Client
 }
 
 // New opens the addresses of the settings and returns a node that is ready to
--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,7 +73,7 @@
 func (nd *Node) summaryDuty(ctx context.Context) error {
 	timer := time.NewTimer(summaryInterval)
 	defer timer.Stop()
-	me := process.New()
+	me, gr := process.New(), process.NewGrowth(nd.opt.HeapGrowth)
 	for due := time.Now().Add(summaryInterval); ; due = due.Add(summaryInterval) {
 		select {
 		case <-ctx.Done():
@@ -82,7 +83,7 @@
 		now := time.Now()
 		nd.entry.Summarize(now)
 		nd.guard.Summarize(now, now.Sub(due))
-		nd.summarizeProcess(now, me)
+		nd.summarizeProcess(now, me, gr)
 		if due.Before(now.Add(-summaryInterval)) {
 			due = now
 		}
@@ -90,10 +91,14 @@
 	}
 }
 
-// summarizeProcess writes what the process took of its machine, and counts it in
-// the metrics.
-func (nd *Node) summarizeProcess(now time.Time, me *process.Meter) {
+// summarizeProcess writes what the process took of its machine, counts it in the
+// metrics, and lets the heap grow with the work of the collector.
+func (nd *Node) summarizeProcess(now time.Time, me *process.Meter, gr *process.Growth) {
 	ps := me.Take()
+	if growth := gr.Step(ps); nd.opt.HeapGrowth > 0 && growth != nd.heapGrowth {
+		nd.heapGrowth = growth
+		debug.SetGCPercent(growth)
+	}
 	mean, slowest, longest := nd.pool.TakeTransits()
 	ps.TransitMeanUS = mean.Microseconds()
 	ps.Slowest, ps.SlowestUS = string(slowest), longest.Microseconds()
--- /dev/null
+++ b/internal/ops/process/growth_test.go
@@ -0,0 +1,37 @@
+package process
+
+import (
+	"testing"
+
+	"camphortrail/internal/ops/events"
+)
+
+// With one growth for all, calm processes keep a heap of five times what they need.
+func TestCalmProcessKeepsALargeHeap(t *testing.T) {
+	gr := NewGrowth(400)
+	steps := func(n int, ps events.Process) (percent int) {
+		for range n {
+			percent = gr.Step(ps)
+		}
+		return percent
+	}
+	busy, calm := events.Process{ProcessorMS: 300, Collections: 2}, events.Process{ProcessorMS: 40, Collections: 1}
+	for _, tt := range []struct {
+		name    string
+		seconds int
+		second  events.Process
+		want    int
+	}{
+		{"start", 1, calm, 100},
+		{"a busy second", 1, busy, 200},
+		{"a busy time", 20, busy, 400},
+		{"a pause", quietSteps - 1, calm, 400},
+		{"busy again", 1, busy, 400},
+		{"a calm time", quietSteps, calm, 200},
+		{"a long calm time", 5 * quietSteps, calm, 100},
+	} {
+		if got := steps(tt.seconds, tt.second); got != tt.want {
+			t.Errorf("%s: growth %d %%, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/ops/process/process_test.go
+++ b/internal/ops/process/process_test.go
@@ -11,7 +11,8 @@
 func TestQueueOfGoroutinesIsSeen(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	me := New()
-	const many, turn = 20, 2 * time.Millisecond
+	// The runtime tracks one goroutine in eight.
+	const many, turn = 400, 100 * time.Microsecond
 	done := make(chan bool, many)
 	for range many {
 		go func() {
