Log a recorded answer that cannot be read

Reading a recorded answer can fail since answers may hold their header as a block. An entry that met one went on as if none was kept, without a line.

--- a/internal/traffic/entry/keyed.go
+++ b/internal/traffic/entry/keyed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/schema"
 )
@@ -76,9 +77,13 @@
 // finished answers a request whose key has been executed before.
 func (en *Entry) finished(rq *request, rs *schema.ClaimResult) *attempt.Answer {
 	if rec := rs.GetAnswer(); rec != nil {
-		if an, err := attempt.FromRecord(rec); err == nil {
+		an, err := attempt.FromRecord(rec)
+		if err == nil {
 			return an
 		}
+		en.opt.Events.Add(time.Now(), events.Event{
+			Kind: events.Failed, Request: rq.label, Reason: err.Error(), Class: string(rq.kind.Class), Service: string(rq.kind.Service),
+		})
 	}
 	rq.history.Resent = true
 	return en.giveUp(rq, ReasonClaimFinished, http.StatusConflict, 0)
