Show by second what calls take of a guard and how kinds are served

Needs could not be compared with what calls take, since the lines of a second had the calls of a guard together and not by kind; and whether a least part was in force, and by which estimate of what is served, was not told anywhere.

Lines `slots` have the calls started and the mean slot time of each kind, for the first 8 kinds of the second and the rest together. Lines `requests` have the part of the first sends that came through, lately and over the time of the least part, and the least part itself.

--- a/internal/ops/events/schema_test.go
+++ b/internal/ops/events/schema_test.go
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	names := []string{string(Refused), string(GaveUp), string(Resent), string(Served), string(Failed), string(Requests), string(Slots), string(Processes)}
-	for _, of := range []reflect.Type{reflect.TypeFor[Line](), reflect.TypeFor[Event](), reflect.TypeFor[Traffic](), reflect.TypeFor[Usage](), reflect.TypeFor[Process]()} {
+	for _, of := range []reflect.Type{reflect.TypeFor[Line](), reflect.TypeFor[Event](), reflect.TypeFor[Traffic](), reflect.TypeFor[Usage](), reflect.TypeFor[KindUsage](), reflect.TypeFor[Process]()} {
 		for i := range of.NumField() {
 			if name, _, _ := strings.Cut(of.Field(i).Tag.Get("json"), ","); name != "" {
 				names = append(names, name)
--- a/internal/ops/events/summary.go
+++ b/internal/ops/events/summary.go
@@ -45,6 +45,14 @@
 	// NeedsMS is the slot time that a request takes of each service, in
 	// milliseconds.
 	NeedsMS map[string]int64 `json:"needs-ms,omitempty"`
+	// ThroughPercent is the part of the first sends that came through lately, as
+	// estimated from tries, and LongThroughPercent that over the time for which the
+	// least part of the route is to hold.
+	ThroughPercent     int `json:"first-sends-through-percent,omitempty"`
+	LongThroughPercent int `json:"long-through-percent,omitempty"`
+	// LeastPercent is the part of the tries in time that is to be admitted whatever
+	// the load is, or zero while the route is served enough.
+	LeastPercent int `json:"least-part-percent,omitempty"`
 }
 
 // Usage says how the slots of the upstream beside the node were used.
@@ -74,6 +82,19 @@
 	// decision to start one until it was sent, in microseconds.
 	TurnaroundMeanUS int64 `json:"turnaround-mean-us"`
 	TurnaroundMostUS int64 `json:"turnaround-most-us"`
+	// Calls tells the started attempts apart by kind, in the order in which they
+	// were first seen in the second.
+	Calls []KindUsage `json:"calls,omitempty"`
+}
+
+// KindUsage says how attempts of one kind used the slots.
+type KindUsage struct {
+	// Class is the kind, or empty for those that are summed up and those without one.
+	Class string `json:"class"`
+	// Started counts the attempts that began to run, and SlotUS is the mean time for
+	// which one took its slot, in microseconds.
+	Started int   `json:"started"`
+	SlotUS  int64 `json:"slot-us"`
 }
 
 // Process says what the process took of its machine, and how long others took to
--- a/internal/traffic/entry/tally.go
+++ b/internal/traffic/entry/tally.go
@@ -117,21 +117,24 @@
 // summary, and counts it in the metrics.
 func (en *Entry) Summarize(now time.Time) {
 	for _, tf := range en.tallies.take() {
-		tf.NeedsMS = en.needsMS(call.Class(tf.Class))
+		en.describe(&tf)
 		en.opt.Events.Summarize(now, tf)
 		en.countTraffic(tf)
 	}
 }
 
-// needsMS returns what requests of a kind take of each service, in milliseconds.
-func (en *Entry) needsMS(class call.Class) map[string]int64 {
+// describe adds what is known of the requests of a route: what they take of each
+// service, and how they are served.
+func (en *Entry) describe(tf *events.Traffic) {
+	class := call.Class(tf.Class)
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	needs := make(map[string]int64)
+	tf.NeedsMS = make(map[string]int64)
 	for svc, took := range en.throttles.SlotTimes(class) {
-		needs[string(svc)] = took.Milliseconds()
+		tf.NeedsMS[string(svc)] = took.Milliseconds()
 	}
-	return needs
+	st := en.throttles.Standing(class)
+	tf.ThroughPercent, tf.LongThroughPercent, tf.LeastPercent = int(100*st.Recent), int(100*st.Long), int(100*st.Least)
 }
 
 // countTraffic adds to the counters of requests by route and result.
--- a/internal/traffic/entry/tally_test.go
+++ b/internal/traffic/entry/tally_test.go
@@ -10,6 +10,7 @@
 	"camphortrail/config"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/throttle"
 )
 
 // A caller that returns is told from one that is less patient than others.
@@ -69,3 +70,20 @@
 		t.Errorf("counted again: %+v", left)
 	}
 }
+
+// The line of a route tells what its requests take, and how they are served.
+func TestDescribe(t *testing.T) {
+	en := New(Options{})
+	now := time.Unix(0, 0)
+	const class = "look-up"
+	en.throttles.Admit(now, throttle.Request{Class: class}, 1)
+	en.throttles.Finish(now, class, throttle.Result{Through: true})
+	en.throttles.Learn(now, class, []call.Need{{Service: "cassa", SlotTime: 30 * time.Millisecond}})
+	en.throttles.Wants(now)
+	tf := events.Traffic{Class: class}
+	en.describe(&tf)
+	want := events.Traffic{Class: class, NeedsMS: map[string]int64{"cassa": 30}, ThroughPercent: 100, LongThroughPercent: 28, LeastPercent: 28}
+	if !reflect.DeepEqual(tf, want) {
+		t.Errorf("%+v, want %+v", tf, want)
+	}
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -195,7 +195,7 @@
 		an.Unused = at.Allowance
 	}
 	gd.count(at, an)
-	gd.usage.count(an)
+	gd.usage.count(at.Class, an)
 	gd.writeEvent(at, an, begun)
 	an.Level, an.Pressure = gd.level(), call.Level(gd.duty.pressure.Load())
 	an.Occupancy = call.Occupancy(gd.duty.occupancy.Load())
--- a/internal/traffic/guard/usage.go
+++ b/internal/traffic/guard/usage.go
@@ -21,12 +21,24 @@
 	sumRunning, sumWaiting, sumSlots float64
 	started, rejected, spoilt        int
 	spoiltTime                       time.Duration
+	// kinds are the started attempts by kind, at most maxKinds and one for the rest.
+	kinds []kindUsage
 
 	// freed are the times from the end of an attempt until its slot was free, and
 	// begun those from the decision to start one until it went on.
 	freed, begun delays
 }
 
+// maxKinds bounds the kinds of attempts that are told apart in a summary.
+const maxKinds = 8
+
+// kindUsage sums up the started attempts of a kind.
+type kindUsage struct {
+	class   call.Class
+	started int
+	took    time.Duration
+}
+
 // delays sums up delays since it was last taken. It is safe for concurrent use.
 type delays struct {
 	mu        sync.Mutex
@@ -71,8 +83,8 @@
 	us.last = now
 }
 
-// count counts an attempt that has ended.
-func (us *usage) count(an *attempt.Answer) {
+// count counts an attempt of a kind that has ended.
+func (us *usage) count(class call.Class, an *attempt.Answer) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	if an.Outcome == call.NotRun {
@@ -80,12 +92,29 @@
 		return
 	}
 	us.started++
+	ku := us.kind(class)
+	ku.started++
+	ku.took += an.Work
 	if an.Failed() || an.Status == http.StatusInternalServerError {
 		us.spoilt++
 		us.spoiltTime += an.Work
 	}
 }
 
+// kind returns the sums of a kind, or those of the rest where there are many kinds.
+func (us *usage) kind(class call.Class) *kindUsage {
+	for i := range us.kinds {
+		if ku := &us.kinds[i]; ku.class == class || i == maxKinds {
+			return ku
+		}
+	}
+	if len(us.kinds) == maxKinds {
+		class = ""
+	}
+	us.kinds = append(us.kinds, kindUsage{class: class})
+	return &us.kinds[len(us.kinds)-1]
+}
+
 // take returns the means since the last call, and starts anew.
 func (us *usage) take(now time.Time) events.Usage {
 	us.mu.Lock()
@@ -96,6 +125,12 @@
 		MeanSlots: us.sumSlots / length, MeanRunning: us.sumRunning / length, MeanWaiting: us.sumWaiting / length,
 		Started: us.started, Rejected: us.rejected, Spoilt: us.spoilt, SpoiltMS: us.spoiltTime.Milliseconds(),
 	}
+	for _, ku := range us.kinds {
+		ev.Calls = append(ev.Calls, events.KindUsage{
+			Class: string(ku.class), Started: ku.started, SlotUS: (ku.took / time.Duration(ku.started)).Microseconds(),
+		})
+	}
+	us.kinds = us.kinds[:0]
 	us.from = now
 	us.sumRunning, us.sumWaiting, us.sumSlots = 0, 0, 0
 	us.started, us.rejected, us.spoilt, us.spoiltTime = 0, 0, 0, 0
--- a/internal/traffic/guard/usage_test.go
+++ b/internal/traffic/guard/usage_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 )
 
@@ -16,9 +19,9 @@
 	us.set(now, 10, 0, 10)
 	us.set(now.Add(900*time.Millisecond), 0, 0, 10)
 	us.set(now.Add(901*time.Millisecond), 1, 4, 20)
-	us.count(&attempt.Answer{Outcome: call.Done, Status: 200, Work: time.Second})
-	us.count(&attempt.Answer{Outcome: call.Done, Status: 500, Work: time.Second})
-	us.count(attempt.Refusal("overload", 0))
+	us.count("look-up", &attempt.Answer{Outcome: call.Done, Status: 200, Work: time.Second})
+	us.count("look-up", &attempt.Answer{Outcome: call.Done, Status: 500, Work: time.Second})
+	us.count("look-up", attempt.Refusal("overload", 0))
 	got := us.take(now.Add(time.Second))
 	for _, tt := range []struct {
 		name      string
@@ -39,3 +42,34 @@
 		t.Errorf("second summary %+v", next)
 	}
 }
+
+// Attempts are told apart by kind, up to a bound.
+func TestUsageByKind(t *testing.T) {
+	const classes = maxKinds + 3
+	var us usage
+	now := time.Unix(0, 0)
+	us.set(now, 0, 0, 10)
+	for i := range classes {
+		class := call.Class(strconv.Itoa(i))
+		us.count(class, attempt.Refusal("overload", 0))
+		us.count(class, &attempt.Answer{Outcome: call.Done, Status: 200, Work: time.Millisecond})
+		us.count(class, &attempt.Answer{Outcome: call.Done, Status: 500, Work: 3 * time.Millisecond})
+	}
+	var want []events.KindUsage
+	for i := range maxKinds {
+		want = append(want, events.KindUsage{Class: strconv.Itoa(i), Started: 2, SlotUS: 2000})
+	}
+	want = append(want, events.KindUsage{Started: 2 * (classes - maxKinds), SlotUS: 2000})
+	if got := us.take(now.Add(time.Second)).Calls; !slices.Equal(got, want) {
+		t.Errorf("by kind %+v, want %+v", got, want)
+	}
+	if next := us.take(now.Add(2 * time.Second)); next.Calls != nil {
+		t.Errorf("second summary %+v", next.Calls)
+	}
+	allocs := testing.AllocsPerRun(100, func() {
+		us.count("look-up", &attempt.Answer{Outcome: call.Done, Status: 200})
+	})
+	if allocs > 0 {
+		t.Errorf("%v allocations for an attempt", allocs)
+	}
+}
--- a/internal/traffic/throttle/room_test.go
+++ b/internal/traffic/throttle/room_test.go
@@ -228,3 +228,35 @@
 		}
 	}
 }
+
+// A kind that was served little is told with its least part, and one that was served
+// enough without.
+func TestStanding(t *testing.T) {
+	gp := New()
+	now := time.Unix(0, 0)
+	for range 60 {
+		for range 20 {
+			gp.Admit(now, Request{Class: release, Importance: 7}, 1)
+			gp.Finish(now, release, Result{Through: true})
+			gp.Admit(now, Request{Class: lookUp, Importance: 5}, 1)
+			gp.Finish(now, lookUp, Result{})
+		}
+		now = now.Add(time.Second)
+		gp.Wants(now)
+	}
+	for _, tt := range []struct {
+		class        call.Class
+		recent, long [2]float64
+		least        bool
+	}{
+		{release, [2]float64{1, 1}, [2]float64{0.85, 1}, false},
+		{lookUp, [2]float64{0, 0}, [2]float64{0, 0.05}, true},
+		{issue, [2]float64{0, 0}, [2]float64{0, 0}, false},
+	} {
+		st := gp.Standing(tt.class)
+		within := func(part float64, bounds [2]float64) bool { return part >= bounds[0] && part <= bounds[1] }
+		if !within(st.Recent, tt.recent) || !within(st.Long, tt.long) || st.Least > leastShare != tt.least {
+			t.Errorf("%s: %+v, want recent %v, long %v, a least part %t", tt.class, st, tt.recent, tt.long, tt.least)
+		}
+	}
+}
--- a/internal/traffic/throttle/served.go
+++ b/internal/traffic/throttle/served.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphortrail/call"
 	"camphortrail/internal/traffic/decay"
 )
 
@@ -26,6 +27,15 @@
 	return kd.share.arrived / (1 + refused/max(kd.share.arrived, 1))
 }
 
+// lately returns the part of the recent first sends that came through.
+func (kd *kind) lately() float64 {
+	first := kd.firstSends()
+	if first == 0 {
+		return 0
+	}
+	return min(kd.share.through/first, 1)
+}
+
 // longRun is the part of the requests that came through, over a long time.
 type longRun struct {
 	part  float64
@@ -53,7 +63,7 @@
 		requests += first
 		through += kd.share.through
 		if first >= 1 {
-			kd.served.add(now, min(kd.share.through/first, 1), leastRoom)
+			kd.served.add(now, kd.lately(), leastRoom)
 		}
 	}
 	gp.recent = min(through/max(requests, 1), 1)
@@ -68,3 +78,26 @@
 	part := leastRoom * gp.recent * min(max(short, 0), 1)
 	return min(max(part*kd.firstSends()/max(kd.share.timely, 1), leastShare), 1)
 }
+
+// Standing is how a kind is served, as parts of its requests.
+type Standing struct {
+	// Recent is the part of the first sends that came through lately, and Long that
+	// over the time for which the least part is to hold.
+	Recent, Long float64
+	// Least is the part of the tries in time that is to be admitted whatever the load
+	// is, or zero if the kind is served enough.
+	Least float64
+}
+
+// Standing returns how requests of a kind are served, as of the last call of Wants.
+func (gp *Group) Standing(class call.Class) Standing {
+	kd := gp.kinds[class]
+	if kd == nil {
+		return Standing{}
+	}
+	st := Standing{Recent: kd.lately(), Long: kd.served.part}
+	if least := gp.least(kd); least > leastShare {
+		st.Least = least
+	}
+	return st
+}
