Replay steps of the capacity and starts, which fail

No test showed it: the replay of many entries tells them exactly what requests take, its VMs are alike, and nothing changes in it.

A second replay (steps_mesh_test.go) has unequal VMs, two scripts of steps, and a middle layer: each VM of it has Trees of its own, guesses the callers of calls, and answers with the needs from which entries learn. Five tests judge what callers get from 2 s after each step until the next, by the stated target: 95 % of the calls of each second of use, 5 % of the slots empty beside refusals, look-ups in nine tenths of the room that is left, every kind served a quarter as often as all.

Calls count as useful if their tree comes through, in the second in which they start; calls made before a step by trees that break off after it are not held against it.

--- a/internal/traffic/throttle/mesh_test.go
+++ b/internal/traffic/throttle/mesh_test.go
@@ -93,15 +93,7 @@
 		shape: shape, Agenda: agenda.New(time.Unix(0, 0)), rng: rand.New(rand.NewPCG(seed, seed)),
 		calls: make(map[call.AttemptID]*meshCall), counts: make(map[call.Class]*meshCount),
 	}
-	sum := 0.0
-	for n := range shape.entries {
-		en := &meshEntry{name: call.VM(strconv.Itoa(n)), group: New(), weight: 0.5 + ms.rng.Float64()}
-		sum += en.weight
-		ms.entries = append(ms.entries, en)
-	}
-	for _, en := range ms.entries {
-		en.weight /= sum
-	}
+	ms.addEntries()
 	for n := range shape.guards {
 		gd := &meshGuard{mc: admission.New(admission.Settings{FreeShare: 16}, rand.New(rand.NewPCG(seed, uint64(n)))), dv: room.New()}
 		ms.guards = append(ms.guards, gd)
@@ -117,6 +109,19 @@
 	return ms
 }
 
+// addEntries adds entries of unequal weights.
+func (ms *mesh) addEntries() {
+	sum := 0.0
+	for n := range ms.shape.entries {
+		en := &meshEntry{name: call.VM(strconv.Itoa(n)), group: New(), weight: 0.5 + ms.rng.Float64()}
+		sum += en.weight
+		ms.entries = append(ms.entries, en)
+	}
+	for _, en := range ms.entries {
+		en.weight /= sum
+	}
+}
+
 // reset starts counting anew, with the requests that come from now on.
 func (ms *mesh) reset() {
 	for class := range ms.counts {
@@ -162,21 +167,30 @@
 // arrivals lets requests of a kind come at random times.
 func (ms *mesh) arrivals(kd *meshKind) {
 	ms.After(time.Duration(ms.rng.ExpFloat64()/kd.perSecond*float64(time.Second)), func() {
-		place := ms.rng.Float64()
-		at := slices.IndexFunc(ms.entries, func(en *meshEntry) bool { place -= en.weight; return place < 0 })
 		ms.counts[kd.class].asked++
-		ms.send(&meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.Now(), deadline: ms.Now().Add(kd.deadline)})
+		ms.send(ms.request(kd))
 		ms.arrivals(kd)
 	})
 }
 
-// send is a try of a request at its entry.
-func (ms *mesh) send(rq *meshRequest) {
+// request returns a request that comes now, at an entry by its weight.
+func (ms *mesh) request(kd *meshKind) *meshRequest {
+	place := ms.rng.Float64()
+	at := slices.IndexFunc(ms.entries, func(en *meshEntry) bool { place -= en.weight; return place < 0 })
+	return &meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.Now(), deadline: ms.Now().Add(kd.deadline)}
+}
+
+// ask asks the entry of a request to admit it.
+func (ms *mesh) ask(rq *meshRequest) Decision {
 	rq.sent, rq.cohort = ms.Now(), call.Cohort(ms.rng.Uint32())
-	de := rq.entry.group.Admit(ms.Now(), Request{
+	return rq.entry.group.Admit(ms.Now(), Request{
 		Class: rq.kind.class, Importance: rq.kind.importance, Waited: rq.waited(ms.Now()), Target: rq.kind.target,
 	}, ms.rng.Float64())
-	if !de.Admitted {
+}
+
+// send is a try of a request at its entry.
+func (ms *mesh) send(rq *meshRequest) {
+	if de := ms.ask(rq); !de.Admitted {
 		ms.refused(rq, de.RetryAfter)
 		return
 	}
@@ -200,10 +214,15 @@
 		ms.counts[rq.kind.class].refused++
 		return
 	}
+	back, wait := ms.back(rq, after)
+	ms.After(wait, func() { ms.send(back) })
+}
+
+// back returns the request of a caller that comes back, and after which time.
+func (ms *mesh) back(rq *meshRequest, after time.Duration) (*meshRequest, time.Duration) {
 	after = after/2 + time.Duration(ms.rng.Int64N(int64(after)+1))
-	back := *rq
-	back.returned = true
-	ms.After(min(after, rq.deadline.Sub(ms.Now())/3), func() { ms.send(&back) })
+	return &meshRequest{kind: rq.kind, entry: rq.entry, first: rq.first, deadline: rq.deadline, returned: true},
+		min(after, rq.deadline.Sub(ms.Now())/3)
 }
 
 // spread draws a time around its mean.
--- /dev/null
+++ b/internal/traffic/throttle/steps_mesh_test.go
@@ -0,0 +1,552 @@
+package throttle
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"camphortrail/admission"
+	"camphortrail/call"
+	"camphortrail/internal/lab/agenda"
+	"camphortrail/internal/traffic/room"
+	"camphortrail/internal/traffic/tree"
+	"camphortrail/retry"
+)
+
+// stepsMesh is a mesh whose capacity changes in steps, and whose entries learn what
+// requests take from the answers of middle services, the nodes of which guess the
+// callers of calls. Its small service has VMs of unequal speed.
+type stepsMesh struct {
+	*mesh
+	shape stepsShape
+	// exact says that entries know what requests take at present.
+	exact bool
+	// load multiplies the arrivals.
+	load float64
+	// vms are those of the small service that the nodes know of.
+	vms   []*stepsVM
+	nodes map[call.Service][]*stepsNode
+	live  []*stepsRequest
+	// joined is the number of VMs that have come.
+	joined int
+	// stepped is when the last step came.
+	stepped time.Time
+	seconds []*stepsSecond
+}
+
+type stepsShape struct {
+	meshShape
+	// factors are those of the time of a call at the VMs of the small service.
+	factors []float64
+	// middle is the number of VMs of each middle service, and hop the work of a call
+	// there before it makes calls.
+	middle int
+	hop    time.Duration
+}
+
+// Middle services.
+const (
+	desk   call.Service = "desk"
+	ledger call.Service = "ledger"
+	index  call.Service = "index"
+)
+
+// Calls, and uploads, which run beside the calls of index.
+const (
+	history  call.Class = "history"
+	indexing call.Class = "index"
+	rack     call.Class = "rack"
+	upload   call.Class = "upload"
+)
+
+// program is what an attempt of a kind does: it works, and makes series of calls
+// side by side.
+type program struct {
+	service        call.Service
+	series, length int
+	calls          call.Class
+	// limit is the longest time for a call of the kind.
+	limit time.Duration
+}
+
+var programs = map[call.Class]program{
+	lookUp:   {service: desk, series: 1, length: 2, calls: history},
+	release:  {service: ledger, series: 2, length: 1, calls: indexing},
+	issue:    {service: service0},
+	history:  {service: ledger, series: 1, length: 1, calls: indexing, limit: 3 * time.Second},
+	indexing: {service: index, series: 1, length: 5, calls: rack, limit: 2 * time.Second},
+	rack:     {service: service0, limit: 700 * time.Millisecond},
+	upload:   {service: index},
+}
+
+const (
+	// answerGap is the time from an answer to a call until the next one, or the end.
+	answerGap = 200 * time.Microsecond
+	// sameConnection is the part of the calls, 1 in so many less, that take the
+	// connection of the one before.
+	otherConnection = 4
+	// uploadWork and uploadsPerNode describe the uploads.
+	uploadWork     = 130 * time.Millisecond
+	uploadsPerNode = 20.0
+	// orphanImportance is that of calls without a known parent.
+	orphanImportance call.Importance = 5
+	// middleOccupancy is that of the middle services.
+	middleOccupancy call.Occupancy = 30
+	// coldTime is the time for which a VM that comes takes coldFactor times as long.
+	coldTime   = 3 * time.Second
+	coldFactor = 2
+	// knownAfter is the time after which the nodes know that a VM leaves.
+	knownAfter = 100 * time.Millisecond
+	// brokenReturn is the mean time after which callers return whose requests broke
+	// off with the nodes.
+	brokenReturn = 500 * time.Millisecond
+	// sampleInterval is the time between two looks at the slots.
+	sampleInterval = 5 * time.Millisecond
+)
+
+// stepsVM is a VM of the small service, with its node.
+type stepsVM struct {
+	*meshGuard
+	trees  *tree.Trees
+	seed   *rand.Rand
+	factor float64
+	slots  int
+	// coldUntil and slowUntil are when it is as quick as usual again.
+	coldUntil, slowUntil time.Time
+}
+
+// stepsNode is a VM of a middle service.
+type stepsNode struct {
+	service call.Service
+	trees   *tree.Trees
+	conns   int
+}
+
+type stepsRequest struct {
+	*meshRequest
+	id call.RequestID
+	// calls holds the second of each call of the small service that was started.
+	calls []*stepsSecond
+}
+
+// stepsCall is an attempt that is sent to a service.
+type stepsCall struct {
+	rq         *stepsRequest
+	class      call.Class
+	id         call.RequestID
+	importance call.Importance
+	depth      call.Depth
+	deadline   time.Time
+	done       func(stepsAnswer)
+}
+
+// stepsAnswer is what a node hears of an attempt.
+type stepsAnswer struct {
+	began, through bool
+	needs          []call.Need
+	occupancy      call.Occupancy
+}
+
+// stepsAttempt is an attempt that runs at a middle service.
+type stepsAttempt struct {
+	*stepsCall
+	node    *stepsNode
+	in      *tree.Inbound
+	pending int
+	over    bool
+}
+
+// stepsSecond is what happened in a second. Calls are counted in those of the
+// commonest kind.
+type stepsSecond struct {
+	begun time.Time
+	//
+	// started are those that were started, and useful those of them whose tree came
+	// through, or broke off after a step that came later. ended are those of trees that came through in this second.
+	started, useful, ended float64
+	// calls is the number that the VMs carry.
+	calls float64
+	// slots and empty are slot times, and refused that of what entries refused.
+	slots, empty, refused float64
+	// wasted is the slot time that was empty while as much was refused.
+	wasted float64
+	kinds  map[call.Class]*stepsCount
+}
+
+// stepsCount counts requests of a kind, and what is believed that one takes.
+type stepsCount struct {
+	meshCount
+	refusals                    int
+	believed, takes             time.Duration
+	leastBelieved, mostBelieved time.Duration
+}
+
+func newStepsMesh(shape stepsShape, seed uint64, exact bool) *stepsMesh {
+	sm := &stepsMesh{
+		mesh: &mesh{
+			shape: shape.meshShape, Agenda: agenda.New(time.Unix(0, 0)), rng: rand.New(rand.NewPCG(seed, seed)),
+			calls: make(map[call.AttemptID]*meshCall),
+		},
+		shape: shape, exact: exact, nodes: make(map[call.Service][]*stepsNode),
+	}
+	sm.addEntries()
+	for _, factor := range shape.factors {
+		sm.addVM(factor, 0)
+	}
+	sm.startNodes()
+	for _, en := range sm.entries {
+		sm.After(time.Duration(sm.rng.Int64N(int64(demandEvery))), func() { sm.demand(en) })
+	}
+	for i := range shape.kinds {
+		sm.arrive(&shape.kinds[i])
+	}
+	sm.uploads()
+	sm.sample()
+	return sm
+}
+
+// addVM adds a VM to the small service, which is cold for a time.
+func (sm *stepsMesh) addVM(factor float64, cold time.Duration) {
+	sm.joined++
+	vm := &stepsVM{
+		meshGuard: &meshGuard{}, seed: rand.New(rand.NewPCG(uint64(sm.joined), 0)), factor: factor,
+		slots: sm.shape.slots, coldUntil: sm.Now().Add(cold),
+	}
+	sm.vms = append(sm.vms, vm)
+	sm.startGuard(vm, cold)
+}
+
+// startGuard starts the node of a VM of the small service, which knows nothing.
+func (sm *stepsMesh) startGuard(vm *stepsVM, warmUp time.Duration) {
+	vm.mc, vm.dv, vm.trees = admission.New(admission.Settings{FreeShare: 16}, vm.seed), room.New(), tree.New(retry.DefaultLimits())
+	vm.tick = time.Time{}
+	sm.step(vm.meshGuard, admission.Announce{Slots: vm.slots, WarmUp: warmUp, Restarted: true})
+}
+
+// startNodes starts the nodes of the middle services, which know nothing.
+func (sm *stepsMesh) startNodes() {
+	for _, svc := range []call.Service{desk, ledger, index} {
+		sm.nodes[svc] = nil
+		for range sm.shape.middle {
+			sm.nodes[svc] = append(sm.nodes[svc], &stepsNode{service: svc, trees: tree.New(retry.DefaultLimits())})
+		}
+	}
+}
+
+// leave lets a VM of the small service leave.
+func (sm *stepsMesh) leave(vm *stepsVM) {
+	sm.step(vm.meshGuard, admission.Leave{})
+	sm.After(knownAfter, func() {
+		sm.vms = slices.DeleteFunc(sm.vms, func(other *stepsVM) bool { return other == vm })
+	})
+}
+
+// restart breaks all off and starts all nodes anew. Callers return.
+func (sm *stepsMesh) restart() {
+	clear(sm.calls)
+	sm.startNodes()
+	for _, vm := range sm.vms {
+		sm.startGuard(vm, 0)
+	}
+	for _, en := range sm.entries {
+		en.group = New()
+	}
+	live := sm.live
+	sm.live = nil
+	for _, rq := range live {
+		if !rq.over {
+			rq.over = true
+			sm.credit(rq, sm.Now())
+			sm.count(rq.kind.class).broken++
+			sm.refused(rq.meshRequest, brokenReturn)
+		}
+	}
+}
+
+// time returns that of a call at the VM, relative to the usual one.
+func (vm *stepsVM) time(now time.Time) float64 {
+	factor := vm.factor
+	if now.Before(vm.coldUntil) {
+		factor *= coldFactor
+	}
+	if now.Before(vm.slowUntil) {
+		factor *= 2
+	}
+	return factor
+}
+
+// usable is the number of calls that the VM is to run at a time.
+func (vm *stepsVM) usable(now time.Time) int {
+	if now.Before(vm.coldUntil) {
+		return vm.mc.Limit(now)
+	}
+	// The machine leaves one slot in 16 free.
+	return vm.slots - (vm.slots+8)/16
+}
+
+// sample counts the slots and those that are empty.
+func (sm *stepsMesh) sample() {
+	now, length := sm.Now(), sampleInterval.Seconds()
+	se := sm.second()
+	for _, vm := range sm.vms {
+		if vm.mc.Leaving() {
+			continue
+		}
+		usable := vm.usable(now)
+		se.slots += float64(usable) * length
+		se.empty += float64(max(usable-vm.mc.Running(), 0)) * length
+		se.calls += float64(usable) * length / (vm.time(now) * sm.shape.call().Seconds())
+	}
+	if sm.Now().Add(sampleInterval).Sub(time.Unix(0, 0))%time.Second < sampleInterval {
+		sm.look(se)
+	}
+	sm.After(sampleInterval, sm.sample)
+}
+
+// call is the time of a call of the commonest kind.
+func (sp stepsShape) call() time.Duration { return sp.kinds[0].call }
+
+// slowness is the time of a call in the mean of all calls that the VMs make,
+// relative to the usual one.
+func (sm *stepsMesh) slowness() float64 {
+	slots, calls := 0.0, 0.0
+	for _, vm := range sm.vms {
+		usable := float64(vm.usable(sm.Now()))
+		slots += usable
+		calls += usable / vm.time(sm.Now())
+	}
+	return slots / calls
+}
+
+// takes is the slot time that a request of a kind takes at present.
+func (sm *stepsMesh) takes(kd *meshKind) time.Duration {
+	return time.Duration(float64(kd.slotTime()) * sm.slowness())
+}
+
+// second returns the counts of the present second.
+func (sm *stepsMesh) second() *stepsSecond {
+	at := int(sm.Now().Sub(time.Unix(0, 0)) / time.Second)
+	for len(sm.seconds) <= at {
+		se := &stepsSecond{begun: time.Unix(int64(len(sm.seconds)), 0), kinds: make(map[call.Class]*stepsCount)}
+		for _, kd := range sm.shape.kinds {
+			se.kinds[kd.class] = &stepsCount{}
+		}
+		sm.seconds = append(sm.seconds, se)
+	}
+	return sm.seconds[at]
+}
+
+func (sm *stepsMesh) count(class call.Class) *stepsCount { return sm.second().kinds[class] }
+
+// arrive lets requests of a kind come at random times.
+func (sm *stepsMesh) arrive(kd *meshKind) {
+	rate := kd.perSecond * sm.load
+	if rate == 0 {
+		sm.After(sampleInterval, func() { sm.arrive(kd) })
+		return
+	}
+	sm.After(time.Duration(sm.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		sm.count(kd.class).asked++
+		sm.try(sm.request(kd))
+		sm.arrive(kd)
+	})
+}
+
+// try is a try of a request at its entry.
+func (sm *stepsMesh) try(mr *meshRequest) {
+	if de := sm.ask(mr); !de.Admitted {
+		sm.count(mr.kind.class).refusals++
+		sm.second().refused += sm.takes(mr.kind).Seconds()
+		sm.refused(mr, de.RetryAfter)
+		return
+	}
+	rq := &stepsRequest{meshRequest: mr, id: call.NewRequestID(sm.rng)}
+	if len(sm.live) == cap(sm.live) {
+		sm.live = slices.DeleteFunc(sm.live, func(old *stepsRequest) bool { return old.over })
+	}
+	sm.live = append(sm.live, rq)
+	sm.send(&stepsCall{
+		rq: rq, class: mr.kind.class, id: rq.id, importance: mr.kind.importance, deadline: mr.sent.Add(mr.kind.limit),
+		done: func(an stepsAnswer) { sm.finish(rq, an) },
+	})
+}
+
+// refused lets the caller come back once.
+func (sm *stepsMesh) refused(mr *meshRequest, after time.Duration) {
+	if mr.returned {
+		sm.count(mr.kind.class).refused++
+		return
+	}
+	back, wait := sm.back(mr, after)
+	sm.After(wait, func() { sm.try(back) })
+}
+
+// finish is the end of an admitted request.
+func (sm *stepsMesh) finish(rq *stepsRequest, an stepsAnswer) {
+	if rq.over {
+		return
+	}
+	rq.over = true
+	ct := sm.count(rq.kind.class)
+	switch {
+	case !an.through:
+		ct.broken++
+	case sm.Now().Sub(rq.first) > rq.kind.target:
+		ct.late++
+	default:
+		ct.inTarget++
+	}
+	if an.through {
+		sm.second().ended += rq.kind.slotTime().Seconds() / sm.shape.call().Seconds()
+		sm.credit(rq, sm.Now())
+	} else {
+		// Its entry could not foresee the step.
+		sm.credit(rq, sm.stepped)
+	}
+	sm.learn(rq, an)
+}
+
+// credit counts the calls of a request until the given time as useful.
+func (sm *stepsMesh) credit(rq *stepsRequest, until time.Time) {
+	for _, se := range rq.calls {
+		if se.begun.Before(until) {
+			se.useful += rq.kind.call.Seconds() / sm.shape.call().Seconds()
+		}
+	}
+}
+
+// send sends an attempt to a VM of its service.
+func (sm *stepsMesh) send(ca *stepsCall) {
+	svc := programs[ca.class].service
+	if svc == service0 {
+		sm.place(ca, nil, stepsAnswer{})
+		return
+	}
+	nodes := sm.nodes[svc]
+	sm.execute(nodes[sm.rng.IntN(len(nodes))], ca)
+}
+
+// execute runs an attempt at a middle service.
+func (sm *stepsMesh) execute(nd *stepsNode, ca *stepsCall) {
+	pg := programs[ca.class]
+	at := &stepsAttempt{stepsCall: ca, node: nd, in: sm.enter(nd.trees, ca), pending: pg.series}
+	sm.After(sm.spread(sm.work(ca)), func() {
+		if pg.series == 0 {
+			sm.end(at, true)
+		}
+		for range pg.series {
+			sm.makeCalls(at, pg.length, "")
+		}
+	})
+}
+
+// work is the time until an attempt makes its first calls.
+func (sm *stepsMesh) work(ca *stepsCall) time.Duration {
+	switch ca.class {
+	case lookUp, release:
+		return ca.rq.kind.work
+	case upload:
+		return uploadWork
+	}
+	return sm.shape.hop
+}
+
+// makeCalls makes the calls of a series that are left, the next one on a connection,
+// which may be empty.
+func (sm *stepsMesh) makeCalls(at *stepsAttempt, left int, conn string) {
+	if left == 0 {
+		if at.pending--; at.pending == 0 {
+			sm.end(at, true)
+		}
+		return
+	}
+	if at.over || at.rq.over {
+		sm.end(at, false)
+		return
+	}
+	nd := at.node
+	if conn == "" || sm.rng.IntN(otherConnection) == 0 {
+		nd.conns++
+		conn = strconv.Itoa(nd.conns)
+	}
+	ca := &stepsCall{rq: at.rq, class: programs[at.class].calls, deadline: at.in.Told, importance: orphanImportance, depth: 1}
+	pg := programs[ca.class]
+	if own := sm.Now().Add(pg.limit); own.Before(ca.deadline) {
+		ca.deadline = own
+	}
+	parent := sm.adopt(nd, ca, conn)
+	ca.done = func(an stepsAnswer) {
+		sm.answered(nd, parent, pg.service, conn, an)
+		sm.After(answerGap, func() {
+			if !an.through {
+				sm.end(at, false)
+				return
+			}
+			sm.makeCalls(at, left-1, conn)
+		})
+	}
+	sm.send(ca)
+}
+
+// end ends an attempt at a middle service.
+func (sm *stepsMesh) end(at *stepsAttempt, through bool) {
+	if at.over {
+		return
+	}
+	at.over = true
+	at.done(sm.exit(at.node.trees, at.in, at.node.service, middleOccupancy, through))
+}
+
+// uploads lets uploads run beside the calls of index.
+func (sm *stepsMesh) uploads() {
+	rate := uploadsPerNode * float64(sm.shape.middle)
+	sm.After(time.Duration(sm.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		sm.send(&stepsCall{
+			rq: &stepsRequest{meshRequest: &meshRequest{}}, class: upload, id: call.NewRequestID(sm.rng),
+			deadline: sm.Now().Add(2 * time.Second), done: func(stepsAnswer) {},
+		})
+		sm.uploads()
+	})
+}
+
+// place sends a call to the emptier of two VMs of the small service, and to others
+// that have not refused it if it is refused.
+func (sm *stepsMesh) place(ca *stepsCall, exclude []*stepsVM, last stepsAnswer) {
+	var vm *stepsVM
+	for range 2 {
+		other := sm.vms[sm.rng.IntN(len(sm.vms))]
+		if !slices.Contains(exclude, other) && (vm == nil || other.mc.Occupancy() < vm.mc.Occupancy()) {
+			vm = other
+		}
+	}
+	if vm == nil || ca.rq.over {
+		ca.done(last)
+		return
+	}
+	id := call.NewAttemptID(sm.rng)
+	sm.calls[id] = &meshCall{
+		guard: vm.meshGuard,
+		begin: func() { sm.run(vm, id, ca) },
+		fail: func() {
+			sm.count(ca.rq.kind.class).guardRefused++
+			sm.place(ca, append(slices.Clone(exclude), vm), sm.refusal(vm, ca))
+		},
+	}
+	sm.step(vm.meshGuard, admission.Arrive{ID: id, Importance: ca.importance, Cohort: ca.id.Cohort(), Depth: ca.depth, Deadline: ca.deadline})
+}
+
+// run runs a call at a VM of the small service, until its deadline at most.
+func (sm *stepsMesh) run(vm *stepsVM, id call.AttemptID, ca *stepsCall) {
+	kd := ca.rq.kind
+	se := sm.second()
+	se.started += kd.call.Seconds() / sm.shape.call().Seconds()
+	ca.rq.calls = append(ca.rq.calls, se)
+	length := time.Duration(float64(sm.spread(kd.call)) * vm.time(sm.Now()))
+	left := ca.deadline.Sub(sm.Now())
+	trees, in := vm.trees, sm.enter(vm.trees, ca)
+	sm.After(min(length, left), func() {
+		sm.step(vm.meshGuard, admission.Finish{ID: id, OK: length <= left})
+		ca.done(sm.exit(trees, in, service0, vm.mc.Occupancy(), length <= left))
+	})
+}
--- /dev/null
+++ b/internal/traffic/throttle/steps_test.go
@@ -0,0 +1,340 @@
+package throttle
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+)
+
+// step is something that changes in a stepsMesh.
+type step struct {
+	name string
+	at   time.Duration
+	do   func(*stepsMesh)
+	// start says that nodes know nothing, and floods that the releases alone are too
+	// many from then on.
+	start, floods bool
+}
+
+// script holds steps in their order, until an end.
+type script struct {
+	name  string
+	steps []step
+	end   time.Duration
+}
+
+var scripts = []script{day, flood}
+
+// until is when the step after step i comes, or the end.
+func (sc script) until(i int) time.Duration {
+	if i+1 < len(sc.steps) {
+		return sc.steps[i+1].at
+	}
+	return sc.end
+}
+
+const (
+	// burstLoad and dayLoad are the arrivals relative to the capacity at the start. The
+	// releases of floodLoad take nearly half of that.
+	burstLoad = 1.6
+	dayLoad   = 0.9
+	floodLoad = 1.3
+)
+
+// day has all steps. The quickest VM leaves, and the releases fit all the same.
+var day = script{"day", []step{
+	{name: "a burst from nothing", at: 0, do: func(sm *stepsMesh) { sm.load = burstLoad }, start: true},
+	{name: "the burst ends", at: 5 * time.Second, do: func(sm *stepsMesh) { sm.load = dayLoad }},
+	{name: "the quickest VM leaves", at: 8 * time.Second, do: func(sm *stepsMesh) { sm.leave(sm.vms[0]) }},
+	{name: "one of half the speed comes", at: 13 * time.Second, do: func(sm *stepsMesh) { sm.addVM(2, coldTime) }},
+	{name: "all start anew", at: 18 * time.Second, do: (*stepsMesh).restart, start: true},
+	{name: "a VM is slow", at: 23 * time.Second, do: func(sm *stepsMesh) { sm.vms[0].slowUntil = sm.Now().Add(5 * time.Second) }},
+	{name: "it is as quick as before", at: 28 * time.Second, do: func(*stepsMesh) {}},
+}, 32 * time.Second}
+
+// flood has releases that alone need more than what is left of the small service.
+var flood = script{"flood", []step{
+	{name: "a burst from nothing", at: 0, do: func(sm *stepsMesh) { sm.load = floodLoad }, start: true},
+	{name: "the quickest VM leaves", at: 5 * time.Second, do: func(sm *stepsMesh) { sm.leave(sm.vms[0]) }},
+	{name: "half of the others leave", at: 10 * time.Second, do: func(sm *stepsMesh) {
+		for _, vm := range sm.vms[:len(sm.vms)/2] {
+			sm.leave(vm)
+		}
+	}, floods: true},
+	{name: "all start anew", at: 15 * time.Second, do: (*stepsMesh).restart, start: true, floods: true},
+}, 21 * time.Second}
+
+// smallSteps and largeSteps have the kinds and slots of smallMesh and largeMesh, and
+// arrivals that the VMs just carry.
+var (
+	smallSteps = stepsShape{meshShape: smallMesh(3, 1), factors: []float64{0.5, 1, 1.5}, middle: 3, hop: 5 * time.Millisecond}.fitting()
+	largeSteps = stepsShape{meshShape: largeMesh(1), factors: []float64{0.5, 1, 1, 1, 1.5}, middle: 24, hop: 20 * time.Millisecond}.fitting()
+)
+
+// carries returns the usual slot time that VMs with the factors carry in a second.
+func (sp stepsShape) carries(factors []float64) (sum float64) {
+	for _, factor := range factors {
+		// The machine leaves one slot in 16 free.
+		sum += float64(sp.slots-(sp.slots+8)/16) / factor
+	}
+	return sum
+}
+
+// fitting returns the shape with arrivals that take all that the VMs carry.
+func (sp stepsShape) fitting() stepsShape {
+	need := 0.0
+	for _, kd := range sp.kinds {
+		need += kd.perSecond * kd.slotTime().Seconds()
+	}
+	for i := range sp.kinds {
+		sp.kinds[i].perSecond *= sp.carries(sp.factors) / need
+	}
+	return sp
+}
+
+var stepsShapes = []struct {
+	name  string
+	shape stepsShape
+}{
+	{"12 entries", smallSteps},
+	{"75 entries", largeSteps},
+}
+
+const (
+	// stepTime is the time after a step that is not counted.
+	stepTime = 2 * time.Second
+	// longestTree is longer than any tree takes.
+	longestTree = 3 * time.Second
+	// useful is the part of the calls that are to be of use, and empty the part of
+	// the slots that may be empty beside refusals.
+	useful = 0.95
+	empty  = 0.05
+)
+
+// stepsReplays keeps what was replayed for the tests that look at the same.
+var stepsReplays = make(map[string]*stepsMesh)
+
+// replaySteps replays a script.
+func replaySteps(name string, shape stepsShape, sc script, seed uint64, exact bool) *stepsMesh {
+	ky := fmt.Sprint(name, sc.name, seed, exact)
+	sm := stepsReplays[ky]
+	if sm == nil {
+		sm = newStepsMesh(shape, seed, exact)
+		for i, st := range sc.steps {
+			sm.stepped = sm.Now()
+			st.do(sm)
+			sm.Run(sc.until(i) - st.at)
+		}
+		// Trees that have begun end.
+		sm.Run(longestTree)
+		stepsReplays[ky] = sm
+	}
+	return sm
+}
+
+// total sums up the seconds from one time to another.
+func (sm *stepsMesh) total(from, to time.Duration) (sum stepsSecond) {
+	sum.kinds = make(map[call.Class]*stepsCount)
+	for _, kd := range sm.shape.kinds {
+		sum.kinds[kd.class] = &stepsCount{}
+	}
+	for _, se := range sm.seconds[from/time.Second : to/time.Second] {
+		sum.started += se.started
+		sum.useful += se.useful
+		sum.ended += se.ended
+		sum.calls += se.calls
+		sum.slots += se.slots
+		sum.empty += se.empty
+		sum.wasted += se.emptyBesideRefusals()
+		for class, ct := range se.kinds {
+			all := sum.kinds[class]
+			all.asked += ct.asked
+			all.inTarget += ct.inTarget
+			all.late += ct.late
+			all.refused += ct.refused
+			all.broken += ct.broken
+			all.refusals += ct.refusals
+		}
+	}
+	return sum
+}
+
+// emptyBesideRefusals is the slot time that was empty while as much was refused.
+func (se *stepsSecond) emptyBesideRefusals() float64 { return min(se.empty, se.refused) }
+
+// String returns the figures in a line.
+func (se *stepsSecond) String() string {
+	var sb strings.Builder
+	fmt.Fprintf(&sb, "started %5.0f of %5.0f, useful %3.0f %% (ended %3.0f), empty %2.0f %% (%2.0f beside refusals)",
+		se.started, se.calls, 100*se.useful/max(se.started, 1), 100*se.ended/max(se.started, 1), 100*se.empty/se.slots, 100*se.emptyBesideRefusals()/se.slots)
+	for _, class := range []call.Class{release, issue, lookUp} {
+		ct := se.kinds[class]
+		fmt.Fprintf(&sb, "; %s %d: %d+%d served, %d broken, %d refusals, guards %d", class, ct.asked, ct.inTarget, ct.late, ct.broken, ct.refusals, ct.guardRefused)
+		if class != issue {
+			fmt.Fprintf(&sb, ", believed %d %d %d of %d ms", ct.leastBelieved.Milliseconds(), ct.believed.Milliseconds(), ct.mostBelieved.Milliseconds(), ct.takes.Milliseconds())
+		}
+	}
+	return sb.String()
+}
+
+// logSteps writes the figures by second.
+func (sm *stepsMesh) logSteps(t *testing.T, name string, sc script) {
+	next := 0
+	for at, se := range sm.seconds[:sc.end/time.Second] {
+		if next < len(sc.steps) && time.Duration(at)*time.Second == sc.steps[next].at {
+			t.Logf("%s: %s", name, sc.steps[next].name)
+			next++
+		}
+		t.Logf("%2d %s", at, se)
+	}
+}
+
+// stretch is the time from stepTime after a step until the next.
+type stretch struct {
+	name string
+	step
+	from, to time.Duration
+	sm       *stepsMesh
+}
+
+// stretches returns those of all shapes and of two seeds.
+func stretches(scripts ...script) (list []stretch) {
+	for _, tt := range stepsShapes {
+		for seed := range uint64(2) {
+			for _, sc := range scripts {
+				sm := replaySteps(tt.name, tt.shape, sc, seed, false)
+				for i, st := range sc.steps {
+					name := fmt.Sprintf("%s, seed %d, %s, %s", tt.name, seed, sc.name, st.name)
+					list = append(list, stretch{name, st, st.at + stepTime, sc.until(i), sm})
+				}
+			}
+		}
+	}
+	return list
+}
+
+// checkUse checks that the calls of each second are of use.
+func (sr *stretch) checkUse(t *testing.T) {
+	for at := sr.from; at < sr.to; at += time.Second {
+		if se := sr.sm.total(at, at+time.Second); se.useful < useful*se.started {
+			t.Errorf("%s, second %d: %.0f of %.0f calls of use", sr.name, (at-sr.at)/time.Second, se.useful, se.started)
+		}
+	}
+}
+
+// Two seconds after the capacity has changed calls are still made in vain.
+func TestStepOfTheCapacityWastesCalls(t *testing.T) {
+	for _, tt := range stepsShapes {
+		for seed := range uint64(2) {
+			for _, sc := range scripts {
+				name := fmt.Sprintf("%s, seed %d, %s", tt.name, seed, sc.name)
+				replaySteps(tt.name, tt.shape, sc, seed, false).logSteps(t, name, sc)
+			}
+		}
+	}
+	for _, sr := range stretches(scripts...) {
+		if !sr.start {
+			sr.checkUse(t)
+		}
+	}
+}
+
+// Two seconds after a start calls are still made in vain.
+func TestStartWastesCalls(t *testing.T) {
+	for _, sr := range stretches(scripts...) {
+		if sr.start {
+			sr.checkUse(t)
+		}
+	}
+}
+
+// Entries refuse requests for which there are slots.
+func TestSlotsStandEmptyBesideRefusals(t *testing.T) {
+	for _, sr := range stretches(scripts...) {
+		if sum := sr.sm.total(sr.from, sr.to); sum.wasted > empty*sum.slots {
+			t.Errorf("%s: %.1f of %.1f slot seconds empty", sr.name, sum.wasted, sum.slots)
+		}
+	}
+}
+
+// Look-ups get less than nine tenths of the room that the more important kinds leave
+// them after a step.
+func TestRoomThatIsLeftAfterAStepIsNotServed(t *testing.T) {
+	for _, sr := range stretches(day) {
+		sum, shape := sr.sm.total(sr.from, sr.to), sr.sm.shape
+		left := sum.calls
+		for _, kd := range shape.kinds {
+			if kd.class != lookUp {
+				left -= float64(sum.kinds[kd.class].asked) * kd.slotTime().Seconds() / shape.call().Seconds()
+			}
+		}
+		ct := sum.kinds[lookUp]
+		fits := min(left*shape.call().Seconds()/shape.kinds[0].slotTime().Seconds(), float64(ct.asked))
+		t.Logf("%s: %d look-ups served in time, %.0f fit, %d asked", sr.name, ct.inTarget, fits, ct.asked)
+		if float64(ct.inTarget) < served*fits {
+			t.Errorf("%s: %d look-ups served in time, want %.0f", sr.name, ct.inTarget, served*fits)
+		}
+	}
+}
+
+// Where releases alone need more than there is, the other kinds are served less than a
+// quarter as often as all.
+func TestLeastPartIsNotReached(t *testing.T) {
+	const quarter = 0.25
+	for _, sr := range stretches(flood) {
+		if !sr.floods {
+			continue
+		}
+		sum := sr.sm.total(sr.from, sr.to)
+		asked, served := 0, 0
+		for _, ct := range sum.kinds {
+			asked += ct.asked
+			served += ct.inTarget + ct.late
+		}
+		all := float64(served) / float64(asked)
+		for _, kd := range sr.sm.shape.kinds {
+			ct := sum.kinds[kd.class]
+			got := float64(ct.inTarget+ct.late) / float64(ct.asked)
+			t.Logf("%s: %.3f of %s served, %.3f of all", sr.name, got, kd.class, all)
+			if got < quarter*all {
+				t.Errorf("%s: %.3f of %s served, want a quarter of %.3f", sr.name, got, kd.class, all)
+			}
+		}
+	}
+}
+
+// usefulAfter returns the time after a step from which on the calls of each second are
+// of use.
+func (sm *stepsMesh) usefulAfter(from, to time.Duration) time.Duration {
+	at := to
+	for at > from {
+		if se := sm.total(at-time.Second, at); se.useful < useful*se.started {
+			break
+		}
+		at -= time.Second
+	}
+	return at - from
+}
+
+// BenchmarkExactNeeds compares entries that learn what requests take with such that
+// know it.
+func BenchmarkExactNeeds(b *testing.B) {
+	for b.Loop() {
+		for _, tt := range stepsShapes {
+			for seed := range uint64(2) {
+				for _, sc := range scripts {
+					learned, exact := replaySteps(tt.name, tt.shape, sc, seed, false), replaySteps(tt.name, tt.shape, sc, seed, true)
+					for i, st := range sc.steps {
+						all, known := learned.total(st.at, sc.until(i)), exact.total(st.at, sc.until(i))
+						b.Logf("%s, seed %d, %s, %s: of use after %v, with exact needs %v; calls of use %.0f and %.0f of %.0f, look-ups in time %d and %d",
+							tt.name, seed, sc.name, st.name, learned.usefulAfter(st.at, sc.until(i)), exact.usefulAfter(st.at, sc.until(i)),
+							all.useful, known.useful, all.calls, all.kinds[lookUp].inTarget, known.kinds[lookUp].inTarget)
+					}
+				}
+			}
+		}
+	}
+}
