--- a/internal/traffic/throttle/steps_mesh_test.go
+++ b/internal/traffic/throttle/steps_mesh_test.go
@@ -83,7 +83,7 @@
 const (
 	// answerGap is the time from an answer to a call until the next one, or the end.
 	answerGap = 200 * time.Microsecond
-	// sameConnection is the part of the calls, 1 in so many less, that take the
+	// otherConnection is the part of the calls, 1 in so many, that don't take the
 	// connection of the one before.
 	otherConnection = 4
 	// uploadWork and uploadsPerNode describe the uploads.
@@ -161,9 +161,9 @@
 // commonest kind.
 type stepsSecond struct {
 	begun time.Time
-	//
 	// started are those that were started, and useful those of them whose tree came
-	// through, or broke off after a step that came later. ended are those of trees that came through in this second.
+	// through, or broke off after a step that came later. ended are those of trees
+	// that came through in this second.
 	started, useful, ended float64
 	// calls is the number that the VMs carry.
 	calls float64
@@ -171,7 +171,11 @@
 	slots, empty, refused float64
 	// wasted is the slot time that was empty while as much was refused.
 	wasted float64
-	kinds  map[call.Class]*stepsCount
+	// limit is the mean of the attempts that the guards let run at a time, and failing
+	// counts the refusals for failures.
+	limit   float64
+	failing int
+	kinds   map[call.Class]*stepsCount
 }
 
 // stepsCount counts requests of a kind, and what is believed that one takes.
@@ -295,6 +299,7 @@
 		}
 		usable := vm.usable(now)
 		se.slots += float64(usable) * length
+		se.limit += float64(vm.mc.Limit(now)) * length
 		se.empty += float64(max(usable-vm.mc.Running(), 0)) * length
 		se.calls += float64(usable) * length / (vm.time(now) * sm.shape.call().Seconds())
 	}
@@ -357,7 +362,11 @@
 func (sm *stepsMesh) try(mr *meshRequest) {
 	if de := sm.ask(mr); !de.Admitted {
 		sm.count(mr.kind.class).refusals++
-		sm.second().refused += sm.takes(mr.kind).Seconds()
+		se := sm.second()
+		se.refused += sm.takes(mr.kind).Seconds()
+		if de.Failing {
+			se.failing++
+		}
 		sm.refused(mr, de.RetryAfter)
 		return
 	}
--- a/internal/traffic/throttle/steps_test.go
+++ b/internal/traffic/throttle/steps_test.go
@@ -168,8 +168,8 @@
 // String returns the figures in a line.
 func (se *stepsSecond) String() string {
 	var sb strings.Builder
-	fmt.Fprintf(&sb, "started %5.0f of %5.0f, useful %3.0f %% (ended %3.0f), empty %2.0f %% (%2.0f beside refusals)",
-		se.started, se.calls, 100*se.useful/max(se.started, 1), 100*se.ended/max(se.started, 1), 100*se.empty/se.slots, 100*se.emptyBesideRefusals()/se.slots)
+	fmt.Fprintf(&sb, "started %5.0f of %5.0f, useful %3.0f %% (ended %3.0f), empty %2.0f %% (%2.0f beside refusals), limit %.0f, %d failing",
+		se.started, se.calls, 100*se.useful/max(se.started, 1), 100*se.ended/max(se.started, 1), 100*se.empty/se.slots, 100*se.emptyBesideRefusals()/se.slots, se.limit, se.failing)
 	for _, class := range []call.Class{release, issue, lookUp} {
 		ct := se.kinds[class]
 		fmt.Fprintf(&sb, "; %s %d: %d+%d served, %d broken, %d refusals, guards %d", class, ct.asked, ct.inTarget, ct.late, ct.broken, ct.refusals, ct.guardRefused)
@@ -322,19 +322,26 @@
 // BenchmarkExactNeeds compares entries that learn what requests take with such that
 // know it.
 func BenchmarkExactNeeds(b *testing.B) {
+	var sb strings.Builder
 	for b.Loop() {
+		sb.Reset()
 		for _, tt := range stepsShapes {
 			for seed := range uint64(2) {
 				for _, sc := range scripts {
-					learned, exact := replaySteps(tt.name, tt.shape, sc, seed, false), replaySteps(tt.name, tt.shape, sc, seed, true)
-					for i, st := range sc.steps {
-						all, known := learned.total(st.at, sc.until(i)), exact.total(st.at, sc.until(i))
-						b.Logf("%s, seed %d, %s, %s: of use after %v, with exact needs %v; calls of use %.0f and %.0f of %.0f, look-ups in time %d and %d",
-							tt.name, seed, sc.name, st.name, learned.usefulAfter(st.at, sc.until(i)), exact.usefulAfter(st.at, sc.until(i)),
-							all.useful, known.useful, all.calls, all.kinds[lookUp].inTarget, known.kinds[lookUp].inTarget)
-					}
+					compareNeeds(&sb, tt.name, tt.shape, sc, seed)
 				}
 			}
 		}
 	}
+	fmt.Print(sb.String())
+}
+
+func compareNeeds(sb *strings.Builder, name string, shape stepsShape, sc script, seed uint64) {
+	learned, exact := replaySteps(name, shape, sc, seed, false), replaySteps(name, shape, sc, seed, true)
+	for i, st := range sc.steps {
+		all, known := learned.total(st.at, sc.until(i)), exact.total(st.at, sc.until(i))
+		fmt.Fprintf(sb, "%s, seed %d, %s, %s: of use after %v, with exact needs %v; calls of use %.0f and %.0f of %.0f, look-ups in time %d and %d\n",
+			name, seed, sc.name, st.name, learned.usefulAfter(st.at, sc.until(i)), exact.usefulAfter(st.at, sc.until(i)),
+			all.useful, known.useful, all.calls, all.kinds[lookUp].inTarget, known.kinds[lookUp].inTarget)
+	}
 }
