Tell a refusal of an earlier request from one of the present request

Callers were told that a request had not run while the upstream ran it, and a request that may run once ran twice, after an upstream wrote an earlier refusal once more on a kept connection.

Cause: Dialect.Judge looked at X-Not-Executed and at 421 before the id of the request.

- A refusal with another id is not usable.
If the id is that of the request before on the connection, the next answer is read; else the outcome is unknown, and the connection ends, as the own answer may still come on it.
- A refusal without id is believed, since the protocol's own examples have none, but its connection carries no other request.
A copy of it has then nothing that it could be taken for.
- A request that may run once is not sent again to an upstream that refused it: a copy of the first refusal would bear the id of the second send too. 421 led to that where no other VM was left.

The dialect of docs/CALLERS.md compares the attempt first already. Answers between nodes, recorded answers and replies to withdrawals are matched by attempt id or by HTTP/2 stream.

--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -132,17 +133,19 @@
 // serveAttempts sends attempts until one brings the answer, or none may be
 // sent any more.
 func (en *Entry) serveAttempts(ctx context.Context, rq *request) *attempt.Answer {
-	var exclude []call.VM
+	// refused holds the VMs whose upstreams refused a request that may run once.
+	var exclude, refused []call.VM
 	for {
 		now := time.Now()
 		if ctx.Err() != nil || !now.Before(rq.deadline) {
 			return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
 		}
 		vm, address, err := en.choose(now, rq, exclude)
-		if errors.Is(err, route.ErrNoUpstream) && len(exclude) > 0 && !rq.overload {
-			// Better an upstream that failed a moment ago than none.
-			exclude = nil
-			vm, address, err = en.choose(now, rq, nil)
+		if errors.Is(err, route.ErrNoUpstream) && len(exclude) > len(refused) && !rq.overload {
+			// Better an upstream that failed a moment ago than none. But a copy of a
+			// refusal could not be told from a refusal of the next send.
+			exclude = slices.Clone(refused)
+			vm, address, err = en.choose(now, rq, exclude)
 		}
 		if err != nil {
 			return en.unroutable(ctx, rq, err)
@@ -163,6 +166,9 @@
 			continue
 		}
 		exclude = append(exclude, vm)
+		if !rq.kind.Idempotent && rs.Answer != nil && rs.Answer.Offered {
+			refused = append(refused, vm)
+		}
 		if !en.mayRetry(rq, rs) {
 			return en.exhausted(ctx, rq, rs)
 		}
--- a/internal/traffic/guard/dialect.go
+++ b/internal/traffic/guard/dialect.go
@@ -33,7 +33,8 @@
 	// Prepare adds what the system says to the upstream of that instance;
 	// left is the time until the deadline.
 	Prepare(hd http.Header, at *attempt.Attempt, instance string, left time.Duration)
-	// Judge reads the header of an answer.
+	// Judge reads the header of an answer. Full and Misdirected need an answer that
+	// names the attempt, or none: one that names another says nothing of this one.
 	Judge(res *http.Response, at *attempt.Attempt) Verdict
 	// Answers reports whether an answer names the request that was sent with
 	// the header asked.
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -49,13 +49,19 @@
 // wholeAnswer reads an answer to its end. One that the dialect finds unusable
 // is not passed on; if it is a late answer to the request before on the
 // connection, the next one is to be read. An upstream that refuses an attempt of
-// its own accord ends it before the body of the refusal matters.
+// its own accord ends it before the body of the refusal matters. The connection ends
+// with an answer that belongs to another attempt, as that of this one may follow, and
+// with a refusal that names none: a copy of it could not be told from a refusal of the
+// next attempt.
 func (gd *Guard) wholeAnswer(ctx context.Context, res upstream.Answer, at *attempt.Attempt) (an *attempt.Answer, next bool) {
 	verdict := gd.dialect.Judge(res.Response, at)
+	named := gd.dialect.Answers(res.Header, at.Header)
 	if verdict == Unusable {
-		late := res.Previous != nil && gd.dialect.Answers(res.Header, res.Previous)
+		late := !named && res.Previous != nil && gd.dialect.Answers(res.Header, res.Previous)
+		res.Close = res.Close || !named && !late
 		return attempt.Broken(ReasonBroken, http.StatusBadGateway), late
 	}
+	res.Close = res.Close || verdict != Answered && !named
 	held := gd.memory.hold(res.Body)
 	defer held.release()
 	body, err := attempt.ReadBody(held, bodyLength(res.Response, at.Method), at.MaxAnswer)
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -63,7 +63,8 @@
 }
 
 // Handler reads an answer with its body. It returns true if the answer is not
-// that of the request, and the next one on the connection is to be read.
+// that of the request, and the next one on the connection is to be read. If it sets
+// Close of the answer, the connection carries no other request.
 type Handler func(an Answer) (next bool)
 
 // Client holds the connections to one upstream. It is safe for concurrent use.
