Refuse a transfer coding in an answer of HTTP/1.0

Callers got a 200 with the framing of chunks as its body, and a short one as a whole one if the upstream stopped midway: http.ReadResponse drops Transfer-Encoding of an answer of HTTP/1.0 and reads to the end of the connection. RFC 9112, section 6.1, calls such framing faulty. The answer is now broken, and the outcome unknown. Other answers of HTTP/1.0 are read as before; their connections carry no other request.

A body without a length that ends with an orderly end of its connection counts as whole, as the protocol has it: where such a body is cut, nothing tells.

--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"camphortrail/internal/traffic/header"
 )
 
 const (
@@ -22,6 +26,10 @@
 	maxAnswerHead = 256 << 10
 )
 
+// ErrTransferCoding is returned for an answer of HTTP/1.0 with a transfer coding, which
+// leaves the end of its body unknown.
+var ErrTransferCoding = errors.New("upstream: transfer coding in an answer of HTTP/1.0")
+
 // ErrHeadTooLarge is returned for an answer whose head does not end within a bound.
 var ErrHeadTooLarge = errors.New("upstream: head of the answer is too large")
 
@@ -139,7 +147,7 @@
 	// The body has a bound of its own.
 	defer func() { cn.source.left = math.MaxInt64 }()
 	for {
-		res, err := http.ReadResponse(cn.br, rq)
+		res, err := readResponse(cn.br, rq)
 		if err != nil && cn.source.left <= 0 {
 			// What was cut off at the bound may have been read as malformed.
 			err = ErrHeadTooLarge
@@ -150,6 +158,38 @@
 	}
 }
 
+// readResponse reads an answer. http.ReadResponse drops the transfer coding of one of
+// HTTP/1.0 and takes what is left of the connection for its body, where RFC 9112,
+// section 6.1, calls the framing faulty.
+func readResponse(br *bufio.Reader, rq *http.Request) (*http.Response, error) {
+	const old = "HTTP/1.0"
+	if begin, err := br.Peek(len(old)); err != nil || string(begin) != old {
+		return http.ReadResponse(br, rq)
+	}
+	tr := textproto.NewReader(br)
+	line, err := tr.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	hd, err := tr.ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	if len(hd["Transfer-Encoding"]) > 0 {
+		return nil, ErrTransferCoding
+	}
+	var head bytes.Buffer
+	head.WriteString(line + "\r\n")
+	header.WriteFields(&head, http.Header(hd), nil)
+	head.WriteString("\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(io.MultiReader(&head, br)), rq)
+	if err == nil {
+		// The new reader may hold more than this answer.
+		res.Close = true
+	}
+	return res, err
+}
+
 // ended reports whether a body was read to its end.
 func ended(body io.Reader) bool {
 	var one [1]byte
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -310,3 +310,31 @@
 		t.Errorf("idle limit %v, want %v", got, want)
 	}
 }
+
+// The framing of chunks is taken for the body of an answer of HTTP/1.0.
+func TestChunksOfHTTP10AreTakenForTheBody(t *testing.T) {
+	for _, tt := range []struct {
+		head, body string
+		want       error
+	}{
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\n\r\n", ErrTransferCoding},
+		{"HTTP/1.0 200 OK\r\ntransfer-encoding: gzip, chunked\r\nContent-Length: 2\r\n\r\n", "ok", ErrTransferCoding},
+		{"HTTP/1.0 200 OK\r\nX-A: 1\r\nX-A: 2\r\n\r\n", "ok", nil},
+		{"HTTP/1.0 200 OK\r\nX-A: 1\r\nX-A: 2\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\n", "ok", nil},
+	} {
+		address, _ := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+			_, _ = http.ReadRequest(br)
+			_, _ = io.WriteString(nc, tt.head+tt.body)
+		})
+		err := New().Do(t.Context(), address, get("/"), func(an Answer) bool {
+			body, err := io.ReadAll(an.Body)
+			if err != nil || string(body) != "ok" || len(an.Header["X-A"]) != 2 {
+				t.Errorf("%q: body %q, header %v, %v", tt.head, body, an.Header, err)
+			}
+			return false
+		})
+		if !errors.Is(err, tt.want) {
+			t.Errorf("%q: error %v, want %v", tt.head, err, tt.want)
+		}
+	}
+}
