Take no switch of protocols for an answer

A faulty upstream that answered 101 had it passed on to the caller, with a Content-Length, in place of an answer. No request asks for a switch: the headers for it are not passed on. The answer is now broken, and the outcome unknown. TestSwitchOfProtocolsIsPassedOn: status 101 in all 3 cases before, 502 with the change.

--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -30,6 +30,10 @@
 // leaves the end of its body unknown.
 var ErrTransferCoding = errors.New("upstream: transfer coding in an answer of HTTP/1.0")
 
+// ErrSwitched is returned for an answer that switches to another protocol, which no
+// request asks for.
+var ErrSwitched = errors.New("upstream: answer switches to another protocol")
+
 // ErrHeadTooLarge is returned for an answer whose head does not end within a bound.
 var ErrHeadTooLarge = errors.New("upstream: head of the answer is too large")
 
@@ -152,8 +156,11 @@
 			// What was cut off at the bound may have been read as malformed.
 			err = ErrHeadTooLarge
 		}
-		if err != nil || res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case err != nil || res.StatusCode >= http.StatusOK:
 			return res, err
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrSwitched
 		}
 	}
 }
