Bound what upstreams and nodes say of each other

Callers saw: an upstream with one odd report (born, or seq) was not followed again, its next reports were stale for good. slots and a coldLeftMs that overflows went to all nodes. An odd upstream in a datagram hid the other records in it, and its sender's own word. A suspicion with refutation 2^53, or incarnation 2^53, hid a process for good.

Cause: numbers of other writers had the bounds of their Go types, and records of gossip were refused by the datagram.

Change: membership bounds slots, connections and warm-up (MaxSlots, MaxConnections, MaxWarmUp), incarnations (2^45 ms) and counts (2^53), and refuses port 0. It refuses single records, and single upstreams in a record, of which what is known stays; each refusal is counted, and one a second is logged with field and value. A process outlives refused claims about itself. An instance may not change its service. A life that is silent until its lease is forgotten, and did not say that it leaves, holds nobody off.

Tests: TestRefused counts refused records too, since a record no longer takes its datagram along.

--- a/internal/fleet/announce/announce.go
+++ b/internal/fleet/announce/announce.go
@@ -58,11 +58,14 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			an.change(func() bool { return an.leases.expire(an.now()) })
+			an.Expire()
 		}
 	}
 }
 
+// Expire ends announcements that were not repeated in time.
+func (an *Announce) Expire() { an.change(func() bool { return an.leases.expire(an.now()) }) }
+
 // Drain marks all upstreams as draining, as if they had asked for it.
 func (an *Announce) Drain() { an.change(func() bool { return an.leases.stop(true) }) }
 
--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -14,8 +14,27 @@
 // upstream, or is from one that has left.
 var ErrStale = errors.New("announce: stale report")
 
-// maxDeparted bounds the instances whose departure is remembered.
-const maxDeparted = 64
+// ErrService is returned for a report that names another service than the one
+// that the same life of the upstream has reported.
+var ErrService = errors.New("announce: service changed")
+
+// ErrNumber is returned for a report whose number cannot follow the last one.
+var ErrNumber = errors.New("announce: number out of range")
+
+const (
+	// MaxNumber is the highest number of a report, the largest for which all
+	// writers of JSON have a whole number of their own.
+	MaxNumber = 1<<53 - 1
+	// maxStep is how far the number of a report may be above the last one of
+	// an upstream that is still known.
+	maxStep = 1 << 20
+	// MaxAhead is how far the start of an upstream may be ahead of the clock
+	// of the node, as clocks are set back.
+	MaxAhead = 24 * time.Hour
+
+	// maxDeparted bounds the instances whose departure is remembered.
+	maxDeparted = 64
+)
 
 // Report is an announcement of an upstream that numbers its announcements, so
 // that one which arrives late is found out.
@@ -39,33 +58,44 @@
 	current life
 	number  uint64
 	service call.Service
+	// leaving is set once the current life has said that it leaves.
+	leaving bool
 	// departed are lives that have ended, and leavers instances that said so
 	// before they reported, oldest first.
 	departed []life
 	leavers  []string
 }
 
-// take reports whether a report is the newest of a life that has not ended.
-// Lives follow each other by their start, so that a report which was held up
-// does not bring an earlier one back.
-func (rs *reports) take(rp Report) bool {
+// take fails unless a report is the newest of a life that has not ended. Lives
+// follow each other by their start, so that a report which was held up does not
+// bring an earlier one back. A life that is silent until it is forgotten, and
+// did not say that it leaves, holds nobody off: its start or number may be
+// wrong.
+func (rs *reports) take(rp Report, known bool) error {
 	lf := life{instance: rp.Upstream.Instance, born: rp.Born}
 	if at := slices.Index(rs.leavers, lf.instance); at >= 0 {
 		rs.leavers = slices.Delete(rs.leavers, at, at+1)
 		rs.departed = remember(rs.departed, lf)
 	}
+	holds := known || rs.leaving
 	switch {
 	case slices.Contains(rs.departed, lf):
-		return false
-	case lf == rs.current:
-		if rp.Number <= rs.number {
-			return false
+		return ErrStale
+	case !holds:
+	case lf != rs.current:
+		if rp.Born.Before(rs.current.born) {
+			return ErrStale
 		}
-	case rp.Born.Before(rs.current.born):
-		return false
+	case rp.Upstream.Service != rs.service:
+		return errors.Wrapf(ErrService, "%.*q, before %q", membership.MaxNameBytes, rp.Upstream.Service, rs.service)
+	case rp.Number <= rs.number:
+		return ErrStale
+	case rp.Number-rs.number > maxStep:
+		return errors.Wrapf(ErrNumber, "last %d", rs.number)
 	}
 	rs.current, rs.number, rs.service = lf, rp.Number, rp.Upstream.Service
-	return true
+	rs.leaving = rp.Upstream.Draining
+	return nil
 }
 
 // depart ends the present life of an instance, and reports whether it has one. A
@@ -79,6 +109,7 @@
 		return false
 	}
 	rs.departed = remember(rs.departed, rs.current)
+	rs.leaving = true
 	return true
 }
 
@@ -102,8 +133,8 @@
 	before := an.leases.upstreams()
 	earlier := an.reports.current
 	service := an.reports.service
-	if !an.reports.take(rp) {
-		return errors.Wrapf(ErrStale, "instance %q, number %d", rp.Upstream.Instance, rp.Number)
+	if err := an.reports.take(rp, an.leases.find(service) != nil); err != nil {
+		return errors.Wrapf(err, "instance %q, number %d", rp.Upstream.Instance, rp.Number)
 	}
 	if earlier != an.reports.current && service != "" {
 		an.leases.leave(service)
--- a/internal/fleet/announce/report_test.go
+++ b/internal/fleet/announce/report_test.go
@@ -15,7 +15,8 @@
 
 // TestReports gives the reports of testdata/reports, one a line: instance,
 // start in seconds, number, service, and draining if it leaves; or depart and
-// the instance. After each it prints what the node tells others.
+// the instance; or silence until no lease is left. After each it prints what the
+// node tells others.
 func TestReports(t *testing.T) {
 	datadriven.RunTest(t, "testdata/reports", func(t *testing.T, td *datadriven.TestData) string {
 		var told []membership.Upstream
@@ -26,12 +27,14 @@
 			now = now.Add(time.Second)
 			fields := strings.Fields(line)
 			note := ""
-			if fields[0] == "depart" {
+			switch fields[0] {
+			case "depart":
 				an.Depart(fields[1])
-			} else if err := an.Report(report(t, fields)); errors.Is(err, ErrStale) {
-				note = " stale"
-			} else if err != nil {
-				t.Fatal(err)
+			case "silence":
+				now = now.Add(2 * LeaseTime)
+				an.Expire()
+			default:
+				note = outcome(t, an.Report(report(t, fields)))
 			}
 			fmt.Fprintf(&out, "%s:%s%s\n", strings.TrimSpace(line), describe(told), note)
 		}
@@ -39,6 +42,19 @@
 	})
 }
 
+func outcome(t *testing.T, err error) string {
+	t.Helper()
+	for bad, text := range map[error]string{ErrStale: " stale", ErrNumber: " number", ErrService: " service"} {
+		if errors.Is(err, bad) {
+			return text
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ""
+}
+
 func report(t *testing.T, fields []string) Report {
 	t.Helper()
 	var born int64
--- a/internal/fleet/announce/request.go
+++ b/internal/fleet/announce/request.go
@@ -17,17 +17,21 @@
 )
 
 const (
-	maxBodyBytes   = 64 << 10
-	maxSlots       = 100_000
-	maxConnections = 1_000_000
-	maxWarmUp      = time.Hour
+	maxBodyBytes = 64 << 10
+	// maxShownBytes bounds what an answer repeats of a request.
+	maxShownBytes = 256
 )
 
 // problem describes a field of a request that is refused.
 type problem struct{ field, value, reason string }
 
 func (pr *problem) message() *schema.AnnounceError {
-	return &schema.AnnounceError{Field: pr.field, Value: pr.value, Reason: pr.reason}
+	return &schema.AnnounceError{Field: shown(pr.field), Value: shown(pr.value), Reason: shown(pr.reason)}
+}
+
+// shown returns what an answer repeats of a request.
+func shown(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxShownBytes)], "\uFFFD")
 }
 
 // decode reads a request body. An empty one is an empty announcement.
@@ -83,10 +87,10 @@
 		Draining:    msg.GetDraining(),
 		Address:     msg.GetAddress(),
 	}
-	if err := up.Validate(); err != nil {
+	if len(up.Service) == 0 || len(up.Service) > membership.MaxNameBytes {
 		return up, &problem{"service", msg.GetService(), "must have 1 to 64 bytes"}
 	}
-	if _, err := netip.ParseAddrPort(up.Address); err != nil {
+	if addr, err := netip.ParseAddrPort(up.Address); err != nil || addr.Port() == 0 {
 		return up, &problem{"address", up.Address, "must be IP:port"}
 	}
 	for _, bound := range []struct {
@@ -94,9 +98,9 @@
 		value, max uint32
 		min        uint32
 	}{
-		{"slots", up.Slots, maxSlots, 1},
-		{"connections", up.Connections, maxConnections, 1},
-		{"warm-up-ms", msg.GetWarmUpMs(), uint32(maxWarmUp / time.Millisecond), 0},
+		{"slots", up.Slots, membership.MaxSlots, 1},
+		{"connections", up.Connections, membership.MaxConnections, 1},
+		{"warm-up-ms", msg.GetWarmUpMs(), uint32(membership.MaxWarmUp / time.Millisecond), 0},
 	} {
 		if bound.value < bound.min || bound.value > bound.max {
 			return up, &problem{bound.field, number(bound.value), "must be from " + number(bound.min) + " to " + number(bound.max)}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
@@ -41,12 +42,15 @@
 	Incarnation membership.Incarnation
 	// Metrics takes the metrics of the Gossip, if set.
 	Metrics *metrics.Set
+	// Log is told of records that are refused, if set.
+	Log log.Interface
 }
 
 // Gossip is the membership of one process. Its methods are safe for
 // concurrent use.
 type Gossip struct {
 	conn  net.PacketConn
+	log   log.Interface
 	inbox *ring.Ring[*schema.Datagram]
 	hints *ring.Ring[membership.RevisionHint]
 	out   sender
@@ -101,6 +105,7 @@
 	}
 	gs := &Gossip{
 		conn:    conn,
+		log:     set.Log,
 		inbox:   ring.New[*schema.Datagram](inboxCapacity),
 		hints:   ring.New[membership.RevisionHint](hintCapacity),
 		out:     sender{conn: conn},
@@ -183,6 +188,10 @@
 			for _, sub := range gs.subs {
 				sub.offer(ac)
 			}
+		case membership.Refused:
+			if gs.log != nil {
+				gs.log.WithError(ac.Err).Warn("record of the membership refused")
+			}
 		case membership.RevisionHint:
 			if !gs.hints.Offer(ac) {
 				gs.counts.hintsDropped.Inc()
--- a/internal/fleet/gossip/metrics.go
+++ b/internal/fleet/gossip/metrics.go
@@ -35,6 +35,7 @@
 	for name, value := range map[string]func(ct membership.Counters) uint64{
 		`camphortrail_gossip_refused_total{reason="deployment"}`: func(ct membership.Counters) uint64 { return ct.RefusedDeployment },
 		`camphortrail_gossip_refused_total{reason="malformed"}`:  func(ct membership.Counters) uint64 { return ct.RefusedMalformed },
+		`camphortrail_gossip_refused_total{reason="record"}`:     func(ct membership.Counters) uint64 { return ct.RefusedRecords },
 		`camphortrail_gossip_refused_total{reason="target"}`:     func(ct membership.Counters) uint64 { return ct.RefusedTarget },
 		`camphortrail_gossip_refused_total{reason="table-full"}`: func(ct membership.Counters) uint64 { return ct.RefusedFull },
 		"camphortrail_gossip_suspicions_total":                   func(ct membership.Counters) uint64 { return ct.Suspicions },
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -230,7 +230,7 @@
 		Deployment: call.Tenant(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
 		Address: nd.peers.Addr().String(), Contacts: nd.set.GetFirstContacts(),
-		Metrics: nd.metrics,
+		Metrics: nd.metrics, Log: nd.log,
 	}, sockets.packet(conn))
 	if err != nil {
 		conn.Close()
--- a/internal/state/control/hints.go
+++ b/internal/state/control/hints.go
@@ -29,7 +29,7 @@
 		Deployment: call.Tenant(co.set.GetDeployment()), Name: call.VM(co.set.GetName()),
 		FailureDomain: call.FailureDomain(co.set.GetFailureDomain()), Role: membership.ControlRole,
 		Address: co.listener.Addr().String(), Contacts: co.contacts(),
-		Metrics: co.measures.set,
+		Metrics: co.measures.set, Log: co.log,
 	}, conn)
 	if err != nil {
 		conn.Close()
--- /dev/null
+++ b/internal/traffic/attempt/fuzz_test.go
@@ -0,0 +1,62 @@
+package attempt
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphortrail/schema"
+)
+
+// FuzzFrame decodes any frame of another node, as entries and guards do.
+func FuzzFrame(f *testing.F) {
+	id := make([]byte, 16)
+	for _, fr := range []*schema.Frame{
+		{Kind: &schema.Frame_Attempt{Attempt: &schema.Attempt{
+			AttemptId: id, RequestId: id, DeadlineUs: math.MaxUint64, Allowance: math.MaxUint32, Importance: math.MaxUint32,
+			Depth: math.MaxUint32, MaxAnswerBytes: math.MinInt64, Stamp: "0", HeaderBlock: []byte{0xff, 0xff, 0xff, 0xff, 0x0f},
+		}}},
+		{Kind: &schema.Frame_Answer{Answer: &schema.AttemptAnswer{
+			AttemptId: id, WorkUs: math.MaxUint64, RetryAfterMs: math.MaxUint32, Answer: &schema.RecordedAnswer{Status: 200},
+			Needs: []*schema.Need{{SlotUs: math.MaxUint64}},
+		}}},
+		{Kind: &schema.Frame_Demand{Demand: &schema.Demand{Wants: []*schema.Want{{Rank: math.MaxUint32, SlotsThousandths: math.MaxUint64}}}}},
+		{Kind: &schema.Frame_Room{Room: &schema.Room{SharesMillionths: []uint32{math.MaxUint32}}}},
+	} {
+		data, err := proto.Marshal(fr)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fr := new(schema.Frame)
+		if fr.UnmarshalVT(data) != nil {
+			return
+		}
+		now := time.UnixMilli(1_700_000_000_000)
+		var err error
+		switch kd := fr.GetKind().(type) {
+		case *schema.Frame_Attempt:
+			var at *Attempt
+			if at, err = FromFrame(kd.Attempt, now); err == nil && (at.Deadline.Before(now) || at.Allowance < 0) {
+				t.Errorf("attempt with deadline %v, allowance %d", at.Deadline, at.Allowance)
+			}
+		case *schema.Frame_Answer:
+			var an *Answer
+			if an, err = FromAnswerFrame(kd.Answer); err == nil && (an.Work < 0 || an.Held < 0 || an.RetryAfter < 0) {
+				t.Errorf("answer with work %v, held %v, retry after %v", an.Work, an.Held, an.RetryAfter)
+			}
+		case *schema.Frame_Demand:
+			_, err = FromDemandFrame(kd.Demand)
+		case *schema.Frame_Room:
+			_, _, err = FromRoomFrame(kd.Room)
+		}
+		if err != nil && !errors.Is(err, ErrBadFrame) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,23 +13,42 @@
 )
 
 const (
-	maxNameBytes          = 64
+	// MaxNameBytes bounds the names of VMs and services.
+	MaxNameBytes = 64
+
 	maxFailureDomainBytes = 32
 	maxRoleBytes          = 16
-	maxIncarnation        = 1 << 53
+	// maxIncarnation is a time in Unix milliseconds, in the year 3084. A process
+	// can outlive claims up to there.
+	maxIncarnation = 1 << 45
+	// maxCount bounds counts within an incarnation.
+	maxCount = 1 << 53
 
 	// MaxUpstreams is the number of upstreams that one process can announce.
 	MaxUpstreams = 8
+	// MaxSlots is the number of requests that one upstream can run at a time.
+	MaxSlots = 100_000
+	// MaxConnections is the number of connections that one upstream can accept.
+	MaxConnections = 1_000_000
+	// MaxWarmUp is the longest cold start.
+	MaxWarmUp = time.Hour
 )
 
 // ErrMalformed is returned for records that break the rules of the protocol.
 var ErrMalformed = errors.New("membership: malformed record")
 
-// Validate returns an error that wraps ErrMalformed if the upstream cannot be
-// announced.
+// Validate returns an error that wraps ErrMalformed, and names the field and
+// its value, if the upstream cannot be announced.
 func (up Upstream) Validate() error {
-	if len(up.Service) == 0 || len(up.Service) > maxNameBytes {
-		return errors.Wrapf(ErrMalformed, "service %q", up.Service)
+	switch {
+	case len(up.Service) == 0 || len(up.Service) > MaxNameBytes:
+		return errors.Wrapf(ErrMalformed, "service %.*q", MaxNameBytes, up.Service)
+	case up.Slots > MaxSlots:
+		return errors.Wrapf(ErrMalformed, "slots %d", up.Slots)
+	case up.Connections > MaxConnections:
+		return errors.Wrapf(ErrMalformed, "connections %d", up.Connections)
+	case up.WarmUp < 0 || up.WarmUp > MaxWarmUp:
+		return errors.Wrapf(ErrMalformed, "warm-up %v", up.WarmUp)
 	}
 	return nil
 }
@@ -65,44 +85,67 @@
 	return proto.Size(msg) + tagAndLength
 }
 
-// decodeMember returns the record in msg, and whether it is a full one.
-func decodeMember(msg *schema.Member) (mb Member, full bool, err error) {
-	mb = Member{
+// heard is the record of a member as another process sent it.
+type heard struct {
+	Member
+	// full is set unless the record says only whether the member is alive.
+	full bool
+	// refused are the upstreams that were announced with values that cannot be
+	// used. Upstreams leaves them out.
+	refused []refusal
+}
+
+// refusal says why the upstream of a service cannot be used.
+type refusal struct {
+	service call.Service
+	err     error
+}
+
+// decodeMember returns the record in msg. An error wraps ErrMalformed, and
+// names the field and its value.
+func decodeMember(msg *schema.Member) (heard, error) {
+	hd := heard{Member: Member{
 		Name:        call.VM(msg.GetName()),
 		Incarnation: Incarnation(msg.GetIncarnation()),
 		Refutation:  Refutation(msg.GetRefutation()),
 		State:       State(msg.GetState()),
-	}
-	if len(mb.Name) == 0 || len(mb.Name) > maxNameBytes {
-		return mb, false, ErrMalformed
-	}
-	if mb.Incarnation == 0 || mb.Incarnation > maxIncarnation || mb.Refutation > maxIncarnation {
-		return mb, false, ErrMalformed
-	}
-	if st := msg.GetState(); st < schema.Member_STATE_ALIVE || st > schema.Member_STATE_LEFT {
-		return mb, false, ErrMalformed
+	}}
+	switch st := msg.GetState(); {
+	case len(hd.Name) == 0 || len(hd.Name) > MaxNameBytes:
+		return hd, errors.Wrapf(ErrMalformed, "name %.*q", MaxNameBytes, hd.Name)
+	case hd.Incarnation == 0 || hd.Incarnation > maxIncarnation:
+		return hd, errors.Wrapf(ErrMalformed, "incarnation %d", hd.Incarnation)
+	case hd.Refutation > maxCount:
+		return hd, errors.Wrapf(ErrMalformed, "refutation %d", hd.Refutation)
+	case st < schema.Member_STATE_ALIVE || st > schema.Member_STATE_LEFT:
+		return hd, errors.Wrapf(ErrMalformed, "state %d", st)
 	}
 	if msg.GetAddress() == "" {
-		return mb, false, nil
+		return hd, nil
 	}
-	return mb, true, decodeProfile(&mb, msg)
+	hd.full = true
+	return hd, hd.decodeProfile(msg)
 }
 
-// decodeProfile sets the part of mb that only a full record has.
-func decodeProfile(mb *Member, msg *schema.Member) error {
-	addr, err := netip.ParseAddrPort(msg.GetAddress())
+// decodeProfile sets the part that only a full record has.
+func (hd *heard) decodeProfile(msg *schema.Member) error {
+	addr, err := parseAddress(msg.GetAddress())
 	if err != nil {
-		return ErrMalformed
+		return err
 	}
-	mb.Address = addr
-	mb.FailureDomain = call.FailureDomain(msg.GetFailureDomain())
-	mb.Role = Role(msg.GetRole())
-	mb.Announcement = Announcement(msg.GetAnnouncement())
-	if len(mb.FailureDomain) == 0 || len(mb.FailureDomain) > maxFailureDomainBytes || len(mb.Role) > maxRoleBytes {
-		return ErrMalformed
-	}
-	if len(msg.GetUpstreams()) > MaxUpstreams {
-		return ErrMalformed
+	hd.Address = addr
+	hd.FailureDomain = call.FailureDomain(msg.GetFailureDomain())
+	hd.Role = Role(msg.GetRole())
+	hd.Announcement = Announcement(msg.GetAnnouncement())
+	switch {
+	case len(hd.FailureDomain) == 0 || len(hd.FailureDomain) > maxFailureDomainBytes:
+		return errors.Wrapf(ErrMalformed, "failure domain %.*q", maxFailureDomainBytes, hd.FailureDomain)
+	case len(hd.Role) > maxRoleBytes:
+		return errors.Wrapf(ErrMalformed, "role %.*q", maxRoleBytes, hd.Role)
+	case hd.Announcement > maxCount:
+		return errors.Wrapf(ErrMalformed, "announcement %d", hd.Announcement)
+	case len(msg.GetUpstreams()) > MaxUpstreams:
+		return errors.Wrapf(ErrMalformed, "%d upstreams", len(msg.GetUpstreams()))
 	}
 	for _, um := range msg.GetUpstreams() {
 		up := Upstream{
@@ -113,9 +156,30 @@
 			WarmUp:      time.Duration(um.GetWarmUpMs()) * time.Millisecond,
 		}
 		if err := up.Validate(); err != nil {
-			return err
+			hd.refused = append(hd.refused, refusal{up.Service, err})
+			continue
 		}
-		mb.Upstreams = append(mb.Upstreams, up)
+		hd.Upstreams = append(hd.Upstreams, up)
 	}
 	return nil
 }
+
+// parseAddress returns an address (IP:port) that datagrams can be sent to.
+func parseAddress(text string) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil || addr.Port() == 0 {
+		return addr, errors.Wrapf(ErrMalformed, "address %.*q", MaxNameBytes, text)
+	}
+	return addr, nil
+}
+
+// keepKnown puts what is known of the upstreams that were refused in their
+// places.
+func (hd *heard) keepKnown(known []Upstream) {
+	for _, rf := range hd.refused {
+		ofService := func(up Upstream) bool { return up.Service == rf.service }
+		if at := slices.IndexFunc(known, ofService); at >= 0 && !slices.ContainsFunc(hd.Upstreams, ofService) {
+			hd.Upstreams = append(hd.Upstreams, known[at])
+		}
+	}
+}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -49,7 +49,7 @@
 // Validate returns an error that wraps ErrMalformed if other processes would
 // refuse the record of this one.
 func (set Settings) Validate() error {
-	_, _, err := decodeMember(encodeMember(set.member(), true))
+	_, err := decodeMember(encodeMember(set.member(), true))
 	return err
 }
 
@@ -86,9 +86,11 @@
 	nextContact time.Time
 
 	nextVerify time.Time
-	quietUntil time.Time
-	refuteAt   time.Time
-	restoring  restoring
+	// nextRefused is when a refused record may be reported again.
+	nextRefused time.Time
+	quietUntil  time.Time
+	refuteAt    time.Time
+	restoring   restoring
 
 	revision     uint64
 	revisionSent int
@@ -238,6 +240,9 @@
 	RefusedDeployment uint64
 	RefusedMalformed  uint64
 	RefusedTarget     uint64
+	// RefusedRecords counts records, and upstreams in records, that are
+	// malformed.
+	RefusedRecords uint64
 	// RefusedFull counts records for which the table had no room.
 	RefusedFull uint64
 	// Suspicions counts the members suspected by own probes.
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 		return &schema.Datagram{Members: []*schema.Member{mb}}
 	}
 	refused := func(ct membership.Counters) uint64 {
-		return ct.RefusedDeployment + ct.RefusedMalformed + ct.RefusedTarget
+		return ct.RefusedDeployment + ct.RefusedMalformed + ct.RefusedTarget + ct.RefusedRecords
 	}
 	for name, dg := range map[string]*schema.Datagram{
 		"deployment":     {Deployment: "other"},
@@ -34,7 +35,12 @@
 		"incarnation":    change(func(mb *schema.Member) { mb.Incarnation = 1 << 60 }),
 		"member address": change(func(mb *schema.Member) { mb.Address = "10.0.0.9" }),
 		"domain":         change(func(mb *schema.Member) { mb.FailureDomain = "" }),
-		"service":        change(func(mb *schema.Member) { mb.Upstreams = []*schema.AnnouncedUpstream{{}} }),
+		"port":           change(func(mb *schema.Member) { mb.Address = "10.0.0.9:65536" }),
+		"no port":        change(func(mb *schema.Member) { mb.Address = "10.0.0.9:0" }),
+		"sender's port":  {FromAddress: "10.0.0.9:0"},
+		"far start":      change(func(mb *schema.Member) { mb.Incarnation = 1 << 53 }),
+		"refutation":     change(func(mb *schema.Member) { mb.Refutation = math.MaxUint64 }),
+		"announcement":   change(func(mb *schema.Member) { mb.Announcement = math.MaxUint64 }),
 		"upstreams":      change(func(mb *schema.Member) { mb.Upstreams = make([]*schema.AnnouncedUpstream, 9) }),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -52,7 +58,7 @@
 			}
 			pr.Step(nw.now, membership.Receive{Datagram: bad})
 			if n := refused(pr.Counters()); n != 1 {
-				t.Errorf("%d datagrams refused, want 1: %+v", n, pr.Counters())
+				t.Errorf("%d refused, want 1: %+v", n, pr.Counters())
 			}
 			for mb := range pr.Members {
 				if mb.Name != "vm-0000" {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -33,19 +33,23 @@
 
 // mergeAll takes over the records of a datagram. It reports whether one of
 // them is about this process and does not say what this process says.
-func (mc *Machine) mergeAll(src source, mbs []Member, full []bool) (wrong bool) {
-	for i, mb := range mbs {
-		if mb.Name == mc.tb.self.Name {
-			wrong = mc.hearOfSelf(mb, full[i], src) || wrong
+func (mc *Machine) mergeAll(src source, hds []heard) (wrong bool) {
+	for _, hd := range hds {
+		if hd.Name == mc.tb.self.Name {
+			wrong = mc.hearOfSelf(hd.Member, hd.full, src) || wrong
 			continue
 		}
-		mc.merge(mb, full[i], src)
+		mc.merge(hd, src)
 	}
 	return wrong
 }
 
-func (mc *Machine) merge(mb Member, full bool, src source) {
-	rec := mc.tb.records[mb.Name]
+func (mc *Machine) merge(hd heard, src source) {
+	rec := mc.tb.records[hd.Name]
+	if rec != nil && rec.Incarnation == hd.Incarnation {
+		hd.keepKnown(rec.Upstreams)
+	}
+	mb, full := hd.Member, hd.full
 	switch {
 	case rec == nil && full && mb.State.Present():
 		mc.add(mb, src)
@@ -227,7 +231,7 @@
 	if mb.Incarnation < self.Incarnation {
 		return true
 	}
-	if mb.Incarnation > self.Incarnation || mc.conflicts(mb, full) {
+	if mb.Incarnation > self.Incarnation || mb.Refutation >= maxCount || mc.conflicts(mb, full) {
 		mc.outlive(mb.Incarnation)
 		return true
 	}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -2,18 +2,25 @@
 
 import (
 	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"camphortrail/call"
 	"camphortrail/schema"
 )
 
-// receive handles a datagram, or refuses it as a whole.
+// refusedInterval is the least time between two reports of refused records.
+const refusedInterval = time.Second
+
+// receive handles a datagram, or refuses it as a whole. Of its records it
+// refuses just those that are malformed: the sender may only pass them on.
 func (mc *Machine) receive(dg *schema.Datagram) {
 	if dg.GetDeployment() != string(mc.set.Deployment) {
 		mc.counters.RefusedDeployment++
 		return
 	}
-	from, mbs, full, ok := mc.check(dg)
+	from, hds, ok := mc.check(dg)
 	if !ok {
 		mc.counters.RefusedMalformed++
 		return
@@ -25,7 +32,7 @@
 	if rec := mc.tb.records[call.VM(dg.GetFrom())]; rec != nil && uint64(rec.Incarnation) == dg.GetFromIncarnation() {
 		mc.noteSign(rec.domain)
 	}
-	wrong := mc.mergeAll(mc.source(dg, from), mbs, full)
+	wrong := mc.mergeAll(mc.source(dg, from), hds)
 	mc.hint(dg, from)
 	mc.dispatch(dg, from, wrong)
 	mc.noticeSender(dg, from)
@@ -46,31 +53,53 @@
 }
 
 // check validates the whole datagram and decodes its records.
-func (mc *Machine) check(dg *schema.Datagram) (from netip.AddrPort, mbs []Member, full []bool, ok bool) {
-	from, err := netip.ParseAddrPort(dg.GetFromAddress())
+func (mc *Machine) check(dg *schema.Datagram) (from netip.AddrPort, hds []heard, ok bool) {
+	from, err := parseAddress(dg.GetFromAddress())
 	if err != nil || from == mc.tb.self.Address {
-		return from, nil, nil, false
+		return from, nil, false
 	}
-	if name := dg.GetFrom(); name == "" || len(name) > maxNameBytes {
-		return from, nil, nil, false
+	if name := dg.GetFrom(); name == "" || len(name) > MaxNameBytes {
+		return from, nil, false
 	}
 	if len(dg.GetDigests()) > maxFailureDomains {
-		return from, nil, nil, false
+		return from, nil, false
 	}
 	for _, dd := range dg.GetDigests() {
 		if n := len(dd.GetParts()); n != 0 && n != partCount {
-			return from, nil, nil, false
+			return from, nil, false
 		}
 	}
 	for _, msg := range dg.GetMembers() {
-		mb, isFull, err := decodeMember(msg)
+		hd, err := decodeMember(msg)
 		if err != nil {
-			return from, nil, nil, false
+			mc.refuse(msg, err)
+			continue
+		}
+		for _, rf := range hd.refused {
+			mc.countRefused(msg, rf.err)
 		}
-		mbs = append(mbs, mb)
-		full = append(full, isFull)
+		hds = append(hds, hd)
+	}
+	return from, hds, true
+}
+
+// refuse counts a malformed record. One of this process is outlived, as those
+// that hold it take nothing else from this process in that incarnation.
+func (mc *Machine) refuse(msg *schema.Member, err error) {
+	mc.countRefused(msg, err)
+	self := mc.tb.self
+	if inc := Incarnation(msg.GetIncarnation()); msg.GetName() == string(self.Name) && self.State != Left && inc >= self.Incarnation {
+		mc.outlive(inc)
+	}
+}
+
+func (mc *Machine) countRefused(msg *schema.Member, err error) {
+	mc.counters.RefusedRecords++
+	if mc.now.Before(mc.nextRefused) {
+		return
 	}
-	return from, mbs, full, true
+	mc.nextRefused = mc.now.Add(refusedInterval)
+	mc.act(Refused{Err: errors.Wrapf(err, "record of %.*q", MaxNameBytes, msg.GetName())})
 }
 
 func (mc *Machine) dispatch(dg *schema.Datagram, from netip.AddrPort, wrong bool) {
