Refuse revisions that no configuration can have

Callers saw: after one peer answered or hinted with revision 2^64-1, a node kept that for good, told it to others, and took no later configuration.

Cause: a revision of another node was believed whatever its number.

Change: membership.MaxRevision (2^53) bounds hints and answers to fetches, and the local copy. What is beyond is refused with its value, counted and logged. A lower wrong revision, such as 2^40, is still believed.

--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -34,6 +34,10 @@
 // deployment.
 var ErrOtherDeployment = errors.New("rollout: configuration of another deployment")
 
+// ErrRevision is returned for a revision that no configuration can have. Those
+// that come next would be lower.
+var ErrRevision = errors.New("rollout: revision out of range")
+
 // Fetcher is the part of the clients of peers and control replicas that
 // Rollout needs.
 type Fetcher interface {
@@ -177,7 +181,7 @@
 	}
 	revision, cfg, err := ro.copy.read()
 	if err == nil && cfg != nil {
-		err = ro.checkDeployment(cfg)
+		err = ro.check(revision, cfg)
 	}
 	if err != nil {
 		ro.copyErrors.Inc()
@@ -189,9 +193,12 @@
 	}
 }
 
-func (ro *Rollout) checkDeployment(cfg *schema.Configuration) error {
-	if cfg.GetDeployment() != string(ro.set.Deployment) {
-		return ErrOtherDeployment
+func (ro *Rollout) check(revision uint64, cfg *schema.Configuration) error {
+	switch {
+	case revision > membership.MaxRevision:
+		return errors.Wrapf(ErrRevision, "revision %d", revision)
+	case cfg != nil && cfg.GetDeployment() != string(ro.set.Deployment):
+		return errors.Wrapf(ErrOtherDeployment, "deployment %.*q", membership.MaxNameBytes, cfg.GetDeployment())
 	}
 	return nil
 }
@@ -230,11 +237,9 @@
 		return nil, err
 	}
 	ev := Fetched{Source: ac.Source, Revision: res.Msg.GetRevision(), Configuration: res.Msg.GetConfiguration()}
-	if ev.Configuration == nil {
-		return ev, nil
-	}
-	if err := ro.checkDeployment(ev.Configuration); err != nil {
+	if err := ro.check(ev.Revision, ev.Configuration); err != nil {
 		ro.refused.Inc()
+		ro.set.Log.WithError(err).WithField("source", ac.Source.Address).Warn("configuration refused")
 		return nil, err
 	}
 	return ev, nil
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -49,6 +50,26 @@
 	return connect.NewResponse(rs), nil
 }
 
+// A peer with an odd revision kept the node from all later ones.
+func TestOddRevisionIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		be := &bench{hints: make(chan membership.RevisionHint, 8)}
+		be.control.set(3, "lombardy")
+		ro, stop := be.run(t)
+		defer stop()
+		for i, odd := range []uint64{math.MaxUint64, math.MaxInt64, membership.MaxRevision + 1} {
+			be.peer.set(odd, "lombardy")
+			be.hint(odd)
+			revisionAfter(ro, time.Minute)
+			want := uint64(4 + i)
+			be.control.set(want, "lombardy")
+			if got := revisionAfter(ro, time.Minute); got != want {
+				t.Errorf("after %d: revision %d, want %d", odd, got, want)
+			}
+		}
+	})
+}
+
 // bench is a Rollout with one control replica and one peer.
 type bench struct {
 	control, peer fakeSource
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -24,6 +24,8 @@
 	// maxCount bounds counts within an incarnation.
 	maxCount = 1 << 53
 
+	// MaxRevision is the highest revision of the configuration.
+	MaxRevision = maxCount
 	// MaxUpstreams is the number of upstreams that one process can announce.
 	MaxUpstreams = 8
 	// MaxSlots is the number of requests that one upstream can run at a time.
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -19,6 +19,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"camphortrail/call"
 	"camphortrail/schema"
 )
@@ -216,6 +218,10 @@
 	if dg.GetRevision() <= mc.revision {
 		return
 	}
+	if dg.GetRevision() > MaxRevision {
+		mc.countRefused(dg.GetFrom(), errors.Wrapf(ErrMalformed, "revision %d", dg.GetRevision()))
+		return
+	}
 	mc.act(RevisionHint{Revision: dg.GetRevision(), From: dg.GetFrom(), Address: from})
 }
 
@@ -241,7 +247,7 @@
 	RefusedMalformed  uint64
 	RefusedTarget     uint64
 	// RefusedRecords counts records, and upstreams in records, that are
-	// malformed.
+	// malformed, and hints of revisions that cannot be.
 	RefusedRecords uint64
 	// RefusedFull counts records for which the table had no room.
 	RefusedFull uint64
--- a/membership/odd_test.go
+++ b/membership/odd_test.go
@@ -146,6 +146,30 @@
 	}
 }
 
+// A node that was told of an odd revision waited for it.
+func TestOddRevisionIsNotHinted(t *testing.T) {
+	nw := newNetwork(1)
+	pr := nw.start(vmName(0), address(0), "domain-0")
+	for _, revision := range []uint64{math.MaxUint64, membership.MaxRevision + 1, membership.MaxRevision} {
+		hinted, named := false, false
+		for _, ac := range pr.Step(nw.now, membership.Receive{Datagram: &schema.Datagram{
+			Deployment: "test", From: string(vmName(1)), FromIncarnation: 1, FromAddress: address(1).String(),
+			Kind: schema.Datagram_KIND_UPDATES, Revision: revision,
+		}}) {
+			switch ac := ac.(type) {
+			case membership.RevisionHint:
+				hinted = true
+			case membership.Refused:
+				named = strings.Contains(ac.Err.Error(), fmt.Sprint("revision ", revision))
+			}
+		}
+		if odd := revision > membership.MaxRevision; hinted == odd || named != odd {
+			t.Errorf("revision %d: hinted %t, refused by name %t", revision, hinted, named)
+		}
+		nw.now = nw.now.Add(2 * time.Second)
+	}
+}
+
 // FuzzDatagram gives any datagram to a process that knows others, which it goes
 // on to know and to follow.
 func FuzzDatagram(f *testing.F) {
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		for _, rf := range hd.refused {
-			mc.countRefused(msg, rf.err)
+			mc.countRefused(msg.GetName(), rf.err)
 		}
 		hds = append(hds, hd)
 	}
@@ -86,20 +86,20 @@
 // refuse counts a malformed record. One of this process is outlived, as those
 // that hold it take nothing else from this process in that incarnation.
 func (mc *Machine) refuse(msg *schema.Member, err error) {
-	mc.countRefused(msg, err)
+	mc.countRefused(msg.GetName(), err)
 	self := mc.tb.self
 	if inc := Incarnation(msg.GetIncarnation()); msg.GetName() == string(self.Name) && self.State != Left && inc >= self.Incarnation {
 		mc.outlive(inc)
 	}
 }
 
-func (mc *Machine) countRefused(msg *schema.Member, err error) {
+func (mc *Machine) countRefused(name string, err error) {
 	mc.counters.RefusedRecords++
 	if mc.now.Before(mc.nextRefused) {
 		return
 	}
 	mc.nextRefused = mc.now.Add(refusedInterval)
-	mc.act(Refused{Err: errors.Wrapf(err, "record of %.*q", MaxNameBytes, msg.GetName())})
+	mc.act(Refused{Err: errors.Wrapf(err, "record of %.*q", MaxNameBytes, name)})
 }
 
 func (mc *Machine) dispatch(dg *schema.Datagram, from netip.AddrPort, wrong bool) {
