Bound the numbers of messages between control replicas

Callers saw: after one message of term 2^64-1 no replica led again, as the next term overflows. An entry that cannot be read ended each replica, and again at each start. One bad message took along those of the same request.

Cause: terms, indexes and positions had no bounds; the applied state returned the error of an entry to the process; Exchange stopped at the first bad message.

Change: quorum.Decode refuses numbers above 2^62, and its errors name field and value. Replicas pass over an entry that cannot be read, all alike, and log it. Exchange takes the other messages, and answers with the error of the bad one.

--- a/internal/state/control/service.go
+++ b/internal/state/control/service.go
@@ -209,15 +209,21 @@
 	if rq.Msg.GetDeployment() != co.set.GetDeployment() {
 		return nil, connect.NewError(connect.CodePermissionDenied, errors.Errorf("this is deployment %q", co.set.GetDeployment()))
 	}
+	var refused error
 	for _, qm := range rq.Msg.GetMessages() {
 		msg, err := quorum.Decode(qm)
 		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+			refused = err
+			continue
 		}
 		if !co.messages.Offer(quorum.Receive{Message: msg}) {
 			co.measures.dropped.Inc()
 		}
 	}
+	if refused != nil {
+		co.log.WithError(refused).Warn("message refused")
+		return nil, connect.NewError(connect.CodeInvalidArgument, refused)
+	}
 	return connect.NewResponse(new(schema.ExchangeResponse)), nil
 }
 
--- a/internal/state/control/state.go
+++ b/internal/state/control/state.go
@@ -75,7 +75,10 @@
 func (st *state) apply(ap quorum.Apply) error {
 	cm := new(schema.Command)
 	if err := proto.Unmarshal(ap.Entry.Data, cm); err != nil {
-		return errors.Wrapf(err, "control: entry %d", ap.Entry.Index)
+		// All replicas pass over it alike. One that ended here would meet the
+		// entry again after each start.
+		st.co.log.WithError(err).WithField("index", uint64(ap.Entry.Index)).Error("entry cannot be read")
+		proto.Reset(cm)
 	}
 	st.clock.advance(time.Now(), cm.GetLogUnixMs())
 	now := *st.current.Load()
--- a/internal/state/control/state_test.go
+++ b/internal/state/control/state_test.go
@@ -1,9 +1,13 @@
 package control
 
 import (
+	"bytes"
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 
+	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -11,6 +15,7 @@
 	"camphortrail/config"
 	"camphortrail/internal/lab/fuzzing"
 	"camphortrail/quorum"
+	"camphortrail/ring"
 	"camphortrail/schema"
 )
 
@@ -112,3 +117,90 @@
 	}
 	return &schema.Command{Kind: &schema.Command_Claims{Claims: batch}}
 }
+
+// An entry that could not be read ended each replica at every start.
+func TestUnreadableEntryEndsReplica(t *testing.T) {
+	st := stateOnly()
+	for i, data := range [][]byte{{0xff}, {0x0a, 0x7f}, bytes.Repeat([]byte{0x0a}, 1<<10), nil} {
+		if err := st.apply(quorum.Apply{Entry: quorum.Entry{Index: quorum.Index(i + 1), Kind: quorum.Data, Data: data}}); err != nil {
+			t.Errorf("entry %x: %v", data[:min(4, len(data))], err)
+		}
+	}
+	checkFollows(t, st, 5)
+}
+
+// checkFollows checks that the state takes a configuration at the index.
+func checkFollows(t *testing.T, st *state, index quorum.Index) {
+	t.Helper()
+	last, _ := st.history.Last()
+	version := uint64(last.Version) + 1
+	if version == 0 {
+		return // no version is higher
+	}
+	data, err := proto.Marshal(&schema.Command{Digest: []byte{1}, Kind: &schema.Command_Configuration{Configuration: &schema.Configuration{Version: version}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.apply(quorum.Apply{Entry: quorum.Entry{Index: index, Kind: quorum.Data, Data: data}}); err != nil {
+		t.Fatal(err)
+	}
+	if now := st.current.Load(); now.configuration.GetVersion() != version || now.revision != config.Revision(index) {
+		t.Errorf("in force is version %d, want %d", now.configuration.GetVersion(), version)
+	}
+}
+
+// FuzzEntry applies any entry, and a sound one after it; a replica that starts
+// from the snapshot has the same state.
+func FuzzEntry(f *testing.F) {
+	for _, cm := range []*schema.Command{
+		{},
+		{Kind: &schema.Command_Configuration{}},
+		{Kind: &schema.Command_Configuration{Configuration: &schema.Configuration{Version: math.MaxUint64}}, LogUnixMs: math.MaxInt64},
+		{Kind: &schema.Command_Claims{Claims: &schema.ClaimBatch{Operations: []*schema.ClaimOperation{
+			operation(schema.ClaimOperation_KIND_CLAIM, "k", 1), operation(schema.ClaimOperation_KIND_COMPLETE, "k", 1),
+			{},
+			{Kind: schema.ClaimOperation_KIND_CLAIM, AttemptId: make([]byte, 16), RetentionS: math.MaxUint32},
+		}}}, LogUnixMs: math.MinInt64},
+	} {
+		data, err := proto.Marshal(cm)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		st := stateOnly()
+		if err := st.apply(quorum.Apply{Entry: quorum.Entry{Index: 1, Kind: quorum.Data, Data: data}}); err != nil {
+			t.Fatal(err)
+		}
+		checkFollows(t, st, 2)
+		sn, err := st.snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := stateOnly()
+		if err := again.restore(quorum.Snapshot{Index: 2, Data: sn}); err != nil {
+			t.Fatal(err)
+		}
+		checkFollows(t, again, 3)
+	})
+}
+
+// An odd message took along those that came with it.
+func TestOddMessageHidesOthers(t *testing.T) {
+	co := stateOnly().co
+	co.set = &schema.Settings{Deployment: deployment}
+	co.messages = ring.New[quorum.Event](4)
+	join := &schema.QuorumMessage{Kind: schema.QuorumMessage_KIND_JOIN, From: "b", To: "a", Incarnation: 1}
+	odd := &schema.QuorumMessage{Kind: schema.QuorumMessage_KIND_VOTE, From: "b", To: "a", Incarnation: 1, Term: math.MaxUint64}
+	_, err := co.Exchange(t.Context(), connect.NewRequest(&schema.ExchangeRequest{
+		Deployment: deployment, Messages: []*schema.QuorumMessage{join, odd, join},
+	}))
+	if connect.CodeOf(err) != connect.CodeInvalidArgument || !strings.Contains(err.Error(), "term 18446744073709551615") {
+		t.Errorf("error %v", err)
+	}
+	if got := len(co.messages.Out()); got != 2 {
+		t.Errorf("%d messages taken, want 2", got)
+	}
+}
--- a/quorum/codec.go
+++ b/quorum/codec.go
@@ -12,6 +12,10 @@
 // ErrBadMessage is returned for a message that can't be decoded.
 var ErrBadMessage = errors.New("quorum: malformed message")
 
+// maxNumber bounds terms, indexes and positions, so that the next ones do not
+// overflow.
+const maxNumber = 1 << 62
+
 // Encode returns the message as it is sent between processes.
 func Encode(msg Message) *schema.QuorumMessage {
 	he := msg.header()
@@ -58,14 +62,31 @@
 	return otherwise
 }
 
-// Decode returns the message encoded as qm, or ErrBadMessage.
+// Decode returns the message encoded as qm. An error wraps ErrBadMessage, and
+// names the field and its value.
 func Decode(qm *schema.QuorumMessage) (Message, error) {
+	for _, nu := range []struct {
+		field string
+		value uint64
+	}{
+		{"term", qm.GetTerm()},
+		{"index", qm.GetIndex()},
+		{"log_term", qm.GetLogTerm()},
+		{"commit", qm.GetCommit()},
+		{"last", qm.GetLast()},
+		{"offset", qm.GetOffset()},
+		{"size", qm.GetSize()},
+	} {
+		if nu.value > maxNumber {
+			return nil, errors.Wrapf(ErrBadMessage, "%s %d", nu.field, nu.value)
+		}
+	}
 	he := Header{
 		From: Replica(qm.GetFrom()), To: Replica(qm.GetTo()), Term: Term(qm.GetTerm()),
 		Incarnation: Incarnation(qm.GetIncarnation()), ToIncarnation: Incarnation(qm.GetToIncarnation()),
 	}
 	if he.Incarnation == 0 {
-		return nil, ErrBadMessage
+		return nil, errors.Wrap(ErrBadMessage, "incarnation 0")
 	}
 	index := Index(qm.GetIndex())
 	switch kind := qm.GetKind(); kind {
@@ -96,7 +117,7 @@
 	case schema.QuorumMessage_KIND_JOIN_ANSWER:
 		return &JoinAnswer{Header: he, Refused: qm.GetRefused()}, nil
 	}
-	return nil, ErrBadMessage
+	return nil, errors.Wrapf(ErrBadMessage, "kind %d", qm.GetKind())
 }
 
 func decodeAppend(he Header, qm *schema.QuorumMessage) (Message, error) {
@@ -120,8 +141,13 @@
 			Voters: DecodeVoters(qm.GetVoters()), Data: qm.GetSnapshot(),
 		},
 	}
-	if ch.Snapshot.Index == 0 || len(ch.Snapshot.Voters) == 0 || ch.Offset+uint64(len(ch.Snapshot.Data)) > ch.Size {
-		return nil, ErrBadMessage
+	switch {
+	case ch.Snapshot.Index == 0:
+		return nil, errors.Wrap(ErrBadMessage, "index 0")
+	case len(ch.Snapshot.Voters) == 0:
+		return nil, errors.Wrap(ErrBadMessage, "no voters")
+	case ch.Offset+uint64(len(ch.Snapshot.Data)) > ch.Size:
+		return nil, errors.Wrapf(ErrBadMessage, "offset %d, %d bytes of %d", ch.Offset, len(ch.Snapshot.Data), ch.Size)
 	}
 	return ch, nil
 }
@@ -138,14 +164,19 @@
 	return out
 }
 
-// DecodeEntries returns entries that begin at index first and have no gaps,
-// or ErrBadMessage.
+// DecodeEntries returns entries that begin at index first and have no gaps. An
+// error wraps ErrBadMessage, and names the entry, the field and its value.
 func DecodeEntries(list []*schema.LogEntry, first Index) ([]Entry, error) {
 	out := make([]Entry, len(list))
 	for i, le := range list {
 		kind := EntryKind(le.GetKind())
-		if Index(le.GetIndex()) != first+Index(i) || kind < Data || kind > Empty {
-			return nil, ErrBadMessage
+		switch {
+		case Index(le.GetIndex()) != first+Index(i) || le.GetIndex() > maxNumber:
+			return nil, errors.Wrapf(ErrBadMessage, "entry %d: index %d", first+Index(i), le.GetIndex())
+		case le.GetTerm() > maxNumber:
+			return nil, errors.Wrapf(ErrBadMessage, "entry %d: term %d", le.GetIndex(), le.GetTerm())
+		case kind < Data || kind > Empty:
+			return nil, errors.Wrapf(ErrBadMessage, "entry %d: kind %d", le.GetIndex(), le.GetKind())
 		}
 		out[i] = Entry{
 			Index: Index(le.GetIndex()), Term: Term(le.GetTerm()),
