--- a/membership/machine.go
+++ b/membership/machine.go
@@ -19,6 +19,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"camphortrail/call"
 	"camphortrail/schema"
 )
@@ -49,7 +51,7 @@
 // Validate returns an error that wraps ErrMalformed if other processes would
 // refuse the record of this one.
 func (set Settings) Validate() error {
-	_, _, err := decodeMember(encodeMember(set.member(), true))
+	_, err := decodeMember(encodeMember(set.member(), true))
 	return err
 }
 
@@ -86,9 +88,11 @@
 	nextContact time.Time
 
 	nextVerify time.Time
-	quietUntil time.Time
-	refuteAt   time.Time
-	restoring  restoring
+	// nextRefused is when a refused record may be reported again.
+	nextRefused time.Time
+	quietUntil  time.Time
+	refuteAt    time.Time
+	restoring   restoring
 
 	revision     uint64
 	revisionSent int
@@ -214,6 +218,10 @@
 	if dg.GetRevision() <= mc.revision {
 		return
 	}
+	if dg.GetRevision() > MaxRevision {
+		mc.countRefused(dg.GetFrom(), errors.Wrapf(ErrMalformed, "revision %d", dg.GetRevision()))
+		return
+	}
 	mc.act(RevisionHint{Revision: dg.GetRevision(), From: dg.GetFrom(), Address: from})
 }
 
@@ -238,6 +246,9 @@
 	RefusedDeployment uint64
 	RefusedMalformed  uint64
 	RefusedTarget     uint64
+	// RefusedRecords counts records, and upstreams in records, that are
+	// malformed, and hints of revisions that cannot be.
+	RefusedRecords uint64
 	// RefusedFull counts records for which the table had no room.
 	RefusedFull uint64
 	// Suspicions counts the members suspected by own probes.
