--- a/call/call.go
+++ b/call/call.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"math/rand/v2"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -46,11 +45,14 @@
 // may run at once. Above 100 some wait.
 type Occupancy uint16
 
-// Need is what a request takes of a service, with all calls that are made for it.
+// Need is the calls of one kind that a request makes of a service, over its whole
+// tree, itself included.
 type Need struct {
 	Service Service
-	// SlotTime is the time for which slots of the service are taken.
-	SlotTime time.Duration
+	// Class is the kind of the calls.
+	Class Class
+	// Calls is their mean number.
+	Calls float64
 	// Occupancy is that of the service, or zero if it is not known.
 	Occupancy Occupancy
 }
--- a/internal/ops/events/summary.go
+++ b/internal/ops/events/summary.go
@@ -45,14 +45,12 @@
 	// NeedsMS is the slot time that a request takes of each service, in
 	// milliseconds.
 	NeedsMS map[string]int64 `json:"needs-ms,omitempty"`
+	// Calls is the number of calls that a request makes of each service over its tree.
+	Calls map[string]float64 `json:"calls-of,omitempty"`
 	// ThroughPercent is the part of the first sends that came through lately, as
-	// estimated from tries, and LongThroughPercent that over the time for which the
-	// least part of the route is to hold.
-	ThroughPercent     int `json:"first-sends-through-percent,omitempty"`
-	LongThroughPercent int `json:"long-through-percent,omitempty"`
-	// LeastPercent is the part of the tries in time that is to be admitted whatever
-	// the load is, or zero while the route is served enough.
-	LeastPercent int `json:"least-part-percent,omitempty"`
+	// estimated from tries, and YieldPercent that of the admitted requests.
+	ThroughPercent int `json:"first-sends-through-percent,omitempty"`
+	YieldPercent   int `json:"yield-percent,omitempty"`
 }
 
 // Usage says how the slots of the upstream beside the node were used.
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -66,7 +66,7 @@
 	// occupancy is the highest of the services that the request went to, also
 	// by its calls.
 	occupancy call.Occupancy
-	// needs is what requests of the kind take of each service, by the last answer.
+	// needs is the calls that requests of the kind make, by the last answer.
 	needs []call.Need
 	// share is the part of the requests of the kind that is admitted, in percent.
 	share int
--- a/internal/traffic/entry/room.go
+++ b/internal/traffic/entry/room.go
@@ -28,9 +28,10 @@
 
 // told is what a guard said of its room.
 type told struct {
-	shares room.Shares
-	slots  int
+	answer room.Answer
 	at     time.Time
+	// weight is the part of the demand that the guard is asked for.
+	weight float64
 }
 
 // question is a demand to the guard of a VM.
@@ -54,8 +55,8 @@
 		for _, qu := range en.questions(time.Now()) {
 			if qu.vm != en.opt.VM {
 				en.opt.Pool.Tell(qu.vm, qu.address, qu.demand)
-			} else if sh, ok := en.opt.Guard.Room(qu.demand); ok {
-				en.SetRoom(qu.vm, qu.demand.Service, sh)
+			} else if an, ok := en.opt.Guard.Room(qu.demand); ok {
+				en.SetRoom(qu.vm, qu.demand.Service, an)
 			}
 		}
 	}
@@ -72,29 +73,56 @@
 	return list
 }
 
-// questionsTo spreads a demand over the VMs of a service by their slots.
+// questionsTo spreads a demand over the VMs of a service by what they carry.
 func (en *Entry) questionsTo(now time.Time, svc call.Service, wants []room.Want) []question {
 	vms := en.askable(now, svc)
-	slots := 0
-	for _, up := range vms {
-		slots += up.Slots
-	}
 	known := make(map[call.VM]told, len(vms))
 	list := make([]question, 0, len(vms))
-	for _, up := range vms {
-		de := &attempt.Demand{Entry: en.opt.VM, Service: svc, Wants: slices.Clone(wants)}
-		for i := range de.Wants {
-			de.Wants[i].Slots *= float64(up.Slots) / float64(slots)
+	for at, weight := range weights(now, vms, en.rooms[svc], wants) {
+		up := vms[at]
+		de := &attempt.Demand{Entry: en.opt.VM, Service: svc, Wants: make([]room.Want, len(wants))}
+		for i, wt := range wants {
+			de.Wants[i] = wt.Part(weight)
 		}
 		list = append(list, question{up.VM, en.addresses[up.VM], de})
 		tl := en.rooms[svc][up.VM]
-		tl.slots = up.Slots
+		tl.weight = weight
 		known[up.VM] = tl
 	}
 	en.rooms[svc] = known
 	return list
 }
 
+// weights returns the part of the calls that each VM carries: by those that it can
+// run in a second, and by its slots where a guard has not told the time that they take.
+func weights(now time.Time, vms []route.Entry, rooms map[call.VM]told, wants []room.Want) []float64 {
+	list := make([]float64, len(vms))
+	slots, carried, carrying := 0.0, 0.0, 0.0
+	for at, up := range vms {
+		slots += float64(up.Slots)
+		if tl := rooms[up.VM]; now.Sub(tl.at) < toldLife {
+			if list[at] = tl.answer.Capacity(wants); list[at] > 0 {
+				carried += list[at]
+				carrying += float64(up.Slots)
+			}
+		}
+	}
+	sum := 0.0
+	for at, up := range vms {
+		if list[at] == 0 {
+			list[at] = float64(up.Slots)
+			if carrying > 0 {
+				list[at] *= carried / carrying
+			}
+		}
+		sum += list[at]
+	}
+	for at := range list {
+		list[at] /= sum
+	}
+	return list
+}
+
 // askable returns the VMs of a service that are asked for their room: all that can
 // be reached, or some by lot where there are many.
 func (en *Entry) askable(now time.Time, svc call.Service) []route.Entry {
@@ -109,8 +137,8 @@
 	return vms[:maxAsked]
 }
 
-// SetRoom states the shares of the requests for which the guard of a VM has room.
-func (en *Entry) SetRoom(vm call.VM, svc call.Service, sh room.Shares) {
+// SetRoom states what the guard of a VM said of its room.
+func (en *Entry) SetRoom(vm call.VM, svc call.Service, an room.Answer) {
 	now := time.Now()
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -118,27 +146,23 @@
 	if !asked {
 		return
 	}
-	tl.shares, tl.at = sh, now
+	tl.answer, tl.at = an, now
 	en.rooms[svc][vm] = tl
 	if mean, ok := meanRoom(now, slices.Collect(maps.Values(en.rooms[svc]))); ok {
-		en.throttles.SetShares(now, svc, mean)
+		en.throttles.SetRoom(now, svc, mean)
 	}
 }
 
-// meanRoom returns the mean of what the guards said lately, by their slots.
-func meanRoom(now time.Time, all []told) (mean room.Shares, ok bool) {
-	slots := 0
+// meanRoom returns the mean of what the guards said lately, by the parts of the demand
+// that they were asked for.
+func meanRoom(now time.Time, all []told) (mean room.Answer, ok bool) {
+	all = slices.DeleteFunc(all, func(tl told) bool { return now.Sub(tl.at) >= toldLife })
+	sum := 0.0
 	for _, tl := range all {
-		if now.Sub(tl.at) >= toldLife {
-			continue
-		}
-		slots += tl.slots
-		for rk := range mean {
-			mean[rk] += tl.shares[rk] * float64(tl.slots)
-		}
+		sum += tl.weight
 	}
-	for rk := range mean {
-		mean[rk] /= float64(max(slots, 1))
+	for _, tl := range all {
+		mean.Add(tl.answer, tl.weight/sum)
 	}
-	return mean, slots > 0
+	return mean, sum > 0
 }
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -163,9 +163,11 @@
 	an := en.serve(ctx, rq)
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if ctx.Err() == nil {
+	now := time.Now()
+	if ctx.Err() != nil {
+		en.throttles.Leave(now, rq.kind.Class)
+	} else {
 		through := !an.Failed() && an.Status != http.StatusInternalServerError
-		now := time.Now()
 		en.throttles.Finish(now, rq.kind.Class, throttle.Result{Through: through, Occupancy: rq.occupancy, Took: now.Sub(begun)})
 		en.throttles.Learn(now, rq.kind.Class, rq.needs)
 	}
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -15,6 +15,7 @@
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/guard"
 	"camphortrail/internal/traffic/peer"
+	"camphortrail/internal/traffic/tree"
 	"camphortrail/retry"
 	"camphortrail/route"
 	"camphortrail/withdrawal"
@@ -38,7 +39,10 @@
 		en.opt.Trees.Met(now, rq.parent.Class, rq.kind.Service, rq.occupancy)
 	}
 	if rq.inner {
-		en.opt.Trees.Took(now, rq.parent, rq.needs, partDone(an))
+		en.opt.Trees.Called(now, rq.parent, tree.Call{
+			Service: rq.kind.Service, Class: rq.kind.Class, Needs: rq.needs, Ran: an.Outcome != call.NotRun,
+			Connection: rq.connection,
+		})
 	}
 	if rq.accounted() {
 		en.opt.Trees.Step(now, retry.Close{Account: rq.account})
@@ -46,21 +50,6 @@
 	return an
 }
 
-// failedPart is the part of what a request needs that one takes which fails, if it
-// fails at any point alike.
-const failedPart = 0.5
-
-// partDone returns the part of what requests of a kind need that one took.
-func partDone(an *attempt.Answer) float64 {
-	switch {
-	case an.Outcome == call.NotRun:
-		return 0
-	case an.Failed() || an.Status == http.StatusInternalServerError:
-		return failedPart
-	}
-	return 1
-}
-
 // accounted reports whether the request has a retry account of its own.
 func (rq *request) accounted() bool {
 	return rq.send != call.RequestID{} || rq.parent == nil && !rq.orphan
--- a/internal/traffic/entry/tally.go
+++ b/internal/traffic/entry/tally.go
@@ -117,7 +117,7 @@
 // summary, and counts it in the metrics.
 func (en *Entry) Summarize(now time.Time) {
 	for _, tf := range en.tallies.take() {
-		en.describe(&tf)
+		en.describe(now, &tf)
 		en.opt.Events.Summarize(now, tf)
 		en.countTraffic(tf)
 	}
@@ -125,7 +125,7 @@
 
 // describe adds what is known of the requests of a route: what they take of each
 // service, and how they are served.
-func (en *Entry) describe(tf *events.Traffic) {
+func (en *Entry) describe(now time.Time, tf *events.Traffic) {
 	class := call.Class(tf.Class)
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -133,8 +133,9 @@
 	for svc, took := range en.throttles.SlotTimes(class) {
 		tf.NeedsMS[string(svc)] = took.Milliseconds()
 	}
-	st := en.throttles.Standing(class)
-	tf.ThroughPercent, tf.LongThroughPercent, tf.LeastPercent = int(100*st.Recent), int(100*st.Long), int(100*st.Least)
+	tf.Calls = en.throttles.Calls(class)
+	st := en.throttles.Standing(now, class)
+	tf.ThroughPercent, tf.YieldPercent = int(100*st.Recent), int(100*st.Yield)
 }
 
 // countTraffic adds to the counters of requests by route and result.
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -281,7 +281,7 @@
 		an.Overload = vd.reason.Load()
 		return gd.refuse(at, an)
 	}
-	return gd.execute(runCtx, at)
+	return gd.execute(runCtx, at, vd.at)
 }
 
 // refuse registers that the attempt did not begin, and gives its whole
@@ -308,8 +308,8 @@
 	_ = gd.duty.inputs.Put(ctx, input{event: admission.Cancel{ID: id}})
 }
 
-// execute runs an admitted attempt, and gives its slot back.
-func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt) *attempt.Answer {
+// execute runs an attempt that was admitted at a time, and gives its slot back.
+func (gd *Guard) execute(ctx context.Context, at *attempt.Attempt, admitted time.Time) *attempt.Answer {
 	in := &tree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class}
 	now := time.Now()
 	in.Started, in.Told = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
@@ -336,7 +336,10 @@
 	an.Downstream = gd.trees.Occupancy(ended, at.Class)
 	an.Overload = an.Overload || overload && (an.Failed() || an.Status == http.StatusInternalServerError)
 	fin.OK, fin.Downstream = an.Outcome == call.Done, waited
-	gd.trees.Ended(ended, in, an.Work, an.Outcome == call.Done && an.Status < http.StatusInternalServerError)
+	gd.trees.Ended(ended, in, an.Outcome == call.Done && an.Status < http.StatusInternalServerError)
+	if an.Outcome != call.NotRun {
+		gd.rooms.took(ended, at.Class, ended.Sub(admitted))
+	}
 	gd.record(at, an)
 	return an
 }
--- a/internal/traffic/guard/room.go
+++ b/internal/traffic/guard/room.go
@@ -15,6 +15,14 @@
 type rooms struct {
 	mu      sync.Mutex
 	divider *room.Divider
+	pace    room.Pace
+}
+
+// took takes in the time for which a call had a slot.
+func (ro *rooms) took(now time.Time, class call.Class, took time.Duration) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ro.pace.Add(now, class, took)
 }
 
 // last returns the slots that were wanted, and the room in percent of the slots, at
@@ -29,10 +37,10 @@
 // Room takes in what an entry wants of the upstream, and returns the shares of its
 // requests for which there is room. It reports false if the upstream serves
 // something else, or nothing.
-func (gd *Guard) Room(de *attempt.Demand) (room.Shares, bool) {
+func (gd *Guard) Room(de *attempt.Demand) (room.Answer, bool) {
 	up := gd.current.Load()
 	if up == nil || up.Service != de.Service {
-		return room.Shares{}, false
+		return room.Answer{}, false
 	}
 	now := time.Now()
 	ld := room.Load{Slots: int(gd.duty.limit.Load()), Occupancy: call.Occupancy(gd.duty.occupancy.Load())}
@@ -41,8 +49,9 @@
 	}
 	gd.rooms.mu.Lock()
 	defer gd.rooms.mu.Unlock()
+	ld.Pace = &gd.rooms.pace
 	gd.rooms.divider.Want(now, de.Entry, de.Wants)
-	return gd.rooms.divider.Divide(now, ld), true
+	return gd.rooms.divider.Answer(now, ld, de.Wants), true
 }
 
 // answerDemand answers the demand of another entry.
@@ -52,8 +61,8 @@
 		lk.Close()
 		return
 	}
-	if sh, ok := gd.Room(de); ok {
+	if an, ok := gd.Room(de); ok {
 		// An answer that is not taken is asked for again.
-		_ = lk.Send(attempt.RoomFrame(de.Service, sh))
+		_ = lk.Send(attempt.RoomFrame(de.Service, an))
 	}
 }
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -58,7 +58,7 @@
 	stamps   map[call.VM]stamp
 	pending  map[call.AttemptID]*pending
 	onState  func(vm call.VM, suspect bool)
-	onRoom   func(vm call.VM, svc call.Service, sh room.Shares)
+	onRoom   func(vm call.VM, svc call.Service, an room.Answer)
 	// transits sums up the times of attempts and answers between the nodes, by VM.
 	transits map[call.VM]waits
 }
@@ -96,9 +96,9 @@
 type Options struct {
 	// OnState is told when a VM cannot be reached, and when it answers again.
 	OnState func(vm call.VM, suspect bool)
-	// OnRoom is told the shares of requests for which the guard of a VM has room.
+	// OnRoom is told what the guard of a VM said of its room.
 	// It may be nil.
-	OnRoom func(vm call.VM, svc call.Service, sh room.Shares)
+	OnRoom func(vm call.VM, svc call.Service, an room.Answer)
 	// Dial opens the connections to guards. The default is that of net.
 	Dial Dial
 }
@@ -290,8 +290,8 @@
 		}
 	case *schema.Frame_Room:
 		// What cannot be read is told again soon.
-		if svc, sh, err := attempt.FromRoomFrame(kd.Room); err == nil && pl.onRoom != nil {
-			pl.onRoom(cn.vm, svc, sh)
+		if svc, an, err := attempt.FromRoomFrame(kd.Room); err == nil && pl.onRoom != nil {
+			pl.onRoom(cn.vm, svc, an)
 		}
 	}
 }
--- a/internal/traffic/room/room.go
+++ b/internal/traffic/room/room.go
@@ -2,17 +2,18 @@
 // entries want to send to it, directly or by the calls of others.
 //
 // The load pattern is a small service deep in many call trees that gets more than
-// it carries. An entry sees few of the answers and sees them a whole tree late, so
-// entries that find their shares on their own find different ones, which swing.
-// Instead each entry tells the guards of a busy service the slots that its
-// arrivals would take, by rank, and a guard gives all of them the same shares: the
-// least that each rank is to get, and then the ranks in their order. What is
-// admitted follows the arrivals, without waiting for a queue to grow; the
-// occupancy only corrects what is measured wrongly.
+// it carries, while VMs of it leave, start cold or slow down. An entry sees few of the
+// answers and sees them a whole tree late, so entries that find their shares on their
+// own find different ones, which swing. Instead each entry tells the guards of a busy
+// service the calls that its arrivals would make in a second, by rank. A guard knows
+// at once how long a call takes a slot at its VM and how many may run, and gives all
+// entries the same shares: the ranks in their order, but to each kind a least part. What is admitted follows the arrivals and the VMs, without
+// waiting for a queue to grow; the occupancy only corrects what is measured wrongly.
 package room
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"camphortrail/call"
@@ -30,14 +31,19 @@
 	targetQueue = 10
 	maxTarget   = 2
 	// proportional is the part of the room by which an occupancy of twice the
-	// target lowers it, and integral the part of that which stays each second.
+	// target lowers it, and integral the part of that which stays each second, or
+	// integralFree where slots are free.
 	// An excess admitted for a second adds several times its part to the
 	// occupancy, and trees take up to some seconds: more than this swings.
 	proportional = 0.2
 	integral     = 0.3
+	integralFree = 0.3
 	// strong is the same as proportional for the square of the error: with three
 	// times the target nothing is admitted until that is worked off.
 	strong = 0.15
+	// chance is the relative error of the occupancy that arrivals at random make: it does
+	// not change the room.
+	chance = 0.3
 	// maxError bounds the relative error of the occupancy that counts.
 	maxError = 2
 	// steadyError is the error from which the occupancy shows a change of the load
@@ -48,8 +54,13 @@
 	// minTrim and maxTrim bound the correction of what is measured wrongly. Slots
 	// also stay free as calls fail elsewhere: the room is not to grow much for it.
 	minTrim = 0.5
-	maxTrim = 1.5
-	// perSlot is the number of parts in which slots are counted.
+	maxTrim = 1.25
+	// leastServed is the part of the first sends of each kind that is to be served
+	// however much more important ones want, and keptPart that of the room left by the
+	// ranks before which may be kept for it.
+	leastServed = 0.17
+	keptPart    = 0.6
+	// perSlot is the number of parts in which slots and rates are counted.
 	perSlot = 1e6
 	// trimReturn is the part of the correction that is lost in each second while
 	// there is room for all.
@@ -61,7 +72,7 @@
 type Rank uint8
 
 // Ranks is the number of ranks.
-const Ranks = 2 * (int(call.MaxImportance) + 1)
+const Ranks = 2*(int(call.MaxImportance)+1) + 1
 
 // RankOf returns the rank of requests that are late, or not.
 func RankOf(imp call.Importance, late bool) Rank {
@@ -72,13 +83,36 @@
 	return rk
 }
 
+// AheadOf returns the rank of requests that go just before those of an importance, as
+// they take far less room: refusing them makes hardly any.
+func AheadOf(imp call.Importance) Rank { return RankOf(imp, false) + 1 }
+
+// importance returns that of the requests whose work a rank competes with.
+func (rk Rank) importance() call.Importance { return min(call.Importance(rk/2), call.MaxImportance) }
+
 // Want is what the requests of one rank at an entry need of a service.
 type Want struct {
 	Rank Rank
-	// Slots is the number of slots that all of them would take.
-	Slots float64
-	// Least is the part of them that is to be admitted whatever the load is.
-	Least float64
+	// Calls is the calls that all of them would make, by kind.
+	Calls []CallRate
+	// Yield is the number of them in a second that would come through if all were
+	// admitted, and FirstSends that of those which were not sent before.
+	Yield, FirstSends float64
+}
+
+// Part returns a part of what is wanted.
+func (wt Want) Part(part float64) Want {
+	list := make([]CallRate, len(wt.Calls))
+	for at, cr := range wt.Calls {
+		list[at] = CallRate{cr.Class, cr.PerSecond * part}
+	}
+	return Want{Rank: wt.Rank, Calls: list, Yield: wt.Yield * part, FirstSends: wt.FirstSends * part}
+}
+
+// CallRate is a number of calls of a kind in a second.
+type CallRate struct {
+	Class     call.Class
+	PerSecond float64
 }
 
 // Shares holds the part of the requests of each rank that there is room for.
@@ -130,6 +164,61 @@
 	Occupancy call.Occupancy
 	// Waiting holds the attempts that wait, by importance.
 	Waiting [call.MaxImportance + 1]int
+	// Pace is the time for which calls take a slot.
+	Pace *Pace
+}
+
+// Answer is what a guard says to a demand.
+type Answer struct {
+	Shares Shares
+	// Slots is the number of attempts that may run at a time.
+	Slots int
+	// SlotTimes is the time for which calls of the kinds that are wanted take one.
+	SlotTimes []SlotTime
+}
+
+// slotTime returns the time for which a call of a kind takes a slot, in seconds, or zero
+// if it was not told.
+func (an *Answer) slotTime(class call.Class) float64 {
+	for _, st := range an.SlotTimes {
+		if st.Class == class {
+			return st.Time.Seconds()
+		}
+	}
+	return 0
+}
+
+// Capacity returns the calls that the VM can run in a second if they are mixed as those
+// that are wanted, or zero if it is not known.
+func (an *Answer) Capacity(wants []Want) float64 {
+	calls, taken := 0.0, 0.0
+	for _, wt := range wants {
+		for _, cr := range wt.Calls {
+			calls += cr.PerSecond
+			taken += cr.PerSecond * an.slotTime(cr.Class)
+		}
+	}
+	if taken == 0 {
+		return 0
+	}
+	return float64(an.Slots) * calls / taken
+}
+
+// Add adds a part of another answer, as to a mean.
+func (an *Answer) Add(other Answer, part float64) {
+	an.Slots += other.Slots
+	for rk, share := range other.Shares {
+		an.Shares[rk] += part * share
+	}
+	for _, st := range other.SlotTimes {
+		took := time.Duration(part * float64(st.Time))
+		at := slices.IndexFunc(an.SlotTimes, func(own SlotTime) bool { return own.Class == st.Class })
+		if at < 0 {
+			an.SlotTimes = append(an.SlotTimes, SlotTime{st.Class, took})
+		} else {
+			an.SlotTimes[at].Time += took
+		}
+	}
 }
 
 // occupancyOf returns the occupancy that attempts of an importance and of higher
@@ -150,20 +239,9 @@
 		return dv.shares
 	}
 	dv.divided = now
-	// Sums of whole numbers do not depend on the order of the reports.
-	var wanted, least [Ranks]int64
-	for entry, rp := range dv.wants {
-		if now.Sub(rp.at) >= wantsLife {
-			delete(dv.wants, entry)
-			continue
-		}
-		for _, wt := range rp.wants {
-			wanted[wt.Rank] += int64(wt.Slots * perSlot)
-			least[wt.Rank] += int64(wt.Slots * wt.Least * perSlot)
-		}
-	}
+	sm := dv.sum(now, ld.Pace)
 	var total int64
-	for _, slots := range wanted {
+	for _, slots := range sm.slots {
 		total += slots
 	}
 	dv.total = float64(total) / perSlot
@@ -173,10 +251,39 @@
 		room[imp] = float64(ld.Slots) * dv.trim * ld.admits(call.Importance(imp))
 	}
 	dv.part = room[0] / max(float64(ld.Slots), 1)
-	dv.shares = divide(&room, &wanted, &least)
+	dv.shares = sm.divide(&room)
 	return dv.shares
 }
 
+// sums is what all entries want, by rank. Sums of whole numbers do not depend on the
+// order of the reports.
+type sums struct {
+	// slots are those that the calls take, yield the requests in a second that would
+	// come through, and first the first sends, in parts of perSlot.
+	slots, yield, first [Ranks]int64
+}
+
+// sum adds up what is wanted, and forgets what is old.
+func (dv *Divider) sum(now time.Time, pc *Pace) *sums {
+	sm := new(sums)
+	for entry, rp := range dv.wants {
+		if now.Sub(rp.at) >= wantsLife {
+			delete(dv.wants, entry)
+			continue
+		}
+		for _, wt := range rp.wants {
+			slots := 0.0
+			for _, cr := range wt.Calls {
+				slots += cr.PerSecond * pc.Of(cr.Class).Seconds()
+			}
+			sm.slots[wt.Rank] += int64(slots * perSlot)
+			sm.yield[wt.Rank] += int64(wt.Yield * perSlot)
+			sm.first[wt.Rank] += int64(wt.FirstSends * perSlot)
+		}
+	}
+	return sm
+}
+
 // Last returns the slots that were wanted at the last division, and the room that
 // there was for the least important of them, relative to the slots.
 func (dv *Divider) Last() (wanted, part float64) { return dv.total, dv.part }
@@ -191,6 +298,7 @@
 // for work of an importance tells.
 func (ld *Load) admits(imp call.Importance) float64 {
 	off := ld.off(ld.occupancyOf(imp))
+	off = math.Copysign(max(math.Abs(off)-chance, 0), off)
 	return max(1-proportional*off-strong*off*math.Abs(off), 0)
 }
 
@@ -205,6 +313,9 @@
 	switch {
 	case off < 0 && dv.total <= float64(ld.Slots)*dv.trim:
 		dv.trim += (1 - dv.trim) * trimReturn * passed.Seconds()
+	case off < 0:
+		// Slots come free beside requests that are refused.
+		dv.trim *= math.Exp(-integralFree * off * passed.Seconds())
 	case dv.unsteady == 0 || dv.unsteady >= unsteadyTime:
 		dv.trim *= math.Exp(-integral * off * passed.Seconds())
 	}
@@ -212,21 +323,39 @@
 }
 
 // divide gives the room to the ranks in their order, and keeps the least part of
-// those that follow. There is less room for less important ranks.
-func divide(room *[call.MaxImportance + 1]float64, wanted, least *[Ranks]int64) (sh Shares) {
-	most, sum := room[call.MaxImportance]*perSlot, 0.0
+// those that follow.
+func (sm *sums) divide(room *[call.MaxImportance + 1]float64) Shares {
+	var least [Ranks]float64
+	for rk, first := range sm.first {
+		least[rk] = min(leastServed*float64(first)/max(float64(sm.yield[rk]), 1), 1)
+	}
+	return give(room, &sm.slots, &least)
+}
+
+// give gives the room to the ranks in their order. Of what is left for a rank and those
+// after it, a part is kept for the least parts of what those want, but no more than an
+// even division gives them. There is less room for less important ranks, but for their
+// least parts.
+func give(room *[call.MaxImportance + 1]float64, wanted *[Ranks]int64, least *[Ranks]float64) (sh Shares) {
 	var kept [Ranks]float64
-	for rk, slots := range least {
-		kept[rk] = float64(slots) * room[rk/2] * perSlot / max(most, 1)
-		sum += kept[rk]
+	// lesser is what the ranks want of which a part is kept.
+	sum, lesser, given := 0.0, 0.0, 0.0
+	for rk, part := range least {
+		if kept[rk] = part * float64(wanted[rk]); part > 0 {
+			sum += kept[rk]
+			lesser += float64(wanted[rk])
+		}
 	}
-	scale := min(1, most/max(sum, 1))
-	sum *= scale
-	given := 0.0
+	most := room[call.MaxImportance] * perSlot
 	for rk := Ranks - 1; rk >= 0; rk-- {
-		all, least := float64(wanted[rk]), kept[rk]*scale
-		sum -= least
-		free := room[rk/2]*perSlot - given - sum
+		all := float64(wanted[rk])
+		if least[rk] > 0 {
+			sum -= kept[rk]
+			lesser -= all
+		}
+		left := max(most-given, 0)
+		reserve := min(sum, keptPart*left, left*lesser/max(all+lesser, 1))
+		free := room[Rank(rk).importance()]*perSlot - given - reserve
 		if all == 0 {
 			sh[rk] = 1
 			if free <= 0 {
@@ -234,9 +363,23 @@
 			}
 			continue
 		}
-		slots := min(max(free, least), all)
+		slots := min(max(free, min(kept[rk], left-reserve), 0), all)
 		given += slots
 		sh[rk] = slots / all
 	}
 	return sh
 }
+
+// Answer returns what the guard of an upstream with the given load says to an entry
+// that wants something.
+func (dv *Divider) Answer(now time.Time, ld Load, wants []Want) Answer {
+	an := Answer{Shares: dv.Divide(now, ld), Slots: ld.Slots}
+	for _, wt := range wants {
+		for _, cr := range wt.Calls {
+			if !slices.ContainsFunc(an.SlotTimes, func(st SlotTime) bool { return st.Class == cr.Class }) {
+				an.SlotTimes = append(an.SlotTimes, SlotTime{cr.Class, ld.Pace.Of(cr.Class)})
+			}
+		}
+	}
+	return an
+}
--- a/internal/traffic/throttle/need.go
+++ b/internal/traffic/throttle/need.go
@@ -1,66 +1,112 @@
 package throttle
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/traffic/room"
 )
 
 const (
-	// needWeight is the divisor of a new sample of what a request takes.
-	needWeight = 4
-	// minSlotTime is the slot time under which a need does not matter, in seconds, and
-	// minorNeed the part of the largest need of a kind, 1 in so many: what is less may
-	// come from calls that were given to the wrong kind.
-	minSlotTime = 1e-4
-	minorNeed   = 6
+	// needSamples bounds the number of answers whose mean is taken.
+	needSamples = 32
+	// minCalls is the mean number of calls of a kind from which they count.
+	minCalls = 0.02
 )
 
-// Learn takes in what a request of a kind takes of the services of its tree.
+// calls are those that a request makes of one service over its tree, by their kind.
+type calls map[call.Class]float64
+
+// Learn takes in the calls that a request of a kind makes of the services of its tree.
+// Their number does not change with the load, so that a mean over many answers is
+// right also just after a change.
 func (gp *Group) Learn(now time.Time, class call.Class, needs []call.Need) {
 	if len(needs) == 0 {
 		return
 	}
 	kd := gp.kind(class)
-	known := len(kd.slotTime) > 0
+	kd.answers = min(kd.answers+1, needSamples)
 	for _, nd := range needs {
-		sample := nd.SlotTime.Seconds()
-		if old, ok := kd.slotTime[nd.Service]; ok {
-			kd.slotTime[nd.Service] = old + (sample-old)/needWeight
-		} else if !known {
-			kd.slotTime[nd.Service] = sample
-		} else {
-			kd.slotTime[nd.Service] = sample / needWeight
+		cs := kd.calls[nd.Service]
+		if cs == nil {
+			cs = make(calls)
+			kd.calls[nd.Service] = cs
 		}
+		cs[nd.Class] += (nd.Calls - cs[nd.Class]) / kd.answers
 		if nd.Occupancy >= busyOccupancy {
 			gp.service(nd.Service).busyAt = now
 		}
 	}
-	// Requests that are shared out to several services need each a part of the time.
-	for svc, old := range kd.slotTime {
-		if !slices.ContainsFunc(needs, func(nd call.Need) bool { return nd.Service == svc }) {
-			kd.slotTime[svc] = old - old/needWeight
+	// Requests that are shared out to several services make a part of the calls to each.
+	for svc, cs := range kd.calls {
+		for of, number := range cs {
+			if !slices.ContainsFunc(needs, func(nd call.Need) bool { return nd.Service == svc && nd.Class == of }) {
+				cs[of] = number - number/kd.answers
+			}
 		}
 	}
 }
 
-// SlotTimes returns what a request of a kind takes of each service.
+// SlotTimes returns what a request of a kind takes of each service at present, as far
+// as the guards told the time for which calls take a slot.
 func (gp *Group) SlotTimes(class call.Class) map[call.Service]time.Duration {
 	times := make(map[call.Service]time.Duration)
-	if kd := gp.kinds[class]; kd != nil {
-		for svc, took := range kd.slotTime {
+	kd := gp.kinds[class]
+	if kd == nil {
+		return times
+	}
+	for svc := range kd.calls {
+		if took := gp.slotTime(kd, svc); took > 0 {
 			times[svc] = time.Duration(took * float64(time.Second))
 		}
 	}
 	return times
 }
 
-// needs reports whether requests of the kind take slots of the service.
-func (kd *kind) needs(svc call.Service) bool {
-	most := minSlotTime
-	for _, slotTime := range kd.slotTime {
-		most = max(most, slotTime/minorNeed)
+// Calls returns the calls that a request of a kind makes of each service, to
+// hundredths.
+func (gp *Group) Calls(class call.Class) map[string]float64 {
+	all := make(map[string]float64)
+	if kd := gp.kinds[class]; kd != nil {
+		for svc, cs := range kd.calls {
+			all[string(svc)] = math.Round(100*cs.sum()) / 100
+		}
+	}
+	return all
+}
+
+// slotTime returns what a request of a kind takes of a service, in seconds, or zero if
+// it is not known.
+func (gp *Group) slotTime(kd *kind, svc call.Service) (sum float64) {
+	sv := gp.services[svc]
+	if sv == nil {
+		return 0
 	}
-	return kd.slotTime[svc] >= most
+	for of, number := range kd.calls[svc] {
+		sum += number * sv.slotTimes[of].Seconds()
+	}
+	return sum
+}
+
+func (cs calls) sum() (sum float64) {
+	for _, number := range cs {
+		sum += number
+	}
+	return sum
 }
+
+// rates returns the calls of a number of requests in a second.
+func (cs calls) rates(perSecond float64) []room.CallRate {
+	list := make([]room.CallRate, 0, len(cs))
+	for of, number := range cs {
+		list = append(list, room.CallRate{Class: of, PerSecond: number * perSecond})
+	}
+	slices.SortFunc(list, func(a, b room.CallRate) int { return cmp.Compare(a.Class, b.Class) })
+	return list
+}
+
+// needs reports whether requests of the kind call the service.
+func (kd *kind) needs(svc call.Service) bool { return kd.calls[svc].sum() >= minCalls }
--- a/internal/traffic/throttle/room.go
+++ b/internal/traffic/throttle/room.go
@@ -11,12 +11,15 @@
 
 const (
 	// cheap is the part of the slot time of a more important request, 1 in so many, up
-	// to which a request ranks with it: refusing it makes hardly any room.
+	// to which a request goes before it: refusing it makes hardly any room.
 	cheap = 4
 	// busyOccupancy is the occupancy from which the guards of a service are asked
 	// for the room that they have, and busyLife the time for which it counts.
 	busyOccupancy = 70
 	busyLife      = 2 * time.Second
+	// minYield bounds the part of the admitted requests that is taken to come through,
+	// so that a kind that fails does not get all room as its least part.
+	minYield = 0.5
 	// roomLife is the time for which an answer of the guards counts, several times
 	// that between two.
 	roomLife = time.Second
@@ -26,6 +29,8 @@
 type service struct {
 	busyAt time.Time
 	shares room.Shares
+	// slotTimes is the time for which calls take a slot, by kind.
+	slotTimes map[call.Class]time.Duration
 	// toldAt is when the guards told the shares.
 	toldAt time.Time
 }
@@ -51,9 +56,9 @@
 
 // rank returns the rank of requests of a kind at a service.
 func (gp *Group) rank(kd *kind, svc call.Service, late bool) room.Rank {
-	imp := kd.importance
+	imp, own := kd.importance, gp.slotTime(kd, svc)
 	for _, other := range gp.kinds {
-		if other.importance > imp && other.slotTime[svc] >= cheap*kd.slotTime[svc] && other.needs(svc) {
+		if other.importance > imp && own > 0 && gp.slotTime(other, svc) >= cheap*own {
 			imp = other.importance
 		}
 	}
@@ -64,7 +69,7 @@
 // services of its tree have room, if any told it.
 func (gp *Group) roomFor(now time.Time, kd *kind, late bool) (share float64, ok bool) {
 	share = 1
-	for svc := range kd.slotTime {
+	for svc := range kd.calls {
 		sv := gp.services[svc]
 		if sv == nil || now.Sub(sv.toldAt) >= roomLife || !kd.needs(svc) {
 			continue
@@ -74,11 +79,15 @@
 	return share, ok
 }
 
-// SetShares states the shares of the requests for which a service has room.
-func (gp *Group) SetShares(now time.Time, svc call.Service, sh room.Shares) {
+// SetRoom states what the guards of a service said of its room.
+func (gp *Group) SetRoom(now time.Time, svc call.Service, an room.Answer) {
 	sv := gp.service(svc)
-	sv.shares, sv.toldAt = sh, now
-	if slices.Min(sh[:]) < 1 {
+	sv.shares, sv.toldAt = an.Shares, now
+	sv.slotTimes = make(map[call.Class]time.Duration, len(an.SlotTimes))
+	for _, st := range an.SlotTimes {
+		sv.slotTimes[st.Class] = st.Time
+	}
+	if slices.Min(an.Shares[:]) < 1 {
 		sv.busyAt = now
 	}
 }
@@ -91,7 +100,7 @@
 	if sv := gp.services[svc]; sv != nil && now.Sub(sv.toldAt) < roomLife {
 		own = sv.shares[gp.rank(kd, svc, late)]
 	}
-	for other := range kd.slotTime {
+	for other := range kd.calls {
 		sv := gp.services[other]
 		if other == svc || sv == nil || now.Sub(sv.toldAt) >= roomLife || !kd.needs(other) {
 			continue
@@ -103,10 +112,10 @@
 	return part
 }
 
-// Wants returns what the requests that come take of each service that is busy.
+// Wants returns the calls that the requests that come make of each service that is
+// busy.
 func (gp *Group) Wants(now time.Time) map[call.Service][]room.Want {
 	var all map[call.Service][]room.Want
-	gp.countServed(now)
 	for svc, sv := range gp.services {
 		if now.Sub(sv.busyAt) >= busyLife {
 			continue
@@ -127,16 +136,54 @@
 		if !kd.needs(svc) {
 			continue
 		}
-		slotTime := kd.slotTime[svc]
-		timely, overdue := gp.letThrough(now, kd, svc, false), gp.letThrough(now, kd, svc, true)
+		kd.share.decay(now)
+		timely, overdue := kd.timely.perSecond(now), kd.overdue.perSecond(now)
 		wants = append(wants,
 			room.Want{
-				Rank: gp.rank(kd, svc, false), Slots: timely * kd.timely.perSecond(now) * slotTime,
-				Least: min(gp.least(kd)/max(timely, leastShare), 1),
+				Rank: gp.rank(kd, svc, false), Calls: kd.calls[svc].rates(timely * gp.letThrough(now, kd, svc, false)),
+				Yield: timely * kd.yield(), FirstSends: kd.firstSends(timely+overdue),
+			},
+			room.Want{
+				Rank: gp.rank(kd, svc, true), Calls: kd.calls[svc].rates(overdue * gp.letThrough(now, kd, svc, true)),
+				Yield: overdue * kd.yield(),
 			},
-			room.Want{Rank: gp.rank(kd, svc, true), Slots: overdue * kd.overdue.perSecond(now) * slotTime},
 		)
 	}
 	slices.SortFunc(wants, func(a, b room.Want) int { return cmp.Compare(a.Rank, b.Rank) })
 	return wants
 }
+
+// firstSends estimates the requests of the kind that were not sent before, of a number
+// of tries: those that are refused come back once.
+func (kd *kind) firstSends(tries float64) float64 {
+	refused := kd.share.arrived - kd.share.admitted
+	return tries / (1 + refused/max(kd.share.arrived, 1))
+}
+
+// Standing is how a kind is served.
+type Standing struct {
+	// Recent is the part of the first sends that came through lately, as estimated from
+	// tries.
+	Recent float64
+	// Yield is the part of the admitted requests that came through.
+	Yield float64
+}
+
+// Standing returns how requests of a kind are served at a time.
+func (gp *Group) Standing(now time.Time, class call.Class) Standing {
+	kd := gp.kinds[class]
+	if kd == nil {
+		return Standing{}
+	}
+	kd.share.decay(now)
+	first := kd.firstSends(kd.share.arrived)
+	return Standing{Recent: min(kd.share.through/max(first, 1), 1), Yield: kd.yield()}
+}
+
+// yield returns the part of the admitted requests of the kind that comes through.
+func (kd *kind) yield() float64 {
+	if kd.share.ended < 1 {
+		return 1
+	}
+	return max(kd.share.through/kd.share.ended, minYield)
+}
--- a/internal/traffic/throttle/share.go
+++ b/internal/traffic/throttle/share.go
@@ -71,10 +71,10 @@
 	// busyAt is when the occupancy was last so that a service had no room.
 	busyAt   time.Time
 	adjusted time.Time
-	// arrived and admitted count recent tries, timely those that came in time, and
-	// through those that came through.
-	arrived, admitted, timely, through float64
-	clock                              decay.Clock
+	// arrived and admitted count recent tries, ended those whose answer came or whose
+	// caller left, and through those that came through.
+	arrived, admitted, ended, through float64
+	clock                             decay.Clock
 }
 
 func newShare() share { return share{value: 1, integral: 1} }
@@ -120,6 +120,6 @@
 	keep := sh.clock.Keep(now, shareHalfLife)
 	sh.arrived *= keep
 	sh.admitted *= keep
-	sh.timely *= keep
+	sh.ended *= keep
 	sh.through *= keep
 }
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -3,8 +3,8 @@
 //
 // The load pattern is a small service deep in the tree at its limit: what it
 // refuses has spent the work of all services above it. Three rules answer it.
-// Answers bring what a request takes of each service of its tree. Where such a
-// service is busy its guards divide its slots among all entries (package room),
+// Answers bring the calls that a request makes of each service of its tree. Where such
+// a service is busy its guards divide its slots among all entries (package room),
 // which admit the shares that they are given. Where the guards tell nothing, the
 // share of the requests that is admitted follows the highest occupancy of the
 // services of the tree (share). What fails all the same while a service is busy is
@@ -60,10 +60,6 @@
 type Group struct {
 	kinds    map[call.Class]*kind
 	services map[call.Service]*service
-	// served is the part of all requests that was admitted over a long time, and
-	// recent lately.
-	served longRun
-	recent float64
 }
 
 // New returns a group that refuses nothing.
@@ -101,9 +97,6 @@
 	late := kd.late(rq)
 	least := gp.leastShare(now)
 	kd.share.arrived++
-	if !late {
-		kd.share.timely++
-	}
 	share, yielding := gp.share(now, kd, late, least)
 	if !kd.flow(late).grant(now, share) && !yielding {
 		// This does not count as a failure, for which more would be refused.
@@ -138,7 +131,7 @@
 func (gp *Group) kind(class call.Class) *kind {
 	kd := gp.kinds[class]
 	if kd == nil {
-		kd = &kind{share: newShare(), slotTime: make(map[call.Service]float64)}
+		kd = &kind{share: newShare(), calls: make(map[call.Service]calls)}
 		gp.kinds[class] = kd
 	}
 	return kd
@@ -210,7 +203,7 @@
 
 // Finish counts a request that was admitted, and what became of it. A failure
 // also counts for the less important kinds that fail: they share what is
-// short, and are to give way. Requests whose callers left are not counted.
+// short, and are to give way. Requests whose callers left are counted by Leave.
 func (gp *Group) Finish(now time.Time, class call.Class, rs Result) {
 	kd := gp.kinds[class]
 	if kd == nil {
@@ -220,7 +213,9 @@
 		kd.share.meet(now, rs.Occupancy)
 	}
 	kd.decay(now)
+	kd.share.decay(now)
 	kd.requests++
+	kd.share.ended++
 	if rs.Through {
 		kd.accepts++
 		kd.share.through++
@@ -237,6 +232,15 @@
 	}
 }
 
+// Leave counts a request that was admitted and whose caller left before the answer:
+// it tells nothing of the load, but is not served.
+func (gp *Group) Leave(now time.Time, class call.Class) {
+	if kd := gp.kinds[class]; kd != nil {
+		kd.share.decay(now)
+		kd.share.ended++
+	}
+}
+
 // Keep forgets the kinds that are not to be kept.
 func (gp *Group) Keep(keep func(call.Class) bool) {
 	maps.DeleteFunc(gp.kinds, func(class call.Class, _ *kind) bool { return !keep(class) })
@@ -255,9 +259,10 @@
 	// timely are the requests that can still be answered within their target, and
 	// overdue the others.
 	timely, overdue flow
-	// slotTime is what a request takes of each service of its tree, in seconds.
-	slotTime map[call.Service]float64
-	served   longRun
+	// calls are those that a request makes of each service of its tree, the mean of a
+	// number of answers.
+	calls   map[call.Service]calls
+	answers float64
 	// usual is the time that those that came through took.
 	usual time.Duration
 }
--- a/internal/traffic/tree/adopt.go
+++ b/internal/traffic/tree/adopt.go
@@ -22,8 +22,7 @@
 	defer tr.mu.Unlock()
 	maps.DeleteFunc(tr.origins, func(kind call.Class, _ *origin) bool { return !keep(kind) })
 	maps.DeleteFunc(tr.met, func(kind call.Class, _ map[call.Service]reading) bool { return !keep(kind) })
-	maps.DeleteFunc(tr.needs.kinds, func(kind call.Class, _ *spending) bool { return !keep(kind) })
-	maps.DeleteFunc(tr.needs.told, func(kind call.Class, _ told) bool { return !keep(kind) })
+	tr.needs.keep(keep)
 	maps.DeleteFunc(tr.callers, func(kind call.Class, _ *caller) bool { return !keep(kind) })
 }
 
--- a/internal/traffic/tree/chain.go
+++ b/internal/traffic/tree/chain.go
@@ -22,6 +22,8 @@
 	begun time.Time
 	// last is the kind of the last one.
 	last call.Class
+	// made is the calls that have ended and are counted for the parent, or for none.
+	made []made
 	// connection is that of the last one, and answered when it was answered.
 	connection string
 	answered   time.Time
@@ -108,18 +110,22 @@
 			count++
 		}
 	}
-	switch count {
-	case 0:
+	switch {
+	case count == 0:
 		tr.caller(in.Class).end(false)
-	case 1:
-		cr, ch := tr.caller(in.Class), tr.waiting[found]
-		cr.end(true)
-		tr.origin(ch.last).awaited++
-		cr.learn(ch.kind, ch.begun.Sub(in.Started))
-		if ch.parent != nil && ch.parent != in {
-			// It has made no call, as far as is known now.
-			ch.parent.called = false
-		}
-		tr.waiting = slices.Delete(tr.waiting, found, found+1)
+		return
+	case count > 1:
+		return
+	}
+	ch := tr.waiting[found]
+	tr.needs.move(now, ch, in)
+	cr := tr.caller(in.Class)
+	cr.end(true)
+	tr.origin(ch.last).awaited++
+	cr.learn(ch.kind, ch.begun.Sub(in.Started))
+	if ch.parent != nil && ch.parent != in {
+		// It has made no call, as far as is known now.
+		ch.parent.called = false
 	}
+	tr.waiting = slices.Delete(tr.waiting, found, found+1)
 }
--- a/internal/traffic/tree/needs.go
+++ b/internal/traffic/tree/needs.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -10,215 +9,218 @@
 )
 
 const (
-	// needHalfLife is the time in which the weight of a past attempt halves.
-	needHalfLife = time.Second
-	// rebaseWeight is the weight from which all sums are scaled down.
-	rebaseWeight = 1 << 30
-	// ownDivisor is the divisor of a new sample of the slot time of an attempt.
-	ownDivisor = 16
-	// wrongShare is the part of what an attempt of another kind takes, 1 in so many,
-	// under which calls that were found are taken for those of the other kind.
-	wrongShare = 3
-	// minSlotTime is the slot time from which a need is told.
-	minSlotTime = 100 * time.Microsecond
+	// minCalls is the mean number of calls from which they count: fewer may be those of
+	// attempts of another kind.
+	minCalls = 0.05
+	// subtreeSamples bounds the number of answers whose mean is taken.
+	subtreeSamples = 32
 	// needsLife is the time for which needs are told without a new look.
 	needsLife = 50 * time.Millisecond
 )
 
-// needs learns what attempts of each kind take of services by their calls. Which
-// attempt made a call is often not known, or wrong, so that calls are counted
-// together and shared out: by kind, in proportion to the calls that were found to
-// be theirs, and evenly among the attempts of the kind.
-//
-// Sums grow in weight with time, so that only their ratios have a meaning.
+// needs learns the calls that attempts make over their whole trees: those that they
+// make themselves, by counts, and what the answers to those tell of theirs. Calls are
+// the same whatever the load is, while the time for which a call takes a slot changes
+// with each VM and its load, and is known where the call runs.
 type needs struct {
-	kinds map[call.Class]*spending
-	// unknown is the slot time of calls without a known parent, by attempts that
-	// have ended, and pending that by those that run.
-	unknown, pending map[call.Service]float64
-	origin           time.Time
+	counts   counts
+	subtrees map[callee]*subtree
 	// told holds the latest result by kind.
 	told map[call.Class]told
 }
 
-// spending is what attempts of a kind took.
-type spending struct {
-	// own is the slot time of an attempt at its own service.
-	own     time.Duration
-	samples time.Duration
-	// ended and through count attempts, and those that came through.
-	ended, through float64
-	// took is the slot time of the calls, in seconds.
-	took map[call.Service]float64
+// subtree is the mean of the calls that calls of a kind make in turn, themselves
+// included, by what their answers told.
+type subtree struct {
+	samples float64
+	calls   map[callee]float64
 }
 
 type told struct {
-	list []call.Need
-	at   time.Time
+	list  []call.Need
+	known bool
+	at    time.Time
 }
 
 func newNeeds() needs {
-	return needs{
-		kinds: make(map[call.Class]*spending), unknown: make(map[call.Service]float64),
-		pending: make(map[call.Service]float64), told: make(map[call.Class]told),
-	}
+	return needs{counts: newCounts(), subtrees: make(map[callee]*subtree), told: make(map[call.Class]told)}
 }
 
-// weight returns what one attempt counts at the time now.
-func (ns *needs) weight(now time.Time) float64 {
-	if ns.origin.IsZero() {
-		ns.origin = now
-	}
-	weight := math.Exp2(float64(now.Sub(ns.origin)) / float64(needHalfLife))
-	if weight < rebaseWeight {
-		return weight
-	}
-	for _, sp := range ns.kinds {
-		sp.ended, sp.through = sp.ended/weight, sp.through/weight
-		for svc := range sp.took {
-			sp.took[svc] /= weight
+func (ns *needs) keep(keep func(call.Class) bool) {
+	ns.counts.keep(keep)
+	for ce := range ns.subtrees {
+		if !keep(ce.class) {
+			delete(ns.subtrees, ce)
 		}
 	}
-	for svc := range ns.unknown {
-		ns.unknown[svc] /= weight
+	for class := range ns.told {
+		if !keep(class) {
+			delete(ns.told, class)
+		}
 	}
-	ns.origin = now
-	return 1
 }
 
-func (ns *needs) kind(class call.Class) *spending {
-	sp := ns.kinds[class]
-	if sp == nil {
-		sp = &spending{took: make(map[call.Service]float64)}
-		ns.kinds[class] = sp
+// add takes in what an answer told.
+func (st *subtree) add(list []call.Need) {
+	st.samples = min(st.samples+1, subtreeSamples)
+	for _, nd := range list {
+		ce := callee{nd.Service, nd.Class}
+		st.calls[ce] += (nd.Calls - st.calls[ce]) / st.samples
 	}
-	return sp
-}
-
-// spent returns what an attempt of the kind took by the calls that were found to be
-// its own, in seconds.
-func (sp *spending) spent() (sum float64) {
-	for _, took := range sp.took {
-		sum += took
+	if len(st.calls) == len(list) {
+		return
+	}
+	for ce, calls := range st.calls {
+		if !slices.ContainsFunc(list, func(nd call.Need) bool { return nd.Service == ce.service && nd.Class == ce.class }) {
+			st.calls[ce] = calls - calls/st.samples
+		}
 	}
-	return sum / max(sp.ended, math.SmallestNonzeroFloat64)
 }
 
-// of returns what attempts of a kind take by their calls, in seconds. Kinds that took
-// far less than others were given some of their calls.
-func (ns *needs) of(class call.Class) map[call.Service]float64 {
-	most := 0.0
-	for _, other := range ns.kinds {
-		most = max(most, other.spent())
+// learnSubtree takes in what an answer to a call told.
+func (ns *needs) learnSubtree(ce callee, list []call.Need) {
+	if len(list) == 0 {
+		return
 	}
-	sp := ns.kinds[class]
-	calls := func(sp *spending) bool { return sp.spent() >= most/wrongShare }
-	if sp == nil || !calls(sp) {
-		return nil
+	st := ns.subtrees[ce]
+	if st == nil {
+		st = &subtree{calls: make(map[callee]float64)}
+		ns.subtrees[ce] = st
 	}
-	// Those that failed took a half, if they failed at any point alike.
-	attempts := (sp.ended + sp.through) / 2
-	needs := make(map[call.Service]float64)
-	for svc, took := range sp.took {
-		all, found := ns.unknown[svc], 0.0
-		for _, other := range ns.kinds {
-			all += other.took[svc]
-			if calls(other) {
-				found += other.took[svc]
-			}
+	st.add(list)
+}
+
+// of returns the calls that attempts of a kind make over their trees.
+func (ns *needs) of(class call.Class) (map[callee]float64, bool) {
+	list, known := ns.counts.of(class)
+	all := make(map[callee]float64)
+	for _, md := range list {
+		st := ns.subtrees[md.callee]
+		if st == nil {
+			all[md.callee] += md.calls
+			continue
+		}
+		for ce, calls := range st.calls {
+			all[ce] += md.calls * calls
 		}
-		needs[svc] = all * took / found / attempts
 	}
-	return needs
+	return all, known
 }
 
-// Took notes that a call took a part of what calls of its kind need. The parent may
-// be unknown; one that has ended already did not make the call.
-func (tr *Trees) Took(now time.Time, parent *Inbound, list []call.Need, part float64) {
+// Call is a call of the upstream beside the node that has ended.
+type Call struct {
+	Service call.Service
+	Class   call.Class
+	// Needs is what calls of the kind make in turn, by the answer.
+	Needs []call.Need
+	// Ran says that it was not refused.
+	Ran bool
+	// Connection is the one on which it came, or empty.
+	Connection string
+}
+
+// Called notes that a call has ended. The parent may be unknown; one that has ended
+// already did not make the call.
+func (tr *Trees) Called(now time.Time, parent *Inbound, cl Call) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if parent != nil && parent.ended {
-		parent = nil
-	}
-	for _, nd := range list {
+	for _, nd := range cl.Needs {
 		if nd.Occupancy > 0 {
 			tr.busy[nd.Service] = reading{occupancy: nd.Occupancy, at: now}
 		}
-		if parent == nil {
-			tr.needs.pending[nd.Service] += part * nd.SlotTime.Seconds()
-			continue
-		}
-		if parent.took == nil {
-			parent.took = make(map[call.Service]float64)
+	}
+	ce := callee{cl.Service, cl.Class}
+	tr.needs.learnSubtree(ce, cl.Needs)
+	if !cl.Ran {
+		return
+	}
+	if ch := tr.chains[cl.Connection]; ch != nil {
+		ch.made = add(ch.made, ce, 1)
+	}
+	found := parent != nil && !parent.ended
+	tr.needs.counts.call(now, ce, found)
+	if found {
+		parent.made = add(parent.made, ce, 1)
+	}
+}
+
+// add counts calls of a kind.
+func add(list []made, ce callee, calls float64) []made {
+	at := slices.IndexFunc(list, func(md made) bool { return md.callee == ce })
+	if at < 0 {
+		return append(list, made{ce, calls})
+	}
+	list[at].calls += calls
+	return list
+}
+
+// move counts the calls of a chain for an attempt that ends, in place of the one that
+// they were given to, if any.
+func (ns *needs) move(now time.Time, ch *chain, in *Inbound) {
+	if ch.parent == in {
+		return
+	}
+	for _, md := range ch.made {
+		if ch.parent != nil && !ch.parent.ended {
+			ch.parent.made = add(ch.parent.made, md.callee, -md.calls)
+		} else {
+			ns.counts.find(now, md)
 		}
-		parent.took[nd.Service] += part * nd.SlotTime.Seconds()
+		in.made = add(in.made, md.callee, md.calls)
 	}
+	ch.made = nil
 }
 
-// Ended takes in that an attempt has ended after it took a slot of its service for
-// a time, and whether it came through.
-func (tr *Trees) Ended(now time.Time, in *Inbound, work time.Duration, through bool) {
+// Ended takes in that an attempt has ended, and whether it came through.
+func (tr *Trees) Ended(now time.Time, in *Inbound, through bool) {
 	if in.Class == "" {
 		return
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	in.ended = true
-	weight := tr.needs.weight(now)
-	sp := tr.needs.kind(in.Class)
-	sp.ended += weight
-	for svc, took := range in.took {
-		sp.took[svc] += weight * took
-	}
-	running := float64(len(tr.inbound) + 1)
-	for svc, took := range tr.needs.pending {
-		tr.needs.unknown[svc] += weight * took / running
-		tr.needs.pending[svc] -= took / running
-	}
-	if !through {
-		return
+	if through {
+		tr.needs.counts.end(now, in.Class, in.made)
 	}
-	sp.through += weight
-	sp.samples = min(sp.samples+1, ownDivisor)
-	sp.own += (work - sp.own) / sp.samples
 }
 
-// Needs returns what attempts of the kind take of each service, the own one with
-// the given occupancy first.
+// Needs returns the calls that attempts of the kind make of each service, the own one
+// with the given occupancy first, or nil as long as none came through.
 func (tr *Trees) Needs(now time.Time, kind call.Class, own call.Service, oc call.Occupancy) []call.Need {
 	if kind == "" {
 		return nil
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	sp := tr.needs.kinds[kind]
-	if sp == nil || sp.samples == 0 {
-		return nil
-	}
-	tl, known := tr.needs.told[kind]
-	if !known || now.Sub(tl.at) >= needsLife {
-		tl = told{list: tr.calledBy(now, kind, own), at: now}
+	tl, asked := tr.needs.told[kind]
+	if !asked || now.Sub(tl.at) >= needsLife {
+		tl = tr.look(now, kind)
 		tr.needs.told[kind] = tl
 	}
+	if !tl.known {
+		return nil
+	}
 	list := make([]call.Need, 1, 1+len(tl.list))
-	list[0] = call.Need{Service: own, SlotTime: sp.own, Occupancy: oc}
+	list[0] = call.Need{Service: own, Class: kind, Calls: 1, Occupancy: oc}
 	return append(list, tl.list...)
 }
 
-// calledBy returns what the calls of attempts of a kind take of services other than
-// their own.
-func (tr *Trees) calledBy(now time.Time, kind call.Class, own call.Service) []call.Need {
+// look returns the calls that attempts of a kind make.
+func (tr *Trees) look(now time.Time, kind call.Class) told {
+	all, known := tr.needs.of(kind)
 	var list []call.Need
-	for svc, took := range tr.needs.of(kind) {
-		nd := call.Need{Service: svc, SlotTime: time.Duration(took * float64(time.Second))}
-		if nd.SlotTime < minSlotTime || svc == own {
+	for ce, calls := range all {
+		if calls < minCalls {
 			continue
 		}
-		if rd := tr.busy[svc]; now.Sub(rd.at) < readingLife {
+		nd := call.Need{Service: ce.service, Class: ce.class, Calls: calls}
+		if rd := tr.busy[ce.service]; now.Sub(rd.at) < readingLife {
 			nd.Occupancy = rd.occupancy
 		}
 		list = append(list, nd)
 	}
-	slices.SortFunc(list, func(a, b call.Need) int { return cmp.Compare(a.Service, b.Service) })
-	return list
+	slices.SortFunc(list, func(a, b call.Need) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class))
+	})
+	return told{list: list, known: known, at: now}
 }
--- a/internal/traffic/tree/tree.go
+++ b/internal/traffic/tree/tree.go
@@ -23,8 +23,8 @@
 	chains  map[string]*chain
 	met     map[call.Class]map[call.Service]reading
 	waiting []*chain
-	// needs is what attempts take, by kind, and busy the occupancy of the services
-	// that calls went to.
+	// needs is the calls that attempts make, by kind, and busy the occupancy of the
+	// services that calls went to.
 	needs needs
 	busy  map[call.Service]reading
 }
@@ -88,9 +88,8 @@
 	// called says that a call of the attempt was recognised. The lock of
 	// Trees guards it.
 	called bool
-	// took is the slot time of the services that its calls took, in seconds. The
-	// lock of Trees guards it.
-	took map[call.Service]float64
+	// made is the calls that were found to be its own. The lock of Trees guards it.
+	made []made
 	// ended says that it makes no more calls.
 	ended bool
 
