Bound what faults, late calls and old nodes do to what is learned

Change: only calls that came through tell the pace of a VM; calls that outlast their attempt count for none; three ranks for each importance; needs without a kind and rooms without slots are ignored.

--- a/internal/traffic/attempt/demand.go
+++ b/internal/traffic/attempt/demand.go
@@ -145,6 +145,9 @@
 	var needs []call.Need
 	for _, nd := range list {
 		switch {
+		case nd.GetClass() == "":
+			// Nodes of a former version tell slot times, without the kind of the calls.
+			continue
 		case nd.GetCallsThousandths() > maxCalls*thousandths:
 			return nil, errors.Wrap(ErrBadFrame, "calls_thousandths")
 		case nd.GetOccupancyPercent() > maxOccupancy:
--- a/internal/traffic/attempt/demand_test.go
+++ b/internal/traffic/attempt/demand_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestNeedsSurviveTheWire(t *testing.T) {
-	want := []call.Need{{Service: "cassa", Class: "read", Calls: 7.5, Occupancy: 120}, {Service: "sportello"}}
+	want := []call.Need{{Service: "cassa", Class: "read", Calls: 7.5, Occupancy: 120}, {Service: "sportello", Class: "write"}}
 	if got, err := needsOf(needFields(want)); err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
@@ -67,7 +67,7 @@
 	if _, err := needsOf(make([]*schema.Need, maxNeeds+1)); !errors.Is(err, ErrBadFrame) {
 		t.Errorf("too many needs: %v", err)
 	}
-	if _, err := needsOf([]*schema.Need{{CallsThousandths: maxCalls*thousandths + 1}}); !errors.Is(err, ErrBadFrame) {
+	if _, err := needsOf([]*schema.Need{{Class: "read", CallsThousandths: maxCalls*thousandths + 1}}); !errors.Is(err, ErrBadFrame) {
 		t.Errorf("calls: %v", err)
 	}
 }
--- a/internal/traffic/attempt/fuzz_test.go
+++ b/internal/traffic/attempt/fuzz_test.go
@@ -22,7 +22,7 @@
 		}}},
 		{Kind: &schema.Frame_Answer{Answer: &schema.AttemptAnswer{
 			AttemptId: id, WorkUs: math.MaxUint64, RetryAfterMs: math.MaxUint32, Answer: &schema.RecordedAnswer{Status: 200},
-			Needs: []*schema.Need{{CallsThousandths: math.MaxUint32}},
+			Needs: []*schema.Need{{Class: "read", CallsThousandths: math.MaxUint32}},
 		}}},
 		{Kind: &schema.Frame_Demand{Demand: &schema.Demand{Wants: []*schema.Want{{Rank: math.MaxUint32, YieldThousandths: math.MaxUint64}}}}},
 		{Kind: &schema.Frame_Demand{Demand: &schema.Demand{Wants: []*schema.Want{{Calls: []*schema.CallRate{{Thousandths: math.MaxUint64}}}}}}},
--- a/internal/traffic/entry/room.go
+++ b/internal/traffic/entry/room.go
@@ -143,7 +143,9 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	tl, asked := en.rooms[svc][vm]
-	if !asked {
+	if !asked || an.Slots == 0 {
+		// A guard that tells no slots is of a version that does not know the calls that
+		// are wanted.
 		return
 	}
 	tl.answer, tl.at = an, now
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -336,8 +336,10 @@
 	an.Downstream = gd.trees.Occupancy(ended, at.Class)
 	an.Overload = an.Overload || overload && (an.Failed() || an.Status == http.StatusInternalServerError)
 	fin.OK, fin.Downstream = an.Outcome == call.Done, waited
-	gd.trees.Ended(ended, in, an.Outcome == call.Done && an.Status < http.StatusInternalServerError)
-	if an.Outcome != call.NotRun {
+	through := an.Outcome == call.Done && an.Status < http.StatusInternalServerError
+	gd.trees.Ended(ended, in, through)
+	if through {
+		// An upstream that fails at once is not a quick one.
 		gd.rooms.took(ended, at.Class, ended.Sub(admitted))
 	}
 	gd.record(at, an)
--- a/internal/traffic/room/room.go
+++ b/internal/traffic/room/room.go
@@ -72,11 +72,11 @@
 type Rank uint8
 
 // Ranks is the number of ranks.
-const Ranks = 2*(int(call.MaxImportance)+1) + 1
+const Ranks = 3 * (int(call.MaxImportance) + 1)
 
 // RankOf returns the rank of requests that are late, or not.
 func RankOf(imp call.Importance, late bool) Rank {
-	rk := 2 * Rank(min(imp, call.MaxImportance))
+	rk := 3 * Rank(min(imp, call.MaxImportance))
 	if !late {
 		rk++
 	}
@@ -88,7 +88,7 @@
 func AheadOf(imp call.Importance) Rank { return RankOf(imp, false) + 1 }
 
 // importance returns that of the requests whose work a rank competes with.
-func (rk Rank) importance() call.Importance { return min(call.Importance(rk/2), call.MaxImportance) }
+func (rk Rank) importance() call.Importance { return call.Importance(rk / 3) }
 
 // Want is what the requests of one rank at an entry need of a service.
 type Want struct {
--- a/internal/traffic/room/script_test.go
+++ b/internal/traffic/room/script_test.go
@@ -77,10 +77,10 @@
 			continue
 		}
 		when := "late"
-		if rk%2 == 1 {
+		if rk%3 == 1 {
 			when = "timely"
 		}
-		fmt.Fprintf(&out, "%d %s %.3f\n", rk/2, when, sh[rk])
+		fmt.Fprintf(&out, "%d %s %.3f\n", rk/3, when, sh[rk])
 	}
 	return out.String()
 }
--- a/internal/traffic/throttle/steps_needs_test.go
+++ b/internal/traffic/throttle/steps_needs_test.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"slices"
 	"time"
 
 	"camphortrail/call"
@@ -99,10 +100,11 @@
 	if len(wants) == 0 {
 		return
 	}
-	weights := sm.weights(wants)
+	vms, weights := slices.Clone(sm.vms), sm.weights(wants)
 	sm.After(demandTransit, func() {
 		var mean room.Answer
-		for vm, weight := range weights {
+		for _, vm := range vms {
+			weight := weights[vm]
 			part := make([]room.Want, len(wants))
 			for i, wt := range wants {
 				part[i] = wt.Part(weight)
--- a/internal/traffic/throttle/steps_test.go
+++ b/internal/traffic/throttle/steps_test.go
@@ -212,7 +212,7 @@
 // stretches returns those of all shapes and of two seeds.
 func stretches(scripts ...script) (list []stretch) {
 	for _, tt := range stepsShapes {
-		for seed := range uint64(2) {
+		for seed := range uint64(stepsSeeds) {
 			for _, sc := range scripts {
 				sm := replaySteps(tt.name, tt.shape, sc, seed, false)
 				for i, st := range sc.steps {
@@ -237,7 +237,7 @@
 // Two seconds after the capacity has changed calls are still made in vain.
 func TestStepOfTheCapacityWastesCalls(t *testing.T) {
 	for _, tt := range stepsShapes {
-		for seed := range uint64(2) {
+		for seed := range uint64(stepsSeeds) {
 			for _, sc := range scripts {
 				name := fmt.Sprintf("%s, seed %d, %s", tt.name, seed, sc.name)
 				replaySteps(tt.name, tt.shape, sc, seed, false).logSteps(t, name, sc)
@@ -335,7 +335,7 @@
 	for b.Loop() {
 		sb.Reset()
 		for _, tt := range stepsShapes {
-			for seed := range uint64(2) {
+			for seed := range uint64(stepsSeeds) {
 				for _, sc := range scripts {
 					compareNeeds(&sb, tt.name, tt.shape, sc, seed)
 				}
--- a/internal/traffic/tree/needs.go
+++ b/internal/traffic/tree/needs.go
@@ -96,7 +96,8 @@
 	all := make(map[callee]float64)
 	for _, md := range list {
 		st := ns.subtrees[md.callee]
-		if st == nil {
+		if st == nil || md.class == class {
+			// The tree of a kind that calls itself would grow with each answer.
 			all[md.callee] += md.calls
 			continue
 		}
@@ -119,8 +120,7 @@
 	Connection string
 }
 
-// Called notes that a call has ended. The parent may be unknown; one that has ended
-// already did not make the call.
+// Called notes that a call has ended, whose parent may be unknown.
 func (tr *Trees) Called(now time.Time, parent *Inbound, cl Call) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -137,9 +137,12 @@
 	if ch := tr.chains[cl.Connection]; ch != nil {
 		ch.made = add(ch.made, ce, 1)
 	}
-	found := parent != nil && !parent.ended
-	tr.needs.counts.call(now, ce, found)
-	if found {
+	if parent != nil && parent.ended {
+		// It was given up while the call ran, and is counted without it.
+		return
+	}
+	tr.needs.counts.call(now, ce, parent != nil)
+	if parent != nil {
 		parent.made = add(parent.made, ce, 1)
 	}
 }
@@ -157,11 +160,11 @@
 // move counts the calls of a chain for an attempt that ends, in place of the one that
 // they were given to, if any.
 func (ns *needs) move(now time.Time, ch *chain, in *Inbound) {
-	if ch.parent == in {
+	if ch.parent == in || ch.parent != nil && ch.parent.ended {
 		return
 	}
 	for _, md := range ch.made {
-		if ch.parent != nil && !ch.parent.ended {
+		if ch.parent != nil {
 			ch.parent.made = add(ch.parent.made, md.callee, -md.calls)
 		} else {
 			ns.counts.find(now, md)
--- a/internal/traffic/tree/needs_test.go
+++ b/internal/traffic/tree/needs_test.go
@@ -173,3 +173,51 @@
 		t.Errorf("%+v, want 3 calls of tariff", list)
 	}
 }
+
+// Half of the attempts are given up while a call runs, as where their callers leave: the
+// others do not make more calls for it.
+func TestCallsOfAttemptsGivenUpCountForOthers(t *testing.T) {
+	tr, now := New(retry.DefaultLimits()), time.Unix(0, 0)
+	for n := range 400 {
+		in := &Inbound{ID: call.AttemptID{byte(n), byte(n >> 8)}, Class: "look-up", Started: now}
+		tr.Enter(in)
+		left := n%2 == 0
+		for m := range 2 {
+			now = now.Add(5 * time.Millisecond)
+			if left && m == 1 {
+				tr.Exit(now, in.ID)
+				tr.Ended(now, in, false)
+			}
+			tr.Called(now, in, Call{Service: "cassa", Class: "tariff", Ran: true})
+		}
+		if !left {
+			tr.Exit(now, in.ID)
+			tr.Ended(now, in, true)
+		}
+	}
+	if list := tr.Needs(now, "look-up", "consulta", 0); len(list) != 2 || list[1].Calls != 2 {
+		t.Errorf("%+v, want 2 calls of tariff", list)
+	}
+}
+
+// What is told of a kind that calls itself grows with each answer.
+func TestKindThatCallsItselfGrowsWithoutBound(t *testing.T) {
+	tr, now := New(retry.DefaultLimits()), time.Unix(0, 0)
+	var list []call.Need
+	for n := range 400 {
+		in := &Inbound{ID: call.AttemptID{byte(n), byte(n >> 8)}, Class: "menu", Started: now}
+		tr.Enter(in)
+		now = now.Add(60 * time.Millisecond)
+		tr.Called(now, in, Call{Service: "own", Class: "menu", Needs: list, Ran: true})
+		tr.Exit(now, in.ID)
+		tr.Ended(now, in, true)
+		list = tr.Needs(now, "menu", "own", 0)
+	}
+	sum := 0.0
+	for _, nd := range list {
+		sum += nd.Calls
+	}
+	if sum > 2 {
+		t.Errorf("%+v after 400 answers", list)
+	}
+}
