Count calls whose attempt ended before them for others only if it came through

Cause: an attempt that came through did not make a call that ends after it, which is then one of another; one that was given up did. Change: the first counts for the attempts of the others, and moves to the one that ends just after it; the second for none.

--- a/internal/traffic/entry/room_test.go
+++ b/internal/traffic/entry/room_test.go
@@ -88,7 +88,8 @@
 		half[rk] = 0.5
 	}
 	mean, ok := meanRoom(now, []told{
-		{answer: room.Answer{Shares: half}, weight: 0.03, at: now}, {answer: room.Answer{Shares: room.All()}, weight: 0.01, at: now},
+		{answer: room.Answer{Shares: half}, weight: 0.03, at: now},
+		{answer: room.Answer{Shares: room.All()}, weight: 0.01, at: now},
 		{weight: 0.96, at: now.Add(-toldLife)},
 	})
 	if !ok || mean.Shares[0] != 0.625 {
--- a/internal/traffic/tree/chain.go
+++ b/internal/traffic/tree/chain.go
@@ -22,8 +22,9 @@
 	begun time.Time
 	// last is the kind of the last one.
 	last call.Class
-	// made is the calls that have ended and are counted for the parent, or for none.
-	made []made
+	// made is the calls that have ended and are counted for the parent, and lost those
+	// that are counted for none.
+	made, lost []made
 	// connection is that of the last one, and answered when it was answered.
 	connection string
 	answered   time.Time
--- a/internal/traffic/tree/needs.go
+++ b/internal/traffic/tree/needs.go
@@ -131,20 +131,23 @@
 	}
 	ce := callee{cl.Service, cl.Class}
 	tr.needs.learnSubtree(ce, cl.Needs)
-	if !cl.Ran {
+	if !cl.Ran || parent != nil && parent.gaveUp {
+		// An attempt that was given up while the call ran is counted without it.
 		return
 	}
-	if ch := tr.chains[cl.Connection]; ch != nil {
-		ch.made = add(ch.made, ce, 1)
-	}
-	if parent != nil && parent.ended {
-		// It was given up while the call ran, and is counted without it.
-		return
-	}
-	tr.needs.counts.call(now, ce, parent != nil)
-	if parent != nil {
+	found := parent != nil && !parent.ended
+	tr.needs.counts.call(now, ce, found)
+	ch := tr.chains[cl.Connection]
+	if found {
 		parent.made = add(parent.made, ce, 1)
 	}
+	switch {
+	case ch == nil:
+	case found:
+		ch.made = add(ch.made, ce, 1)
+	default:
+		ch.lost = add(ch.lost, ce, 1)
+	}
 }
 
 // add counts calls of a kind.
@@ -160,15 +163,16 @@
 // move counts the calls of a chain for an attempt that ends, in place of the one that
 // they were given to, if any.
 func (ns *needs) move(now time.Time, ch *chain, in *Inbound) {
-	if ch.parent == in || ch.parent != nil && ch.parent.ended {
+	for _, md := range ch.lost {
+		ns.counts.find(now, md)
+		in.made = add(in.made, md.callee, md.calls)
+	}
+	ch.lost = nil
+	if ch.parent == nil || ch.parent == in || ch.parent.ended {
 		return
 	}
 	for _, md := range ch.made {
-		if ch.parent != nil {
-			ch.parent.made = add(ch.parent.made, md.callee, -md.calls)
-		} else {
-			ns.counts.find(now, md)
-		}
+		ch.parent.made = add(ch.parent.made, md.callee, -md.calls)
 		in.made = add(in.made, md.callee, md.calls)
 	}
 	ch.made = nil
@@ -181,7 +185,7 @@
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	in.ended = true
+	in.ended, in.gaveUp = true, !through
 	if through {
 		tr.needs.counts.end(now, in.Class, in.made)
 	}
--- a/internal/traffic/tree/tree.go
+++ b/internal/traffic/tree/tree.go
@@ -90,8 +90,8 @@
 	called bool
 	// made is the calls that were found to be its own. The lock of Trees guards it.
 	made []made
-	// ended says that it makes no more calls.
-	ended bool
+	// ended says that it makes no more calls, and gaveUp that it did not come through.
+	ended, gaveUp bool
 
 	mu       sync.Mutex
 	calls    int
