--- a/internal/traffic/entry/room.go
+++ b/internal/traffic/entry/room.go
@@ -97,9 +97,8 @@
 // run in a second, and by its slots where a guard has not told the time that they take.
 func weights(now time.Time, vms []route.Entry, rooms map[call.VM]told, wants []room.Want) []float64 {
 	list := make([]float64, len(vms))
-	slots, carried, carrying := 0.0, 0.0, 0.0
+	carried, carrying := 0.0, 0.0
 	for at, up := range vms {
-		slots += float64(up.Slots)
 		if tl := rooms[up.VM]; now.Sub(tl.at) < toldLife {
 			if list[at] = tl.answer.Capacity(wants); list[at] > 0 {
 				carried += list[at]
--- a/internal/traffic/room/room.go
+++ b/internal/traffic/room/room.go
@@ -31,13 +31,11 @@
 	targetQueue = 10
 	maxTarget   = 2
 	// proportional is the part of the room by which an occupancy of twice the
-	// target lowers it, and integral the part of that which stays each second, or
-	// integralFree where slots are free.
+	// target lowers it, and integral the part of that which stays each second.
 	// An excess admitted for a second adds several times its part to the
 	// occupancy, and trees take up to some seconds: more than this swings.
 	proportional = 0.2
 	integral     = 0.3
-	integralFree = 0.3
 	// strong is the same as proportional for the square of the error: with three
 	// times the target nothing is admitted until that is worked off.
 	strong = 0.15
@@ -67,8 +65,9 @@
 	trimReturn = 0.2
 )
 
-// Rank orders requests that want the same room: by importance, and then those
-// that can still be answered within their target before the others.
+// Rank orders requests that want the same room: by importance, and then those that take
+// far less than others of it, those that can still be answered within their target, and
+// the others.
 type Rank uint8
 
 // Ranks is the number of ranks.
@@ -313,10 +312,8 @@
 	switch {
 	case off < 0 && dv.total <= float64(ld.Slots)*dv.trim:
 		dv.trim += (1 - dv.trim) * trimReturn * passed.Seconds()
-	case off < 0:
-		// Slots come free beside requests that are refused.
-		dv.trim *= math.Exp(-integralFree * off * passed.Seconds())
-	case dv.unsteady == 0 || dv.unsteady >= unsteadyTime:
+	case off < 0, dv.unsteady == 0, dv.unsteady >= unsteadyTime:
+		// Slots that come free beside requests that are refused are no matter of a step.
 		dv.trim *= math.Exp(-integral * off * passed.Seconds())
 	}
 	dv.trim = min(max(dv.trim, minTrim), maxTrim)
