--- /dev/null
+++ b/internal/traffic/throttle/steps_requests_test.go
@@ -0,0 +1,229 @@
+package throttle
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"camphortrail/admission"
+	"camphortrail/call"
+)
+
+// This file holds what becomes of the requests of a stepsMesh and of their calls.
+
+// arrive lets requests of a kind come at random times.
+func (sm *stepsMesh) arrive(kd *meshKind) {
+	rate := kd.perSecond * sm.load
+	if rate == 0 {
+		sm.After(sampleInterval, func() { sm.arrive(kd) })
+		return
+	}
+	sm.After(time.Duration(sm.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		sm.count(kd.class).asked++
+		sm.try(sm.request(kd))
+		sm.arrive(kd)
+	})
+}
+
+// try is a try of a request at its entry.
+func (sm *stepsMesh) try(mr *meshRequest) {
+	if de := sm.ask(mr); !de.Admitted {
+		sm.count(mr.kind.class).refusals++
+		se := sm.second()
+		se.refused += sm.takes(mr.kind).Seconds()
+		if de.Failing {
+			se.failing++
+		}
+		sm.refused(mr, de.RetryAfter)
+		return
+	}
+	rq := &stepsRequest{meshRequest: mr, id: call.NewRequestID(sm.rng)}
+	if len(sm.live) == cap(sm.live) {
+		sm.live = slices.DeleteFunc(sm.live, func(old *stepsRequest) bool { return old.over })
+	}
+	sm.live = append(sm.live, rq)
+	sm.send(&stepsCall{
+		rq: rq, class: mr.kind.class, id: rq.id, importance: mr.kind.importance, deadline: mr.sent.Add(mr.kind.limit),
+		done: func(an stepsAnswer) { sm.finish(rq, an) },
+	})
+}
+
+// refused lets the caller come back once.
+func (sm *stepsMesh) refused(mr *meshRequest, after time.Duration) {
+	if mr.returned {
+		sm.count(mr.kind.class).refused++
+		return
+	}
+	back, wait := sm.back(mr, after)
+	sm.After(wait, func() { sm.try(back) })
+}
+
+// finish is the end of an admitted request.
+func (sm *stepsMesh) finish(rq *stepsRequest, an stepsAnswer) {
+	if rq.over {
+		return
+	}
+	rq.over = true
+	ct := sm.count(rq.kind.class)
+	switch {
+	case !an.through:
+		ct.broken++
+	case sm.Now().Sub(rq.first) > rq.kind.target:
+		ct.late++
+	default:
+		ct.inTarget++
+	}
+	if an.through {
+		sm.second().ended += rq.kind.slotTime().Seconds() / sm.shape.call().Seconds()
+		sm.credit(rq, sm.Now())
+	} else {
+		// Its entry could not foresee the step.
+		sm.credit(rq, sm.stepped)
+	}
+	sm.learn(rq, an)
+}
+
+// credit counts the calls of a request until the given time as useful.
+func (sm *stepsMesh) credit(rq *stepsRequest, until time.Time) {
+	for _, se := range rq.calls {
+		if se.begun.Before(until) {
+			se.useful += rq.kind.call.Seconds() / sm.shape.call().Seconds()
+		}
+	}
+}
+
+// send sends an attempt to a VM of its service.
+func (sm *stepsMesh) send(ca *stepsCall) {
+	svc := programs[ca.class].service
+	if svc == service0 {
+		sm.place(ca, nil, stepsAnswer{})
+		return
+	}
+	nodes := sm.nodes[svc]
+	sm.execute(nodes[sm.rng.IntN(len(nodes))], ca)
+}
+
+// execute runs an attempt at a middle service.
+func (sm *stepsMesh) execute(nd *stepsNode, ca *stepsCall) {
+	pg := programs[ca.class]
+	at := &stepsAttempt{stepsCall: ca, node: nd, in: sm.enter(nd.trees, ca), pending: pg.series}
+	sm.After(sm.spread(sm.work(ca)), func() {
+		if pg.series == 0 {
+			sm.end(at, true)
+		}
+		for range pg.series {
+			sm.makeCalls(at, pg.length, "")
+		}
+	})
+}
+
+// work is the time until an attempt makes its first calls.
+func (sm *stepsMesh) work(ca *stepsCall) time.Duration {
+	switch ca.class {
+	case lookUp, release:
+		return ca.rq.kind.work
+	case upload:
+		return uploadWork
+	}
+	return sm.shape.hop
+}
+
+// makeCalls makes the calls of a series that are left, the next one on a connection,
+// which may be empty.
+func (sm *stepsMesh) makeCalls(at *stepsAttempt, left int, conn string) {
+	if left == 0 {
+		if at.pending--; at.pending == 0 {
+			sm.end(at, true)
+		}
+		return
+	}
+	if at.over || at.rq.over {
+		sm.end(at, false)
+		return
+	}
+	nd := at.node
+	if conn == "" || sm.rng.IntN(otherConnection) == 0 {
+		nd.conns++
+		conn = strconv.Itoa(nd.conns)
+	}
+	ca := &stepsCall{rq: at.rq, class: programs[at.class].calls, deadline: at.in.Told, importance: orphanImportance, depth: 1}
+	pg := programs[ca.class]
+	if own := sm.Now().Add(pg.limit); own.Before(ca.deadline) {
+		ca.deadline = own
+	}
+	parent := sm.adopt(nd, ca, conn)
+	ca.done = func(an stepsAnswer) {
+		sm.answered(nd, parent, pg.service, ca.class, conn, an)
+		sm.After(answerGap, func() {
+			if !an.through {
+				sm.end(at, false)
+				return
+			}
+			sm.makeCalls(at, left-1, conn)
+		})
+	}
+	sm.send(ca)
+}
+
+// end ends an attempt at a middle service.
+func (sm *stepsMesh) end(at *stepsAttempt, through bool) {
+	if at.over {
+		return
+	}
+	at.over = true
+	at.done(sm.exit(at.node.trees, at.in, at.node.service, middleOccupancy, through))
+}
+
+// uploads lets uploads run beside the calls of index.
+func (sm *stepsMesh) uploads() {
+	rate := uploadsPerNode * float64(sm.shape.middle)
+	sm.After(time.Duration(sm.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		sm.send(&stepsCall{
+			rq: &stepsRequest{meshRequest: &meshRequest{}}, class: upload, id: call.NewRequestID(sm.rng),
+			deadline: sm.Now().Add(2 * time.Second), done: func(stepsAnswer) {},
+		})
+		sm.uploads()
+	})
+}
+
+// place sends a call to the emptier of two VMs of the small service, and to others
+// that have not refused it if it is refused.
+func (sm *stepsMesh) place(ca *stepsCall, exclude []*stepsVM, last stepsAnswer) {
+	var vm *stepsVM
+	for range 2 {
+		other := sm.vms[sm.rng.IntN(len(sm.vms))]
+		if !slices.Contains(exclude, other) && (vm == nil || other.mc.Occupancy() < vm.mc.Occupancy()) {
+			vm = other
+		}
+	}
+	if vm == nil || ca.rq.over {
+		ca.done(last)
+		return
+	}
+	id := call.NewAttemptID(sm.rng)
+	sm.calls[id] = &meshCall{
+		guard: vm.meshGuard,
+		begin: func() { sm.run(vm, id, ca) },
+		fail: func() {
+			sm.count(ca.rq.kind.class).guardRefused++
+			sm.place(ca, append(slices.Clone(exclude), vm), sm.refusal(vm, ca))
+		},
+	}
+	sm.step(vm.meshGuard, admission.Arrive{ID: id, Importance: ca.importance, Cohort: ca.id.Cohort(), Depth: ca.depth, Deadline: ca.deadline})
+}
+
+// run runs a call at a VM of the small service, until its deadline at most.
+func (sm *stepsMesh) run(vm *stepsVM, id call.AttemptID, ca *stepsCall) {
+	kd := ca.rq.kind
+	se := sm.second()
+	se.started += kd.call.Seconds() / sm.shape.call().Seconds()
+	ca.rq.calls = append(ca.rq.calls, se)
+	length := time.Duration(float64(sm.spread(kd.call)) * vm.time(sm.Now()))
+	left := ca.deadline.Sub(sm.Now())
+	trees, in := vm.trees, sm.enter(vm.trees, ca)
+	sm.After(min(length, left), func() {
+		vm.pace.Add(sm.Now(), ca.class, min(length, left))
+		sm.step(vm.meshGuard, admission.Finish{ID: id, OK: length <= left})
+		ca.done(sm.exit(trees, in, service0, vm.mc.Occupancy(), length <= left))
+	})
+}
