--- a/internal/traffic/throttle/steps_mesh_test.go
+++ b/internal/traffic/throttle/steps_mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"camphortrail/admission"
