Keep control replicas up while their disks are full

Cause: a write that failed ended the replica with code 1. Started again, it failed on its first write and ended again, for as long as the disk was full.

Change: package quorum has an event PersistFailed. The replica then hands its leadership over, neither votes nor acknowledges entries nor stands for election, and asks for a complete Persist. Package store writes that to a new log file and never appends to one in which a write failed. A data folder that can be read and not written is opened. Temporary files of failed writes are removed.

--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -71,8 +71,9 @@
 	// Endpoints are additional addresses that the replica serves.
 	Endpoints []Endpoint
 
-	// wrapTransport wraps the transport to another replica, and dial makes its connections.
-	// Tests set them.
+	// wrapTransport wraps the transport to another replica, dial makes its connections, and
+	// wrapDisk wraps the disk. Tests set them.
+	wrapDisk      func(disk) disk
 	wrapTransport func(quorum.Replica, http.RoundTripper) http.RoundTripper
 	dial          func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -93,10 +94,13 @@
 	// addresses holds the peer addresses of the listed replicas.
 	addresses map[quorum.Replica]string
 
-	store   *store.Store
-	machine *quorum.Machine
-	state   *state
-	senders map[quorum.Replica]*sender
+	disk disk
+	// writeFailure is the reason why the data folder could not be written when it was opened,
+	// or nil.
+	writeFailure error
+	machine      *quorum.Machine
+	state        *state
+	senders      map[quorum.Replica]*sender
 	// startTask starts a goroutine that Run waits for.
 	startTask func(func(context.Context) error)
 	waiters   *waiters
@@ -216,7 +220,10 @@
 	if err != nil {
 		return err
 	}
-	co.store = st
+	co.disk, co.writeFailure = st, re.WriteFailure
+	if co.opt.wrapDisk != nil {
+		co.disk = co.opt.wrapDisk(st)
+	}
 	co.logRecovery(re, recovered, time.Since(begin))
 	if !co.opt.Elastic {
 		if err := co.checkVoters(recovered.Voters()); err != nil {
@@ -295,8 +302,8 @@
 }
 
 // Run serves until ctx ends. A leader then transfers its leadership, and requests in flight
-// are answered before Run returns. It returns an error if a task fails, for example because
-// of the disk.
+// are answered before Run returns. It returns an error if a task fails. A disk that cannot be
+// written is no such failure: the replica then neither leads nor votes until it can.
 func (co *Control) Run(ctx context.Context) error {
 	defer co.close()
 	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
@@ -358,7 +365,7 @@
 	for _, ln := range co.endpoints {
 		_ = ln.Close()
 	}
-	if co.store != nil {
-		_ = co.store.Close()
+	if co.disk != nil {
+		_ = co.disk.Close()
 	}
 }
--- a/internal/state/control/serve.go
+++ b/internal/state/control/serve.go
@@ -25,21 +25,24 @@
 // replicaMetrics holds the metrics of a replica: the time from proposal to commit, the time
 // to save to disk, dropped messages and failed exchanges with other replicas.
 type replicaMetrics struct {
-	set     *metrics.Set
-	commit  *metrics.Histogram
-	sync    *metrics.Histogram
-	dropped *metrics.Counter
-	failed  *metrics.Counter
+	set    *metrics.Set
+	commit *metrics.Histogram
+	sync   *metrics.Histogram
+	// writeFailures counts the writes to the disk that failed.
+	writeFailures *metrics.Counter
+	dropped       *metrics.Counter
+	failed        *metrics.Counter
 }
 
 func newReplicaMetrics(co *Control) *replicaMetrics {
 	set := metrics.NewSet()
 	rm := &replicaMetrics{
-		set:     set,
-		commit:  set.NewHistogram("camphortrail_control_commit_seconds"),
-		sync:    set.NewHistogram("camphortrail_control_sync_seconds"),
-		dropped: set.NewCounter("camphortrail_control_messages_dropped_total"),
-		failed:  set.NewCounter("camphortrail_control_exchanges_failed_total"),
+		set:           set,
+		commit:        set.NewHistogram("camphortrail_control_commit_seconds"),
+		sync:          set.NewHistogram("camphortrail_control_sync_seconds"),
+		writeFailures: set.NewCounter("camphortrail_control_write_failures_total"),
+		dropped:       set.NewCounter("camphortrail_control_messages_dropped_total"),
+		failed:        set.NewCounter("camphortrail_control_exchanges_failed_total"),
 	}
 	set.NewGauge("camphortrail_control_commit_index", func() float64 {
 		return float64(co.view.Load().status.Commit)
--- a/quorum/bootstrap.go
+++ b/quorum/bootstrap.go
@@ -22,7 +22,7 @@
 // log, and only if all are blank. A majority is not enough: the others may hold entries
 // that were committed with a replica that has since lost its disk.
 func (ma *Machine) queryBlank() {
-	if !ma.bootstrapper() || ma.now.Sub(ma.bootstrap.asked) < ma.set.ElectionTimeout {
+	if !ma.bootstrapper() || ma.disk.failed || ma.now.Sub(ma.bootstrap.asked) < ma.set.ElectionTimeout {
 		return
 	}
 	ma.bootstrap = bootstrapState{asked: ma.now, blank: Voters{ma.set.ID: ma.inc}}
@@ -32,8 +32,12 @@
 	ma.bootstrapIfBlank()
 }
 
-// receiveBootstrapQuery answers whether this replica is blank.
+// receiveBootstrapQuery answers whether this replica is blank. It does not answer while the
+// disk fails, because its incarnation may not be on the disk.
 func (ma *Machine) receiveBootstrapQuery(bq *BootstrapQuery) {
+	if ma.disk.failed {
+		return
+	}
 	ma.emit(Send{&BootstrapAnswer{Header: ma.answerTo(&bq.Header), Refused: !ma.blank()}})
 }
 
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -23,6 +23,8 @@
 	// are the terms that are persisted with them.
 	stable, issued         Index
 	stableTerm, issuedTerm Term
+	// failed is set from a failed Persist until a complete one succeeds.
+	failed bool
 	// held are the messages that wait for a Persist.
 	held []heldMessage
 }
@@ -63,13 +65,18 @@
 		Number:    di.number,
 		HardState: HardState{Term: ma.term, Vote: ma.vote, Commit: ma.commit},
 	}
+	snap := ma.log.snap
 	switch {
+	case di.failed:
+		pe.Complete, pe.From = true, snap.Index+1
 	case di.snapshotChanged:
-		snap := ma.log.snap
-		pe.Snapshot, pe.From = &snap, snap.Index+1
+		pe.From = snap.Index + 1
 	case di.from != 0:
 		pe.From = di.from
 	}
+	if (pe.Complete || di.snapshotChanged) && snap.Index > 0 {
+		pe.Snapshot = &snap
+	}
 	if pe.From != 0 {
 		pe.Entries = slices.Clip(ma.log.entriesFrom(pe.From))
 	}
@@ -85,7 +92,7 @@
 	if !di.writing || number != di.number {
 		return
 	}
-	di.writing = false
+	di.writing, di.failed = false, false
 	di.stable, di.stableTerm = di.issued, di.issuedTerm
 	rest := di.held[:0]
 	for _, hm := range di.held {
@@ -101,6 +108,26 @@
 	}
 }
 
+// persistFailed handles a PersistFailed. Earlier Persists are still on the disk, so the
+// acknowledgements sent for them hold. Messages that wait for the failed one are dropped.
+func (ma *Machine) persistFailed(number uint64) {
+	di := &ma.disk
+	if number != 0 {
+		if !di.writing || number != di.number {
+			return
+		}
+		di.writing = false
+	}
+	di.failed, di.dirty = true, true
+	di.held = di.held[:0]
+	if ma.role == Leader {
+		ma.handOver()
+	}
+	if ma.role != Follower {
+		ma.becomeFollower(ma.term, "")
+	}
+}
+
 // sendSynced sends a message that is only valid once the current state is on the disk:
 // votes and acknowledgements are promises that must hold after a restart. It sends the
 // message at once if the disk has the state, and otherwise holds it until the Persist with
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -14,7 +14,7 @@
 // repeated after a quarter to three quarters of the election timeout.
 func (ma *Machine) campaign(pre, transfer bool) {
 	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout/4 + ma.randomBelow(ma.set.ElectionTimeout/2))
-	if ma.resigned || !ma.voter() {
+	if ma.resigned || ma.disk.failed || !ma.voter() {
 		return
 	}
 	ma.role, ma.leader = Candidate, ""
--- a/quorum/event.go
+++ b/quorum/event.go
@@ -1,7 +1,7 @@
 package quorum
 
-// Event is an input of a Machine: Receive, Propose, Persisted, Compact, Transfer,
-// LiveReplicas or Tick.
+// Event is an input of a Machine: Receive, Propose, Persisted, PersistFailed, Compact,
+// Transfer, LiveReplicas or Tick.
 type Event interface{ event() }
 
 // Receive is the arrival of a message from another replica.
@@ -18,6 +18,12 @@
 // disk.
 type Persisted struct{ Number uint64 }
 
+// PersistFailed reports that the Persist with this Number failed, so that the disk holds all,
+// a part or none of it. Number is 0 if the disk failed before the first Persist. The replica
+// gives up its leadership, neither votes nor acknowledges entries, and repeats a complete
+// Persist until one succeeds.
+type PersistFailed struct{ Number uint64 }
+
 // Compact passes in the content of the state machine after all entries up to and
 // including Index, so that the log can drop these entries.
 type Compact struct {
@@ -36,13 +42,14 @@
 // Tick reports that time has passed. It should come several times per Settings.Heartbeat.
 type Tick struct{}
 
-func (Receive) event()      {}
-func (Propose) event()      {}
-func (Persisted) event()    {}
-func (Compact) event()      {}
-func (Transfer) event()     {}
-func (LiveReplicas) event() {}
-func (Tick) event()         {}
+func (Receive) event()       {}
+func (Propose) event()       {}
+func (Persisted) event()     {}
+func (PersistFailed) event() {}
+func (Compact) event()       {}
+func (Transfer) event()      {}
+func (LiveReplicas) event()  {}
+func (Tick) event()          {}
 
 // Action is an output of a Machine: Send, Persist, Apply, Restore, Rejected or
 // RoleChanged.
@@ -52,8 +59,8 @@
 // messages.
 type Send struct{ Message Message }
 
-// Persist asks for state to be written and synced to the disk. Persisted answers it, and
-// at most one is outstanding.
+// Persist asks for state to be written and synced to the disk. Persisted or PersistFailed
+// answers it, and at most one is outstanding.
 type Persist struct {
 	Number    uint64
 	HardState HardState
@@ -64,6 +71,9 @@
 	// Snapshot, if not nil, replaces the entries up to its index. It has to be written
 	// atomically with the other fields.
 	Snapshot *Snapshot
+	// Complete is set if the Persist holds the complete state. It replaces all that is on the
+	// disk, because an earlier write failed.
+	Complete bool
 }
 
 // Apply passes a committed DataEntry to the state machine. Entries come in the order of
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -236,11 +236,30 @@
 		return
 	}
 	for _, id := range ma.peers {
-		pe := ma.lead.peers[id]
-		if pe.match == ma.log.last() && ma.log.agreedVoters()[id] == pe.inc && ma.now.Sub(pe.lastContact) < ma.set.ElectionTimeout {
+		if ma.electable(id) && ma.lead.peers[id].match == ma.log.last() {
 			tr.sent, tr.target = true, id
 			ma.emit(Send{&StartElection{ma.headerTo(id)}})
 			return
 		}
 	}
 }
+
+// electable reports whether a peer is a voter and was heard from recently.
+func (ma *Machine) electable(id Replica) bool {
+	pe := ma.lead.peers[id]
+	return pe.inc != 0 && ma.log.agreedVoters()[id] == pe.inc && ma.now.Sub(pe.lastContact) < ma.set.ElectionTimeout
+}
+
+// handOver asks the voter that holds the most entries to stand for election. Unlike a
+// transfer it does not wait until everything is committed: the leader has to step down next.
+func (ma *Machine) handOver() {
+	best := Replica("")
+	for _, id := range ma.peers {
+		if ma.electable(id) && (best == "" || ma.lead.peers[id].match > ma.lead.peers[best].match) {
+			best = id
+		}
+	}
+	if best != "" {
+		ma.emit(Send{&StartElection{ma.headerTo(best)}})
+	}
+}
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -83,6 +83,8 @@
 		ma.propose(ev)
 	case Persisted:
 		ma.persisted(ev.Number)
+	case PersistFailed:
+		ma.persistFailed(ev.Number)
 	case Compact:
 		ma.compact(ev)
 	case Transfer:
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -108,6 +108,8 @@
 			clear(nw.cut)
 			clear(nw.brokenLinks)
 		},
+		"disk fails": func(t *rapid.T) { nw.hosts[host(t)].failing = true },
+		"disk works": func(t *rapid.T) { nw.hosts[host(t)].failing = false },
 		"link quality": func(t *rapid.T) {
 			nw.loss = rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "loss")
 			nw.duplicate = rapid.SampledFrom([]int{0, 0, 20}).Draw(t, "double")
--- a/quorum/script_test.go
+++ b/quorum/script_test.go
@@ -75,6 +75,12 @@
 		nw.cut[id] = true
 	case "compact":
 		nw.compact(id)
+	case "fill-disk":
+		nw.hosts[id].failing = true
+	case "fail-disk":
+		nw.step(id, quorum.PersistFailed{})
+	case "free-disk":
+		nw.hosts[id].failing = false
 	case "transfer":
 		nw.step(id, quorum.Transfer{})
 	default:
--- a/store/store.go
+++ b/store/store.go
@@ -20,9 +20,11 @@
 var (
 	// ErrInUse means that another process uses the data folder.
 	ErrInUse = errors.New("store: data folder is in use")
-	// ErrWriteFailed means that a write or sync failed. The content of the disk is unknown
-	// until the store is opened again.
+	// ErrWriteFailed means that a write or sync failed. What was written by it is unknown until
+	// a complete state is saved or the store is opened again.
 	ErrWriteFailed = errors.New("store: write failed")
+	// ErrClosed means that the store is closed.
+	ErrClosed = errors.New("store: closed")
 )
 
 // OpenReport describes what Open found in the data folder.
@@ -37,6 +39,10 @@
 	TruncatedBytes int
 	// Records is the number of log records read.
 	Records int
+	// WriteFailure is set if the folder was read but cannot be written, for example because
+	// the disk is full. It wraps ErrWriteFailed, and Save returns it until a complete state is
+	// saved.
+	WriteFailure error
 }
 
 // Store owns a data folder. Only one goroutine may use it, except that PrepareSnapshot may
@@ -48,8 +54,10 @@
 	logNumber     uint64
 	recordCount   uint64 // in logFile
 	snapshotIndex quorum.Index
-	// failure is what Save returns after a failed write or Close.
+	// failure is the result of the last write. While it is set, the end of the log file is
+	// unknown, and nothing is appended to it.
 	failure error
+	closed  bool
 
 	// mu guards preparing and prepared: the index of the last snapshot that was passed to
 	// PrepareSnapshot, and of the last one that it wrote.
@@ -81,33 +89,44 @@
 	return st, state, re, nil
 }
 
-// open recovers the state, or creates a log if there is none or it is damaged.
+// open recovers the state, or creates a log if there is none or it is damaged. A folder that
+// cannot be written is no error: its state is still known.
 func (st *Store) open(inc quorum.Incarnation) (quorum.State, OpenReport, error) {
 	rl, err := st.recover()
 	if errors.Is(err, errDamaged) {
 		if err := st.renameDamaged(rl); err != nil {
 			return quorum.State{}, OpenReport{}, err
 		}
-		state, createErr := st.createLog(rl.logNumber, max(inc, rl.state.Incarnation+1))
-		return state, OpenReport{Damage: err.Error()}, createErr
+		state := st.createLog(rl.logNumber, max(inc, rl.state.Incarnation+1))
+		return state, OpenReport{Damage: err.Error(), WriteFailure: st.failure}, nil
 	}
 	if err != nil {
 		return quorum.State{}, OpenReport{}, err
 	}
 	if rl.recordCount == 0 {
-		state, err := st.createLog(0, inc)
-		return state, OpenReport{Empty: true}, err
+		state := st.createLog(0, inc)
+		return state, OpenReport{Empty: true, WriteFailure: st.failure}, nil
 	}
-	return rl.state, OpenReport{TruncatedBytes: rl.truncatedBytes, Records: int(rl.recordCount)}, st.resumeLog(rl)
+	st.setFailure(st.resumeLog(rl))
+	return rl.state, OpenReport{
+		TruncatedBytes: rl.truncatedBytes, Records: int(rl.recordCount), WriteFailure: st.failure,
+	}, nil
 }
 
-// createLog starts the log of a new incarnation, with the number after log.
-func (st *Store) createLog(log uint64, inc quorum.Incarnation) (quorum.State, error) {
+// createLog starts the log of a new incarnation, with the number after log. If that fails, it
+// sets st.failure.
+func (st *Store) createLog(log uint64, inc quorum.Incarnation) quorum.State {
 	st.incarnation, st.logNumber = inc, log
-	if err := st.startLog(quorum.Persist{From: 1}); err != nil {
-		return quorum.State{}, err
+	st.setFailure(st.startLog(quorum.Persist{From: 1}))
+	return quorum.State{Incarnation: inc}
+}
+
+// setFailure records the result of a write.
+func (st *Store) setFailure(err error) {
+	st.failure = nil
+	if err != nil {
+		st.failure = errors.Wrap(ErrWriteFailed, err.Error())
 	}
-	return quorum.State{Incarnation: inc}, nil
 }
 
 // resumeLog opens a recovered log for further records. An incomplete record at its end is
@@ -129,28 +148,25 @@
 	return errors.Wrap(fi.Sync(), "store: sync log")
 }
 
-// Save writes pe and syncs it to the disk. An error wraps ErrWriteFailed. Every later Save
-// then returns the same error, because a later sync may succeed although earlier data is
-// lost.
+// Save writes pe and syncs it to the disk. An error wraps ErrWriteFailed, or is ErrClosed. After
+// a failed write every later Save returns the same error until a complete state is saved: a
+// later sync may succeed although earlier data is lost. A complete state is written to a new
+// file, and does not rely on the file in which the write failed.
 func (st *Store) Save(pe quorum.Persist) error {
-	if st.failure != nil {
-		return st.failure
-	}
-	var err error
-	if pe.Snapshot != nil {
-		err = st.saveSnapshot(pe)
-	} else {
-		err = st.appendRecord(pe)
-	}
-	if err != nil {
-		st.failure = errors.Wrap(ErrWriteFailed, err.Error())
+	switch {
+	case st.closed:
+		return ErrClosed
+	case pe.Complete || pe.Snapshot != nil && st.failure == nil:
+		st.setFailure(st.replaceLog(pe))
+	case st.failure == nil:
+		st.setFailure(st.appendRecord(pe))
 	}
 	return st.failure
 }
 
 // PrepareSnapshot writes the snapshot at index i in advance, so that a later Save of that
 // snapshot does not write its data. It may run concurrently with Save, so that a large
-// snapshot does not delay the log. An error wraps ErrWriteFailed.
+// snapshot does not delay the log. An error wraps ErrWriteFailed; the call may be repeated.
 func (st *Store) PrepareSnapshot(i quorum.Index, data []byte) error {
 	st.mu.Lock()
 	st.preparing = i
@@ -203,16 +219,19 @@
 	return nil
 }
 
-// saveSnapshot writes a snapshot, unless it is prepared, and starts the log file that
-// follows it.
-func (st *Store) saveSnapshot(pe quorum.Persist) error {
-	sn := pe.Snapshot
-	if !st.isPrepared(sn.Index) {
-		if err := st.writeSnapshot(sn.Index, sn.Data); err != nil {
-			return err
+// replaceLog starts a new log file, and removes the previous one. If the log follows a
+// snapshot, it writes that first, unless the snapshot is on the disk already.
+func (st *Store) replaceLog(pe quorum.Persist) error {
+	if sn := pe.Snapshot; sn == nil {
+		st.snapshotIndex = 0
+	} else if sn.Index != st.snapshotIndex {
+		if !st.isPrepared(sn.Index) {
+			if err := st.writeSnapshot(sn.Index, sn.Data); err != nil {
+				return err
+			}
 		}
+		st.snapshotIndex = sn.Index
 	}
-	st.snapshotIndex = sn.Index
 	if err := st.startLog(pe); err != nil {
 		return err
 	}
@@ -240,7 +259,8 @@
 }
 
 // writeFile atomically creates a file with one record: it writes and syncs a temporary file,
-// renames it and syncs the folder. It returns the file open for writing.
+// renames it and syncs the folder. It returns the file open for writing. If the write fails, it
+// removes the temporary file, because the disk may be full.
 func (st *Store) writeFile(name string, msg proto.Message) (file, error) {
 	fi, err := st.folder.Create(name + temporarySuffix)
 	if err != nil {
@@ -248,6 +268,7 @@
 	}
 	if err := writeRecord(fi, msg); err != nil {
 		_ = fi.Close()
+		_ = st.folder.Remove(name + temporarySuffix)
 		return nil, err
 	}
 	err = st.folder.Rename(name+temporarySuffix, name)
@@ -273,11 +294,9 @@
 	return fi.Sync()
 }
 
-// Close releases the folder. A later Save returns an error that wraps ErrWriteFailed.
+// Close releases the folder. A later Save returns ErrClosed.
 func (st *Store) Close() error {
-	if st.failure == nil {
-		st.failure = errors.Wrap(ErrWriteFailed, "closed")
-	}
+	st.closed = true
 	if st.logFile != nil {
 		_ = st.logFile.Close()
 	}
