Aggregate the demands on busy services by failure domain

Cause: each entry sent its demand on each busy service to up to 16 guards every 200 ms.

Change: with more than 32 nodes, an entry sends its demand to one node of its failure domain, chosen by hash for each service and group of 32 nodes. That node adds the demands up, asks all guards with the sum, and answers with the mean of their grants. An aggregator that does not answer for 600 ms is avoided for 5 s; without one, entries ask the guards as before. Up to 32 nodes nothing changes.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -25,6 +25,8 @@
 	"camphortrail/internal/fleet/gossip"
 	"camphortrail/internal/fleet/rollout"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/traffic/allocation"
+	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
 	"camphortrail/internal/traffic/entry"
 	"camphortrail/internal/traffic/guard"
@@ -175,6 +177,7 @@
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNonZero()), Protocol: opt.UpstreamProtocol,
 		Events: nd.events, Admission: opt.Admission, MaxBufferedBytes: opt.MaxBufferedBytes,
+		AggregateDemand: func(de *attempt.Demand) (allocation.Grant, bool) { return nd.entry.AggregateDemand(de) },
 	})
 	nd.pool = peer.New(peer.Options{OnSuspicion: nd.setSuspect, OnGrant: nd.setGrant, Dial: opt.Dial})
 	eopt := entry.Options{
--- a/internal/traffic/attempt/demand.go
+++ b/internal/traffic/attempt/demand.go
@@ -31,12 +31,18 @@
 	Entry   call.VM
 	Service call.Service
 	Wants   []allocation.RankDemand
+	// Aggregate says that the receiver adds the demand to those of other entries, and asks the
+	// guards of the service for a grant for all of them.
+	Aggregate bool
 }
 
 // Frame converts the demand to the frame that is sent to a guard. Calls after the first
 // maxListedClasses classes are left out.
 func (de *Demand) Frame() *schema.Frame {
 	msg := &schema.Demand{Entry: string(de.Entry), Service: string(de.Service)}
+	if de.Aggregate {
+		msg.Service, msg.AggregatedService = "", string(de.Service)
+	}
 	for _, wt := range de.Wants {
 		want := &schema.Want{
 			Rank: uint32(wt.Rank), YieldThousandths: toThousandths(wt.Successes), FirstSendsThousandths: toThousandths(wt.FirstSends),
@@ -53,6 +59,9 @@
 // ErrBadFrame and names the field.
 func FromDemandFrame(msg *schema.Demand) (*Demand, error) {
 	de := &Demand{Entry: call.VM(msg.GetEntry()), Service: call.Service(msg.GetService())}
+	if svc := msg.GetAggregatedService(); svc != "" {
+		de.Service, de.Aggregate = call.Service(svc), true
+	}
 	if len(msg.GetWants()) > allocation.NumRanks {
 		return nil, errors.Wrap(ErrBadFrame, "wants")
 	}
--- a/internal/traffic/entry/demand.go
+++ b/internal/traffic/entry/demand.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -54,34 +53,50 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			en.sendDemands(en.dueDemands(time.Now()))
+		case <-en.sendNow:
+			en.sendDemands(en.newDemands(time.Now()))
 		}
-		for _, ad := range en.dueDemands(time.Now()) {
-			if ad.vm != en.opt.VM {
-				en.opt.Pool.SendDemand(ad.vm, ad.address, ad.demand)
-			} else if an, ok := en.opt.Guard.AnswerDemand(ad.demand); ok {
-				en.SetGrant(ad.vm, ad.demand.Service, an)
-			}
+	}
+}
+
+// sendDemands sends demands to the guards or aggregators that they are addressed to.
+func (en *Entry) sendDemands(list []addressedDemand) {
+	for _, ad := range list {
+		if ad.vm != en.opt.VM {
+			en.opt.Pool.SendDemand(ad.vm, ad.address, ad.demand)
+		} else if an, ok := en.opt.Guard.AnswerDemand(ad.demand); ok {
+			en.SetGrant(ad.vm, ad.demand.Service, an)
 		}
 	}
 }
 
-// dueDemands returns the demands to send now, one for each guard of each busy service.
+// dueDemands returns the demands to send now: for each busy service one for each guard, or one
+// for the aggregator.
 func (en *Entry) dueDemands(now time.Time) []addressedDemand {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	var list []addressedDemand
 	for svc, demands := range en.throttles.Demands(now) {
-		list = append(list, en.splitDemand(now, svc, demands)...)
+		list = append(list, en.routeDemand(now, svc, demands)...)
 	}
-	return list
+	return append(list, en.aggregatedDemands(now, false)...)
+}
+
+// newDemands returns the demands to send for the sums of services without a recent grant.
+func (en *Entry) newDemands(now time.Time) []addressedDemand {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.aggregatedDemands(now, true)
 }
 
 // splitDemand divides the demand for a service among its VMs in proportion to their
 // weights (demandWeights) and returns one demand for each VM. Demands are rates: calls,
 // successes and first sends per second, by rank. It also records the weights in en.grants
-// for meanGrant, and drops the grants of VMs that get no demand. The caller holds mu.
-func (en *Entry) splitDemand(now time.Time, svc call.Service, demands []allocation.RankDemand) []addressedDemand {
-	vms := en.askedUpstreams(now, svc)
+// for meanGrant, and drops the grants of VMs that get no demand. At most maxVMs VMs get one.
+// The caller holds mu.
+func (en *Entry) splitDemand(now time.Time, svc call.Service, demands []allocation.RankDemand, maxVMs int) []addressedDemand {
+	vms := en.askedUpstreams(now, svc, maxVMs)
 	known := make(map[call.VM]guardGrant, len(vms))
 	list := make([]addressedDemand, 0, len(vms))
 	for at, weight := range demandWeights(now, vms, en.grants[svc], demands) {
@@ -107,7 +122,7 @@
 	list := make([]float64, len(vms))
 	knownCapacity, knownSlots := 0.0, 0.0
 	for at, up := range vms {
-		if gg := grants[up.VM]; now.Sub(gg.received) < grantTTL {
+		if gg := grants[up.VM]; gg.recent(now) {
 			if list[at] = gg.grant.Capacity(demands); list[at] > 0 {
 				knownCapacity += list[at]
 				knownSlots += float64(up.Slots)
@@ -131,20 +146,19 @@
 }
 
 // askedUpstreams returns the VMs of a service to which the entry sends demands: all that
-// are reachable and not draining, or maxAskedGuards of them by a hash that differs between
-// entries.
-func (en *Entry) askedUpstreams(now time.Time, svc call.Service) []route.UpstreamInfo {
+// are reachable and not draining, or maxVMs of them by a hash that differs between entries.
+func (en *Entry) askedUpstreams(now time.Time, svc call.Service, maxVMs int) []route.UpstreamInfo {
 	vms := slices.DeleteFunc(en.routes.Upstreams(now, svc), func(up route.UpstreamInfo) bool {
 		return up.Draining || up.Suspect || up.Slots == 0
 	})
-	if len(vms) <= maxAskedGuards {
+	if len(vms) <= maxVMs {
 		return vms
 	}
 	hash := func(up route.UpstreamInfo) uint64 {
 		return xxhash.Sum64String(string(en.opt.VM) + "\x00" + string(up.VM))
 	}
 	slices.SortFunc(vms, func(a, b route.UpstreamInfo) int { return cmp.Compare(hash(a), hash(b)) })
-	return vms[:maxAskedGuards]
+	return vms[:maxVMs]
 }
 
 // SetGrant applies the grant of the guard of a VM. It ignores VMs that were sent no demand.
@@ -160,21 +174,27 @@
 	}
 	gg.grant, gg.received = an, now
 	en.grants[svc][vm] = gg
-	if mean, ok := meanGrant(now, slices.Collect(maps.Values(en.grants[svc]))); ok {
+	if mean, ok := meanGrant(now, en.grants[svc]); ok {
 		en.throttles.SetGrant(now, svc, mean)
 	}
 }
 
 // meanGrant returns the mean of the recent grants, weighted by the parts of the demand
 // that were sent to the guards. It returns false if there is none.
-func meanGrant(now time.Time, all []guardGrant) (mean allocation.Grant, ok bool) {
-	all = slices.DeleteFunc(all, func(gg guardGrant) bool { return now.Sub(gg.received) >= grantTTL })
+func meanGrant(now time.Time, all map[call.VM]guardGrant) (mean allocation.Grant, ok bool) {
 	sum := 0.0
 	for _, gg := range all {
-		sum += gg.weight
+		if gg.recent(now) {
+			sum += gg.weight
+		}
 	}
 	for _, gg := range all {
-		mean.AddWeighted(gg.grant, gg.weight/sum)
+		if gg.recent(now) {
+			mean.AddWeighted(gg.grant, gg.weight/sum)
+		}
 	}
 	return mean, sum > 0
 }
+
+// recent reports whether the grant still counts.
+func (gg guardGrant) recent(now time.Time) bool { return now.Sub(gg.received) < grantTTL }
--- a/internal/traffic/entry/demand_test.go
+++ b/internal/traffic/entry/demand_test.go
@@ -25,7 +25,7 @@
 	defer en.mu.Unlock()
 	got := make(map[call.VM]float64)
 	demands := []allocation.RankDemand{{Rank: 1, Calls: []allocation.CallRate{{Class: "read", PerSecond: 8}}}}
-	for _, ad := range en.splitDemand(now, "cassa", demands) {
+	for _, ad := range en.splitDemand(now, "cassa", demands, maxAskedGuards) {
 		got[ad.vm] = ad.demand.Wants[0].Calls[0].PerSecond
 	}
 	if len(got) != 2 || got["cassa-0"] != 2 || got["cassa-1"] != 6 {
@@ -43,7 +43,7 @@
 	}
 	demands := []allocation.RankDemand{{Rank: 1, Calls: []allocation.CallRate{{Class: "read", PerSecond: 60}}}}
 	en.mu.Lock()
-	en.splitDemand(now, "cassa", demands)
+	en.splitDemand(now, "cassa", demands, maxAskedGuards)
 	en.mu.Unlock()
 	for vm, took := range map[call.VM]time.Duration{"quick": 10 * time.Millisecond, "slow": 30 * time.Millisecond} {
 		en.SetGrant(vm, "cassa", allocation.Grant{Shares: allocation.FullShares(), Slots: 40, SlotTimes: []allocation.SlotTime{{Class: "read", Time: took}}})
@@ -51,7 +51,7 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	got := make(map[call.VM]float64)
-	for _, ad := range en.splitDemand(time.Now(), "cassa", demands) {
+	for _, ad := range en.splitDemand(time.Now(), "cassa", demands, maxAskedGuards) {
 		got[ad.vm] = math.Round(ad.demand.Wants[0].Calls[0].PerSecond)
 	}
 	// The guard of the new VM has reported nothing yet. It counts as the mean.
@@ -69,7 +69,7 @@
 		for n := range 4 * maxAskedGuards {
 			en.ApplyRouteEvent(route.Upsert{VM: call.VM(fmt.Sprint(n)), Service: "cassa", Slots: 10})
 		}
-		vms := en.askedUpstreams(time.Now(), "cassa")
+		vms := en.askedUpstreams(time.Now(), "cassa", maxAskedGuards)
 		if len(vms) != maxAskedGuards {
 			t.Fatalf("%d VMs are asked, want %d", len(vms), maxAskedGuards)
 		}
@@ -89,15 +89,15 @@
 	for rk := range half {
 		half[rk] = 0.5
 	}
-	mean, ok := meanGrant(now, []guardGrant{
-		{grant: allocation.Grant{Shares: half}, weight: 0.03, received: now},
-		{grant: allocation.Grant{Shares: allocation.FullShares()}, weight: 0.01, received: now},
-		{weight: 0.96, received: now.Add(-grantTTL)},
+	mean, ok := meanGrant(now, map[call.VM]guardGrant{
+		"half": {grant: allocation.Grant{Shares: half}, weight: 0.03, received: now},
+		"full": {grant: allocation.Grant{Shares: allocation.FullShares()}, weight: 0.01, received: now},
+		"old":  {weight: 0.96, received: now.Add(-grantTTL)},
 	})
 	if !ok || mean.Shares[0] != 0.625 {
 		t.Errorf("mean share %v, %t, want 0.625", mean.Shares[0], ok)
 	}
-	if _, ok := meanGrant(now, []guardGrant{{weight: 1}}); ok {
+	if _, ok := meanGrant(now, map[call.VM]guardGrant{"a": {weight: 1}}); ok {
 		t.Error("a guard without a grant counts")
 	}
 }
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -105,6 +105,11 @@
 	longestWaits map[call.Class]*longestWait
 	// grants holds the latest grants of the guards of each service by VM.
 	grants map[call.Service]map[call.VM]guardGrant
+	// aggregations holds the aggregation of the demands for each service.
+	aggregations map[call.Service]*aggregation
+	neighbors    neighbors
+	// sendNow receives a value when demands must be sent without waiting for the interval.
+	sendNow chan struct{}
 	// histograms holds the histograms of the classes and outcomes that occurred.
 	histograms map[histogramKey]*metrics.Histogram
 	// maxNodes is the largest number of nodes that was ever known. Nodes that are cut off
@@ -124,6 +129,8 @@
 		throttles:    throttle.New(),
 		longestWaits: make(map[call.Class]*longestWait),
 		grants:       make(map[call.Service]map[call.VM]guardGrant),
+		aggregations: make(map[call.Service]*aggregation),
+		sendNow:      make(chan struct{}, 1),
 
 		histograms: make(map[histogramKey]*metrics.Histogram),
 	}
@@ -136,6 +143,7 @@
 	en.throttles.Retain(cd.HasClass)
 	en.opt.Trees.Retain(cd.HasClass)
 	maps.DeleteFunc(en.grants, func(svc call.Service, _ map[call.VM]guardGrant) bool { return !namesService(cd, svc) })
+	maps.DeleteFunc(en.aggregations, func(svc call.Service, _ *aggregation) bool { return !namesService(cd, svc) })
 	maps.DeleteFunc(en.histograms, func(ky histogramKey, _ *metrics.Histogram) bool { return !cd.HasClass(ky.class) })
 	maps.DeleteFunc(en.longestWaits, func(class call.Class, _ *longestWait) bool { return !cd.HasClass(class) })
 	for _, svc := range cd.Services {
--- a/internal/traffic/guard/demand.go
+++ b/internal/traffic/guard/demand.go
@@ -63,7 +63,13 @@
 		lk.Close()
 		return
 	}
-	if an, ok := gd.AnswerDemand(de); ok {
+	answer := gd.AnswerDemand
+	if de.Aggregate {
+		if answer = gd.aggregateDemand; answer == nil {
+			return
+		}
+	}
+	if an, ok := answer(de); ok {
 		// If the answer is lost, the next demand gets one.
 		_ = lk.Send(attempt.GrantFrame(de.Service, an))
 	}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -76,6 +76,9 @@
 	Events *events.Log
 	// Protocol replaces the default headers between guard and upstream, if it is set.
 	Protocol Protocol
+	// AggregateDemand answers the demands that an entry sends to this node in order to have
+	// them added to those of others, if it is set.
+	AggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
 	// MaxBufferedBytes is the total size of the answer bodies that are being read, from
 	// which large ones are given up (default 64 MiB).
 	MaxBufferedBytes int64
@@ -96,9 +99,10 @@
 
 	usage usage
 
-	slots   slotAllocation
-	bodies  bodyBudget
-	workers worker.Pool
+	slots           slotAllocation
+	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
+	bodies          bodyBudget
+	workers         worker.Pool
 
 	mu       sync.Mutex
 	registry *withdrawal.Registry[*schema.RecordedAnswer]
@@ -115,14 +119,15 @@
 		opt.Protocol = defaultProtocol{}
 	}
 	gd := &Guard{
-		protocol: opt.Protocol,
-		events:   opt.Events,
-		trees:    opt.Trees,
-		fifo:     opt.FIFO,
-		metrics:  opt.Metrics,
-		client:   upstream.New(),
-		links:    make(map[*link.Link]bool),
-		registry: withdrawal.NewRegistry[*schema.RecordedAnswer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
+		protocol:        opt.Protocol,
+		events:          opt.Events,
+		trees:           opt.Trees,
+		fifo:            opt.FIFO,
+		metrics:         opt.Metrics,
+		client:          upstream.New(),
+		aggregateDemand: opt.AggregateDemand,
+		links:           make(map[*link.Link]bool),
+		registry:        withdrawal.NewRegistry[*schema.RecordedAnswer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
 	gd.loop = newAdmissionLoop(po, &gd.usage)
 	gd.slots.allocator = allocation.New()
--- a/tools/generate/main.go
+++ b/tools/generate/main.go
@@ -44,7 +44,7 @@
 	// Encodes and decodes the frames between nodes without reflection.
 	{
 		command:   "github.com/planetscale/vtprotobuf/cmd/protoc-gen-go-vtproto",
-		parameter: ",features=marshal+unmarshal+size", onlyFile: "frame.proto",
+		parameter: ",features=marshal+unmarshal+unmarshal_unsafe+size", onlyFile: "frame.proto",
 	},
 }
 
