Acknowledge each attempt by its own age

Cause: one timer served all attempts that arrived while it ran, and acknowledged those that had just arrived together with the oldest (TestQuickAnswersAreNotAcknowledged, listed).

Change: an attempt is acknowledged once it is 40 ms old itself; the timer is set again for the next one.

--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -38,6 +38,7 @@
 	defer gd.removeLink(lk)
 	ses := &session{guard: gd, link: lk, unanswered: make(map[call.AttemptID]*pendingAttempt)}
 	ses.timer = time.AfterFunc(acknowledgeDelay, ses.acknowledge)
+	ses.timer.Stop()
 	defer ses.end()
 	for {
 		fr, err := lk.Receive(linkIdleTimeout)
@@ -65,9 +66,15 @@
 	mu sync.Mutex
 	// unanswered holds the attempts without an answer.
 	unanswered map[call.AttemptID]*pendingAttempt
-	// unacknowledged holds the attempts that arrived since acknowledge ran. While there
-	// are any, a timer for acknowledge is set.
-	unacknowledged []call.AttemptID
+	// unacknowledged holds the attempts that are neither acknowledged nor known to be
+	// answered, oldest first. While there are any, the timer is set.
+	unacknowledged []arrivedAttempt
+}
+
+// arrivedAttempt is an attempt and the time of its arrival.
+type arrivedAttempt struct {
+	id call.AttemptID
+	at time.Time
 }
 
 // begin runs an attempt in another goroutine, which sends the answer.
@@ -86,7 +93,7 @@
 	if len(ses.unacknowledged) == 0 {
 		ses.timer.Reset(acknowledgeDelay)
 	}
-	ses.unacknowledged = append(ses.unacknowledged, at.ID)
+	ses.unacknowledged = append(ses.unacknowledged, arrivedAttempt{at.ID, arrival})
 	ses.mu.Unlock()
 	gd.workers.Go(func() {
 		defer gd.active.Exit()
@@ -98,24 +105,37 @@
 	})
 }
 
-// acknowledge sends an acknowledgement for each attempt that arrived since the last run
-// and has no answer yet.
+// acknowledge sends an acknowledgement for each attempt that arrived acknowledgeDelay ago or
+// earlier and has no answer yet. It sets the timer for the next one.
 func (ses *session) acknowledge() {
-	ses.mu.Lock()
-	arrived := slices.DeleteFunc(ses.unacknowledged, func(id call.AttemptID) bool { return ses.unanswered[id] == nil })
-	ses.unacknowledged = nil
-	ses.mu.Unlock()
-	if len(arrived) == 0 {
-		return
-	}
-	stamp := ses.guard.Stamp().String()
-	for _, id := range arrived {
+	now := time.Now()
+	for _, id := range ses.takeDue(now) {
 		_ = ses.link.Send(&schema.Frame{Kind: &schema.Frame_Acknowledgement{Acknowledgement: &schema.Acknowledgement{
-			AttemptId: id[:], Stamp: stamp,
+			AttemptId: id[:], Stamp: ses.guard.Stamp().String(),
 		}}})
 	}
 }
 
+// takeDue removes and returns the attempts to acknowledge at the given time.
+func (ses *session) takeDue(now time.Time) (due []call.AttemptID) {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	ses.unacknowledged = slices.DeleteFunc(ses.unacknowledged, func(aa arrivedAttempt) bool {
+		unanswered := ses.unanswered[aa.id] != nil
+		if isDue := now.Sub(aa.at) >= acknowledgeDelay; unanswered && !isDue {
+			return false
+		}
+		if unanswered {
+			due = append(due, aa.id)
+		}
+		return true
+	})
+	if len(ses.unacknowledged) > 0 {
+		ses.timer.Reset(acknowledgeDelay - now.Sub(ses.unacknowledged[0].at))
+	}
+	return due
+}
+
 // refuseFrame answers a malformed attempt with the error as reason. It closes the link
 // if the attempt has no usable id.
 func (gd *Guard) refuseFrame(lk *link.Link, msg *schema.Attempt, err error) {
--- a/internal/traffic/guard/serve_test.go
+++ b/internal/traffic/guard/serve_test.go
@@ -52,9 +52,10 @@
 	}
 	const quick = 20
 	for range quick {
+		begun := time.Now()
 		id := send("/quick")
 		if an := receive().GetAnswer(); string(an.GetAttemptId()) != string(id) {
-			t.Fatalf("%v comes, want the answer", an)
+			t.Fatalf("%v comes after %v, want the answer", an, time.Since(begun))
 		}
 	}
 	close(held)
