Ignore SIGHUP while a process stops

Cause: watchReload gave SIGHUP its default action back as soon as the context ended, at SIGTERM.

Change: the signal stays registered until the process ends.

Result: TestHangupDuringStop ends the test process without the change ("signal: hangup").

--- a/cmd/camphortrail/reload.go
+++ b/cmd/camphortrail/reload.go
@@ -12,12 +12,12 @@
 // watchReload runs check at each SIGHUP until ctx ends, and logs the result. Without it, SIGHUP
 // would end the process. Changed settings take effect only at the next start: a running process
 // already knows the members of the deployment, and its addresses must not change. The check
-// reports invalid settings before that start.
+// reports invalid settings before that start. SIGHUP stays without effect after ctx has ended: a
+// stopping process still has requests in flight, which the default action would cut off.
 func watchReload(ctx context.Context, check func() error) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangups)
 		for {
 			select {
 			case <-ctx.Done():
--- a/cmd/camphortrail/reload_test.go
+++ b/cmd/camphortrail/reload_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"syscall"
 	"testing"
@@ -31,3 +32,18 @@
 		}
 	}
 }
+
+// TestHangupDuringStop sends SIGHUP to the process after its context has ended, as it does while
+// it finishes its work in flight. The process must continue to run.
+func TestHangupDuringStop(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	watchReload(ctx, func() error { return nil })
+	stop()
+	for range 50 {
+		// The signal ends the test process if nothing handles it.
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
