Start slowly when all nodes start

Change: a class whose calls are not known begins with 3 requests in flight at each entry; the window grows by one for each success, and by two more while there are free slots, until a guard has granted a share or 5 s have passed. A node does so at its first configuration, unless more than half of the other nodes have run for 10 s or longer: a single node that starts in calm goes on as before.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -133,6 +133,8 @@
 
 	opt                                         Options
 	stopping                                    atomic.Bool
+	started                                     time.Time
+	configured                                  atomic.Bool
 	endpointListeners                           []net.Listener
 	callerListener, peerListener, localListener net.Listener
 	guard                                       *guard.Guard
@@ -155,7 +157,7 @@
 	if opt.Stop == (StopPlan{}) {
 		opt.Stop = DefaultStop
 	}
-	nd := &Node{set: set, opt: opt, log: opt.Log, metrics: metrics.NewSet()}
+	nd := &Node{set: set, opt: opt, log: opt.Log, metrics: metrics.NewSet(), started: time.Now()}
 	if nd.log == nil {
 		nd.log = log.Log
 	}
@@ -268,6 +270,10 @@
 	if err != nil {
 		return err
 	}
+	if !nd.configured.Swap(true) && startedWithFleet(nd.gossip.Members(), nd.set.GetName(), nd.started) {
+		nd.entry.StartSlowly()
+		nd.log.Info("most nodes have just started; requests are admitted by a slow start")
+	}
 	nd.entry.SetConfiguration(cd)
 	if !slices.ContainsFunc(cfg.GetFailureDomains(), func(fd *schema.FailureDomain) bool {
 		return fd.GetName() == nd.set.GetFailureDomain()
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -159,6 +159,14 @@
 	en.config.Store(cd)
 }
 
+// StartSlowly makes the entry limit the requests in flight until it knows what they take. It must
+// be called before the first configuration.
+func (en *Entry) StartSlowly() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.throttles.SlowStart()
+}
+
 // ApplyRouteEvent applies an event to the routing table.
 func (en *Entry) ApplyRouteEvent(ev route.Event) {
 	en.mu.Lock()
--- a/internal/traffic/throttle/steps_mesh_test.go
+++ b/internal/traffic/throttle/steps_mesh_test.go
@@ -202,6 +202,7 @@
 	for _, factor := range shape.factors {
 		sm.addVM(factor, 0)
 	}
+	sm.startEntries()
 	sm.startNodes()
 	for _, en := range sm.entries {
 		sm.After(time.Duration(sm.rng.Int64N(int64(demandEvery))), func() { sm.demand(en) })
@@ -233,6 +234,14 @@
 	sm.step(vm.meshGuard, admission.Announce{Slots: vm.slots, WarmUp: warmUp, Restarted: true})
 }
 
+// startEntries starts the entries without any state. As all nodes start, so does a slow start.
+func (sm *stepsMesh) startEntries() {
+	for _, en := range sm.entries {
+		en.controller = New()
+		en.controller.SlowStart()
+	}
+}
+
 // startNodes starts the nodes of the middle services without any state.
 func (sm *stepsMesh) startNodes() {
 	for _, svc := range []call.Service{desk, ledger, index} {
@@ -258,9 +267,7 @@
 	for _, vm := range sm.vms {
 		sm.startGuard(vm, 0)
 	}
-	for _, en := range sm.entries {
-		en.controller = New()
-	}
+	sm.startEntries()
 	active := sm.active
 	sm.active = nil
 	for _, rq := range active {
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -62,6 +62,8 @@
 type Controller struct {
 	classes  map[call.Class]*classState
 	services map[call.Service]*service
+	// startSlowly says that classes begin with a slow start.
+	startSlowly bool
 }
 
 // New returns a controller that has seen no requests and refuses none.
@@ -95,6 +97,9 @@
 // refused only after the less important ones that meet a busy service, or fail with it.
 func (ctl *Controller) Admit(now time.Time, rq Request, draw float64) Decision {
 	cs := ctl.stateOf(rq.Class)
+	if cs.slowStart.began.IsZero() {
+		cs.slowStart.began = now
+	}
 	cs.importance = rq.Importance
 	late := cs.late(rq)
 	minShare := ctl.minShare(now)
@@ -104,6 +109,9 @@
 		// This does not count as a failure, or still more requests would be refused.
 		return Decision{Share: share, RetryAfter: cs.retryAfter(rq, 1-share)}
 	}
+	if !cs.slowStart.admits(now) {
+		return Decision{Share: share, RetryAfter: cs.retryAfter(rq, 1-share)}
+	}
 	cs.share.admitted++
 	refusalRatio := cs.refusalRatio(now)
 	if draw < refusalRatio && cs.share.maybeBusy(now) && !ctl.lessImportantFailing(now, rq.Importance) && !cs.shouldProbe(now) {
@@ -111,6 +119,7 @@
 		return Decision{RefusedForFailures: true, Share: share, RetryAfter: retryDelay(refusalRatio)}
 	}
 	cs.admittedAt = now
+	cs.slowStart.inFlight++
 	return Decision{Admitted: true, Share: share}
 }
 
@@ -119,6 +128,7 @@
 // occupancy. othersFirst says that a less important class must be refused first.
 func (ctl *Controller) share(now time.Time, cs *classState, late bool, minShare float64) (share float64, othersFirst bool) {
 	if share, ok := ctl.grantedShare(now, cs, late); ok {
+		cs.slowStart.window = 0
 		if !late {
 			share = max(share, probeShare)
 			cs.share.reset(now, share)
@@ -135,6 +145,9 @@
 	cs := ctl.classes[class]
 	if cs == nil {
 		cs = &classState{share: newLocalShare(), fanOut: make(map[call.Service]fanOut)}
+		if ctl.startSlowly {
+			cs.slowStart.window = initialWindow
+		}
 		ctl.classes[class] = cs
 	}
 	return cs
@@ -213,6 +226,7 @@
 	if cs == nil {
 		return
 	}
+	cs.slowStart.end(rs.Succeeded, rs.Occupancy > 0 && rs.Occupancy < freeOccupancy)
 	if rs.Occupancy > 0 {
 		cs.share.observe(now, rs.Occupancy)
 	}
@@ -240,6 +254,7 @@
 // nothing about the load, but it was not served.
 func (ctl *Controller) CallerLeft(now time.Time, class call.Class) {
 	if cs := ctl.classes[class]; cs != nil {
+		cs.slowStart.end(false, false)
 		cs.share.decay(now)
 		cs.share.completed++
 	}
@@ -261,6 +276,7 @@
 	// admittedAt is when a request was last admitted.
 	admittedAt time.Time
 	share      localShare
+	slowStart  slowStart
 	// timely limits the requests that can still be answered within their target, and
 	// overdue the others.
 	timely, overdue shareLimiter
