Ask guards that grant everything a third as often

Change: while the mean of the grants is full, an aggregator asks every third interval. As soon as a guard refuses anything, every one.

--- a/internal/traffic/allocation/allocation.go
+++ b/internal/traffic/allocation/allocation.go
@@ -183,6 +183,9 @@
 	SlotTimes *SlotTimeEstimator
 }
 
+// fullShareTolerance is the rounding error of a weighted mean of full shares.
+const fullShareTolerance = 1e-6
+
 // Grant is the reply of a guard to the demand of an entry.
 type Grant struct {
 	Shares Shares
@@ -219,6 +222,9 @@
 	return float64(gr.Slots) * calls / taken
 }
 
+// Full reports whether the grant admits everything.
+func (gr *Grant) Full() bool { return slices.Min(gr.Shares[:]) >= 1-fullShareTolerance }
+
 // AddWeighted adds another grant to a weighted mean. Slots are summed without the weight.
 func (gr *Grant) AddWeighted(other Grant, weight float64) {
 	gr.Slots += other.Slots
--- a/internal/traffic/entry/aggregate.go
+++ b/internal/traffic/entry/aggregate.go
@@ -27,6 +27,10 @@
 	// maxAggregatorGuards bounds the guards of one service to which an aggregator sends
 	// demands.
 	maxAggregatorGuards = 128
+	// idleDemandIntervals is the number of intervals between two demands of an aggregator on a
+	// service whose guards grant all that is demanded. It is well under the lifetimes of demands and
+	// grants.
+	idleDemandIntervals = 3
 	// aggregatorTimeout is the time without a grant after which an entry uses another
 	// aggregator, and aggregatorAvoidTime the time for which it then avoids the first one.
 	aggregatorTimeout   = 3 * demandInterval
@@ -46,6 +50,8 @@
 	// last demand, and silentSince that of the first one without a grant since.
 	aggregator          call.VM
 	sentAt, silentSince time.Time
+	// intervals counts the intervals since the last demand to the guards.
+	intervals int
 	// avoided holds aggregators that did not answer, and until when they are avoided.
 	avoided map[call.VM]time.Time
 }
@@ -152,9 +158,14 @@
 func (en *Entry) aggregatedDemands(now time.Time, withoutGrant bool) []addressedDemand {
 	var list []addressedDemand
 	for svc, ag := range en.aggregations {
-		if _, ok := meanGrant(now, en.grants[svc]); ok && withoutGrant {
+		mean, ok := meanGrant(now, en.grants[svc])
+		if ok && withoutGrant {
 			continue
 		}
+		if ag.intervals++; ok && mean.Full() && ag.intervals < idleDemandIntervals {
+			continue
+		}
+		ag.intervals = 0
 		if total := ag.sum.Total(now); len(total) > 0 {
 			list = append(list, en.splitDemand(now, svc, total, maxAggregatorGuards)...)
 		}
--- a/internal/traffic/entry/aggregate_test.go
+++ b/internal/traffic/entry/aggregate_test.go
@@ -17,6 +17,8 @@
 	now     time.Time
 	sent    map[call.VM]int
 	asked   map[call.VM]int
+	// shares are those that the guards grant.
+	shares allocation.Shares
 }
 
 // newAggregateFleet returns a fleet of the given number of nodes in domains, with the given
@@ -77,7 +79,7 @@
 			continue
 		}
 		af.asked[ad.vm]++
-		af.grant(de.Entry, ad.vm, allocation.Grant{Shares: allocation.FullShares(), Slots: 10})
+		af.grant(de.Entry, ad.vm, allocation.Grant{Shares: af.shares, Slots: 10})
 	}
 }
 
@@ -180,3 +182,31 @@
 		}
 	}
 }
+
+// While the guards grant all that is demanded, they are asked less often, and entries still have
+// grants all the time.
+func TestGuardsOfAnIdleServiceAreAskedLess(t *testing.T) {
+	const intervals = 12
+	for _, tt := range []struct {
+		name   string
+		shares allocation.Shares
+		want   int
+	}{{"refusing", allocation.Shares{}, intervals}, {"idle", allocation.FullShares(), intervals / idleDemandIntervals}} {
+		af := newAggregateFleet(90, 3, 22)
+		af.shares = tt.shares
+		for range 4 {
+			af.interval(3, nil)
+		}
+		asked := 0
+		for range intervals {
+			af.interval(3, nil)
+			asked += af.asked["vm-0"]
+			if granted := af.granted(); granted != 90 {
+				t.Errorf("%s: %d entries with a grant, want 90", tt.name, granted)
+			}
+		}
+		if aggregators := 3; asked != tt.want*aggregators {
+			t.Errorf("%s: a guard gets %d demands in %d intervals, want %d", tt.name, asked, intervals, tt.want*aggregators)
+		}
+	}
+}
