Tell attempts that were never sent as not run

Cause: while a failure domain is cut off, an attempt waits for a link that is not established.

Change: an attempt that ends on a link that has not been established for 100 ms has not run. The link is closed under its lock before it can send anything, and writeStarted is set under that lock. Other attempts on it are told as not run as well.

Result: TestUnsentAttemptHasNotRun; without the change the attempt is told as unknown and runs later ("5 runs, want 4").

--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -216,6 +216,10 @@
 func (lk *Link) flush() bool {
 	for {
 		lk.mu.Lock()
+		if lk.closed {
+			lk.mu.Unlock()
+			return false
+		}
 		unsent := lk.unsent
 		if len(unsent) == 0 {
 			shuttingDown := lk.shuttingDown
@@ -226,8 +230,8 @@
 			return !shuttingDown
 		}
 		lk.unsent, lk.spare = lk.spare[:0], nil
-		lk.mu.Unlock()
 		lk.writeStarted.Store(true)
+		lk.mu.Unlock()
 		if _, err := lk.nc.Write(unsent); err != nil {
 			lk.Close()
 			return false
@@ -340,6 +344,23 @@
 func (lk *Link) Close() {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
+	lk.close()
+}
+
+// CloseUnsent closes the link if no byte of any frame was sent, and reports whether that is so.
+// None is sent afterwards.
+func (lk *Link) CloseUnsent() bool {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	if lk.writeStarted.Load() {
+		return false
+	}
+	lk.close()
+	return true
+}
+
+// close closes the link at once. lk.mu must be held.
+func (lk *Link) close() {
 	if lk.closed {
 		return
 	}
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -32,6 +32,7 @@
 	vm      call.VM
 	address string
 	link    *link.Link
+	opened  time.Time
 	// suspect is true when the connection takes no new attempts.
 	suspect bool
 	// numPending is the number of attempts on the connection that have no answer yet.
@@ -108,7 +109,7 @@
 // openConn opens a connection for new attempts to the VM. pl.mu must be held.
 func (pl *Pool) openConn(vm call.VM, address string) *conn {
 	pl.lastConnID++
-	cn := &conn{id: pl.lastConnID, vm: vm, address: address, link: link.Open(pl.dial, address), greeted: make(chan struct{})}
+	cn := &conn{id: pl.lastConnID, vm: vm, address: address, link: link.Open(pl.dial, address), opened: time.Now(), greeted: make(chan struct{})}
 	pl.connsByVM[vm] = cn
 	pl.connsByID[cn.id] = cn
 	go pl.readFrames(cn)
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -26,6 +26,9 @@
 	signalQueueSize = 16384
 	// queryTimeout bounds one query to a guard.
 	queryTimeout = 500 * time.Millisecond
+	// unreachableTime is the age from which a link that is not established counts as failed when an
+	// attempt on it is given up. Links between VMs of a region are established within milliseconds.
+	unreachableTime = 100 * time.Millisecond
 	// greetingTimeout bounds the wait for the stamp with which a guard begins a link. Guards of an
 	// earlier version send none.
 	greetingTimeout = 250 * time.Millisecond
@@ -198,8 +201,8 @@
 // can send another attempt. Otherwise Send continues to wait, because the guard may only
 // be slow.
 //
-// If the guard's stamp can't be obtained or the connection accepts no frame, Send returns
-// State Dequeued and Sent false: the attempt has not run.
+// If the guard's stamp can't be obtained, the connection accepts no frame, or it is not established
+// when the attempt ends, Send returns State Dequeued and Sent false: the attempt has not run.
 func (pl *Pool) Send(ctx context.Context, vm call.VM, address string, at *attempt.Attempt, mayResend func() bool) Result {
 	sp, err := pl.freshStamp(ctx, vm, address)
 	if err != nil {
@@ -218,7 +221,6 @@
 	if err := cn.link.Send(at.Frame(pa.sent, cn.link.SupportsHeaderBlocks())); err != nil {
 		return Result{State: withdrawal.Dequeued}
 	}
-	unknown := Result{State: withdrawal.Unknown, Sent: true}
 	timer := deadlineTimers.Get().(*time.Timer)
 	timer.Reset(time.Until(at.Deadline))
 	defer func() {
@@ -234,19 +236,27 @@
 			}
 			pa.queryFailed.Store(false)
 			if mayResend() {
-				cn.cancel(at.ID)
-				return unknown
+				return pl.abandon(cn, at.ID)
 			}
 		case <-timer.C:
-			cn.cancel(at.ID)
-			return unknown
+			return pl.abandon(cn, at.ID)
 		case <-ctx.Done():
-			cn.cancel(at.ID)
-			return unknown
+			return pl.abandon(cn, at.ID)
 		}
 	}
 }
 
+// abandon gives up an attempt without an answer. If its link could not be established for a while,
+// as in a partition, the attempt has not run: the link is closed before it can be sent.
+func (pl *Pool) abandon(cn *conn, id call.AttemptID) Result {
+	if time.Since(cn.opened) >= unreachableTime && cn.link.CloseUnsent() {
+		pl.markSuspect(cn.id)
+		return Result{State: withdrawal.Dequeued}
+	}
+	cn.cancel(id)
+	return Result{State: withdrawal.Unknown, Sent: true}
+}
+
 // deadlineTimers holds stopped timers for the deadlines of attempts.
 var deadlineTimers = sync.Pool{New: func() any {
 	timer := time.NewTimer(time.Hour)
--- a/internal/traffic/peer/pool_test.go
+++ b/internal/traffic/peer/pool_test.go
@@ -150,6 +150,37 @@
 	}
 }
 
+// In a partition no connection is established. An attempt that waits for one until its caller
+// gives up has not run, and must not run later.
+func TestUnsentAttemptHasNotRun(t *testing.T) {
+	ts := newTestSetup(t)
+	ts.send(t.Context(), "/cassa/charges", false)
+	healed := make(chan struct{})
+	ts.pool.mu.Lock()
+	dial := ts.pool.dial
+	ts.pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		<-healed
+		return dial(context.WithoutCancel(ctx), network, address)
+	}
+	ts.pool.connsByVM["vm"].suspect = true
+	ts.pool.mu.Unlock()
+	ctx, stop := context.WithTimeout(t.Context(), 2*unreachableTime)
+	defer stop()
+	rs := ts.send(ctx, "/cassa/charges", false)
+	close(healed)
+	if rs.State != withdrawal.Dequeued || rs.Sent {
+		t.Errorf("result %+v, want dequeued and not sent", rs)
+	}
+	for range 3 {
+		if rs := ts.send(t.Context(), "/cassa/charges", false); rs.Answer == nil {
+			t.Fatalf("result %+v, want an answer", rs)
+		}
+	}
+	if runs := ts.runs.Load(); runs != 4 {
+		t.Errorf("%d runs, want 4", runs)
+	}
+}
+
 // An attempt is lost on a connection that stopped delivering data. The guard fences it, so
 // that it can be sent again, and the next attempt uses a new connection.
 func TestLostAttemptIsFenced(t *testing.T) {
