review: case 2, slow clients make nodes run out of memory

Clients of two machines download answers of 8 MiB and read them within 10 s. The entry holds every answer whole, twice during the write, with no bound on the sum.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 // cases maps the name of a case to its function, which returns whether the rule held.
 var cases = map[string]func(cl *cluster, trouble bool) bool{
 	"reuse":    reuse,
+	"slowread": slowread,
 }
 
 // longestCase bounds the time of a case.
