review: case 3, slow servers make nodes run out of memory

Clients of two machines upload bodies of 8 MiB, within maxBodyBytes, and the servers read them within 8 s. The guard holds every body whole until the answer, and admits as many as there are slots.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(cl *cluster, trouble bool) bool{
 	"reuse":    reuse,
 	"slowread": slowread,
+	"uploads":  uploads,
 }
 
 // longestCase bounds the time of a case.
