review: case 4, X-Caller-Service names the service that was there before

The address of a server that has left goes to a server of another service, and the settings of the node name the new one. The node takes the header from the settings at its start, and SIGHUP only checks them.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"reuse":    reuse,
 	"slowread": slowread,
 	"uploads":  uploads,
+	"caller":   caller,
 }
 
 // longestCase bounds the time of a case.
