--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	"slowread": slowread,
 	"uploads":  uploads,
 	"caller":   caller,
+	"patience": patience,
 }
 
 // longestCase bounds the time of a case.
