--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -14,12 +14,14 @@
 	}
 	ma := cl.add("node", "sidecar", "centro-a", "entrega", 284)
 	mb := cl.add("node", "sidecar", "centro-b", "consulta", 284)
+	mc := cl.add("node", "sidecar", "centro-c", "perdidos", 284)
 	cl.startAll()
-	must(cl.putConfig(config(1, 0, "safe", 6000, "entrega", "consulta", "fichas")) == 200, "the first config is not acknowledged")
+	must(cl.putConfig(config(1, 0, "safe", 6000, "entrega", "consulta", "fichas", "perdidos")) == 200, "the first config is not acknowledged")
 	must(cl.awaitReady(20*time.Second), "the nodes are not ready")
 	adA, adB := listenApp(ma), listenApp(mb)
 	first := newServer(ma, adA, "i-e1", "entrega", 16, 20*time.Millisecond, 1500)
 	target := newServer(mb, adB, "i-c1", "consulta", 16, 20*time.Millisecond, 1500)
+	third := newServer(mc, listenApp(mc), "i-p1", "perdidos", 16, 20*time.Millisecond, 1500)
 	end := time.Now().Add(15 * time.Second)
 	for cl.send(ma, "GET", "hulo84.example", "/consulta/warm", 2*time.Second).status != 200 {
 		must(time.Now().Before(end), "no request is served")
@@ -53,6 +55,7 @@
 	}
 	second.end()
 	target.end()
+	third.end()
 	wrong := 0
 	for _, rq := range target.runs()[before:] {
 		if rq.caller != service {
--- a/review/standin/reuse.go
+++ b/review/standin/reuse.go
@@ -18,8 +18,9 @@
 	return []byte(fmt.Sprintf(`{"version":%d,"baseVersion":%d,"resources":[%s]}`, version, base, strings.Join(list, ",")))
 }
 
-// reuse: a server falls silent under load, and its address goes to a server of another service
-// reuseAfterS later. What waits at the node for the first server goes to the second one.
+// reuse: one of three servers of a busy service falls silent, and its address goes to a server of
+// another service reuseAfterS later. What waits at the node for the first server goes to the
+// second one.
 func reuse(cl *cluster, trouble bool) bool {
 	for _, zone := range []string{"centro-a", "centro-b", "centro-c"} {
 		cl.add("control", "core", zone, "", 280)
@@ -27,13 +28,17 @@
 	front := cl.add("node", "sidecar", "centro-a", "portal", 284)
 	ma := cl.add("node", "sidecar", "centro-b", "consulta", 284)
 	mb := cl.add("node", "sidecar", "centro-c", "fichas", 284)
+	more := []*machine{cl.add("node", "sidecar", "centro-a", "consulta", 284), cl.add("node", "sidecar", "centro-c", "consulta", 284)}
 	cl.startAll()
 	must(cl.putConfig(config(1, 0, "unsafe", 6000, "consulta", "fichas", "portal")) == 200, "the first config is not acknowledged")
 	must(cl.awaitReady(20*time.Second), "the nodes are not ready")
 	adA, adB := listenApp(ma), listenApp(mb)
-	first := newServer(ma, adA, "i-c1", "consulta", 32, 50*time.Millisecond, 1500)
+	first := newServer(ma, adA, "i-c1", "consulta", 20, 50*time.Millisecond, 1500)
 	other := newServer(mb, adB, "i-f1", "fichas", 128, 50*time.Millisecond, 1500)
 	servers := []*server{first, other}
+	for i, mm := range more {
+		servers = append(servers, newServer(mm, listenApp(mm), fmt.Sprintf("i-c%d", 2+i), "consulta", 20, 50*time.Millisecond, 1500))
+	}
 	end := time.Now().Add(15 * time.Second)
 	for cl.send(front, "POST", "hulo84.example", "/consulta/warm", 2*time.Second).status != 200 {
 		must(time.Now().Before(end), "no request is served")
@@ -44,7 +49,7 @@
 	var mu sync.Mutex
 	var answers []answer
 	group.Go(func() {
-		tick := time.NewTicker(3 * time.Millisecond)
+		tick := time.NewTicker(time.Millisecond)
 		defer tick.Stop()
 		for n := 0; ; n++ {
 			select {
