guard: run attempts only on upstreams of their service

Cause: the service was compared when an attempt arrived, and the upstream was read again when it was sent, up to 500 ms later. An upstream of another service that had got the address meanwhile started what waited.

Change: an announcement and its connections are one value, the target. It is read once when an attempt starts; an attempt for another service is refused as not run. A change of the service refuses what waits. Each run of an upstream has connections of its own.

--- a/internal/traffic/guard/demand.go
+++ b/internal/traffic/guard/demand.go
@@ -39,8 +39,8 @@
 // which the upstream has capacity. It returns false if there is no upstream, or one of
 // another service.
 func (gd *Guard) AnswerDemand(de *attempt.Demand) (allocation.Grant, bool) {
-	up := gd.current.Load()
-	if up == nil || up.Service != de.Service {
+	tg := gd.target.Load()
+	if tg == nil || tg.upstream.Service != de.Service {
 		return allocation.Grant{}, false
 	}
 	now := time.Now()
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -11,20 +11,16 @@
 	"camphortrail/internal/traffic/upstream"
 )
 
-// forward sends the attempt to the upstream and returns its answer once it is whole, or
-// an answer that says why there is none.
-func (gd *Guard) forward(rn *upstream.Run, at *attempt.Attempt) *attempt.Answer {
-	up := gd.current.Load()
-	if up == nil {
-		return attempt.Refusal("no-upstream", fullRetryAfter)
-	}
+// forward sends the attempt to the target and returns its answer once it is whole, or an
+// answer that says why there is none.
+func (gd *Guard) forward(rn *upstream.Run, at *attempt.Attempt, tg *target) *attempt.Answer {
 	rq := &upstream.Request{Method: at.Method, URI: at.URI, Host: at.Host, Header: at.Header, Body: at.Body}
 	if rq.Header == nil {
 		rq.Header = make(http.Header)
 	}
-	gd.protocol.AddRequestHeaders(rq.Header, at, up.Instance, time.Until(at.Deadline))
+	gd.protocol.AddRequestHeaders(rq.Header, at, tg.upstream.Instance, time.Until(at.Deadline))
 	var an *attempt.Answer
-	err := gd.client.Do(rn, up.Address, rq, func(res upstream.Answer) (next bool) {
+	err := tg.client.Do(rn, tg.upstream.Address, rq, func(res upstream.Answer) (next bool) {
 		an, next = gd.readAnswer(rn, res, at)
 		return next
 	})
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -25,7 +25,6 @@
 	"camphortrail/internal/traffic/link"
 	"camphortrail/internal/traffic/upstream"
 	"camphortrail/internal/traffic/worker"
-	"camphortrail/membership"
 	"camphortrail/retry"
 	"camphortrail/schema"
 	"camphortrail/withdrawal"
@@ -40,6 +39,7 @@
 	ReasonBrokenAnswer      = "broken-answer"
 	ReasonDeadline          = "deadline"
 	ReasonWrongService      = "wrong-service"
+	ReasonNoUpstream        = "no-upstream"
 	ReasonUpstreamRefused   = "upstream-refused"
 	ReasonConnectionRefused = "upstream-refuses-connections"
 )
@@ -89,10 +89,9 @@
 type Guard struct {
 	trees    *calltree.Trees
 	loop     *admissionLoop
-	client   *upstream.Client
 	protocol Protocol
 	events   *events.Log
-	current  atomic.Pointer[membership.Upstream]
+	target   atomic.Pointer[target]
 	fifo     bool
 	metrics  *metrics.Set
 	active   inflight.Counter
@@ -124,7 +123,6 @@
 		trees:           opt.Trees,
 		fifo:            opt.FIFO,
 		metrics:         opt.Metrics,
-		client:          upstream.New(),
 		aggregateDemand: opt.AggregateDemand,
 		links:           make(map[*link.Link]bool),
 		registry:        withdrawal.NewRegistry[*schema.RecordedAnswer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
@@ -139,34 +137,13 @@
 // goroutines. It returns nil.
 func (gd *Guard) Run(ctx context.Context) error {
 	gd.loop.run(ctx)
-	gd.client.Reset()
+	if tg := gd.target.Load(); tg != nil {
+		tg.client.Close()
+	}
 	gd.workers.Close()
 	return nil
 }
 
-// SetUpstream applies what the upstream announced. nil means that it has left. The error
-// is that of ctx.
-func (gd *Guard) SetUpstream(ctx context.Context, up *membership.Upstream) error {
-	old := gd.current.Swap(up)
-	if old != nil && (up == nil || up.Instance != old.Instance) {
-		gd.client.Reset()
-		old = nil
-	}
-	if up == nil {
-		return gd.loop.inputs.Put(ctx, input{event: admission.Announce{}})
-	}
-	if up.Draining {
-		return gd.loop.inputs.Put(ctx, input{event: admission.Drain{}})
-	}
-	if old == nil || old.Draining {
-		if err := gd.loop.inputs.Put(ctx, input{event: admission.Resume{}}); err != nil {
-			return err
-		}
-	}
-	ev := admission.Announce{Slots: int(up.Slots), WarmUp: up.WarmUp, Restarted: old == nil}
-	return gd.loop.inputs.Put(ctx, input{event: ev})
-}
-
 // Load is the number of slots of the upstream, of running and of waiting attempts, and
 // the admission level.
 type Load struct {
@@ -262,7 +239,7 @@
 // register registers the attempt for withdrawal. It returns an answer if the attempt
 // must not begin.
 func (gd *Guard) register(at *attempt.Attempt) *attempt.Answer {
-	if up := gd.current.Load(); up != nil && up.Service != at.Service {
+	if tg := gd.target.Load(); tg != nil && tg.upstream.Service != at.Service {
 		return attempt.Refusal(ReasonWrongService, 0)
 	}
 	rs := gd.step(withdrawal.Arrive[*schema.RecordedAnswer]{Attempt: at.ID, Stamp: at.Stamp})
@@ -342,6 +319,10 @@
 	fin := admission.Finish{ID: at.ID}
 	ended := now
 	defer func() { _ = gd.loop.inputs.Put(context.Background(), input{event: fin, ended: ended}) }()
+	tg, refusal := gd.targetFor(at)
+	if refusal != nil {
+		return gd.refuse(at, refusal)
+	}
 	open := retry.OpenAttempt{Attempt: at.ID, Budget: retry.Budget(at.RetryBudget), Deadline: at.Deadline}
 	if gd.trees.StepRetry(time.Now(), open).Decision != retry.FirstSend {
 		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
@@ -352,7 +333,7 @@
 	}
 	gd.trees.Enter(in)
 	begun := time.Now()
-	an := gd.forward(rn, at)
+	an := gd.forward(rn, at, tg)
 	ended = time.Now()
 	gd.trees.Exit(ended, at.ID)
 	unused := gd.trees.StepRetry(ended, retry.Close{Account: retry.AttemptAccount(at.ID)})
--- /dev/null
+++ b/internal/traffic/guard/target_test.go
@@ -0,0 +1,59 @@
+package guard
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/membership"
+)
+
+// answerOK answers a request with a short body.
+func answerOK(conn net.Conn, _ *http.Request) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+}
+
+// Guards against an attempt that waits for a slot being run by an upstream of another service
+// that has got the address of the first one meanwhile.
+func TestWaitingAttemptIsNotRunByOtherService(t *testing.T) {
+	bothPolicies(t, func(t *testing.T, fifo bool) {
+		hang := make(chan struct{})
+		first, started := fakeUpstream(t, func(net.Conn, *http.Request) { <-hang })
+		t.Cleanup(func() { close(hang) })
+		second, foreign := fakeUpstream(t, answerOK)
+		gd := startGuard(t, fifo, first)
+		answers := make(chan *attempt.Answer, 5)
+		send := func() { answers <- gd.Handle(t.Context(), newAttempt(gd, false, 20*time.Second)) }
+		for range 4 {
+			go send()
+		}
+		waitUntil(t, "all slots are taken", func() bool { return started.Load() == 4 })
+		go send()
+		waitUntil(t, "an attempt waits", func() bool { return gd.Load().Waiting == 1 })
+		if err := gd.SetUpstream(t.Context(), &membership.Upstream{Service: "panetteria", Slots: 16, Address: second, Instance: "i-2"}); err != nil {
+			t.Fatal(err)
+		}
+		if an := <-answers; an.Outcome != call.NotRun {
+			t.Errorf("outcome %v, reason %s; want not-run", an.Outcome, an.Reason)
+		}
+		if foreign.Load() != 0 {
+			t.Errorf("%d attempts ran on an upstream of another service", foreign.Load())
+		}
+	})
+}
+
+// waitUntil waits until the condition holds.
+func waitUntil(t *testing.T, text string, holds func() bool) {
+	t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", text)
+}
--- a/internal/traffic/guard/usage.go
+++ b/internal/traffic/guard/usage.go
@@ -148,9 +148,7 @@
 // metrics. lag is the time by which this call is late.
 func (gd *Guard) Summarize(now time.Time, lag time.Duration) {
 	ev := gd.usage.take(now)
-	if up := gd.current.Load(); up != nil {
-		ev.Service = string(up.Service)
-	}
+	ev.Service = string(gd.Service())
 	ev.LagMS = lag.Milliseconds()
 	ev.DemandSlots, ev.AllocatedPercent = gd.slots.lastAllocation()
 	meanFree, longestFree := gd.usage.freeDelay.take()
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -63,7 +63,6 @@
 	br      *bufio.Reader
 	limited *limitedReader
 	address string
-	epoch   uint64
 	// previousHeader is the header of the last request sent on the connection.
 	previousHeader http.Header
 	idleSince      time.Time
@@ -76,7 +75,7 @@
 	peekFunc func(fd uintptr) bool
 }
 
-func newConn(nc net.Conn, address string, epoch uint64) (*conn, error) {
+func newConn(nc net.Conn, address string) (*conn, error) {
 	raw, err := nc.(syscall.Conn).SyscallConn()
 	if err != nil {
 		_ = nc.Close()
@@ -84,7 +83,7 @@
 	}
 	limited := &limitedReader{r: nc}
 	cn := &conn{
-		nc: nc, raw: raw, br: bufio.NewReader(limited), limited: limited, address: address, epoch: epoch, idleTimeout: maxIdleTime,
+		nc: nc, raw: raw, br: bufio.NewReader(limited), limited: limited, address: address, idleTimeout: maxIdleTime,
 	}
 	cn.peekFunc = cn.peek
 	return cn, nil
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -76,21 +76,19 @@
 
 	mu sync.Mutex
 	// idle holds the idle connections, the most recently used one last.
-	idle []*conn
-	// epoch counts the calls of Reset. Connections of an earlier epoch are not reused.
-	epoch uint64
+	idle   []*conn
+	closed bool
 }
 
 // New returns a client without connections.
 func New() *Client { return &Client{dialer: net.Dialer{Timeout: dialTimeout}} }
 
-// Reset closes the idle connections, and each busy one after its answer. It is for a change
-// of the upstream, after which another upstream may use the same address.
-func (cl *Client) Reset() {
+// Close closes the idle connections, and each busy one after its answer. Do opens no others
+// and returns ErrNoConnection from then on.
+func (cl *Client) Close() {
 	cl.mu.Lock()
 	idle := cl.idle
-	cl.idle = nil
-	cl.epoch++
+	cl.idle, cl.closed = nil, true
 	cl.mu.Unlock()
 	for _, cn := range idle {
 		cn.close()
@@ -122,9 +120,12 @@
 // of the run.
 func (cl *Client) acquire(rn *Run, address string) (*conn, error) {
 	for {
-		cn, epoch := cl.popIdle()
+		cn, closed := cl.popIdle()
+		if closed {
+			return nil, errors.Wrap(ErrNoConnection, "client is closed")
+		}
 		if cn == nil {
-			return cl.dial(rn, address, epoch)
+			return cl.dial(rn, address)
 		}
 		_ = cn.nc.SetDeadline(rn.Deadline)
 		if cn.usable(address, time.Now()) {
@@ -134,23 +135,23 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil, and the
-// current epoch.
-func (cl *Client) popIdle() (cn *conn, epoch uint64) {
+// popIdle removes and returns the most recently used idle connection, or nil. closed says
+// whether the client is closed.
+func (cl *Client) popIdle() (cn *conn, closed bool) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	last := len(cl.idle) - 1
 	if last < 0 {
-		return nil, cl.epoch
+		return nil, cl.closed
 	}
 	cn = cl.idle[last]
 	cl.idle[last] = nil
 	cl.idle = cl.idle[:last]
-	return cn, cl.epoch
+	return cn, cl.closed
 }
 
-// dial opens a connection of the epoch. Its errors wrap ErrNoConnection.
-func (cl *Client) dial(rn *Run, address string, epoch uint64) (*conn, error) {
+// dial opens a connection. Its errors wrap ErrNoConnection.
+func (cl *Client) dial(rn *Run, address string) (*conn, error) {
 	ctx, stop := rn.dialContext()
 	defer stop()
 	nc, err := cl.dialer.DialContext(ctx, "tcp", address)
@@ -158,18 +159,18 @@
 		return nil, errors.Wrap(ErrNoConnection, err.Error())
 	}
 	_ = nc.SetDeadline(rn.Deadline)
-	return newConn(nc, address, epoch)
+	return newConn(nc, address)
 }
 
 // release adds a connection to the idle ones, and closes the least recently used of them if
-// it has expired. It closes the connection itself if it is from an earlier epoch or if
-// there are maxIdleConns.
+// it has expired. It closes the connection itself if the client is closed or if there are
+// maxIdleConns.
 func (cl *Client) release(cn *conn) {
 	now := time.Now()
 	cn.idleSince = now
 	var expired *conn
 	cl.mu.Lock()
-	retain := cn.epoch == cl.epoch && len(cl.idle) < maxIdleConns
+	retain := !cl.closed && len(cl.idle) < maxIdleConns
 	if retain {
 		if len(cl.idle) > 0 && cl.idle[0].expired(now) {
 			expired = cl.idle[0]
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// An idle connection must be reused until Reset.
+// An idle connection must be reused, and no connection opened after Close.
 func TestConnectionIsReused(t *testing.T) {
 	address, conns := startServer(t, echo)
 	cl := New()
@@ -94,10 +94,13 @@
 	if conns.Load() != 1 {
 		t.Errorf("%d connections, want 1", conns.Load())
 	}
-	cl.Reset()
-	wantAnswer(t, cl, address, get("/b"), "host/b")
+	cl.Close()
+	if _, err := do(t, cl, address, get("/b")); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("error %v after Close, want %v", err, ErrNoConnection)
+	}
+	wantAnswer(t, New(), address, get("/b"), "host/b")
 	if conns.Load() != 2 {
-		t.Errorf("%d connections after Reset, want 2", conns.Load())
+		t.Errorf("%d connections, want one of each client", conns.Load())
 	}
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -82,6 +82,11 @@
 	Instance string
 }
 
+// SameRun reports whether both are announcements of the same run of an upstream.
+func (up Upstream) SameRun(other Upstream) bool {
+	return up.Instance == other.Instance && up.Service == other.Service && up.Address == other.Address
+}
+
 // Member is the record of one process.
 type Member struct {
 	Name          call.VM
