guard: distinguish runs of an upstream by their start time

Cause: runs were told apart by the id alone, and an announcement that differed in the start time only was not passed on to the guard.

Change: the start time is a part of the announcement, and a run has connections of its own.

Evidence: guard.TestRestartUnderSameIDUsesNewConnections ("outcome unknown, reason deadline") and announce.TestRestartUnderSameIDIsAnnounced failed before and pass now.

--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -149,6 +149,7 @@
 		// the full length, which the first report states.
 		rp.Upstream.WarmUp = ln.upstream.WarmUp
 	}
+	rp.Upstream.StartTime = rp.StartTime
 	instance := rp.Upstream.Instance + "/" + rp.StartTime.String()
 	if _, ok := rg.leases.announce(rg.now(), rp.Upstream, instance); !ok {
 		return errors.Wrapf(ErrStaleReport, "no room for service %q", rp.Upstream.Service)
--- a/internal/fleet/announce/report_test.go
+++ b/internal/fleet/announce/report_test.go
@@ -85,3 +85,24 @@
 	}
 	return text.String()
 }
+
+// Guards against a restart under the same id going unnoticed: state that belongs to the earlier
+// run, such as connections, would stay in use.
+func TestRestartUnderSameIDIsAnnounced(t *testing.T) {
+	var announced []membership.Upstream
+	changes := 0
+	rg := New(func() time.Time { return time.Unix(1000, 0) }, func(ups []membership.Upstream) {
+		announced = ups
+		changes++
+	})
+	rp := Report{Upstream: membership.Upstream{Service: "deep", Slots: 8, Address: "127.0.0.1:1", Instance: "i-1"}, Number: 1}
+	for run := range 2 {
+		rp.StartTime = time.UnixMilli(int64(run))
+		if err := rg.AddReport(rp); err != nil {
+			t.Fatal(err)
+		}
+		if changes != run+1 || !announced[0].StartTime.Equal(rp.StartTime) {
+			t.Errorf("run %d: %d changes, announced %+v", run, changes, announced)
+		}
+	}
+}
--- a/internal/traffic/guard/target_test.go
+++ b/internal/traffic/guard/target_test.go
@@ -57,3 +57,24 @@
 	}
 	t.Fatalf("never: %s", text)
 }
+
+// Guards against connections to an earlier run of an upstream being used for a later one that
+// has the same id: a request on them waits until its deadline.
+func TestRestartUnderSameIDUsesNewConnections(t *testing.T) {
+	address, _ := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		answerOK(conn, rq)
+		// The run of this connection then ends without closing it.
+		time.Sleep(10 * time.Second)
+	})
+	gd := startGuard(t, false, "")
+	up := membership.Upstream{Service: "cassa", Slots: 4, Address: address, Instance: "i-1"}
+	for run := range 3 {
+		up.StartTime = time.UnixMilli(int64(run))
+		if err := gd.SetUpstream(t.Context(), &up); err != nil {
+			t.Fatal(err)
+		}
+		if an := gd.Handle(t.Context(), newAttempt(gd, false, 2*time.Second)); an.Outcome != call.Done {
+			t.Errorf("run %d: outcome %v, reason %s; want done", run, an.Outcome, an.Reason)
+		}
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -75,16 +75,18 @@
 	WarmUp time.Duration
 	// Draining is set once it has started to leave.
 	Draining bool
-	// Address (IP:port) and Instance, the text that distinguishes the runs of the
-	// upstream, are known only to the node next to the upstream. They are not sent to
-	// others.
-	Address  string
-	Instance string
+	// Address (IP:port), Instance, the id that the upstream gives itself, and StartTime are
+	// known only to the node next to the upstream. They are not sent to others. A later run
+	// may have the same Instance. StartTime is zero if the upstream does not state it.
+	Address   string
+	Instance  string
+	StartTime time.Time
 }
 
 // SameRun reports whether both are announcements of the same run of an upstream.
 func (up Upstream) SameRun(other Upstream) bool {
-	return up.Instance == other.Instance && up.Service == other.Service && up.Address == other.Address
+	return up.Instance == other.Instance && up.StartTime.Equal(other.StartTime) &&
+		up.Service == other.Service && up.Address == other.Address
 }
 
 // Member is the record of one process.
