platform: name the current service of the VM as the caller

Callers saw: after another service had come to a VM, 20 of 20 requests of review/4 that began there named the former service as their caller, 8 s after SIGHUP.

Cause: the value of the header came from the settings of the process start. SIGHUP only checked the settings, and neither a change of the file nor the service in reports had an effect on it.

Change: the header names the service of the upstream that has reported, or else that of the settings. The settings file is read at SIGHUP and when it changes; service and address of the upstream are in force at once.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -52,10 +52,17 @@
 	return set, err
 }
 
-// checkPlatformSettings reads the settings file again and returns its error.
-func checkPlatformSettings() error {
-	_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
-	return err
+// watchPlatformSettings passes the settings of the platform to apply after each change and at
+// each SIGHUP.
+func watchPlatformSettings(apply func(newer *platform.Settings)) {
+	path := os.Getenv(platform.SettingsVariable)
+	watchReload(ctx, path, func() error {
+		newer, err := platform.LoadSettings(path)
+		if err == nil {
+			apply(newer)
+		}
+		return err
+	})
 }
 
 // platformNodeCommand is the command platform-node.
@@ -80,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	watchReload(ctx, checkPlatformSettings)
+	watchPlatformSettings(func(newer *platform.Settings) { set.Update(nd, newer) })
 	return nd.Run(ctx)
 }
 
@@ -100,6 +107,6 @@
 	if err != nil {
 		return err
 	}
-	watchReload(ctx, checkPlatformSettings)
+	watchPlatformSettings(func(*platform.Settings) {})
 	return co.Run(ctx)
 }
--- a/cmd/camphortrail/process.go
+++ b/cmd/camphortrail/process.go
@@ -13,9 +13,11 @@
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings of this process"`
 }
 
-// watchSettings checks the settings file again at each SIGHUP.
+// watchSettings checks the settings file after each change and at each SIGHUP. Changes are in
+// force from the next start: a running process already knows the members of the deployment, and
+// its addresses must not change.
 func (sf *settingsFlag) watchSettings() {
-	watchReload(ctx, func() error {
+	watchReload(ctx, sf.Settings, func() error {
 		_, err := config.LoadSettings(sf.Settings)
 		return err
 	})
--- a/internal/fleet/announce/announce.go
+++ b/internal/fleet/announce/announce.go
@@ -68,6 +68,12 @@
 // in time.
 func (rg *Registry) Expire() { rg.update(func() bool { return rg.leases.expire(rg.now()) }) }
 
+// Retain removes the upstreams for which retain returns false. A later report may announce them
+// again.
+func (rg *Registry) Retain(retain func(up membership.Upstream) bool) {
+	rg.update(func() bool { return rg.leases.retain(retain) })
+}
+
 // Drain marks all upstreams as draining until Resume is called, including those announced
 // later.
 func (rg *Registry) Drain() { rg.update(func() bool { return rg.leases.setNodeDraining(true) }) }
--- a/internal/fleet/announce/leases.go
+++ b/internal/fleet/announce/leases.go
@@ -87,10 +87,13 @@
 
 // remove ends the lease of a service, or all leases if svc is empty.
 func (ls *leases) remove(svc call.Service) (changed bool) {
+	return ls.retain(func(up membership.Upstream) bool { return svc != "" && up.Service != svc })
+}
+
+// retain ends the leases of the upstreams for which retain returns false.
+func (ls *leases) retain(retain func(up membership.Upstream) bool) (changed bool) {
 	before := ls.upstreams()
-	ls.list = slices.DeleteFunc(ls.list, func(ln lease) bool {
-		return svc == "" || ln.upstream.Service == svc
-	})
+	ls.list = slices.DeleteFunc(ls.list, func(ln lease) bool { return !retain(ln.upstream) })
 	return ls.changedFrom(before)
 }
 
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -339,6 +339,10 @@
 // Announcements returns the registry of the upstream's announcements.
 func (nd *Node) Announcements() *announce.Registry { return nd.announcements }
 
+// UpstreamService returns the service of the upstream beside the node, or "" if the node
+// knows no upstream.
+func (nd *Node) UpstreamService() call.Service { return nd.guard.Service() }
+
 // Log returns the log of the node.
 func (nd *Node) Log() log.Interface { return nd.log }
 
