guard: bound the memory of all answers that are being read

Cause: each answer was bounded, and the sum only for answers over an eighth of its bound. A stated length was allocated before it had come.

Change: package buffer counts heads and bodies in a budget before they are read, and gives up the largest one when it is used up.

TestEndlessBodiesAreGivenUp holds the budget itself now, in place of one and a half times as much.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -27,10 +27,9 @@
 	// freeSlotDivisor sets the slots of an upstream that stay free to 1/freeSlotDivisor:
 	// some of the platform's upstreams slow down when they are nearly full.
 	freeSlotDivisor = 16
-	// answerMemoryDivisor bounds the bodies of answers that are being read to
-	// 1/answerMemoryDivisor of the memory of the VM. Growing buffers take up to three times
-	// as much.
-	answerMemoryDivisor = 16
+	// answerMemoryDivisor bounds the answers that are being read to 1/answerMemoryDivisor of
+	// the memory of the VM.
+	answerMemoryDivisor = 8
 	// stopNotice is the time for which a stopping node still serves requests. The platform
 	// stops sending requests to it after two failed readiness checks, 1 s apart.
 	stopNotice = 2500 * time.Millisecond
--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -3,7 +3,6 @@
 package attempt
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 	"camphortrail/withdrawal"
@@ -129,49 +129,27 @@
 }
 
 // ReadBody reads a whole body of at most limit bytes. The stated length is -1 if it is
-// unknown. The error is ErrTooLarge or wraps ErrIncomplete.
-func ReadBody(body io.Reader, stated, limit int64) ([]byte, error) {
+// unknown. If rs is not nil, the body is added to it. The error is ErrTooLarge,
+// buffer.ErrNoMemory, or wraps ErrIncomplete.
+func ReadBody(rs *buffer.Reservation, body io.Reader, stated, limit int64) ([]byte, error) {
 	if body == nil {
 		return nil, nil
 	}
 	if stated > limit {
 		return nil, ErrTooLarge
 	}
-	if stated >= 0 && stated <= maxExactBuffer {
-		return readExactly(body, stated)
-	}
-	var buf bytes.Buffer
-	if stated > 0 {
-		buf.Grow(int(stated) + bytes.MinRead)
-	}
-	read, err := buf.ReadFrom(io.LimitReader(body, limit+1))
+	data, err := buffer.ReadAll(rs, body, stated, limit)
 	switch {
+	case errors.Is(err, buffer.ErrNoMemory):
+		return nil, err
 	case err != nil:
 		return nil, errors.Wrap(ErrIncomplete, err.Error())
-	case read > limit:
+	case int64(len(data)) > limit:
 		return nil, ErrTooLarge
-	case stated >= 0 && read != stated:
+	case stated >= 0 && int64(len(data)) != stated:
 		return nil, ErrIncomplete
 	}
-	return buf.Bytes(), nil
-}
-
-// maxExactBuffer is the stated length, in bytes, up to which ReadBody reads a body into a
-// buffer of just that length.
-const maxExactBuffer = 64 << 10
-
-// readExactly reads a body of exactly the stated length.
-func readExactly(body io.Reader, stated int64) ([]byte, error) {
-	buf := make([]byte, stated+1)
-	// The extra byte detects a body that is longer than stated.
-	read, err := io.ReadFull(body, buf)
-	switch {
-	case err == nil, int64(read) != stated:
-		return nil, ErrIncomplete
-	case err != io.EOF && err != io.ErrUnexpectedEOF:
-		return nil, errors.Wrap(ErrIncomplete, err.Error())
-	}
-	return buf[:stated:stated], nil
+	return data, nil
 }
 
 // FormatMilliseconds returns the value of a header in milliseconds, at least 0.
--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -127,7 +127,7 @@
 		{"stated over the limit", "abcd", 4, 3, ErrTooLarge},
 		{"unknown length over the limit", "abcd", -1, 3, ErrTooLarge},
 	} {
-		body, err := ReadBody(strings.NewReader(tt.body), tt.stated, tt.limit)
+		body, err := ReadBody(nil, strings.NewReader(tt.body), tt.stated, tt.limit)
 		if !errors.Is(err, tt.err) {
 			t.Errorf("%s: error %v, want %v", tt.name, err, tt.err)
 		}
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -91,7 +91,7 @@
 	if !ok {
 		return nil, refusalWithStatus(ReasonNoService, http.StatusNotFound)
 	}
-	body, err := attempt.ReadBody(r.Body, r.ContentLength, kind.MaxRequestBytes)
+	body, err := attempt.ReadBody(nil, r.Body, r.ContentLength, kind.MaxRequestBytes)
 	switch {
 	case err == attempt.ErrTooLarge:
 		return nil, refusalWithStatus(ReasonRequestTooLarge, http.StatusRequestEntityTooLarge)
--- a/internal/traffic/guard/budget_test.go
+++ b/internal/traffic/guard/budget_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/traffic/buffer"
 )
 
 // Endless bodies on several connections must be given up before they fill the memory of
@@ -31,7 +32,7 @@
 		chunk := "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n"
 		for {
 			mu.Lock()
-			peak = max(peak, running.Load().bodies.used.Load())
+			peak = max(peak, running.Load().memory.Used())
 			mu.Unlock()
 			if _, err := io.WriteString(conn, chunk); err != nil {
 				return
@@ -39,7 +40,7 @@
 		}
 	})
 	gd := startGuard(t, false, address)
-	gd.bodies.limit = limit
+	gd.memory = buffer.NewBudget(limit)
 	running.Store(gd)
 	var group sync.WaitGroup
 	for n := range 4 {
@@ -58,10 +59,10 @@
 	group.Wait()
 	mu.Lock()
 	defer mu.Unlock()
-	if bound := int64(limit + 4*limit/largeBodyDivisor); peak > bound {
-		t.Errorf("%d bytes were buffered at a time, want at most %d", peak, bound)
+	if peak > limit {
+		t.Errorf("%d bytes were buffered at a time, want at most %d", peak, limit)
 	}
-	if held := gd.bodies.used.Load(); held != 0 {
+	if held := gd.memory.Used(); held != 0 {
 		t.Errorf("%d bytes count as buffered after the answers", held)
 	}
 }
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -8,24 +8,27 @@
 
 	"camphortrail/call"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/upstream"
 )
 
 // forward sends the attempt to the target and returns its answer once it is whole, or an
 // answer that says why there is none.
-func (gd *Guard) forward(rn *upstream.Run, at *attempt.Attempt, tg *target) *attempt.Answer {
-	rq := &upstream.Request{Method: at.Method, URI: at.URI, Host: at.Host, Header: at.Header, Body: at.Body}
+func (gd *Guard) forward(pa *pendingAttempt, tg *target) *attempt.Answer {
+	at, rn := pa.attempt, &pa.run
+	defer pa.memory.Release()
+	rq := &upstream.Request{Method: at.Method, URI: at.URI, Host: at.Host, Header: at.Header, Body: at.Body, Memory: &pa.memory}
 	if rq.Header == nil {
 		rq.Header = make(http.Header)
 	}
 	gd.protocol.AddRequestHeaders(rq.Header, at, tg.upstream.Instance, time.Until(at.Deadline))
 	var an *attempt.Answer
 	err := tg.client.Do(rn, tg.upstream.Address, rq, func(res upstream.Answer) (next bool) {
-		an, next = gd.readAnswer(rn, res, at)
+		an, next = gd.readAnswer(pa, res)
 		return next
 	})
 	if err != nil {
-		return transportFailure(rn, err)
+		return transportFailure(pa, err)
 	}
 	return an
 }
@@ -33,11 +36,19 @@
 // transportFailure returns the answer to an attempt whose exchange with the upstream
 // failed before the header of the response. The outcome is NotRun only if there was no
 // connection.
-func transportFailure(rn *upstream.Run, err error) *attempt.Answer {
+func transportFailure(pa *pendingAttempt, err error) *attempt.Answer {
 	if errors.Is(err, upstream.ErrNoConnection) {
 		return attempt.Refusal(ReasonConnectionRefused, fullRetryAfter)
 	}
-	if rn.Ended() {
+	return pa.brokenAnswer()
+}
+
+// brokenAnswer returns the answer to an attempt whose answer could not be read to its end.
+func (pa *pendingAttempt) brokenAnswer() *attempt.Answer {
+	switch {
+	case pa.memory.Evicted():
+		return attempt.UnknownOutcome(ReasonNoMemory, http.StatusBadGateway)
+	case pa.run.Ended():
 		return attempt.UnknownOutcome(ReasonDeadline, http.StatusGatewayTimeout)
 	}
 	return attempt.UnknownOutcome(ReasonBrokenAnswer, http.StatusBadGateway)
@@ -52,7 +63,8 @@
 // the answer to this one may still follow on it. It is also closed after a refusal that
 // names no attempt, because a second copy of it would look like a refusal of the next
 // attempt.
-func (gd *Guard) readAnswer(rn *upstream.Run, res upstream.Answer, at *attempt.Attempt) (an *attempt.Answer, next bool) {
+func (gd *Guard) readAnswer(pa *pendingAttempt, res upstream.Answer) (an *attempt.Answer, next bool) {
+	at := pa.attempt
 	class := gd.protocol.Classify(res.Response, at)
 	named := gd.protocol.AnswersRequest(res.Header, at.Header)
 	if class == Unusable {
@@ -61,18 +73,16 @@
 		return attempt.UnknownOutcome(ReasonBrokenAnswer, http.StatusBadGateway), late
 	}
 	res.Close = res.Close || class != Answered && !named
-	counted := gd.bodies.count(res.Body)
-	defer counted.release()
-	body, err := attempt.ReadBody(counted, bodyLength(res.Response, at.Method), at.MaxAnswerBytes)
+	body, err := attempt.ReadBody(&pa.memory, res.Body, bodyLength(res.Response, at.Method), at.MaxAnswerBytes)
 	switch {
 	case class == Full || class == Misdirected:
 		an := attempt.Refusal(ReasonUpstreamRefused, fullRetryAfter)
 		an.Overload, an.UpstreamRefused = class == Full, true
 		return an, false
-	case err != nil && rn.Ended():
-		return attempt.UnknownOutcome(ReasonDeadline, http.StatusGatewayTimeout), false
+	case errors.Is(err, buffer.ErrNoMemory):
+		return attempt.UnknownOutcome(ReasonNoMemory, http.StatusBadGateway), false
 	case err != nil:
-		return attempt.UnknownOutcome(ReasonBrokenAnswer, http.StatusBadGateway), false
+		return pa.brokenAnswer(), false
 	}
 	return &attempt.Answer{Outcome: call.Done, Status: res.StatusCode, Header: attempt.StripHeaders(res.Header), Body: body}, false
 }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -20,10 +20,10 @@
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/allocation"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/calltree"
 	"camphortrail/internal/traffic/inflight"
 	"camphortrail/internal/traffic/link"
-	"camphortrail/internal/traffic/upstream"
 	"camphortrail/internal/traffic/worker"
 	"camphortrail/retry"
 	"camphortrail/schema"
@@ -40,6 +40,7 @@
 	ReasonDeadline          = "deadline"
 	ReasonWrongService      = "wrong-service"
 	ReasonNoUpstream        = "no-upstream"
+	ReasonNoMemory          = "no-memory"
 	ReasonUpstreamRefused   = "upstream-refused"
 	ReasonConnectionRefused = "upstream-refuses-connections"
 )
@@ -56,6 +57,8 @@
 	// recordOverheadBytes is the approximate memory of a recorded answer besides its
 	// header and body.
 	recordOverheadBytes = 512
+	// defaultMaxBufferedBytes is the default of Options.MaxBufferedBytes.
+	defaultMaxBufferedBytes = 64 << 20
 )
 
 // Options describe a guard.
@@ -79,8 +82,8 @@
 	// AggregateDemand answers the demands that an entry sends to this node in order to have
 	// them added to those of others, if it is set.
 	AggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
-	// MaxBufferedBytes is the total size of the answer bodies that are being read, from
-	// which large ones are given up (default 64 MiB).
+	// MaxBufferedBytes bounds the memory of the answers that are being read (default 64 MiB).
+	// When it is used up, the largest of them are given up.
 	MaxBufferedBytes int64
 }
 
@@ -100,7 +103,7 @@
 
 	slots           slotAllocation
 	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
-	bodies          bodyBudget
+	memory          *buffer.Budget
 	workers         worker.Pool
 
 	mu       sync.Mutex
@@ -129,7 +132,7 @@
 	}
 	gd.loop = newAdmissionLoop(po, &gd.usage)
 	gd.slots.allocator = allocation.New()
-	gd.bodies.limit = cmp.Or(opt.MaxBufferedBytes, defaultMaxBufferedBytes)
+	gd.memory = buffer.NewBudget(cmp.Or(opt.MaxBufferedBytes, defaultMaxBufferedBytes))
 	return gd
 }
 
@@ -284,7 +287,7 @@
 		an.Overload = dec.reason.NoCapacity()
 		return gd.refuse(at, an)
 	}
-	return gd.execute(&pa.run, at, dec.at)
+	return gd.execute(pa, dec.at)
 }
 
 // refuse registers that the attempt did not begin, and returns its whole retry budget with
@@ -312,7 +315,8 @@
 }
 
 // execute runs an attempt that was admitted at the given time, and then frees its slot.
-func (gd *Guard) execute(rn *upstream.Run, at *attempt.Attempt, admitted time.Time) *attempt.Answer {
+func (gd *Guard) execute(pa *pendingAttempt, admitted time.Time) *attempt.Answer {
+	at := pa.attempt
 	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class}
 	now := time.Now()
 	in.Started, in.UpstreamDeadline = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
@@ -333,7 +337,7 @@
 	}
 	gd.trees.Enter(in)
 	begun := time.Now()
-	an := gd.forward(rn, at, tg)
+	an := gd.forward(pa, tg)
 	ended = time.Now()
 	gd.trees.Exit(ended, at.ID)
 	unused := gd.trees.StepRetry(ended, retry.Close{Account: retry.AttemptAccount(at.ID)})
--- a/internal/traffic/guard/pending.go
+++ b/internal/traffic/guard/pending.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/upstream"
 )
 
@@ -14,6 +15,8 @@
 	// decided gets one decision.
 	decided chan decision
 	run     upstream.Run
+	// memory is the memory of the answer while it is read.
+	memory buffer.Reservation
 
 	mu sync.Mutex
 	// cancelled says that nobody waits for the answer any more. admitting is set while the
@@ -22,9 +25,11 @@
 }
 
 func newPendingAttempt(gd *Guard, at *attempt.Attempt) *pendingAttempt {
-	return &pendingAttempt{
+	pa := &pendingAttempt{
 		guard: gd, attempt: at, decided: make(chan decision, 1), run: upstream.Run{Deadline: gd.runDeadline(at)},
 	}
+	pa.memory.Init(gd.memory, &pa.run)
+	return pa
 }
 
 // cancel tells the admission loop, now or once it knows the attempt, that nobody waits for the
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/header"
 )
 
@@ -24,6 +25,11 @@
 	// maxAnswerHeadBytes bounds the size of an answer's head, together with the heads of
 	// the interim answers before it. A faulty upstream may send a head without end.
 	maxAnswerHeadBytes = 256 << 10
+	// freeHeadBytes is the part of a head that is not reserved, to which most heads are
+	// limited. Each further byte takes headFactor bytes: the text of a head is copied as it
+	// is read, and again into its header.
+	freeHeadBytes = 8 << 10
+	headFactor    = 4
 )
 
 // ErrTransferCoding is returned for an HTTP/1.0 answer with a transfer coding. The end of its
@@ -41,9 +47,13 @@
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
+	// memory, if it is set, takes the memory of what is read beyond free bytes.
+	memory *buffer.Reservation
+	free   int64
 }
 
-// Read reads up to the remaining number of bytes, and then returns ErrHeadTooLarge.
+// Read reads up to the remaining number of bytes, and then returns ErrHeadTooLarge. It returns
+// buffer.ErrNoMemory if the memory does not suffice.
 func (lr *limitedReader) Read(p []byte) (int, error) {
 	if lr.remaining <= 0 {
 		return 0, ErrHeadTooLarge
@@ -53,6 +63,16 @@
 	}
 	n, err := lr.r.Read(p)
 	lr.remaining -= int64(n)
+	if lr.memory == nil {
+		return n, err
+	}
+	if lr.free -= int64(n); lr.free >= 0 {
+		return n, err
+	}
+	if noMemory := lr.memory.Grow(-lr.free * headFactor); noMemory != nil {
+		return n, noMemory
+	}
+	lr.free = 0
 	return n, err
 }
 
@@ -130,7 +150,7 @@
 	for {
 		// The answer is read even after a failed write: the upstream may answer and close
 		// before it has read the whole request.
-		res, err := cn.readAnswer(rq.Method)
+		res, err := cn.readAnswer(rq.Method, rq.Memory)
 		if err != nil {
 			if sendErr != nil {
 				err = sendErr
@@ -154,11 +174,11 @@
 
 // readAnswer returns the next final answer. It skips interim ones, those with status 1xx
 // (RFC 9110, section 15.2).
-func (cn *conn) readAnswer(method string) (*http.Response, error) {
+func (cn *conn) readAnswer(method string, memory *buffer.Reservation) (*http.Response, error) {
 	rq := &http.Request{Method: method}
-	cn.limited.remaining = maxAnswerHeadBytes
-	// The bound is for the head. The handler bounds the body.
-	defer func() { cn.limited.remaining = math.MaxInt64 }()
+	cn.limited.remaining, cn.limited.memory, cn.limited.free = maxAnswerHeadBytes, memory, freeHeadBytes
+	// The bounds are for the head. The handler bounds the body.
+	defer func() { cn.limited.remaining, cn.limited.memory = math.MaxInt64, nil }()
 	for {
 		res, err := readResponse(cn.br, rq)
 		if err != nil && cn.limited.remaining <= 0 {
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/header"
 )
 
@@ -55,6 +56,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Memory, if it is set, takes the memory of the head of the answer. The Handler adds the
+	// body.
+	Memory *buffer.Reservation
 }
 
 // Answer is the answer of an upstream.
