link: bound what is read of a process at a peer's address

Callers would see a node run out of memory if another process than a node were at the address of a peer: the answer to the request for a link was read without a bound for 1 s, and frames up to 1 GiB.

Change: the head of that answer is bounded by 16 KiB, a frame and the answer to a query by 80 MiB, a fetched configuration by 32 MiB.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -128,6 +129,8 @@
 const (
 	// maxHeaderBytes bounds the head of a request other than those of callers.
 	maxHeaderBytes = 16 << 10
+	// maxConfigurationBytes bounds a configuration that is fetched.
+	maxConfigurationBytes = 32 << 20
 	// readHeaderTimeout bounds the time to read it.
 	readHeaderTimeout = 5 * time.Second
 )
@@ -259,10 +262,10 @@
 	nd.rollout, err = rollout.New(rollout.Settings{
 		Deployment: call.Tenant(nd.set.GetDeployment()), DataFolder: nd.set.GetDataFolder(), Controls: controls,
 		ControlClient: func(address string) rollout.Fetcher {
-			return schemaconnect.NewControlClient(nd.rpc, "http://"+address)
+			return schemaconnect.NewControlClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
 		},
 		PeerClient: func(address string) rollout.Fetcher {
-			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address)
+			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
 		},
 		Hints: nd.gossip.Hints(), PresentPeers: nd.presentPeers, PresentControls: nd.presentControls, OnChange: nd.configure,
 		Log: nd.log, Metrics: nd.metrics,
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -20,6 +20,7 @@
 
 	"github.com/pkg/errors"
 
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
 )
@@ -36,9 +37,11 @@
 	readBufferBytes = 8 << 10
 	// lengthPrefixBytes is the size of the length that precedes a frame.
 	lengthPrefixBytes = 4
-	// maxFrameBytes bounds the size of a frame. The limits in the configuration are far
-	// lower.
-	maxFrameBytes = 1 << 30
+	// maxFrameBytes bounds the size of a frame. A configuration allows bodies of 64 MiB.
+	maxFrameBytes = 80 << 20
+	// maxUpgradeHeadBytes bounds the answer to the request for an upgrade. Another process
+	// than a node may be at the address.
+	maxUpgradeHeadBytes = 16 << 10
 	// maxQueuedBytes is the size of the send queue above which further frames are rejected.
 	// It bounds the memory that a peer can occupy by not reading.
 	maxQueuedBytes = 32 << 20
@@ -141,7 +144,9 @@
 	_ = nc.SetDeadline(time.Now().Add(upgradeTimeout))
 	_, err := io.WriteString(nc, "GET "+Path+" HTTP/1.1\r\nHost: "+address+"\r\nConnection: Upgrade\r\nUpgrade: "+protocol+
 		"\r\n"+framesHeader+": "+headerBlocksToken+"\r\n\r\n")
-	lk.br = bufio.NewReaderSize(nc, readBufferBytes)
+	heads := buffer.NewHeadReader(nc, ErrMalformed)
+	heads.BeginHead(maxUpgradeHeadBytes, nil)
+	lk.br = bufio.NewReaderSize(heads, readBufferBytes)
 	var res *http.Response
 	if err == nil {
 		res, err = http.ReadResponse(lk.br, nil)
@@ -153,6 +158,7 @@
 		_ = nc.Close()
 		return err
 	}
+	heads.EndHead()
 	lk.headerBlocks.Store(res.Header.Get(framesHeader) == headerBlocksToken)
 	return nc.SetDeadline(time.Time{})
 }
--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -187,6 +188,38 @@
 	}
 }
 
+// Guards against another process at the address of a node, which answers the request for a link
+// with a head without end.
+func TestEndlessUpgradeAnswerIsRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		text := bytes.Repeat([]byte("X-More: text\r\n"), 1000)
+		for _, err = nc.Write([]byte("HTTP/1.1 101 Switching Protocols\r\n")); err == nil; {
+			_, err = nc.Write(text)
+		}
+	}()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	lk := Open(dial, ln.Addr().String())
+	defer lk.Close()
+	if _, err := lk.Receive(receiveTimeout); !errors.Is(err, ErrClosed) {
+		t.Errorf("error %v, want ErrClosed", err)
+	}
+	runtime.ReadMemStats(&after)
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > 64*maxUpgradeHeadBytes {
+		t.Errorf("%d bytes allocated for a head of at most %d", taken, maxUpgradeHeadBytes)
+	}
+}
+
 // A peer that reads nothing must neither block the sender nor let the send queue grow
 // beyond its bound.
 func TestUnreadLink(t *testing.T) {
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -24,6 +24,10 @@
 	// short, because the attempt's connection may have stopped delivering data, and an old
 	// connection for queries may have stopped at the same time.
 	queryConnMaxAge = 250 * time.Millisecond
+	// maxHeadBytes bounds the head of a response, and maxMessageBytes a message in it: a
+	// recorded answer, whose body has 64 MiB at most.
+	maxHeadBytes    = 16 << 10
+	maxMessageBytes = 80 << 20
 )
 
 // conn is one connection to a guard. Many attempts share it.
@@ -69,7 +73,9 @@
 		Protocols:          &protocols,
 		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		// Another process than a node may be at the address.
+		MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
 }
 
--- a/internal/traffic/peer/query.go
+++ b/internal/traffic/peer/query.go
@@ -73,7 +73,7 @@
 	ctx, stop := context.WithTimeout(ctx, queryTimeout)
 	defer stop()
 	qc := pl.queryConnTo(vm, address)
-	client := schemaconnect.NewPeerClient(&http.Client{Transport: qc.transport}, "http://"+address)
+	client := schemaconnect.NewPeerClient(&http.Client{Transport: qc.transport}, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 	rs, err := client.Withdraw(ctx, connect.NewRequest(rq))
 	if err != nil {
 		pl.discardQueryConn(qc)
