--- a/internal/ops/events/summary.go
+++ b/internal/ops/events/summary.go
@@ -24,6 +24,9 @@
 	// and were refused or got no answer.
 	Total     int `json:"asked"`
 	Returning int `json:"returning,omitempty"`
+	// Calls counts the requests that were taken for calls of the upstream, which are not
+	// throttled.
+	Calls int `json:"calls,omitempty"`
 	// InTarget and Late count requests that were answered within the latency target of the
 	// route and after it, counted from the first send of the caller.
 	InTarget int `json:"in-target,omitempty"`
--- a/internal/traffic/calltree/parent_test.go
+++ b/internal/traffic/calltree/parent_test.go
@@ -62,6 +62,31 @@
 	}
 }
 
+// Guards against refusing calls as requests of callers while many attempts are abandoned: their
+// upstreams still make calls for them, which outlast all attempts that run.
+func TestCallsOfAbandonedAttemptsAreCalls(t *testing.T) {
+	tr := New(retry.DefaultLimits())
+	now := time.Unix(1000, 0)
+	for n := range 200 {
+		now = now.Add(50 * time.Millisecond)
+		in := &Inbound{ID: call.AttemptID{byte(n)}, Class: "look-up", Started: now, UpstreamDeadline: now.Add(5 * time.Second)}
+		tr.Enter(in)
+		deadline := in.UpstreamDeadline
+		if !tr.IsCall("tariff-read", deadline) {
+			t.Fatalf("call %d counts as a request of a caller", n)
+		}
+		now = now.Add(10 * time.Millisecond)
+		tr.Exit(now, in.ID)
+		tr.AttemptEnded(now, in, false)
+		if !tr.IsCall("tariff-read", deadline) {
+			t.Fatalf("call %d of an abandoned attempt counts as a request of a caller", n)
+		}
+		if tr.IsCall("release", now.Add(5*time.Second)) && n > 50 {
+			t.Fatalf("request %d of a caller counts as a call", n)
+		}
+	}
+}
+
 // TestIsCallWithShortRequests guards against taking requests of callers with little time
 // for calls: long attempts last until their deadlines, but no attempt goes on or ends
 // with their answers.
--- a/internal/traffic/entry/traffic.go
+++ b/internal/traffic/entry/traffic.go
@@ -65,7 +65,9 @@
 	if rq.returning {
 		tc.Returning++
 	}
-	if !rq.isCall {
+	if rq.isCall {
+		tc.Calls++
+	} else {
 		tc.shareSum += rq.share
 		tc.shareCount++
 	}
