buffer: reserve a stated length, so that the largest body still fits

A body of 64 MiB, which a configuration allows, was refused with 503 on a VM of 284 MB since: read in segments and joined it took twice its length. Found by reading the diff.

Change: a stated length is reserved and allocated at once, and refused unread where the budget has no room.

--- a/internal/traffic/buffer/read.go
+++ b/internal/traffic/buffer/read.go
@@ -6,24 +6,20 @@
 	"sync"
 )
 
-const (
-	// maxExactBytes is the stated length up to which a message is read into a buffer of just
-	// that length. A longer one is read in segments, as a false length must not take memory.
-	maxExactBytes = 64 << 10
-	// segmentBytes is the size of a segment.
-	segmentBytes = 16 << 10
-)
+// segmentBytes is the size of the segments in which a message of unknown length is read.
+const segmentBytes = 16 << 10
 
 // segments holds unused segments.
 var segments = sync.Pool{New: func() any { return new([segmentBytes]byte) }}
 
 // ReadAll reads from r until the end or an error, but at most limit+1 bytes, so that a message
 // longer than limit can be told from one of that length. stated is the length that the sender
-// states, or -1. What is read is added to the reservation, if that is not nil. The error is
-// that of r, or ErrNoMemory.
+// states, or -1. The reservation, if it is not nil, is grown by a stated length at once, and
+// otherwise by what is read and by as much again at the end. The error is that of r, or
+// ErrNoMemory.
 func ReadAll(rs *Reservation, r io.Reader, stated, limit int64) ([]byte, error) {
 	r = io.LimitReader(r, limit+1)
-	if stated >= 0 && stated <= min(limit, maxExactBytes) {
+	if stated >= 0 && stated <= limit {
 		return readExact(rs, r, stated)
 	}
 	var list []*[segmentBytes]byte
