config, entry, platform: customers that share a deployment, and the plan of the parts

Cause: a configuration that names customers, or a route of kind upload, was refused whole, so that nothing was in force.

Change: a configuration may name customers with the digests of their keys, an importance and a usage cap; nodes get neither keys nor the document that holds them. The entry finds the customer of a request by its key, removes the key, and tells the upstream the customer. Interfaces for the freshness of keys and for usage caps, both unused yet, and the messages that will carry them.

--- a/call/call.go
+++ b/call/call.go
@@ -22,8 +22,12 @@
 // Class names a group of requests of equal importance.
 type Class string
 
-// Tenant names a deployment of a customer.
-type Tenant string
+// Deployment names a deployment: the nodes, control replicas and upstreams that serve together.
+type Deployment string
+
+// Customer names one of the parties that share a deployment. It is empty for requests without
+// one.
+type Customer string
 
 // Importance orders classes: work of lower importance is refused first.
 type Importance uint8
--- a/claim/effects_test.go
+++ b/claim/effects_test.go
@@ -63,7 +63,7 @@
 func (tr *trial) sends(t *rapid.T) {
 	if len(tr.holders) == 0 || rapid.Bool().Draw(t, "new") {
 		tr.holders = append(tr.holders, &holder{claim: claim.Claim{
-			Tenant:    call.Tenant(rapid.SampledFrom([]string{"t", "u"}).Draw(t, "tenant")),
+			Tenant:    call.Deployment(rapid.SampledFrom([]string{"t", "u"}).Draw(t, "tenant")),
 			Key:       claim.Key(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")),
 			Attempt:   call.AttemptID{byte(len(tr.holders)), 1},
 			Digest:    claim.Digest(rapid.SampledFrom([]string{"d", "d", "d", "e"}).Draw(t, "digest")),
--- a/claim/operation.go
+++ b/claim/operation.go
@@ -22,7 +22,7 @@
 // Claim requests the right to execute the request with an idempotency key. The same
 // attempt may repeat it and gets the same result.
 type Claim struct {
-	Tenant  call.Tenant
+	Tenant  call.Deployment
 	Key     Key
 	Attempt call.AttemptID
 	Digest  Digest
@@ -33,7 +33,7 @@
 // Complete ends a claim and records the answer. The answer is empty if the upstream ran
 // the request but no answer was received.
 type Complete struct {
-	Tenant  call.Tenant
+	Tenant  call.Deployment
 	Key     Key
 	Attempt call.AttemptID
 	Epoch   Epoch
@@ -43,7 +43,7 @@
 // Release ends a claim whose request provably did not run, so that another attempt may
 // claim the key.
 type Release struct {
-	Tenant  call.Tenant
+	Tenant  call.Deployment
 	Key     Key
 	Attempt call.AttemptID
 	Epoch   Epoch
--- a/claim/schema.go
+++ b/claim/schema.go
@@ -21,7 +21,7 @@
 	if copy(at[:], msg.GetAttemptId()) != len(at) || len(msg.GetAttemptId()) != len(at) {
 		return nil, errors.Wrap(ErrBadOperation, "attempt id")
 	}
-	tn, key, ep := call.Tenant(msg.GetTenant()), Key(msg.GetKey()), Epoch(msg.GetEpoch())
+	tn, key, ep := call.Deployment(msg.GetTenant()), Key(msg.GetKey()), Epoch(msg.GetEpoch())
 	switch msg.GetKind() {
 	case schema.ClaimOperation_KIND_CLAIM:
 		return Claim{
--- a/claim/snapshot.go
+++ b/claim/snapshot.go
@@ -111,7 +111,7 @@
 	return visitFields(data, func(num protowire.Number, n uint64, b []byte) bool {
 		switch num {
 		case fieldTenant:
-			en.id.tenant = call.Tenant(b)
+			en.id.tenant = call.Deployment(b)
 		case fieldKey:
 			en.id.key = Key(b)
 		case fieldDigest:
--- a/claim/table.go
+++ b/claim/table.go
@@ -61,13 +61,13 @@
 	bytes   int
 	entries map[entryID]*entry
 	// tenants counts the keys of each tenant.
-	tenants map[call.Tenant]int
+	tenants map[call.Deployment]int
 	expiry  expiry.Queue[*entry]
 }
 
 // entryID identifies an entry.
 type entryID struct {
-	tenant call.Tenant
+	tenant call.Deployment
 	key    Key
 }
 
@@ -76,7 +76,7 @@
 	return &Table{
 		lim:     lim,
 		entries: make(map[entryID]*entry),
-		tenants: make(map[call.Tenant]int),
+		tenants: make(map[call.Deployment]int),
 	}
 }
 
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -51,7 +51,7 @@
 // parse returns the operation of a script line without its time.
 func parse(t *testing.T, args []string) claim.Operation {
 	t.Helper()
-	tn, key := call.Tenant(args[1]), claim.Key(args[2])
+	tn, key := call.Deployment(args[1]), claim.Key(args[2])
 	var at call.AttemptID
 	copy(at[:], args[3])
 	var ep claim.Epoch
--- a/config/check.go
+++ b/config/check.go
@@ -45,6 +45,7 @@
 	ck.checkServices(cfg.GetServices())
 	ck.checkRoutes(cfg.GetRoutes())
 	ck.checkLimits(cfg.GetLimits())
+	ck.checkCustomers(cfg.GetCustomers())
 	return ck.problems
 }
 
--- a/config/compile.go
+++ b/config/compile.go
@@ -58,7 +58,8 @@
 	Revision uint64
 	// Version is the number that operators gave the configuration.
 	Version uint64
-	Tenant  call.Tenant
+	// Deployment is the deployment for which the configuration is intended.
+	Deployment call.Deployment
 	// FailureDomains and Services are in the order of the files. Classes are in falling
 	// order of importance.
 	FailureDomains []call.FailureDomain
@@ -70,6 +71,7 @@
 	kindsByMethod map[string]*methodKinds
 	routesByHost  map[string]*hostRoutes
 	classNames    map[call.Class]bool
+	customers     customers
 }
 
 // methodKinds holds the request kinds of one method by path prefix. No prefix has more
@@ -88,7 +90,7 @@
 	cd := &Compiled{
 		Revision:      revision,
 		Version:       cfg.GetVersion(),
-		Tenant:        call.Tenant(cfg.GetDeployment()),
+		Deployment:    call.Deployment(cfg.GetDeployment()),
 		kindsByMethod: make(map[string]*methodKinds),
 	}
 	for _, fd := range cfg.GetFailureDomains() {
@@ -105,6 +107,7 @@
 		cd.addService(sv, importance)
 	}
 	cd.addRoutes(cfg.GetRoutes())
+	cd.addCustomers(cfg.GetCustomers())
 	cd.Limits = limitsOf(cfg.GetLimits())
 	return cd, nil
 }
--- a/config/compile_test.go
+++ b/config/compile_test.go
@@ -89,7 +89,7 @@
 	if *kd != want {
 		t.Errorf("kind = %+v, want %+v", *kd, want)
 	}
-	if cd.Revision != 9 || cd.Version != 4 || cd.Tenant != "lombardy" || len(cd.Services) != 1 {
+	if cd.Revision != 9 || cd.Version != 4 || cd.Deployment != "lombardy" || len(cd.Services) != 1 {
 		t.Errorf("compiled = %+v", cd)
 	}
 	if cd.Classes[0].Name != "lookup" {
--- a/config/merge.go
+++ b/config/merge.go
@@ -16,6 +16,7 @@
 	fieldServices       = "services"
 	fieldRoutes         = "routes"
 	fieldLimits         = "limits"
+	fieldCustomers      = "customers"
 )
 
 // location is the file and the list index at which an element of a merged list was
@@ -58,6 +59,8 @@
 	mg.recordElements(fieldServices, file, len(part.GetServices()))
 	mg.merged.Routes = append(mg.merged.Routes, part.GetRoutes()...)
 	mg.recordElements(fieldRoutes, file, len(part.GetRoutes()))
+	mg.merged.Customers = append(mg.merged.Customers, part.GetCustomers()...)
+	mg.recordElements(fieldCustomers, file, len(part.GetCustomers()))
 	if part.GetLimits() != nil && mg.setOnce(fs, fieldLimits, file, "{...}") {
 		mg.merged.Limits = part.GetLimits()
 	}
--- a/config/route.go
+++ b/config/route.go
@@ -41,6 +41,8 @@
 // of its requests.
 type Route struct {
 	Name string
+	// Public says that requests need no key of a customer.
+	Public bool
 	// Kinds differ only in the service and its limits.
 	Kinds []*Kind
 	// cumulativeWeights[i] is the sum of the weights of Kinds[0] to Kinds[i].
@@ -80,7 +82,7 @@
 		services[cd.Services[i].Name] = &cd.Services[i]
 	}
 	for _, rt := range list {
-		out := &Route{Name: rt.GetName()}
+		out := &Route{Name: rt.GetName(), Public: rt.GetPublic()}
 		cd.classNames[call.Class(out.Name)] = true
 		var sum uint64
 		for _, sh := range rt.GetShares() {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -32,7 +32,7 @@
 
 // Settings describe the process that joins the membership.
 type Settings struct {
-	Deployment    call.Tenant
+	Deployment    call.Deployment
 	Name          call.VM
 	FailureDomain call.FailureDomain
 	Role          membership.Role
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -249,7 +249,7 @@
 		return errors.Wrap(err, "node "+nd.set.GetName())
 	}
 	nd.gossip, err = gossip.New(gossip.Settings{
-		Deployment: call.Tenant(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
+		Deployment: call.Deployment(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
 		Address: nd.peerListener.Addr().String(), Contacts: nd.set.GetFirstContacts(),
 		Metrics: nd.metrics, Log: nd.log,
@@ -260,7 +260,7 @@
 	}
 	nd.memberNotices = nd.gossip.Subscribe()
 	nd.rollout, err = rollout.New(rollout.Settings{
-		Deployment: call.Tenant(nd.set.GetDeployment()), DataFolder: nd.set.GetDataFolder(), Controls: controls,
+		Deployment: call.Deployment(nd.set.GetDeployment()), DataFolder: nd.set.GetDataFolder(), Controls: controls,
 		ControlClient: func(address string) rollout.Fetcher {
 			return schemaconnect.NewControlClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
 		},
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -53,7 +53,7 @@
 type Settings struct {
 	// Deployment is the name of this node's deployment. Configurations of others are
 	// refused.
-	Deployment call.Tenant
+	Deployment call.Deployment
 	// DataFolder is the folder of the local copy. If it is empty, there is no copy.
 	DataFolder string
 	// Controls are the addresses of the control replicas that the node starts with.
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -66,7 +66,7 @@
 	}
 	rec := standin.NewRecorder()
 	dp, err := deployment.Start(ctx, deployment.Options{
-		Name: call.Tenant(cfg.GetDeployment()), Folder: filepath.Join(folder, "data"), ControlReplicaCount: 1,
+		Name: call.Deployment(cfg.GetDeployment()), Folder: filepath.Join(folder, "data"), ControlReplicaCount: 1,
 		VMs: vmOptions(cfg, rec), Seed: seed,
 	})
 	if err != nil {
--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -34,7 +34,7 @@
 
 // Options describe a deployment.
 type Options struct {
-	Name call.Tenant
+	Name call.Deployment
 	// Folder holds the data folders of the control replicas.
 	Folder string
 	// ControlReplicaCount is the number of control replicas.
--- a/internal/state/control/membership.go
+++ b/internal/state/control/membership.go
@@ -29,7 +29,7 @@
 		return errors.Wrap(err, "control: peer address")
 	}
 	co.gossip, err = gossip.New(gossip.Settings{
-		Deployment: call.Tenant(co.set.GetDeployment()), Name: call.VM(co.set.GetName()),
+		Deployment: call.Deployment(co.set.GetDeployment()), Name: call.VM(co.set.GetName()),
 		FailureDomain: call.FailureDomain(co.set.GetFailureDomain()), Role: membership.ControlRole,
 		Address: co.peerListener.Addr().String(), Contacts: co.contacts(),
 		Metrics: co.metrics.set, Log: co.log,
--- a/internal/state/control/service.go
+++ b/internal/state/control/service.go
@@ -167,11 +167,22 @@
 	}
 	response := &schema.FetchResponse{Revision: uint64(inForce.revision)}
 	if response.Revision > rq.Msg.GetHaveRevision() {
-		response.Configuration = inForce.configuration
+		response.Configuration = inForce.forNodes
 	}
 	return connect.NewResponse(response), nil
 }
 
+// Renew implements schemaconnect.ControlHandler. The proof has age 0, as the lease holds now.
+func (co *Control) Renew(_ context.Context, rq *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error) {
+	inForce := co.state.current.Load()
+	if !co.isCurrent(inForce.applied) {
+		return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
+	}
+	return connect.NewResponse(&schema.RenewalAnswer{
+		Number: rq.Msg.GetNumber(), Proved: true, Revision: uint64(inForce.revision),
+	}), nil
+}
+
 // Claim implements schemaconnect.ControlHandler. The operations are applied as one batch.
 func (co *Control) Claim(ctx context.Context, rq *connect.Request[schema.ClaimRequest]) (*connect.Response[schema.ClaimResponse], error) {
 	operations := rq.Msg.GetOperations()
--- a/internal/state/control/state.go
+++ b/internal/state/control/state.go
@@ -32,7 +32,19 @@
 type configurationInForce struct {
 	revision      config.Revision
 	configuration *schema.Configuration
-	applied       quorum.Index
+	// forNodes is the configuration without its source, which may hold keys of customers.
+	forNodes *schema.Configuration
+	applied  quorum.Index
+}
+
+// withoutSource returns a configuration without its source.
+func withoutSource(cfg *schema.Configuration) *schema.Configuration {
+	if len(cfg.GetSource()) == 0 {
+		return cfg
+	}
+	copied := proto.CloneOf(cfg)
+	copied.Source = nil
+	return copied
 }
 
 // state is the replicated state: the accepted configurations and the claims.
@@ -122,7 +134,7 @@
 	case config.Accept:
 		response.Result, response.Revision = schema.ApplyResult_APPLY_RESULT_ACCEPTED, uint64(de.Revision)
 		if !de.AlreadyAccepted {
-			inForce.revision, inForce.configuration = revision, cfg
+			inForce.revision, inForce.configuration, inForce.forNodes = revision, cfg, withoutSource(cfg)
 			st.co.log.WithFields(log.Fields{"version": uint64(version), "revision": uint64(revision)}).Info("configuration accepted")
 		}
 	case config.Conflict:
@@ -218,6 +230,7 @@
 	st.current.Store(&configurationInForce{
 		revision:      config.Revision(cs.GetRevision()),
 		configuration: cs.GetConfiguration(),
+		forNodes:      withoutSource(cs.GetConfiguration()),
 		applied:       sn.Index,
 	})
 	return nil
--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -45,6 +45,8 @@
 	Label string
 	// Class is the class of the request.
 	Class call.Class
+	// Customer is the customer of the request, or empty.
+	Customer call.Customer
 
 	Method string
 	Host   string
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -29,7 +29,7 @@
 		DeadlineUs: uint64(max(0, at.Deadline.Add(-returnMargin).Sub(now).Microseconds())),
 		Allowance:  uint32(max(0, at.RetryBudget)), Idempotent: at.Idempotent, MaxAnswerBytes: at.MaxAnswerBytes,
 		Stamp: at.Stamp.String(), Label: at.Label, Class: string(at.Class), Method: at.Method, Host: at.Host, Uri: at.URI,
-		Body: at.Body,
+		Body: at.Body, Customer: string(at.Customer),
 	}}
 	if blocks {
 		af.attempt.HeaderBlock = header.AppendBlock(make([]byte, 0, typicalHeaderBytes), at.Header)
@@ -62,7 +62,7 @@
 		Deadline:    now.Add(time.Duration(msg.GetDeadlineUs()) * time.Microsecond),
 		RetryBudget: int(msg.GetAllowance()), Idempotent: msg.GetIdempotent(), MaxAnswerBytes: msg.GetMaxAnswerBytes(),
 		Label: msg.GetLabel(), Class: call.Class(msg.GetClass()), Method: msg.GetMethod(), Host: msg.GetHost(), URI: msg.GetUri(),
-		Body: msg.GetBody(),
+		Body: msg.GetBody(), Customer: call.Customer(msg.GetCustomer()),
 	}
 	var err error
 	if at.Header, err = headerFromMessage(msg.GetHeader(), msg.GetHeaderBlock()); err != nil {
--- a/internal/traffic/calltree/calltree.go
+++ b/internal/traffic/calltree/calltree.go
@@ -66,6 +66,13 @@
 	delete(tr.inbound, id)
 }
 
+// Running reports whether an attempt runs on the upstream.
+func (tr *Trees) Running() bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return len(tr.inbound) > 0
+}
+
 // Inbound returns the running attempt with the given id.
 func (tr *Trees) Inbound(id call.AttemptID) (*Inbound, bool) {
 	tr.mu.Lock()
@@ -83,6 +90,8 @@
 	Deadline   time.Time
 	// Class is the class of the request, or empty if it is not known.
 	Class call.Class
+	// Customer is the customer of the request, or empty.
+	Customer call.Customer
 	// Label is the id by which the sender identifies the request.
 	Label string
 	// Started is when the attempt was sent to the upstream. UpstreamDeadline is the
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -51,6 +51,9 @@
 	ReasonKeyFinished         = "key-finished"
 	ReasonKeyOfAnotherRequest = "key-of-another-request"
 	ReasonClaimsUnavailable   = "claims-unavailable"
+	ReasonKeyUnknown          = "key-unknown"
+	ReasonKeyStale            = "key-stale"
+	ReasonCap                 = "cap"
 )
 
 // Claimer claims idempotency keys for requests, so that a request with a key runs once.
@@ -82,11 +85,16 @@
 	// RetrySlack, if set, is the number of retries to one service that all nodes
 	// together may make without any successes.
 	RetrySlack float64
+	// Freshness tells whether keys of customers may be trusted, and Allowances keep customers
+	// within their usage caps. Without them, all keys are trusted and there are no caps.
+	Freshness  Freshness
+	Allowances Allowances
 }
 
 // Entry serves requests. Its methods are safe for concurrent use.
 type Entry struct {
 	opt      Options
+	started  time.Time
 	config   atomic.Pointer[config.Compiled]
 	stopping atomic.Bool
 	// active counts all requests that are being served, and callers those of callers.
@@ -124,6 +132,7 @@
 	rng := rand.New(rand.NewPCG(opt.Seed, ^opt.Seed))
 	return &Entry{
 		opt:          opt,
+		started:      time.Now(),
 		rng:          rng,
 		routes:       route.New(route.Settings{Domain: opt.Domain}, rng),
 		ratios:       make(map[call.Service]*retry.Ratio),
--- a/internal/traffic/entry/keyed.go
+++ b/internal/traffic/entry/keyed.go
@@ -72,7 +72,7 @@
 	digest.Write(rq.body)
 	return &schema.ClaimOperation{
 		Kind:       schema.ClaimOperation_KIND_CLAIM,
-		Tenant:     string(rq.tenant),
+		Tenant:     string(rq.deployment),
 		Key:        rq.key,
 		AttemptId:  id[:],
 		Digest:     digest.Sum(nil),
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -22,8 +22,11 @@
 
 // request is the state of one request at its entry.
 type request struct {
-	kind       *config.Kind
-	tenant     call.Tenant
+	kind *config.Kind
+	// customer is the customer whose key the request has, or nil. hasKey is true if it has any.
+	customer   *config.Customer
+	hasKey     bool
+	deployment call.Deployment
 	id         call.RequestID
 	account    retry.AccountID
 	importance call.Importance
@@ -111,7 +114,7 @@
 		return nil, refusalWithStatus(ReasonRequestIncomplete, http.StatusBadRequest)
 	}
 	rq := &request{
-		kind: kind, tenant: cd.Tenant, importance: kind.Importance, deadline: now.Add(kind.Deadline),
+		kind: kind, deployment: cd.Deployment, importance: kind.Importance, deadline: now.Add(kind.Deadline),
 		method: r.Method, host: r.Host, uri: r.URL.RequestURI(), header: attempt.StripHeaders(maps.Clone(r.Header)), body: body,
 		key: r.Header.Get(header.IdempotencyKey),
 	}
@@ -158,7 +161,7 @@
 		}
 		rq.id = id
 	case rq.key != "":
-		rq.id = requestIDOfKey(rq.tenant, rq.key)
+		rq.id = requestIDOfKey(rq.deployment, rq.key)
 	default:
 		rq.id = en.newRequestID()
 	}
@@ -195,11 +198,11 @@
 	return resend != "" && resend != "0" || resend == "" && hd.Get(header.IdempotencyKey) != ""
 }
 
-// requestIDOfKey derives the request id from the tenant and the idempotency key, so that
+// requestIDOfKey derives the request id from the deployment and the idempotency key, so that
 // all sends of a key share one retry account.
-func requestIDOfKey(tenant call.Tenant, key string) (id call.RequestID) {
-	binary.BigEndian.PutUint64(id[:8], xxhash.Sum64String(string(tenant)+"\x00"+key))
-	binary.BigEndian.PutUint64(id[8:], xxhash.Sum64String(key+"\x00"+string(tenant)))
+func requestIDOfKey(dep call.Deployment, key string) (id call.RequestID) {
+	binary.BigEndian.PutUint64(id[:8], xxhash.Sum64String(string(dep)+"\x00"+key))
+	binary.BigEndian.PutUint64(id[8:], xxhash.Sum64String(key+"\x00"+string(dep)))
 	return id
 }
 
@@ -226,7 +229,7 @@
 		ID: id, Request: rq.id, Service: rq.kind.Service, Importance: rq.importance, Depth: rq.depth,
 		Deadline: rq.deadline, Idempotent: rq.kind.Idempotent, MaxAnswerBytes: rq.kind.MaxAnswerBytes,
 		Method: rq.method, Host: rq.host, URI: rq.uri, Header: rq.header, Body: rq.body, Label: rq.label,
-		Class: rq.kind.Class,
+		Class: rq.kind.Class, Customer: rq.customerName(),
 	}
 }
 
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -33,6 +33,11 @@
 	// Deadline is the time at which the caller gives up. The entry uses it unless the
 	// configuration sets an earlier one. Zero means none.
 	Deadline time.Time
+	// Key is the key of a customer, or nil if the request has none. KeyHeader is the header that
+	// holds it, and CustomerHeader the one that tells the upstream the customer; the entry
+	// removes both if the configuration names customers.
+	Key                       *string
+	KeyHeader, CustomerHeader string
 	// Blocker, if not nil, tells which requests wait for the answer to this one.
 	Blocker Blocker
 }
@@ -52,7 +57,7 @@
 	begun := time.Now()
 	rq, an := en.newRoutedRequest(rd, begun)
 	if an == nil {
-		an = en.serveCounted(ctx, rq, en.serveThrottled)
+		an = en.serveCounted(ctx, rq, en.serveCapped)
 	}
 	if rq != nil && rq.connection != "" {
 		en.opt.Trees.Answered(time.Now(), rq.connection)
@@ -94,7 +99,7 @@
 	}
 	kind := rt.PickKind(en.randomUint64())
 	rq := &request{
-		kind: kind, tenant: cd.Tenant, id: rd.ID, account: retry.RequestAccount(rd.ID), importance: kind.Importance,
+		kind: kind, deployment: cd.Deployment, id: rd.ID, account: retry.RequestAccount(rd.ID), importance: kind.Importance,
 		deadline: now.Add(kind.Deadline), method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
 	}
 	if !rd.Deadline.IsZero() && rd.Deadline.Before(rq.deadline) {
@@ -104,8 +109,11 @@
 	rq.ownAccount, rq.label = rd.ID, rd.Label
 	rq.connection, rq.blocker = rd.Connection, rd.Blocker
 	rq.waited, rq.returning = en.timeWaited(kind.Class, now, rd.Deadline)
+	if an := en.identify(cd, rt, rq, rd); an != nil {
+		return rq, an
+	}
 	og := calltree.OutgoingCall{Class: kind.Class, Connection: rd.Connection, Deadline: rd.Deadline}
-	rq.isCall = en.opt.Trees.IsCall(kind.Class, rd.Deadline)
+	rq.isCall = en.isCall(cd, rt, rq, rd)
 	if !rq.isCall {
 		en.opt.Trees.TrackRequest(now, og)
 		if en.stopping.Load() {
@@ -120,6 +128,20 @@
 	return rq, nil
 }
 
+// isCall reports whether a request is a call of the upstream on the VM. Where the configuration
+// names customers, a key tells requests of callers from calls.
+func (en *Entry) isCall(cd *config.Compiled, rt *config.Route, rq *request, rd *Request) bool {
+	switch {
+	case !cd.HasCustomers():
+		return en.opt.Trees.IsCall(rq.kind.Class, rd.Deadline)
+	case rq.hasKey:
+		return false
+	case rt.Public:
+		return en.opt.Trees.IsCall(rq.kind.Class, rd.Deadline)
+	}
+	return true
+}
+
 // routeOf returns the route of a request to a host and URI.
 func routeOf(cd *config.Compiled, host, uri string) (*config.Route, bool) {
 	path, _, _ := strings.Cut(uri, "?")
@@ -180,6 +202,17 @@
 	en.opt.Events.Add(now, ev)
 }
 
+// serveCapped serves a request if the usage cap of its customer allows it. What is beyond the cap
+// does not count as demand.
+func (en *Entry) serveCapped(ctx context.Context, rq *request) *attempt.Answer {
+	if an := en.takeAllowance(ctx, rq); an != nil {
+		return an
+	}
+	an := en.serveThrottled(ctx, rq)
+	en.returnAllowance(rq, an)
+	return an
+}
+
 // serveThrottled admits or refuses a request before any work is done, and serves it if it
 // is admitted. Requests are refused if the services of their call trees lack capacity or
 // if their kind fails under load. Calls belong to work that was admitted, and are not
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -327,7 +327,7 @@
 // execute runs an attempt that was admitted at the given time, and then frees its slot.
 func (gd *Guard) execute(pa *pendingAttempt, admitted time.Time) *attempt.Answer {
 	at := pa.attempt
-	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class}
+	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class, Customer: at.Customer}
 	now := time.Now()
 	in.Started, in.UpstreamDeadline = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -39,7 +39,7 @@
 // Settings describe the process that a Machine represents.
 type Settings struct {
 	// Deployment names the deployment. Datagrams of other deployments are refused.
-	Deployment    call.Tenant
+	Deployment    call.Deployment
 	Name          call.VM
 	Address       netip.AddrPort
 	FailureDomain call.FailureDomain
--- a/schema/schemaconnect/control.connect.go
+++ b/schema/schemaconnect/control.connect.go
@@ -42,6 +42,8 @@
 	ControlClaimProcedure = "/camphortrail.Control/Claim"
 	// ControlExchangeProcedure is the fully-qualified name of the Control's Exchange RPC.
 	ControlExchangeProcedure = "/camphortrail.Control/Exchange"
+	// ControlRenewProcedure is the fully-qualified name of the Control's Renew RPC.
+	ControlRenewProcedure = "/camphortrail.Control/Renew"
 	// ControlControlStatusProcedure is the fully-qualified name of the Control's ControlStatus RPC.
 	ControlControlStatusProcedure = "/camphortrail.Control/ControlStatus"
 )
@@ -58,6 +60,9 @@
 	Claim(context.Context, *connect.Request[schema.ClaimRequest]) (*connect.Response[schema.ClaimResponse], error)
 	// Exchange carries messages of the replicated log.
 	Exchange(context.Context, *connect.Request[schema.ExchangeRequest]) (*connect.Response[schema.ExchangeResponse], error)
+	// Renew returns a proof that a configuration is recent and allowances of
+	// customers. It fails with the code unavailable unless the replica leads.
+	Renew(context.Context, *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error)
 	// ControlStatus describes the replica.
 	ControlStatus(context.Context, *connect.Request[schema.ControlStatusRequest]) (*connect.Response[schema.ControlStatusResponse], error)
 }
@@ -97,6 +102,12 @@
 			connect.WithSchema(controlMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		renew: connect.NewClient[schema.Renewal, schema.RenewalAnswer](
+			httpClient,
+			baseURL+ControlRenewProcedure,
+			connect.WithSchema(controlMethods.ByName("Renew")),
+			connect.WithClientOptions(opts...),
+		),
 		controlStatus: connect.NewClient[schema.ControlStatusRequest, schema.ControlStatusResponse](
 			httpClient,
 			baseURL+ControlControlStatusProcedure,
@@ -112,6 +123,7 @@
 	fetch         *connect.Client[schema.FetchRequest, schema.FetchResponse]
 	claim         *connect.Client[schema.ClaimRequest, schema.ClaimResponse]
 	exchange      *connect.Client[schema.ExchangeRequest, schema.ExchangeResponse]
+	renew         *connect.Client[schema.Renewal, schema.RenewalAnswer]
 	controlStatus *connect.Client[schema.ControlStatusRequest, schema.ControlStatusResponse]
 }
 
@@ -135,6 +147,11 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
+// Renew calls camphortrail.Control.Renew.
+func (c *controlClient) Renew(ctx context.Context, req *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error) {
+	return c.renew.CallUnary(ctx, req)
+}
+
 // ControlStatus calls camphortrail.Control.ControlStatus.
 func (c *controlClient) ControlStatus(ctx context.Context, req *connect.Request[schema.ControlStatusRequest]) (*connect.Response[schema.ControlStatusResponse], error) {
 	return c.controlStatus.CallUnary(ctx, req)
@@ -152,6 +169,9 @@
 	Claim(context.Context, *connect.Request[schema.ClaimRequest]) (*connect.Response[schema.ClaimResponse], error)
 	// Exchange carries messages of the replicated log.
 	Exchange(context.Context, *connect.Request[schema.ExchangeRequest]) (*connect.Response[schema.ExchangeResponse], error)
+	// Renew returns a proof that a configuration is recent and allowances of
+	// customers. It fails with the code unavailable unless the replica leads.
+	Renew(context.Context, *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error)
 	// ControlStatus describes the replica.
 	ControlStatus(context.Context, *connect.Request[schema.ControlStatusRequest]) (*connect.Response[schema.ControlStatusResponse], error)
 }
@@ -187,6 +207,12 @@
 		connect.WithSchema(controlMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlRenewHandler := connect.NewUnaryHandler(
+		ControlRenewProcedure,
+		svc.Renew,
+		connect.WithSchema(controlMethods.ByName("Renew")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlControlStatusHandler := connect.NewUnaryHandler(
 		ControlControlStatusProcedure,
 		svc.ControlStatus,
@@ -203,6 +229,8 @@
 			controlClaimHandler.ServeHTTP(w, r)
 		case ControlExchangeProcedure:
 			controlExchangeHandler.ServeHTTP(w, r)
+		case ControlRenewProcedure:
+			controlRenewHandler.ServeHTTP(w, r)
 		case ControlControlStatusProcedure:
 			controlControlStatusHandler.ServeHTTP(w, r)
 		default:
@@ -230,6 +258,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphortrail.Control.Exchange is not implemented"))
 }
 
+func (UnimplementedControlHandler) Renew(context.Context, *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphortrail.Control.Renew is not implemented"))
+}
+
 func (UnimplementedControlHandler) ControlStatus(context.Context, *connect.Request[schema.ControlStatusRequest]) (*connect.Response[schema.ControlStatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphortrail.Control.ControlStatus is not implemented"))
 }
