announce: a late report of a former service does not announce it again

Cause: a change of the settings removes the announced upstream, but keeps no memory of what they name. A report of the former upstream that arrives after the change, because it was delayed or because the process has not ended yet, announces it again until the next upstream reports.

Change: the registry keeps the service and the address that changed settings name, with the time of the change. An upstream of another service or address is announced only if it started after that. A report that such an upstream leaves is acknowledged, as it gets no work any more.

--- a/internal/fleet/announce/announce.go
+++ b/internal/fleet/announce/announce.go
@@ -32,6 +32,22 @@
 	mu      sync.Mutex
 	leases  leases
 	reports reportHistory
+	// expected is what newer settings say of the upstream, or nil.
+	expected *expectation
+}
+
+// expectation is the service and address of the upstream that the settings of the node name since
+// a time.
+type expectation struct {
+	service call.Service
+	address string
+	since   time.Time
+}
+
+// fits reports whether an upstream may be announced: it is the one that the settings name, or has
+// started after they did and so is newer.
+func (ex *expectation) fits(up membership.Upstream) bool {
+	return ex == nil || up.Service == ex.service && up.Address == ex.address || up.StartTime.After(ex.since)
 }
 
 // New returns an empty Registry. The Registry calls onChange with all upstreams after each
@@ -68,10 +84,15 @@
 // in time.
 func (rg *Registry) Expire() { rg.update(func() bool { return rg.leases.expire(rg.now()) }) }
 
-// Retain removes the upstreams for which retain returns false. A later report may announce them
-// again.
-func (rg *Registry) Retain(retain func(up membership.Upstream) bool) {
-	rg.update(func() bool { return rg.leases.retain(retain) })
+// Expect states that settings in force since the given time name the service and the address of
+// the upstream. It removes another upstream that started earlier. Reports of one may still arrive,
+// late or because it has not ended yet; they do not announce it again.
+func (rg *Registry) Expect(svc call.Service, address string, since time.Time) {
+	ex := &expectation{service: svc, address: address, since: since}
+	rg.update(func() bool {
+		rg.expected = ex
+		return rg.leases.retain(ex.fits)
+	})
 }
 
 // Drain marks all upstreams as draining until Resume is called, including those announced
--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -14,6 +14,10 @@
 // upstream, or of an incarnation that has ended.
 var ErrStaleReport = errors.New("announce: stale report")
 
+// ErrSuperseded is returned for a report of an upstream in whose place the settings name another
+// one since.
+var ErrSuperseded = errors.New("announce: the settings name another upstream")
+
 // ErrServiceChanged is returned for a report with another service than earlier reports of
 // the same incarnation.
 var ErrServiceChanged = errors.New("announce: service changed")
@@ -130,11 +134,19 @@
 }
 
 // AddReport records a numbered announcement. It replaces the announcement of any earlier
-// incarnation, also of another instance. The error matches ErrStaleReport,
+// incarnation, also of another instance. The error matches ErrStaleReport, ErrSuperseded,
 // ErrServiceChanged or ErrNumberOutOfRange.
 func (rg *Registry) AddReport(rp Report) error {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
+	rp.Upstream.StartTime = rp.StartTime
+	if !rg.expected.fits(rp.Upstream) {
+		if rp.Upstream.Draining {
+			// It gets no work any more, which is all that it asks for.
+			return nil
+		}
+		return errors.Wrapf(ErrSuperseded, "instance %q of service %.*q", rp.Upstream.Instance, membership.MaxNameBytes, rp.Upstream.Service)
+	}
 	before := rg.leases.upstreams()
 	earlier := rg.reports.current
 	service := rg.reports.service
@@ -149,7 +161,6 @@
 		// the full length, which the first report states.
 		rp.Upstream.WarmUp = ln.upstream.WarmUp
 	}
-	rp.Upstream.StartTime = rp.StartTime
 	instance := rp.Upstream.Instance + "/" + rp.StartTime.String()
 	if _, ok := rg.leases.announce(rg.now(), rp.Upstream, instance); !ok {
 		return errors.Wrapf(ErrStaleReport, "no room for service %q", rp.Upstream.Service)
