--- a/cmd/camphortrail/reload.go
+++ b/cmd/camphortrail/reload.go
@@ -11,7 +11,7 @@
 )
 
 // reloadInterval is the time between two checks whether the settings file has changed.
-const reloadInterval = time.Second
+const reloadInterval = 250 * time.Millisecond
 
 // fileVersion distinguishes the contents of a file at different times.
 type fileVersion struct {
