customers/shares, throttle, entry: fair shares among customers

Cause: customers compete for too little capacity. The share of a class was given to requests in the order of their arrival, and cohorts were random, so that a customer that sends many times its usual requests displaced the others. Where the importance of a customer differs from that of its route, the state of the class took the importance of whichever request came last.

Change: package shares gives each request of a customer a position among those of its importance, by max-min fairness over what customers asked in the last 5 s. Positions are uniform, so that one selection is fair for any capacity. 0.4 of the part of all goes before that to each customer. The entry sets the cohort of the request from the position once; the throttle admits the share of a class, and refuses for failures, in the order of positions. It keeps the state of a class apart for requests with the importance of their customers. The decision log has the customer and what it was owed, and metrics count requests by customer, for 64 customers and the rest.

--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -84,6 +84,13 @@
 	// SharePercent is the share of the requests of the kind that the entry admits, in
 	// percent.
 	SharePercent int `json:"share-percent,omitempty"`
+	// Customer is the customer of the request. Rule is the rule of customers that refused it.
+	Customer string `json:"customer,omitempty"`
+	Rule     string `json:"rule,omitempty"`
+	// AskedPerS and OwedPerS are the recent requests of the customer at this node in a second, and
+	// those of them that its fair share allows, for the rule fair-share.
+	AskedPerS float64 `json:"asked-per-s,omitempty"`
+	OwedPerS  float64 `json:"owed-per-s,omitempty"`
 }
 
 // Line is the log line of an event.
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"camphortrail/call"
 	"camphortrail/config"
+	"camphortrail/internal/customers/shares"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
@@ -101,6 +102,8 @@
 	active  inflight.Counter
 	callers inflight.Counter
 	traffic trafficCounters
+	// customers counts the requests of customers.
+	customers customerCounters
 
 	mu     sync.Mutex
 	rng    *rand.Rand
@@ -111,6 +114,8 @@
 	addresses map[call.VM]string
 	// throttles decides which requests of callers are admitted.
 	throttles *throttle.Controller
+	// shares gives the requests of customers their positions.
+	shares *shares.Controller
 	// longestWaits holds the longest stated waits of callers by route.
 	longestWaits map[call.Class]*longestWait
 	// grants holds the latest grants of the guards of each service by VM.
@@ -138,6 +143,7 @@
 		ratios:       make(map[call.Service]*retry.Ratio),
 		addresses:    make(map[call.VM]string),
 		throttles:    throttle.New(),
+		shares:       shares.New(),
 		longestWaits: make(map[call.Class]*longestWait),
 		grants:       make(map[call.Service]map[call.VM]guardGrant),
 		aggregations: make(map[call.Service]*aggregation),
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -11,6 +11,7 @@
 
 	"camphortrail/call"
 	"camphortrail/config"
+	"camphortrail/internal/customers/shares"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
 	"camphortrail/internal/traffic/header"
@@ -24,8 +25,11 @@
 type request struct {
 	kind *config.Kind
 	// customer is the customer whose key the request has, or nil. hasKey is true if it has any.
-	customer   *config.Customer
-	hasKey     bool
+	customer *config.Customer
+	hasKey   bool
+	// position is the place of the request among those of its importance, if positioned is true.
+	position   shares.Position
+	positioned bool
 	deployment call.Deployment
 	id         call.RequestID
 	account    retry.AccountID
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -69,6 +69,7 @@
 		left := an.Reason == ReasonDeadline && time.Now().Before(rq.deadline)
 		en.traffic.add(rq, trafficResult{answer: an, late: rq.waited+took > rq.kind.Target, callerLeft: left})
 	}
+	en.countCustomer(rq, an)
 	en.logRequest(rd, rq, an, begun)
 	return an
 }
@@ -198,6 +199,7 @@
 		if rq.parent != nil {
 			ev.Parent = rq.parent.Label
 		}
+		en.describeShare(rq, &ev)
 	}
 	en.opt.Events.Add(now, ev)
 }
@@ -243,13 +245,16 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	now := time.Now()
+	rs := throttle.Result{Share: de.Share, Importance: rq.ownImportance()}
 	if ctx.Err() != nil {
-		en.throttles.CallerLeft(now, rq.kind.Class, de.Share, leftReason(context.Cause(ctx)) != events.CallerLeft)
+		en.throttles.CallerLeft(now, rq.kind.Class, rs, leftReason(context.Cause(ctx)) != events.CallerLeft)
 	} else {
-		en.throttles.Finish(now, rq.kind.Class, throttle.Result{
-			Succeeded: !an.Failed() && an.Status != http.StatusInternalServerError, Unreachable: rq.failedUnreachable(an),
-			Occupancy: rq.occupancy, Took: now.Sub(begun), Share: de.Share,
-		})
+		rs.Succeeded = !an.Failed() && an.Status != http.StatusInternalServerError
+		rs.Unreachable, rs.Occupancy, rs.Took = rq.failedUnreachable(an), rq.occupancy, now.Sub(begun)
+		en.throttles.Finish(now, rq.kind.Class, rs)
+		if rs.Succeeded {
+			en.countServed(now, rq)
+		}
 		en.throttles.LearnCalls(now, rq.kind.Class, rq.fanOut)
 	}
 	return an
@@ -260,6 +265,7 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	now := time.Now()
+	en.setPosition(now, rq)
 	de := en.throttles.Admit(now, rq.throttled(now), en.rng.Float64())
 	rq.share, rq.decidedBy = int(100*de.Share), de.By
 	return de
@@ -285,6 +291,7 @@
 // throttled returns the request as it is presented to the throttle.
 func (rq *request) throttled(now time.Time) throttle.Request {
 	return throttle.Request{
-		Class: rq.kind.Class, Importance: rq.importance, Waited: rq.waited, Target: rq.kind.Target, Blocks: rq.blockedFor(now),
+		Class: rq.kind.Class, Importance: rq.importance, OfCustomer: rq.ofCustomer(), Position: rq.position.Value, Positioned: rq.positioned,
+		Waited: rq.waited, Target: rq.kind.Target, Blocks: rq.blockedFor(now),
 	}
 }
--- a/internal/traffic/entry/traffic.go
+++ b/internal/traffic/entry/traffic.go
@@ -215,6 +215,7 @@
 // Summarize logs the results of the requests of each route since the last summary, and
 // adds them to the metrics.
 func (en *Entry) Summarize(now time.Time) {
+	en.rankCustomers(now)
 	for _, tf := range en.traffic.take() {
 		en.addLoad(now, &tf)
 		en.opt.Events.Summarize(now, tf)
--- a/internal/traffic/throttle/fanout.go
+++ b/internal/traffic/throttle/fanout.go
@@ -23,6 +23,14 @@
 // by the class of the calls.
 type fanOut map[call.Class]float64
 
+// calls holds what is known of the calls of the requests of a class.
+type calls struct {
+	// fanOut is the mean number of calls that a request makes of each service of its
+	// tree, and answers the number of answers in the mean, up to maxSamples.
+	fanOut  map[call.Service]fanOut
+	answers float64
+}
+
 // LearnCalls records the calls that a request of a class made of the services of its
 // tree. Their number does not change with the load, so a mean over many answers is still
 // right just after the load has changed.
@@ -30,7 +38,10 @@
 	if len(fanOuts) == 0 {
 		return
 	}
-	cs := ctl.stateOf(class)
+	cs := ctl.anyState(class)
+	if cs == nil {
+		cs = ctl.stateOf(classKey{class: class})
+	}
 	cs.answers = min(cs.answers+1, maxSamples)
 	for _, cf := range fanOuts {
 		fo := cs.fanOut[cf.Service]
@@ -58,7 +69,7 @@
 // present, for the services whose guards have reported slot times.
 func (ctl *Controller) SlotTimes(class call.Class) map[call.Service]time.Duration {
 	times := make(map[call.Service]time.Duration)
-	cs := ctl.classes[class]
+	cs := ctl.anyState(class)
 	if cs == nil {
 		return times
 	}
@@ -74,7 +85,7 @@
 // each service, rounded to hundredths.
 func (ctl *Controller) CallsPerRequest(class call.Class) map[string]float64 {
 	all := make(map[string]float64)
-	if cs := ctl.classes[class]; cs != nil {
+	if cs := ctl.anyState(class); cs != nil {
 		for svc, fo := range cs.fanOut {
 			all[string(svc)] = math.Round(100*fo.total()) / 100
 		}
--- a/internal/traffic/throttle/grant.go
+++ b/internal/traffic/throttle/grant.go
@@ -189,9 +189,10 @@
 	MeanDuration time.Duration
 }
 
-// Stats returns the statistics of a class, or zero if it is not known.
+// Stats returns the statistics of a class, or zero if it is not known. Requests whose customers have
+// an importance of their own are left out if there are others.
 func (ctl *Controller) Stats(now time.Time, class call.Class) Stats {
-	cs := ctl.classes[class]
+	cs := ctl.anyState(class)
 	if cs == nil {
 		return Stats{}
 	}
--- a/internal/traffic/throttle/leaving_test.go
+++ b/internal/traffic/throttle/leaving_test.go
@@ -36,7 +36,7 @@
 			if slot := &inFlight[at%treeTime]; *slot {
 				*slot = false
 				if rng.Float64() < leaveRate {
-					ctl.CallerLeft(now, lookUp, 0, false)
+					ctl.CallerLeft(now, lookUp, Result{}, false)
 				} else {
 					ctl.Finish(now, lookUp, Result{Succeeded: true, Occupancy: 100, Took: treeTime * interval})
 				}
--- a/internal/traffic/throttle/limiter.go
+++ b/internal/traffic/throttle/limiter.go
@@ -19,6 +19,9 @@
 	// maxSavedTokens bounds the requests that may be admitted at once because blocking ones
 	// were passed over. Where nearly all requests block others, those are admitted beyond it.
 	maxSavedTokens = 4
+	// maxCredit is the number of requests by which those that were admitted by their positions may
+	// fall short of the share or exceed it. At it, the bound of the positions has moved by 1.
+	maxCredit = 8
 	// settleDivisor says that a request waits for 1/settleDivisor of the mean duration of its
 	// class, but at most maxSettleTime, until it is known which requests follow it on its
 	// connection.
@@ -38,13 +41,18 @@
 	// tokens accumulates the shares of the requests so far; admitting a request takes
 	// one.
 	tokens float64
+	// credit is the same for requests with positions. It may be negative.
+	credit float64
 }
 
 // allow records an arrival and reports whether it is within the share. A blocking request, for
 // whose answer others would wait past their deadlines, is passed over in favor of the next one
 // that is not, as long as no more than maxSavedTokens are saved for these.
-func (sl *shareLimiter) allow(now time.Time, share float64, blocking bool) bool {
+func (sl *shareLimiter) allow(now time.Time, share float64, rq Request, blocking bool) bool {
 	sl.recentArrivals = sl.recentArrivals*sl.clock.Factor(now, rateHalfLife) + 1
+	if rq.Positioned {
+		return sl.allowPosition(share, rq.Position, blocking)
+	}
 	sl.tokens += share
 	if sl.tokens < 1 || blocking && share < 1 && sl.tokens < maxSavedTokens {
 		return false
@@ -53,6 +61,42 @@
 	return true
 }
 
+// allowPosition reports whether a request is within the share by its position. The positions of
+// the requests of one class need not be uniform, as they are among all of one importance: the
+// credit moves the bound so that the share is admitted nevertheless.
+func (sl *shareLimiter) allowPosition(share, position float64, blocking bool) bool {
+	if share >= 1 {
+		return true
+	}
+	bound := sl.bound(share)
+	sl.credit = min(sl.credit+share, maxCredit)
+	if position >= bound || blocking && sl.credit < maxSavedTokens {
+		return false
+	}
+	sl.credit = max(sl.credit-1, -maxCredit)
+	return true
+}
+
+// bound returns the position below which requests are admitted.
+func (sl *shareLimiter) bound(share float64) float64 { return share + sl.credit/maxCredit }
+
+// positionDraw returns a number in [0, 1) for a request that its position admits: the higher, the
+// lower its position among those. It is uniform if the position is.
+func (sl *shareLimiter) positionDraw(share, position float64) float64 {
+	if share < 1 {
+		position /= max(sl.bound(share), position, math.SmallestNonzeroFloat64)
+	}
+	return min(max(1-position, 0), math.Nextafter(1, 0))
+}
+
+// saved returns the tokens or the credit from which requests like this one are admitted.
+func (sl *shareLimiter) saved(rq Request) *float64 {
+	if rq.Positioned {
+		return &sl.credit
+	}
+	return &sl.tokens
+}
+
 // arrivalRate returns the rate of arrivals per second.
 func (sl *shareLimiter) arrivalRate(now time.Time) float64 {
 	sl.recentArrivals *= sl.clock.Factor(now, rateHalfLife)
--- a/internal/traffic/throttle/mesh_test.go
+++ b/internal/traffic/throttle/mesh_test.go
@@ -8,6 +8,7 @@
 
 	"camphortrail/admission"
 	"camphortrail/call"
+	"camphortrail/internal/customers/shares"
 	"camphortrail/internal/lab/virtualtime"
 	"camphortrail/internal/traffic/allocation"
 )
@@ -23,6 +24,10 @@
 	guards  []*meshGuard
 	calls   map[call.AttemptID]*meshCall
 	counts  map[call.Class]*meshCount
+	// customerCounts holds the counts of the customers by class.
+	customerCounts map[call.Class][]customerCount
+	// countedFrom is when the counts of customers began.
+	countedFrom time.Time
 }
 
 // meshShape is the size of a mesh and the work of its requests.
@@ -32,6 +37,8 @@
 	// pipelined is the fraction of the look-ups behind which their caller soon sends an issue
 	// on the same connection.
 	pipelined float64
+	// customers describes the customers that send the requests. There are none by default.
+	customers meshCustomers
 }
 
 // meshClass is a class of requests. Each request works for a time, and then makes several
@@ -62,6 +69,8 @@
 	name       call.VM
 	controller *Controller
 	weight     float64
+	// shares gives positions to the requests of customers.
+	shares *shares.Controller
 }
 
 type meshGuard struct {
@@ -97,6 +106,10 @@
 	admitted, answered bool
 	// share is that of the decision that admitted the request.
 	share float64
+	// customer is the number of the customer, if there are customers. position is that of the
+	// request among those of its importance.
+	customer int
+	position shares.Position
 }
 
 type meshCall struct {
@@ -130,7 +143,7 @@
 func (ms *mesh) addEntries() {
 	sum := 0.0
 	for n := range ms.shape.entries {
-		en := &meshEntry{name: call.VM(strconv.Itoa(n)), controller: New(), weight: 0.5 + ms.rng.Float64()}
+		en := &meshEntry{name: call.VM(strconv.Itoa(n)), controller: New(), weight: 0.5 + ms.rng.Float64(), shares: shares.New()}
 		sum += en.weight
 		ms.entries = append(ms.entries, en)
 	}
@@ -144,6 +157,7 @@
 	for class := range ms.counts {
 		ms.counts[class] = &meshCount{}
 	}
+	ms.customerCounts = make(map[call.Class][]customerCount)
 }
 
 // startReports makes an entry report its demand to the guards at a fixed interval.
@@ -181,6 +195,7 @@
 	if kd.class == issue {
 		rate -= ms.shape.pipelined * ms.shape.kind(lookUp).perSecond
 	}
+	rate *= ms.shape.customers.rateFactor(kd.class)
 	ms.After(time.Duration(ms.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		ms.counts[kd.class].asked++
 		rq := ms.request(kd)
@@ -224,7 +239,7 @@
 // on another one.
 func (ms *mesh) leave(rq *meshRequest) {
 	if rq.admitted && !rq.answered {
-		rq.entry.controller.CallerLeft(ms.Now(), rq.kind.class, rq.share, true)
+		rq.entry.controller.CallerLeft(ms.Now(), rq.kind.class, Result{Share: rq.share}, true)
 	}
 	rq.over, rq.answered = true, true
 	ms.counts[rq.kind.class].left++
@@ -237,12 +252,15 @@
 func (ms *mesh) request(kd *meshClass) *meshRequest {
 	point := ms.rng.Float64()
 	at := slices.IndexFunc(ms.entries, func(en *meshEntry) bool { point -= en.weight; return point < 0 })
-	return &meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.Now(), deadline: ms.Now().Add(kd.deadline)}
+	rq := &meshRequest{kind: kd, entry: ms.entries[max(at, 0)], first: ms.Now(), deadline: ms.Now().Add(kd.deadline)}
+	ms.drawCustomer(rq)
+	return rq
 }
 
 // admit asks the entry of a request to admit it.
 func (ms *mesh) admit(rq *meshRequest) Decision {
 	rq.sent, rq.cohort = ms.Now(), call.Cohort(ms.rng.Uint32())
+	ms.setPosition(rq)
 	de := rq.entry.controller.Admit(ms.Now(), rq.throttled(ms.Now()), ms.rng.Float64())
 	rq.admitted, rq.share = de.Admitted, de.Share
 	return de
@@ -251,6 +269,7 @@
 // throttled returns the request as the entry presents it to its controller.
 func (rq *meshRequest) throttled(now time.Time) Request {
 	tr := Request{Class: rq.kind.class, Importance: rq.kind.importance, Waited: rq.waited(now), Target: rq.kind.target}
+	tr.Position, tr.Positioned = rq.position.Value, rq.position != (shares.Position{})
 	if rq.behind != nil {
 		tr.Blocks = rq.behind.deadline.Sub(now)
 	}
@@ -306,7 +325,7 @@
 // more than a third of the time that the caller has left.
 func (ms *mesh) retry(rq *meshRequest, after time.Duration) (*meshRequest, time.Duration) {
 	after = after/2 + time.Duration(ms.rng.Int64N(int64(after)+1))
-	return &meshRequest{kind: rq.kind, entry: rq.entry, first: rq.first, deadline: rq.deadline, isRetry: true},
+	return &meshRequest{kind: rq.kind, entry: rq.entry, first: rq.first, deadline: rq.deadline, isRetry: true, customer: rq.customer},
 		min(after, rq.deadline.Sub(ms.Now())/3)
 }
 
@@ -419,6 +438,7 @@
 	ms.deliver(rq, succeeded)
 	rq.entry.controller.Finish(ms.Now(), rq.kind.class, Result{Succeeded: succeeded, Occupancy: ms.occupancy(), Took: ms.Now().Sub(rq.sent), Share: rq.share})
 	if succeeded {
+		ms.countServed(rq)
 		rq.entry.controller.LearnCalls(ms.Now(), rq.kind.class, []call.FanOut{{
 			Service: service0, Class: rq.kind.class, Calls: float64(rq.kind.series * rq.kind.length), Occupancy: ms.occupancy(),
 		}})
--- a/internal/traffic/throttle/share_test.go
+++ b/internal/traffic/throttle/share_test.go
@@ -187,7 +187,7 @@
 				continue
 			}
 			refused++
-			if got := ctl.classes["look-up"].share.value; got > yieldMargin*minShare {
+			if got := ctl.classes[classKey{class: "look-up"}].share.value; got > yieldMargin*minShare {
 				t.Fatalf("an issue is refused while %.2f of the look-ups are admitted, minimum %.2f", got, minShare)
 			}
 		}
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -66,7 +66,7 @@
 // Controller decides which requests of all classes are admitted at one entry. It is not
 // safe for concurrent use.
 type Controller struct {
-	classes  map[call.Class]*classState
+	classes  map[classKey]*classState
 	services map[call.Service]*service
 	// startSlowly says that classes begin with a slow start.
 	startSlowly bool
@@ -74,13 +74,28 @@
 
 // New returns a controller that has seen no requests and refuses none.
 func New() *Controller {
-	return &Controller{classes: make(map[call.Class]*classState), services: make(map[call.Service]*service)}
+	return &Controller{classes: make(map[classKey]*classState), services: make(map[call.Service]*service)}
+}
+
+// classKey identifies the state of a class. importance is that of a customer if it differs from
+// the one of the class, and otherwise zero.
+type classKey struct {
+	class      call.Class
+	importance call.Importance
 }
 
 // Request is a request at its entry.
 type Request struct {
 	Class      call.Class
 	Importance call.Importance
+	// OfCustomer says that the importance is that of the customer and differs from the one of
+	// the class. Such requests are decided on apart from the others of the class.
+	OfCustomer bool
+	// Position is the place of the request among those of its importance, uniform in [0, 1).
+	// Within a class, requests with lower positions are admitted first. Positioned is false if
+	// the request has none.
+	Position   float64
+	Positioned bool
 	// Waited is the time since the caller first sent the request. Target is the time
 	// within which an answer has its full value, or zero if there is none.
 	Waited, Target time.Duration
@@ -145,7 +160,7 @@
 // Admit decides on a request. The draw is a uniform random number in [0, 1). A class is
 // refused only after the less important ones that meet a busy service, or fail with it.
 func (ctl *Controller) Admit(now time.Time, rq Request, draw float64) Decision {
-	cs := ctl.stateOf(rq.Class)
+	cs := ctl.stateOf(rq.key())
 	if cs.slowStart.began.IsZero() {
 		cs.slowStart.began = now
 	}
@@ -155,7 +170,10 @@
 	cs.recent.arrived++
 	cs.account.arrived++
 	share, othersFirst := ctl.share(now, cs, late, minShare)
-	if !cs.limiter(late).allow(now, share, cs.blocking(rq)) && !othersFirst {
+	if rq.Positioned {
+		draw = cs.limiter(late).positionDraw(share, rq.Position)
+	}
+	if !cs.limiter(late).allow(now, share, rq, cs.blocking(rq)) && !othersFirst {
 		// This does not count as a failure, or still more requests would be refused.
 		return Decision{By: cs.shareRule(), Share: share, RetryAfter: cs.retryAfter(rq, 1-share)}
 	}
@@ -180,12 +198,12 @@
 // it that would wait past their deadlines, it is refused before any work, and the next one of its
 // class is admitted in its place.
 func (ctl *Controller) Confirm(now time.Time, rq Request, de Decision) Decision {
-	cs := ctl.stateOf(rq.Class)
-	sl := cs.limiter(cs.late(rq))
-	if !cs.blocking(rq) || sl.tokens+1 > maxSavedTokens {
+	cs := ctl.stateOf(rq.key())
+	saved := cs.limiter(cs.late(rq)).saved(rq)
+	if !cs.blocking(rq) || *saved+1 > maxSavedTokens {
 		return Decision{Admitted: true, By: de.By, Share: de.Share}
 	}
-	sl.tokens++
+	*saved++
 	cs.recent.admitted = max(cs.recent.admitted-1, 0)
 	cs.account.admitted = max(cs.account.admitted-1, 0)
 	cs.slowStart.end(false, false)
@@ -221,19 +239,47 @@
 	return cs.share.value, ctl.lessImportantAdmitted(now, cs.importance, minShare)
 }
 
-// stateOf returns the state of a class, and creates it if needed.
-func (ctl *Controller) stateOf(class call.Class) *classState {
-	cs := ctl.classes[class]
+// key returns the key of the state that decides on the request.
+func (rq *Request) key() classKey {
+	if rq.OfCustomer {
+		return classKey{rq.Class, rq.Importance}
+	}
+	return classKey{class: rq.Class}
+}
+
+// stateOf returns the state with a key, and creates it if needed. All states of a class share what
+// is known of its calls.
+func (ctl *Controller) stateOf(key classKey) *classState {
+	cs := ctl.classes[key]
 	if cs == nil {
-		cs = &classState{share: newLocalShare(), fanOut: make(map[call.Service]fanOut)}
+		cs = &classState{share: newLocalShare()}
+		if other := ctl.anyState(key.class); other != nil {
+			cs.calls = other.calls
+		} else {
+			cs.calls = &calls{fanOut: make(map[call.Service]fanOut)}
+		}
 		if ctl.startSlowly {
 			cs.slowStart.window = initialWindow
 		}
-		ctl.classes[class] = cs
+		ctl.classes[key] = cs
 	}
 	return cs
 }
 
+// anyState returns the state of a class, or else of its requests of the highest importance of
+// customers, or nil if there is none.
+func (ctl *Controller) anyState(class call.Class) *classState {
+	if cs := ctl.classes[classKey{class: class}]; cs != nil {
+		return cs
+	}
+	for imp := call.MaxImportance; imp >= call.MinImportance; imp-- {
+		if cs := ctl.classes[classKey{class, imp}]; cs != nil {
+			return cs
+		}
+	}
+	return nil
+}
+
 // retryDelay returns the mean time until a retry. It grows with the fraction of requests
 // that is refused.
 func retryDelay(refused float64) time.Duration {
@@ -300,13 +346,15 @@
 	Took time.Duration
 	// Share is that of the decision that admitted the request.
 	Share float64
+	// Importance is that of the request if its OfCustomer was set, and otherwise zero.
+	Importance call.Importance
 }
 
 // Finish records the result of an admitted request. A failure also counts for the less
 // important classes that fail: they compete for the same capacity and must yield.
 // Requests whose callers left are recorded by CallerLeft.
 func (ctl *Controller) Finish(now time.Time, class call.Class, rs Result) {
-	cs := ctl.classes[class]
+	cs := ctl.classes[classKey{class, rs.Importance}]
 	if cs == nil {
 		return
 	}
@@ -337,26 +385,27 @@
 // served, but it has not failed either: if it did not count as accepted, the requests that are
 // refused for failures would outnumber the accepted ones where many callers leave, and the
 // refusals would go on without any failures.
-// share is that of the decision that admitted the request. blocked says that the caller left as a
+// Of the result, only the share and the importance count. blocked says that the caller left as a
 // request that waited for the answer had expired.
-func (ctl *Controller) CallerLeft(now time.Time, class call.Class, share float64, blocked bool) {
-	if cs := ctl.classes[class]; cs != nil {
+func (ctl *Controller) CallerLeft(now time.Time, class call.Class, rs Result, blocked bool) {
+	if cs := ctl.classes[classKey{class, rs.Importance}]; cs != nil {
 		if blocked {
 			cs.blockedAt = now
 		}
 		cs.slowStart.end(false, false)
-		cs.addResult(now, share, true, false)
+		cs.addResult(now, rs.Share, true, false)
 	}
 }
 
 // Retain removes all classes for which retain returns false, and the services that no
 // remaining class calls.
 func (ctl *Controller) Retain(retain func(call.Class) bool) {
-	maps.DeleteFunc(ctl.classes, func(class call.Class, _ *classState) bool { return !retain(class) })
+	maps.DeleteFunc(ctl.classes, func(key classKey, _ *classState) bool { return !retain(key.class) })
 	maps.DeleteFunc(ctl.services, func(svc call.Service, _ *service) bool { return !ctl.isCalled(svc) })
 }
 
-// classState is the state of one class.
+// classState is the state of one class, or of those of its requests whose customers have an
+// importance of their own.
 type classState struct {
 	importance  call.Importance
 	outcomes    outcomes
@@ -379,10 +428,7 @@
 	// timely limits the requests that can still be answered within their target, and
 	// overdue the others.
 	timely, overdue shareLimiter
-	// fanOut is the mean number of calls that a request makes of each service of its
-	// tree, and answers the number of answers in the mean, up to maxSamples.
-	fanOut  map[call.Service]fanOut
-	answers float64
+	*calls
 	// meanDuration is the mean duration of the requests that succeeded, and durations the
 	// number of them in the mean, up to maxDurationSamples.
 	meanDuration time.Duration
