renewal, node, control: interface for the allowances that renewals carry

Cause: usage caps are built beside the renewal of proofs, and need the interface through which renewals carry demands and allowances.

Change: renewal.Allowances, node.Options.NewAllowances and RevocationBound, control.Options.Grant, which Control.Renew calls.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -24,6 +24,7 @@
 	"camphortrail/config"
 	"camphortrail/internal/fleet/announce"
 	"camphortrail/internal/fleet/gossip"
+	"camphortrail/internal/fleet/renewal"
 	"camphortrail/internal/fleet/rollout"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/allocation"
@@ -90,6 +91,12 @@
 	MaxHeapGrowthPercent int
 	// Stop says how the node stops. The zero value stands for DefaultStop.
 	Stop StopPlan
+	// RevocationBound is the time after which a withdrawn key of a customer is no longer accepted.
+	// 0 means that there is no bound: the keys of the configuration in force are always trusted.
+	RevocationBound time.Duration
+	// NewAllowances returns what decides on the allowances that renewals carry, if it is set.
+	// askNow makes the node query its parent at once, at most once in 5 ms.
+	NewAllowances func(askNow func()) renewal.Allowances
 }
 
 // Server serves the connections of a listener, as http.Server does.
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -70,6 +70,10 @@
 	Elastic bool
 	// Endpoints are additional addresses that the replica serves.
 	Endpoints []Endpoint
+	// Grant, if set, answers the demands of customers that a renewal of the node child carries.
+	// cfg is the configuration in force, and now is of the boot clock. Only a replica that leads
+	// calls it.
+	Grant func(now time.Time, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance
 
 	// wrapTransport wraps the transport to another replica, dial makes its connections, and
 	// wrapDisk wraps the disk. Tests set them.
--- a/internal/state/control/service.go
+++ b/internal/state/control/service.go
@@ -178,9 +178,11 @@
 	if !co.isCurrent(inForce.applied) {
 		return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
 	}
-	return connect.NewResponse(&schema.RenewalAnswer{
-		Number: rq.Msg.GetNumber(), Proved: true, Revision: uint64(inForce.revision),
-	}), nil
+	an := &schema.RenewalAnswer{Number: rq.Msg.GetNumber(), Proved: true, Revision: uint64(inForce.revision)}
+	if co.opt.Grant != nil {
+		an.Allowances = co.opt.Grant(boottime.Now(), rq.Msg.GetFrom(), inForce.configuration, rq.Msg.GetDemands())
+	}
+	return connect.NewResponse(an), nil
 }
 
 // Claim implements schemaconnect.ControlHandler. The operations are applied as one batch.
