renewal: nodes renew their proofs along the tree, and the root from control

Cause: nothing ran the machine of package freshness.

Change: renewal.Renewal sends and answers renewals as frames of the links between nodes; the root calls Control.Renew on the replica that answered last, or on the others until one answers. The entry asks it whether keys may be trusted. The bound comes from bounds.revokeMs of the platform; without it all keys are trusted. Without customers nothing is sent. The closing of an unused link no longer counts as a failure to reach the VM.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -77,6 +77,7 @@
 		Log: log.Log, NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
 		Events: os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
 		MaxBufferedBytes: set.MemoryMB << 20 / answerMemoryDivisor, MaxHeapGrowthPercent: maxHeapGrowthPercent,
+		RevocationBound: set.RevocationBound(),
 		Endpoints: []node.Endpoint{
 			{Address: set.ReadinessAddress, Handler: set.NewReadinessHandler},
 			{Address: set.ControlAddress, Handler: set.NewReportHandler},
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -161,6 +161,7 @@
 	rollout                                     *rollout.Rollout
 	announcements                               *announce.Registry
 	claims                                      claimClient
+	renewal                                     *renewal.Renewal
 	events                                      *events.Log
 	memberNotices                               <-chan gossip.Notice
 	// gcPercent is the target percentage of the garbage collector set by
@@ -197,12 +198,17 @@
 		Incarnation: withdrawal.Incarnation(randomNonZero()), Protocol: opt.UpstreamProtocol,
 		Events: nd.events, Admission: opt.Admission, MaxBufferedBytes: opt.MaxBufferedBytes,
 		AggregateDemand: func(de *attempt.Demand) (allocation.Grant, bool) { return nd.entry.AggregateDemand(de) },
+		AnswerRenewal:   func(msg *schema.Renewal) *schema.RenewalAnswer { return nd.renewal.Answer(msg) },
 	})
-	nd.pool = peer.New(peer.Options{OnSuspicion: nd.setSuspect, OnGrant: nd.setGrant, Dial: opt.Dial})
+	nd.pool = peer.New(peer.Options{
+		OnSuspicion: nd.setSuspect, OnGrant: nd.setGrant, Dial: opt.Dial,
+		OnRenewal: func(vm call.VM, msg *schema.RenewalAnswer) { nd.renewal.Receive(vm, msg) },
+	})
+	nd.renewal = nd.newRenewal(seed)
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
-		Events: nd.events,
+		Events: nd.events, Freshness: nd.renewal,
 	}
 	if opt.Policy == BaselinePolicy {
 		eopt.HopRetries = baselineHopRetries
@@ -292,6 +298,7 @@
 		nd.log.Info("most nodes have just started; requests are admitted by a slow start")
 	}
 	nd.entry.SetConfiguration(cd)
+	nd.renewal.SetConfiguration(revision, cd.HasCustomers())
 	if !slices.ContainsFunc(cfg.GetFailureDomains(), func(fd *schema.FailureDomain) bool {
 		return fd.GetName() == nd.set.GetFailureDomain()
 	}) {
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -71,6 +71,9 @@
 		return
 	}
 	nd.entry.SetAddress(me.Name, me.Address.String())
+	if string(me.FailureDomain) == nd.set.GetFailureDomain() {
+		nd.renewal.SetNode(me.Name, me.Address.String())
+	}
 	for _, up := range routed[me.Name] {
 		if !hasService(me.Upstreams, up.Service) {
 			nd.entry.ApplyRouteEvent(route.Remove{VM: me.Name, Service: up.Service})
@@ -85,13 +88,14 @@
 	routed[me.Name] = me.Upstreams
 }
 
-// removeRoutes removes all upstreams of a VM from the routing table, and makes the pool
-// forget the VM.
+// removeRoutes removes all upstreams of a VM from the routing table, and makes the renewal and
+// the pool forget the VM.
 func (nd *Node) removeRoutes(routed map[call.VM][]membership.Upstream, vm call.VM) {
 	for _, up := range routed[vm] {
 		nd.entry.ApplyRouteEvent(route.Remove{VM: vm, Service: up.Service})
 	}
 	delete(routed, vm)
+	nd.renewal.RemoveNode(vm)
 	nd.pool.Forget(vm)
 }
 
--- /dev/null
+++ b/internal/fleet/renewal/control_test.go
@@ -0,0 +1,95 @@
+package renewal
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"camphortrail/schema"
+)
+
+// replica is a control replica that answers, refuses at once, or hangs.
+type replica struct {
+	leads, hangs bool
+	asked        int
+}
+
+// Renew implements ControlClient.
+func (re *replica) Renew(ctx context.Context, rq *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error) {
+	re.asked++
+	switch {
+	case re.hangs:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case !re.leads:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("not current"))
+	}
+	return connect.NewResponse(&schema.RenewalAnswer{Number: rq.Msg.GetNumber(), Proved: true}), nil
+}
+
+// TestLeaderIsFound guards against a root that never reaches the leader because the replicas before
+// it hang or do not lead, and against one that asks them all each time.
+func TestLeaderIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := map[string]*replica{
+			"a": {hangs: true}, "b": {}, "c": {hangs: true}, "d": {leads: true}, "e": {},
+		}
+		cq := newControlQuerier(
+			func() []string { return []string{"a", "b", "c", "d", "e"} },
+			func(address string) ControlClient { return replicas[address] },
+		)
+		ask := func() bool { return cq.query(t.Context(), new(schema.Renewal)) != nil }
+		queries := 1
+		for ; !ask(); queries++ {
+			if queries > 3 {
+				t.Fatal("the leader is not found")
+			}
+		}
+		if queries != 3 {
+			t.Errorf("the leader was found by query %d, want 3: two replicas hang", queries)
+		}
+		before := replicas["a"].asked + replicas["b"].asked + replicas["c"].asked
+		for range 10 {
+			if !ask() {
+				t.Fatal("the leader did not answer")
+			}
+		}
+		if after := replicas["a"].asked + replicas["b"].asked + replicas["c"].asked; after != before {
+			t.Errorf("%d queries to other replicas while the leader answered", after-before)
+		}
+		// The lead changes to a replica that refused before.
+		replicas["d"].leads, replicas["b"].leads = false, true
+		if !ask() {
+			t.Error("the new leader was not found by the first query")
+		}
+	})
+}
+
+// TestControlQueriesAreBounded guards against queries that pile up while the leader hangs.
+func TestControlQueriesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cq := newControlQuerier(func() []string { return []string{"a"} }, func(string) ControlClient { return &replica{hangs: true} })
+		failed := make(chan bool, 20)
+		start := func() (started int) {
+			for range 20 {
+				if cq.start(t.Context(), new(schema.Renewal), func(an *schema.RenewalAnswer) { failed <- an == nil }) {
+					started++
+				}
+			}
+			return started
+		}
+		for range 2 {
+			if started := start(); started != maxControlQueries {
+				t.Errorf("%d queries at the same time, want %d", started, maxControlQueries)
+			}
+			for range maxControlQueries {
+				if !<-failed {
+					t.Error("a query to a replica that hangs was answered")
+				}
+			}
+		}
+	})
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -83,6 +83,8 @@
 	// AggregateDemand answers the demands that an entry sends to this node in order to have
 	// them added to those of others, if it is set.
 	AggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
+	// AnswerRenewal answers the renewals that other nodes send to this one, if it is set.
+	AnswerRenewal func(msg *schema.Renewal) *schema.RenewalAnswer
 	// MaxBufferedBytes bounds the memory of the answers that are being read (default 64 MiB).
 	// When it is used up, the largest of them are given up.
 	MaxBufferedBytes int64
@@ -106,6 +108,7 @@
 
 	slots           slotAllocation
 	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
+	answerRenewal   func(msg *schema.Renewal) *schema.RenewalAnswer
 	memory          *buffer.Budget
 	workers         worker.Pool
 
@@ -130,6 +133,7 @@
 		fifo:            opt.FIFO,
 		metrics:         opt.Metrics,
 		aggregateDemand: opt.AggregateDemand,
+		answerRenewal:   opt.AnswerRenewal,
 		links:           make(map[*link.Link]bool),
 		registry:        withdrawal.NewRegistry[*schema.RecordedAnswer](opt.Incarnation, time.Now(), withdrawal.DefaultLimits()),
 	}
--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -27,7 +27,7 @@
 // Entries close unused links well before.
 const linkIdleTimeout = 10 * time.Minute
 
-// ServeHTTP upgrades the connection to a link, and serves the attempts and demands of an
+// ServeHTTP upgrades the connection to a link, and serves the attempts, demands and renewals of an
 // entry on it until the link ends.
 func (gd *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	lk, err := link.Accept(w, r)
@@ -55,6 +55,11 @@
 			ses.cancel(kd.CancelledAttempt)
 		case *schema.Frame_Demand:
 			gd.serveDemand(lk, kd.Demand)
+		case *schema.Frame_Renewal:
+			if gd.answerRenewal != nil {
+				// If the answer is lost, the next renewal gets one.
+				_ = lk.Send(&schema.Frame{Kind: &schema.Frame_RenewalAnswer{RenewalAnswer: gd.answerRenewal(kd.Renewal)}})
+			}
 		}
 	}
 }
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -39,6 +39,8 @@
 	opened  time.Time
 	// suspect is true when the connection takes no new attempts.
 	suspect bool
+	// unused is true when the connection was closed because nothing used it.
+	unused bool
 	// numPending is the number of attempts on the connection that have no answer yet.
 	numPending int
 	// greeted is closed when the guard has sent its stamp or the link has ended.
@@ -134,10 +136,18 @@
 	if pl.connsByVM[cn.vm] == cn {
 		delete(pl.connsByVM, cn.vm)
 	}
+	cn.unused = true
 	cn.link.Close()
 	return true
 }
 
+// wasUnused reports whether closeIfUnused has closed a connection.
+func (pl *Pool) wasUnused(cn *conn) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return cn.unused
+}
+
 // queryConnTo returns the connection for queries to the VM. It is younger than
 // queryConnMaxAge, because an older one may have stopped delivering data.
 func (pl *Pool) queryConnTo(vm call.VM, address string) *queryConn {
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -76,6 +76,7 @@
 	pending     map[call.AttemptID]*pendingAttempt
 	onSuspicion func(vm call.VM, suspect bool)
 	onGrant     func(vm call.VM, svc call.Service, gr allocation.Grant)
+	onRenewal   func(vm call.VM, msg *schema.RenewalAnswer)
 	// transits holds, by VM, the time that attempts and their answers spent between the
 	// nodes.
 	transits map[call.VM]transitTotal
@@ -119,6 +120,8 @@
 	// OnGrant is called with each grant that the guard of a VM sends in reply to a
 	// demand. It may be nil.
 	OnGrant func(vm call.VM, svc call.Service, gr allocation.Grant)
+	// OnRenewal is called with each answer of a VM to a renewal. It may be nil.
+	OnRenewal func(vm call.VM, msg *schema.RenewalAnswer)
 	// Dial opens the connections to guards. If it is nil, a net.Dialer with a timeout of
 	// dialTimeout is used.
 	Dial DialFunc
@@ -140,6 +143,7 @@
 		onSuspicion: opt.OnSuspicion,
 		transits:    make(map[call.VM]transitTotal),
 		onGrant:     opt.OnGrant,
+		onRenewal:   opt.OnRenewal,
 	}
 }
 
@@ -272,6 +276,24 @@
 	_ = pl.connTo(vm, address).link.Send(de.Frame())
 }
 
+// SendRenewal sends a renewal to the node of a VM. OnRenewal receives the answer. The renewal is
+// lost if the node can't be reached.
+func (pl *Pool) SendRenewal(vm call.VM, address string, msg *schema.Renewal) {
+	// The error is ignored because renewals are repeated, as demands are.
+	_ = pl.connTo(vm, address).link.Send(&schema.Frame{Kind: &schema.Frame_Renewal{Renewal: msg}})
+}
+
+// DiscardUnused closes the connection to a VM that did not answer a renewal, so that the next one
+// uses a new connection. A connection with attempts stays, as the failure detector decides on it.
+func (pl *Pool) DiscardUnused(vm call.VM) {
+	pl.mu.Lock()
+	cn := pl.connsByVM[vm]
+	pl.mu.Unlock()
+	if cn != nil {
+		pl.closeIfUnused(cn)
+	}
+}
+
 // remove deletes a pending attempt.
 func (pl *Pool) remove(id call.AttemptID) {
 	pl.mu.Lock()
@@ -325,7 +347,10 @@
 				return
 			}
 		case err != nil:
-			pl.handleBrokenConn(cn)
+			// The closing of an unused connection says nothing about the VM.
+			if !pl.wasUnused(cn) {
+				pl.handleBrokenConn(cn)
+			}
 			return
 		default:
 			pl.handleFrame(cn, fr)
@@ -353,6 +378,10 @@
 		if svc, gr, err := attempt.FromGrantFrame(kd.Room); err == nil && pl.onGrant != nil {
 			pl.onGrant(cn.vm, svc, gr)
 		}
+	case *schema.Frame_RenewalAnswer:
+		if pl.onRenewal != nil {
+			pl.onRenewal(cn.vm, kd.RenewalAnswer)
+		}
 	}
 }
 
