entry: keys on the project's own interface, requests without a key, and counters by customer

Cause: a known key on a public route was refused without a recent proof and counted against the cap; a key without the scheme Token was accepted, as was an empty one; calls of abandoned attempts got 401; and customers that chose the same idempotency key got each other's recorded answers.

Change: public routes take a known key without a proof. Only 'Token KEY' states a key. A request without a key is also a call if its class is known as one. Idempotency keys are separate for each customer. The project's own interface takes keys; there only the id of a running attempt makes a request a call, but just after a start.

--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -57,10 +57,12 @@
 	// Request is the id that the sender of the request gave it.
 	Request string `json:"request,omitempty"`
 	// Parent is the request for which an upstream makes this request as a call.
-	Parent  string `json:"parent,omitempty"`
-	Reason  string `json:"reason,omitempty"`
-	Class   string `json:"class,omitempty"`
-	Service string `json:"service,omitempty"`
+	Parent string `json:"parent,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	// Customer is the customer of the request, or of the request that it is a call of.
+	Customer string `json:"customer,omitempty"`
+	Class    string `json:"class,omitempty"`
+	Service  string `json:"service,omitempty"`
 	// VM is the VM to which the last attempt was sent; for Resent, the one before the resend.
 	VM         string `json:"chosen-vm,omitempty"`
 	Status     int    `json:"status,omitempty"`
--- a/internal/ops/explain/explain.go
+++ b/internal/ops/explain/explain.go
@@ -146,6 +146,9 @@
 	if ln.Reason != "" {
 		add("for %s", ln.Reason)
 	}
+	if ln.Customer != "" {
+		add("(customer %s)", ln.Customer)
+	}
 	if ln.VM != "" {
 		add("by way of %s", ln.VM)
 	}
--- a/internal/traffic/calltree/origin.go
+++ b/internal/traffic/calltree/origin.go
@@ -65,6 +65,15 @@
 	return ro.requests < minOriginSamples || ro.outlasting*callerDivisor < ro.requests
 }
 
+// IsKnownCall is IsCall for requests without a key where callers need one: a class counts as calls
+// only after minOriginSamples requests.
+func (tr *Trees) IsKnownCall(class call.Class, deadline time.Time) bool {
+	isCall := tr.IsCall(class, deadline)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return isCall && tr.origin(class).requests >= minOriginSamples
+}
+
 // origin returns the counts of a class, and creates them if needed. The lock is held.
 func (tr *Trees) origin(class call.Class) *requestOrigin {
 	ro := tr.origins[class]
--- a/internal/traffic/entry/customer.go
+++ b/internal/traffic/entry/customer.go
@@ -39,26 +39,57 @@
 	learnTime = 10 * time.Second
 )
 
+// credential is what a request states about its customer, and the headers that carry it.
+type credential struct {
+	// present is true if the request states a key, and malformed if it does so in a form that no
+	// key has.
+	present, malformed     bool
+	key                    string
+	keyHeader, customerOut string
+}
+
+// credentialOf returns the credential of a request of a front end.
+func credentialOf(rd *Request) credential {
+	cr := credential{present: rd.Key != nil || rd.KeyMalformed, malformed: rd.KeyMalformed, keyHeader: rd.KeyHeader, customerOut: rd.CustomerHeader}
+	if rd.Key != nil {
+		cr.key = *rd.Key
+	}
+	return cr
+}
+
+// customerOf returns the customer that holds the key of a credential. The empty key is nobody's,
+// also if a configuration has its digest.
+func (cr credential) customerOf(cd *config.Compiled) (*config.Customer, bool) {
+	if cr.malformed || cr.key == "" {
+		return nil, false
+	}
+	return cd.CustomerOfKey(cr.key)
+}
+
 // identify finds the customer of a request by its key, and sets the header that tells the
 // upstream the customer. The key goes no further. It returns a refusal if the request needs a
-// key of a customer and has none that may be used.
-func (en *Entry) identify(cd *config.Compiled, rt *config.Route, rq *request, rd *Request) *attempt.Answer {
+// key of a customer and has none that may be used. Requests on public routes need none, but a
+// known key identifies their customer; such a request needs no recent proof.
+//
+// While keys are not trusted, an unknown key may be a new one, so that its refusal is not final.
+func (en *Entry) identify(cd *config.Compiled, rq *request, cr credential, public bool, mayBeCall func() bool) *attempt.Answer {
 	if !cd.HasCustomers() {
 		return nil
 	}
-	rq.header.Del(rd.KeyHeader)
-	rq.header.Del(rd.CustomerHeader)
-	if rd.Key == nil {
-		if rt.Public || en.mayBeCall() {
+	rq.header.Del(cr.keyHeader)
+	rq.header.Del(cr.customerOut)
+	rq.hasKey, rq.public = cr.present, public
+	if !cr.present {
+		if public || mayBeCall() {
 			return nil
 		}
 		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
-	rq.hasKey = true
-	cu, ok := cd.CustomerOfKey(*rd.Key)
+	cu, ok := cr.customerOf(cd)
 	switch {
-	case !ok && rt.Public:
+	case public && !ok:
 		return nil
+	case public:
 	case !en.keysFresh(cd):
 		return attempt.Refusal(ReasonKeyStale, en.jitter(staleKeysRetryAfter))
 	case !ok:
@@ -68,7 +99,7 @@
 	if cu.Importance != 0 {
 		rq.importance = cu.Importance
 	}
-	rq.header[rd.CustomerHeader] = []string{string(cu.Name)}
+	rq.header[cr.customerOut] = []string{string(cu.Name)}
 	return nil
 }
 
@@ -77,15 +108,22 @@
 	return en.opt.Freshness == nil || en.opt.Freshness.Fresh(cd.Revision)
 }
 
-// mayBeCall reports whether a request without a key may be a call of the upstream on the VM.
-func (en *Entry) mayBeCall() bool {
-	return en.opt.Trees.Running() || time.Since(en.started) < learnTime
+// mayBeCall reports whether a request of a front end without a key may be a call of the upstream on
+// the VM: its class is known as a class of calls, an attempt runs on the upstream, or the node
+// started too recently to know. The first also holds for calls of an attempt that was abandoned.
+func (en *Entry) mayBeCall(class call.Class, deadline time.Time) bool {
+	// The request counts for what is known of its class, whatever the other conditions say.
+	known := en.opt.Trees.IsKnownCall(class, deadline)
+	return known || en.opt.Trees.Running() || en.recentlyStarted()
 }
 
+// recentlyStarted reports whether the upstream may run attempts from before the start of the node.
+func (en *Entry) recentlyStarted() bool { return time.Since(en.started) < learnTime }
+
 // takeAllowance takes the request from the allowance of its customer. It returns a refusal if
 // the usage cap is reached.
 func (en *Entry) takeAllowance(ctx context.Context, rq *request) *attempt.Answer {
-	if en.opt.Allowances == nil || rq.customer == nil || rq.customer.Rate == 0 {
+	if en.opt.Allowances == nil || !rq.isCapped() {
 		return nil
 	}
 	wait := min(maxAllowanceWait, rq.kind.Target/allowanceWaitDivisor)
@@ -100,11 +138,17 @@
 
 // returnAllowance returns a request that did not run to the allowance of its customer.
 func (en *Entry) returnAllowance(rq *request, an *attempt.Answer) {
-	if en.opt.Allowances != nil && rq.customer != nil && rq.customer.Rate != 0 && an.Outcome == call.NotRun {
+	if en.opt.Allowances != nil && rq.isCapped() && an.Outcome == call.NotRun {
 		en.opt.Allowances.Return(rq.customer)
 	}
 }
 
+// isCapped reports whether the request counts against the usage cap of its customer. Calls have no
+// customer of their own, and requests on public routes do not count.
+func (rq *request) isCapped() bool {
+	return rq.customer != nil && rq.customer.Rate != 0 && !rq.public
+}
+
 // customerName returns the name of the customer of a request, or of the attempt that makes it as
 // a call, or an empty name.
 func (rq *request) customerName() call.Customer {
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -101,6 +101,8 @@
 	active  inflight.Counter
 	callers inflight.Counter
 	traffic trafficCounters
+	// customers counts the requests of customers.
+	customers customerCounters
 
 	mu     sync.Mutex
 	rng    *rand.Rand
@@ -130,7 +132,7 @@
 // New returns an entry without a configuration.
 func New(opt Options) *Entry {
 	rng := rand.New(rand.NewPCG(opt.Seed, ^opt.Seed))
-	return &Entry{
+	en := &Entry{
 		opt:          opt,
 		started:      time.Now(),
 		rng:          rng,
@@ -145,6 +147,10 @@
 
 		histograms: make(map[histogramKey]*metrics.Histogram),
 	}
+	if opt.Metrics != nil {
+		opt.Metrics.RegisterMetricsWriter(en.customers.write)
+	}
+	return en
 }
 
 // SetConfiguration applies a configuration. It drops the state of classes and services
@@ -167,6 +173,7 @@
 		rt.SetPercent(retry.Percent(svc.RetryRatioPercent))
 	}
 	en.mu.Unlock()
+	en.customers.retain(func(name call.Customer) bool { _, ok := cd.Customer(name); return ok })
 	en.config.Store(cd)
 }
 
@@ -268,8 +275,9 @@
 		an.Outcome = call.Unknown
 	}
 	if an == nil {
-		an = en.serveCounted(r.Context(), rq, en.serveUntilDeadline)
+		an = en.serveCounted(r.Context(), rq, en.serveUnthrottled)
 	}
+	en.customers.add(rq, an)
 	if en.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/traffic/entry/keyed.go
+++ b/internal/traffic/entry/keyed.go
@@ -73,7 +73,7 @@
 	return &schema.ClaimOperation{
 		Kind:       schema.ClaimOperation_KIND_CLAIM,
 		Tenant:     string(rq.deployment),
-		Key:        rq.key,
+		Key:        rq.claimKey(),
 		AttemptId:  id[:],
 		Digest:     digest.Sum(nil),
 		RetentionS: uint32(rq.kind.KeyRetention / time.Second),
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,8 +25,10 @@
 type request struct {
 	kind *config.Kind
 	// customer is the customer whose key the request has, or nil. hasKey is true if it has any.
-	customer   *config.Customer
-	hasKey     bool
+	customer *config.Customer
+	hasKey   bool
+	// public is true if the route needs no key.
+	public     bool
 	deployment call.Deployment
 	id         call.RequestID
 	account    retry.AccountID
@@ -122,12 +125,51 @@
 	if rq.key == "" && kind.KeyRequired {
 		return nil, refusalWithStatus(ReasonKeyMissing, http.StatusBadRequest)
 	}
-	if text := r.Header.Get(header.Attempt); text != "" {
-		return rq, en.attachToParent(rq, text)
+	parent := r.Header.Get(header.Attempt)
+	cr := readCredential(r.Header)
+	if cr.present && cd.HasCustomers() {
+		// A request with a key is one of a caller, whatever else it states.
+		parent = ""
+	}
+	mayBeCall := func() bool { return parent != "" }
+	if an := en.identify(cd, rq, cr, false, mayBeCall); an != nil {
+		return rq, an
+	}
+	if parent != "" {
+		return rq, en.attachToParent(rq, parent)
 	}
 	return rq, en.readCallerHeaders(rq, r.Header, now)
 }
 
+// keyScheme is the scheme of the header Authorization with the key of a customer.
+const keyScheme = "Token"
+
+// readCredential reads the key of a customer from the header Authorization.
+func readCredential(hd http.Header) credential {
+	cr := credential{keyHeader: header.Authorization, customerOut: header.Customer}
+	key, malformed := ParseKey(hd[header.Authorization], keyScheme)
+	cr.present, cr.malformed = key != nil || malformed, malformed
+	if key != nil {
+		cr.key = *key
+	}
+	return cr
+}
+
+// ParseKey returns the key in the values of a header that has the form "scheme key", or nil if
+// there are no values. Scheme names are case-insensitive. malformed is true if the values are not
+// one of this form.
+func ParseKey(values []string, scheme string) (key *string, malformed bool) {
+	if len(values) == 0 {
+		return nil, false
+	}
+	stated, rest, found := strings.Cut(values[0], " ")
+	if len(values) > 1 || !found || !strings.EqualFold(stated, scheme) {
+		return nil, true
+	}
+	rest = strings.Trim(rest, " ")
+	return &rest, false
+}
+
 // attachToParent makes the request a call of the attempt whose id is text: it takes the
 // request id, importance and deadline of that attempt. If no such attempt runs here, the
 // request gets an id of its own. It returns a refusal for a malformed id.
@@ -139,11 +181,18 @@
 	rq.account = retry.AttemptAccount(id)
 	in, ok := en.opt.Trees.Inbound(id)
 	if !ok {
+		if en.config.Load().HasCustomers() && !en.recentlyStarted() {
+			// Nobody waits for the calls of an attempt that has ended.
+			return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
+		}
 		rq.parentUnknown = true
 		rq.id = en.newRequestID()
 		return nil
 	}
 	rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
+	if in.Customer != "" {
+		rq.header[header.Customer] = []string{string(in.Customer)}
+	}
 	if in.Deadline.Before(rq.deadline) {
 		rq.deadline = in.Deadline
 	}
@@ -161,7 +210,7 @@
 		}
 		rq.id = id
 	case rq.key != "":
-		rq.id = requestIDOfKey(rq.deployment, rq.key)
+		rq.id = requestIDOfKey(rq.deployment, rq.claimKey())
 	default:
 		rq.id = en.newRequestID()
 	}
@@ -206,6 +255,15 @@
 	return id
 }
 
+// claimKey returns the idempotency key of the request, which is separate for each customer. A header
+// holds no NUL, so that it differs from the keys of all others.
+func (rq *request) claimKey() string {
+	if name := rq.customerName(); name != "" {
+		return string(name) + "\x00" + rq.key
+	}
+	return rq.key
+}
+
 // blockedFor returns the least time until the deadlines of the requests that wait for the answer
 // to this one, but at least 1 ns, or zero if none waits.
 func (rq *request) blockedFor(now time.Time) time.Duration {
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -38,6 +38,8 @@
 	// removes both if the configuration names customers.
 	Key                       *string
 	KeyHeader, CustomerHeader string
+	// KeyMalformed says that the request states a key in a form that no key has. Key is nil then.
+	KeyMalformed bool
 	// Blocker, if not nil, tells which requests wait for the answer to this one.
 	Blocker Blocker
 }
@@ -64,6 +66,7 @@
 	}
 	took := time.Since(begun)
 	en.observe(rq, an, took)
+	en.customers.add(rq, an)
 	if rq != nil {
 		rq.cause = context.Cause(ctx)
 		left := an.Reason == ReasonDeadline && time.Now().Before(rq.deadline)
@@ -109,7 +112,8 @@
 	rq.ownAccount, rq.label = rd.ID, rd.Label
 	rq.connection, rq.blocker = rd.Connection, rd.Blocker
 	rq.waited, rq.returning = en.timeWaited(kind.Class, now, rd.Deadline)
-	if an := en.identify(cd, rt, rq, rd); an != nil {
+	mayBeCall := func() bool { return en.mayBeCall(kind.Class, rd.Deadline) }
+	if an := en.identify(cd, rq, credentialOf(rd), rt.Public, mayBeCall); an != nil {
 		return rq, an
 	}
 	og := calltree.OutgoingCall{Class: kind.Class, Connection: rd.Connection, Deadline: rd.Deadline}
@@ -195,6 +199,7 @@
 		if an.Reason == ReasonDeadline && now.Before(rq.deadline) {
 			ev.Reason = leftReason(rq.cause)
 		}
+		ev.Customer = string(rq.customerName())
 		if rq.parent != nil {
 			ev.Parent = rq.parent.Label
 		}
@@ -213,6 +218,17 @@
 	return an
 }
 
+// serveUnthrottled serves a request of the project's own interface if the usage cap of its customer
+// allows it.
+func (en *Entry) serveUnthrottled(ctx context.Context, rq *request) *attempt.Answer {
+	if an := en.takeAllowance(ctx, rq); an != nil {
+		return an
+	}
+	an := en.serveUntilDeadline(ctx, rq)
+	en.returnAllowance(rq, an)
+	return an
+}
+
 // serveThrottled admits or refuses a request before any work is done, and serves it if it
 // is admitted. Requests are refused if the services of their call trees lack capacity or
 // if their kind fails under load. Calls belong to work that was admitted, and are not
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -383,7 +383,7 @@
 	ev := events.Event{
 		Kind: events.Resent, Request: rq.label, Reason: ReasonUnreachable, Class: string(rq.kind.Class),
 		Service: string(rq.kind.Service), VM: string(vm), Importance: int(rq.importance), Attempts: rq.attempts,
-		LeftMS: rq.deadline.Sub(now).Milliseconds(),
+		LeftMS: rq.deadline.Sub(now).Milliseconds(), Customer: string(rq.customerName()),
 	}
 	if rs.Answer != nil {
 		ev.Reason, ev.Status, ev.Level = rs.Answer.Reason, rs.Answer.Status, int(rs.Answer.Level)
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -239,7 +239,7 @@
 		Kind: events.Refused, Request: at.Label, Reason: "guard-" + an.Reason, Service: string(at.Service),
 		Importance: int(at.Importance), TookMS: now.Sub(begun).Milliseconds(), LeftMS: at.Deadline.Sub(now).Milliseconds(),
 		RetryAfterMS: an.RetryAfter.Milliseconds(), Running: ld.Running, Waiting: ld.Waiting, Slots: ld.Slots, Level: int(ld.Level),
-		OccupancyPercent: int(gd.loop.occupancy.Load()),
+		OccupancyPercent: int(gd.loop.occupancy.Load()), Customer: string(at.Customer),
 	}
 	if an.Outcome == call.Unknown {
 		ev.Kind = events.Failed
--- a/internal/traffic/header/header.go
+++ b/internal/traffic/header/header.go
@@ -24,6 +24,10 @@
 	IdempotencyKey = "Idempotency-Key"
 	// RetryAfter is the time after which a caller may send the request again, in seconds.
 	RetryAfter = "Retry-After"
+	// Authorization holds the key of a customer, as "Token KEY".
+	Authorization = "Authorization"
+	// Customer tells an upstream the name of the customer of a request.
+	Customer = "Camphortrail-Customer"
 )
 
 // RetryAfterMS is the time after which a caller may send the request again, in
