--- a/internal/customers/shares/shares.go
+++ b/internal/customers/shares/shares.go
@@ -140,11 +140,6 @@
 	return part * asked, asked
 }
 
-// Heaviest appends the customers with the most recent requests, at most n, the first one first.
-func (ctl *Controller) Heaviest(now time.Time, n int, list []call.Customer) []call.Customer {
-	return heaviest(now, ctl.accounts, n, list)
-}
-
 // account returns the account with the key. If there is none, it creates one, or reuses the one
 // with the fewest recent requests of some.
 func (ctl *Controller) account(now time.Time, key accountKey) *account {
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -57,10 +57,12 @@
 	// Request is the id that the sender of the request gave it.
 	Request string `json:"request,omitempty"`
 	// Parent is the request for which an upstream makes this request as a call.
-	Parent  string `json:"parent,omitempty"`
-	Reason  string `json:"reason,omitempty"`
-	Class   string `json:"class,omitempty"`
-	Service string `json:"service,omitempty"`
+	Parent string `json:"parent,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	// Customer is the customer of the request, or of the request that it is a call of.
+	Customer string `json:"customer,omitempty"`
+	Class    string `json:"class,omitempty"`
+	Service  string `json:"service,omitempty"`
 	// VM is the VM to which the last attempt was sent; for Resent, the one before the resend.
 	VM         string `json:"chosen-vm,omitempty"`
 	Status     int    `json:"status,omitempty"`
@@ -84,9 +86,8 @@
 	// SharePercent is the share of the requests of the kind that the entry admits, in
 	// percent.
 	SharePercent int `json:"share-percent,omitempty"`
-	// Customer is the customer of the request. Rule is the rule of customers that refused it.
-	Customer string `json:"customer,omitempty"`
-	Rule     string `json:"rule,omitempty"`
+	// Rule is the rule of customers that refused the request.
+	Rule string `json:"rule,omitempty"`
 	// AskedPerS and OwedPerS are the recent requests of the customer at this node in a second, and
 	// those of them that its fair share allows, for the rule fair-share.
 	AskedPerS float64 `json:"asked-per-s,omitempty"`
--- a/internal/traffic/entry/customer_counters.go
+++ b/internal/traffic/entry/customer_counters.go
@@ -1,134 +1,122 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
-	"net/http"
+	"io"
+	"maps"
 	"slices"
 	"sync"
-	"time"
-
-	"github.com/VictoriaMetrics/metrics"
 
 	"camphortrail/call"
 	"camphortrail/internal/traffic/attempt"
 )
 
+// maxNamedCustomers bounds the customers with counters of their own. They are those with most
+// requests; the others are counted together.
+const maxNamedCustomers = 64
+
+// customerResult is the result of a request for the counters of its customer.
+type customerResult uint8
+
 const (
-	// maxCustomerCounters is the number of customers with counters of their own. The others share
-	// those of otherCustomers.
-	maxCustomerCounters = 64
-	otherCustomers      = "other"
-	// rankInterval is the time after which the counters go to the customers with most requests.
-	rankInterval = 10 * time.Second
+	resultDone customerResult = iota
+	resultFailed
+	resultRefused
+	resultCap
+	resultCount
 )
 
-// customerResults are the results by which the requests of a customer are counted.
-var customerResults = [...]string{"served", "refused", "failed"}
-
-// customerCounters counts the requests of callers by customer and result.
-type customerCounters struct {
-	mu       sync.Mutex
-	byName   map[call.Customer]*customerCounter
-	rest     *customerCounter
-	rankedAt time.Time
-}
+// customerResultNames holds the label values of the results.
+var customerResultNames = [resultCount]string{"done", "failed", "refused", "cap"}
 
-// customerCounter holds the counters of one customer.
-type customerCounter [len(customerResults)]*metrics.Counter
+// customerCount counts the requests of one customer by result.
+type customerCount [resultCount]uint64
 
-// newCustomerCounter returns the counters with the name of a customer in a set.
-func newCustomerCounter(set *metrics.Set, name string) *customerCounter {
-	cc := new(customerCounter)
-	for i := range cc {
-		cc[i] = set.GetOrCreateCounter(customerMetric(name, i))
+// sum returns the number of all requests.
+func (cc *customerCount) sum() (total uint64) {
+	for _, count := range cc {
+		total += count
 	}
-	return cc
+	return total
 }
 
-func customerMetric(name string, result int) string {
-	return fmt.Sprintf(`camphortrail_customer_requests_total{customer=%q,result=%q}`, name, customerResults[result])
+// customerCounters counts the requests of the customers of the configuration in force, and the
+// requests that were refused for their keys. The zero value is empty.
+type customerCounters struct {
+	mu             sync.Mutex
+	counts         map[call.Customer]*customerCount
+	unknown, stale uint64
 }
 
-// count counts a request of a customer.
-func (ccs *customerCounters) count(set *metrics.Set, cu call.Customer, an *attempt.Answer) {
-	result := 0
-	switch {
-	case an.Outcome == call.NotRun:
-		result = 1
-	case an.Failed() || an.Status == http.StatusInternalServerError:
-		result = 2
+// add counts a request that has a key, or was refused because it has none. rq may be nil.
+func (ccs *customerCounters) add(rq *request, an *attempt.Answer) {
+	if rq == nil {
+		return
 	}
+	refused := an.Outcome == call.NotRun
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
-	cc := ccs.byName[cu]
-	if cc == nil {
-		cc = ccs.add(set, cu)
-	}
-	cc[result].Inc()
-}
-
-// add returns the counters of a customer that has had none: new ones, or those of the rest.
-func (ccs *customerCounters) add(set *metrics.Set, cu call.Customer) *customerCounter {
-	if len(ccs.byName) < maxCustomerCounters {
-		if ccs.byName == nil {
-			ccs.byName = make(map[call.Customer]*customerCounter)
+	if rq.customer == nil {
+		switch {
+		case refused && an.Reason == ReasonKeyUnknown:
+			ccs.unknown++
+		case refused && an.Reason == ReasonKeyStale:
+			ccs.stale++
 		}
-		cc := newCustomerCounter(set, string(cu))
-		ccs.byName[cu] = cc
-		return cc
-	}
-	if ccs.rest == nil {
-		ccs.rest = newCustomerCounter(set, otherCustomers)
-	}
-	return ccs.rest
-}
-
-// rank gives the counters to the customers with most requests, if there have been requests of
-// others since the last time and rankInterval has passed. heaviest returns these customers.
-func (ccs *customerCounters) rank(now time.Time, set *metrics.Set, heaviest func() []call.Customer) {
-	ccs.mu.Lock()
-	due := ccs.rest != nil && now.Sub(ccs.rankedAt) >= rankInterval
-	ccs.mu.Unlock()
-	if !due {
 		return
 	}
-	list := heaviest()
-	ccs.mu.Lock()
-	defer ccs.mu.Unlock()
-	ccs.rankedAt = now
-	for cu, cc := range ccs.byName {
-		if slices.Contains(list, cu) {
-			continue
-		}
-		// The sums over all customers stay the same.
-		for i, counter := range cc {
-			ccs.rest[i].AddInt64(int64(counter.Get()))
-			set.UnregisterMetric(customerMetric(string(cu), i))
+	cc := ccs.counts[rq.customer.Name]
+	if cc == nil {
+		if ccs.counts == nil {
+			ccs.counts = make(map[call.Customer]*customerCount)
 		}
-		delete(ccs.byName, cu)
+		cc = new(customerCount)
+		ccs.counts[rq.customer.Name] = cc
 	}
-	for _, cu := range list {
-		if ccs.byName[cu] == nil && len(ccs.byName) < maxCustomerCounters {
-			ccs.add(set, cu)
-		}
+	rs := resultDone
+	switch {
+	case refused && an.Reason == ReasonCap:
+		rs = resultCap
+	case refused:
+		rs = resultRefused
+	case an.Failed():
+		rs = resultFailed
 	}
+	cc[rs]++
 }
 
-// countCustomer counts a request of a caller by its customer.
-func (en *Entry) countCustomer(rq *request, an *attempt.Answer) {
-	if en.opt.Metrics != nil && rq != nil && rq.customer != nil {
-		en.customers.count(en.opt.Metrics, rq.customer.Name, an)
-	}
+// retain removes the counts of the customers for which retain returns false.
+func (ccs *customerCounters) retain(retain func(call.Customer) bool) {
+	ccs.mu.Lock()
+	defer ccs.mu.Unlock()
+	maps.DeleteFunc(ccs.counts, func(name call.Customer, _ *customerCount) bool { return !retain(name) })
 }
 
-// rankCustomers gives the counters to the customers with most requests.
-func (en *Entry) rankCustomers(now time.Time) {
-	if en.opt.Metrics == nil {
+// write writes the counters in the Prometheus text format. It writes nothing where there are no
+// customers.
+func (ccs *customerCounters) write(w io.Writer) {
+	ccs.mu.Lock()
+	defer ccs.mu.Unlock()
+	if len(ccs.counts) == 0 && ccs.unknown == 0 && ccs.stale == 0 {
 		return
 	}
-	en.customers.rank(now, en.opt.Metrics, func() []call.Customer {
-		en.mu.Lock()
-		defer en.mu.Unlock()
-		return en.shares.Heaviest(now, maxCustomerCounters, nil)
+	names := slices.SortedFunc(maps.Keys(ccs.counts), func(a, b call.Customer) int {
+		return cmp.Or(cmp.Compare(ccs.counts[b].sum(), ccs.counts[a].sum()), cmp.Compare(a, b))
 	})
+	var rest customerCount
+	for i, name := range names {
+		for rs, count := range ccs.counts[name] {
+			if i < maxNamedCustomers {
+				fmt.Fprintf(w, "camphortrail_customer_requests_total{customer=%q,result=%q} %d\n", name, customerResultNames[rs], count)
+			} else {
+				rest[rs] += count
+			}
+		}
+	}
+	for rs, count := range rest {
+		fmt.Fprintf(w, "camphortrail_other_customers_requests_total{result=%q} %d\n", customerResultNames[rs], count)
+	}
+	fmt.Fprintf(w, "camphortrail_key_refusals_total{reason=%q} %d\n", ReasonKeyUnknown, ccs.unknown)
+	fmt.Fprintf(w, "camphortrail_key_refusals_total{reason=%q} %d\n", ReasonKeyStale, ccs.stale)
 }
--- a/internal/traffic/entry/shares.go
+++ b/internal/traffic/entry/shares.go
@@ -46,10 +46,9 @@
 	return 0
 }
 
-// describeShare adds the customer of a request to an event, and what the customer was owed if the
-// request was refused for lack of capacity.
+// describeShare adds to an event what the customer of a request was owed if the request was refused
+// for lack of capacity.
 func (en *Entry) describeShare(rq *request, ev *events.Event) {
-	ev.Customer = string(rq.customerName())
 	if !rq.positioned || rq.admitted || rq.decidedBy != throttle.Grant && rq.decidedBy != throttle.OwnShare {
 		return
 	}
