allowance: usage caps by leased tokens

Cause: a configuration may cap the requests of a customer, and nothing kept to it.

Change: package allowance has the state machines of the caps: the leader's buckets, the stock of an inner node and of the root with its reserve, and the wallet of a node.

Tests: TestCapHoldsInAnyWindow (rapid; cuts, kills, suspensions, stalls, lost, late and repeated messages, returned tokens, changes of leader and caps). TestMechanismsAreNeeded shows an excess without age, empty buckets, transfer, one use of an answer, and the delay of a reserve.

--- /dev/null
+++ b/internal/customers/allowance/node.go
@@ -0,0 +1,69 @@
+package allowance
+
+import (
+	"time"
+
+	"camphortrail/call"
+)
+
+// Node is the Wallet and the Stock of one node. The wallet gets its tokens from the stock.
+type Node struct {
+	Wallet *Wallet
+	Stock  *Stock
+
+	demands []Demand
+	grants  []Grant
+}
+
+// NewNode returns a node without tokens. capOf returns the cap of a customer in the
+// configuration in force at the node.
+func NewNode(bo Bounds, capOf func(call.Customer) (Cap, bool)) *Node {
+	return &Node{Wallet: NewWallet(bo), Stock: NewStock(bo, capOf)}
+}
+
+// Arrive counts a request of a customer and takes a token for it. If there is none in the
+// wallet, tokens are transferred from the stock. ask is true if the parent should be queried.
+func (nd *Node) Arrive(now time.Time, name call.Customer) (issued time.Time, ok, ask bool) {
+	issued, ok = nd.Wallet.Arrive(now, name)
+	if ok {
+		return issued, true, nd.transfer(now)
+	}
+	nd.Wallet.Wait(now, name)
+	ask = nd.transfer(now)
+	issued, ok = nd.Wallet.Take(now, name)
+	if ok {
+		nd.Wallet.StopWaiting(now, name)
+	}
+	return issued, ok, ask
+}
+
+// transfer moves tokens from the stock to the wallet, as far as it lacks them. It reports
+// whether the parent should be queried.
+func (nd *Node) transfer(now time.Time) bool {
+	if len(nd.Wallet.wanting) > 0 {
+		nd.demands = nd.Wallet.Demands(now, nd.demands[:0])
+		nd.grants = nd.Stock.GrantOwn(now, nd.demands, nd.grants[:0])
+		nd.Wallet.Receive(now, now, nd.grants)
+	}
+	return nd.Stock.Wants(now)
+}
+
+// Demands appends what the node asks its parent for to out. It must be called for each query.
+func (nd *Node) Demands(now time.Time, out []Demand) []Demand {
+	nd.transfer(now)
+	return nd.Stock.Demands(now, out)
+}
+
+// Receive adds the tokens of the answer to the query that was sent at asked.
+func (nd *Node) Receive(asked, now time.Time, grants []Grant) {
+	if nd.Stock.Receive(asked, now, grants) {
+		nd.transfer(now)
+	}
+}
+
+// Grant transfers tokens for the demands of a child and appends the answers to out. ask is true
+// if the parent should be queried.
+func (nd *Node) Grant(now time.Time, demands []Demand, out []Grant) (answer []Grant, ask bool) {
+	out = nd.Stock.Grant(now, demands, out)
+	return out, nd.Stock.Wants(now)
+}
--- /dev/null
+++ b/internal/customers/allowance/stock.go
@@ -0,0 +1,331 @@
+package allowance
+
+import (
+	"time"
+
+	"camphortrail/call"
+)
+
+const (
+	// unansweredTime is the time after which a query of a root counts as unanswered.
+	unansweredTime = 300 * time.Millisecond
+	// maxRootGap is the time after which a root that was not asked whether it is one may have
+	// been replaced, for instance while it was suspended.
+	maxRootGap = 2 * time.Second
+	// rootWindows is the number of windows for which a node has to be the root before it uses a
+	// reserve: its predecessor, or the process before on the VM, may have used one just before.
+	rootWindows = 2
+	// reserveSlots is the number of equal parts of a window in which the use of a reserve is
+	// counted. One more is kept, so that any window lies within those that are kept.
+	reserveSlots = 9
+	// maxAsked is the number of remembered queries that were answered. At one query in 5 ms,
+	// that is more than a lifetime of tokens.
+	maxAsked = 128
+)
+
+// Stock holds the tokens of a node for its children: the nodes that query it, and the Wallet of
+// its own requests.
+type Stock struct {
+	bo Bounds
+	// capOf returns the cap of a customer in the configuration of the node.
+	capOf   func(call.Customer) (Cap, bool)
+	domains int
+	shelves map[call.Customer]*shelf
+	// wanting holds the shelves with a demand that may have to be passed on.
+	wanting []*shelf
+	swept   time.Time
+
+	// asked holds the times of the latest queries that were answered, as a ring. An answer that
+	// arrives twice must not be counted twice.
+	asked     [maxAsked]time.Time
+	nextAsked int
+	// unanswered is the time of the first query after the latest answer, or zero.
+	unanswered time.Time
+	// root is true if the node is the root of its failure domain, rootSince the time since when,
+	// and rootSeen the time at which it was told so last.
+	root                bool
+	rootSince, rootSeen time.Time
+}
+
+// shelf holds the tokens of one customer.
+type shelf struct {
+	customer call.Customer
+	lots     lots
+	// unmet is the demand of children that was not met since the latest query, and own that of
+	// the wallet of the node.
+	unmet, own uint32
+	// wanting is true if the shelf is in the list of wanting ones.
+	wanting bool
+	// granted measures the tokens that were given to children.
+	granted meter
+	// retryAt is the time until which the parent is not asked, and nextAt the time at which
+	// the leader expects more tokens.
+	retryAt, nextAt time.Time
+	// uncapped is the time at which the customer had no cap, or zero.
+	uncapped time.Time
+	used     time.Time
+	reserve  reserve
+}
+
+// reserve counts the requests that a reserve let start, by slots of time.
+type reserve struct {
+	counts [reserveSlots + 1]uint32
+	// slot is the number of the newest slot.
+	slot int64
+}
+
+// take takes up to n requests if less than most were taken in any window that contains now.
+func (re *reserve) take(slot int64, n, most uint32) uint32 {
+	for ; re.slot < slot; re.slot++ {
+		if slot-re.slot > reserveSlots {
+			re.counts, re.slot = [reserveSlots + 1]uint32{}, slot
+			break
+		}
+		re.counts[(re.slot+1)%int64(len(re.counts))] = 0
+	}
+	var sum uint32
+	for _, count := range re.counts {
+		sum += count
+	}
+	if sum >= most {
+		return 0
+	}
+	n = min(n, most-sum)
+	re.counts[re.slot%int64(len(re.counts))] += n
+	return n
+}
+
+// NewStock returns an empty stock. capOf returns the cap of a customer in the configuration in
+// force at the node.
+func NewStock(bo Bounds, capOf func(call.Customer) (Cap, bool)) *Stock {
+	return &Stock{bo: bo, capOf: capOf, shelves: make(map[call.Customer]*shelf)}
+}
+
+// SetDomains sets the number of failure domains.
+func (st *Stock) SetDomains(domains int) { st.domains = domains }
+
+// SetRoot tells whether the node is the root of its failure domain. It must be called at least
+// every second while it is.
+func (st *Stock) SetRoot(now time.Time, root bool) {
+	if root && (!st.root || now.Sub(st.rootSeen) > maxRootGap) {
+		st.rootSince = now
+	}
+	st.root, st.rootSeen = root, now
+}
+
+// shelf returns the shelf of a customer, or nil if there are too many.
+func (st *Stock) shelf(now time.Time, name call.Customer) *shelf {
+	sh := st.shelves[name]
+	if sh == nil {
+		if len(st.shelves) >= maxCustomers {
+			return nil
+		}
+		sh = &shelf{customer: name}
+		st.shelves[name] = sh
+	}
+	sh.used = now
+	sh.lots.expire(now.Add(-st.bo.Lifetime()))
+	return sh
+}
+
+// Grant transfers tokens for the demands of a child and appends the answers to out. The child
+// must get each answer at most once.
+func (st *Stock) Grant(now time.Time, demands []Demand, out []Grant) []Grant {
+	for _, de := range demands {
+		sh := st.shelf(now, de.Customer)
+		if sh == nil {
+			continue
+		}
+		had := len(out)
+		out = st.grant(now, sh, de, out)
+		var granted uint32
+		for _, gr := range out[had:] {
+			granted += gr.Requests
+		}
+		sh.granted.add(now, float64(granted))
+		// While the cap is reached, demands are not kept, as children repeat them.
+		if !now.Before(sh.retryAt) && !sh.isUncapped(now, st.bo.Lifetime()) {
+			sh.unmet += de.Requests - granted
+		}
+		if sh.unmet > 0 || sh.lots.held() <= sh.granted.target(now)/2 {
+			st.want(sh)
+		}
+	}
+	return out
+}
+
+// GrantOwn transfers tokens for the demands of the wallet of the node and appends the answers to
+// out.
+func (st *Stock) GrantOwn(now time.Time, demands []Demand, out []Grant) []Grant {
+	for _, de := range demands {
+		sh := st.shelf(now, de.Customer)
+		if sh == nil {
+			continue
+		}
+		had := len(out)
+		out = st.grant(now, sh, de, out)
+		sh.own = de.Requests
+		for _, gr := range out[had:] {
+			sh.own -= gr.Requests
+		}
+		if sh.own > 0 {
+			st.want(sh)
+		}
+	}
+	return out
+}
+
+// grant transfers tokens for one demand. Each time of issue has an answer of its own.
+func (st *Stock) grant(now time.Time, sh *shelf, de Demand, out []Grant) []Grant {
+	if sh.isUncapped(now, st.bo.Lifetime()) {
+		return append(out, Grant{Customer: de.Customer, Age: max(0, now.Sub(sh.uncapped)), Uncapped: true})
+	}
+	left := de.Requests
+	sh.lots.expire(now.Add(minRemaining - st.bo.Lifetime()))
+	for left > 0 {
+		issued, n := sh.lots.take(left)
+		if n == 0 {
+			break
+		}
+		left -= n
+		out = append(out, Grant{Customer: de.Customer, Requests: n, Age: max(0, now.Sub(issued))})
+	}
+	if n := st.takeReserve(now, sh, left); n > 0 {
+		left -= n
+		out = append(out, Grant{Customer: de.Customer, Requests: n})
+	}
+	if left > 0 {
+		// An entry without tokens tells when more is expected.
+		out = append(out, Grant{Customer: de.Customer, RetryAfter: max(0, sh.nextAt.Sub(now))})
+	}
+	return out
+}
+
+// takeReserve takes requests from the reserve, if the node is a root without answers.
+func (st *Stock) takeReserve(now time.Time, sh *shelf, n uint32) uint32 {
+	if n == 0 || !st.reserveUsable(now) {
+		return 0
+	}
+	cp, ok := st.capOf(sh.customer)
+	if !ok {
+		return 0
+	}
+	// Tokens of the reserve are spent within a lifetime, which widens the window.
+	slot := (st.bo.Window + st.bo.Lifetime()) / reserveSlots
+	return sh.reserve.take(now.UnixNano()/int64(max(slot, 1)), n, st.bo.reserve(cp, st.domains))
+}
+
+// reserveUsable reports whether the node is a root whose queries stay unanswered.
+func (st *Stock) reserveUsable(now time.Time) bool {
+	return st.root && now.Sub(st.rootSeen) <= maxRootGap &&
+		now.Sub(st.rootSince) >= rootWindows*(st.bo.Window+st.bo.Lifetime()) &&
+		!st.unanswered.IsZero() && now.Sub(st.unanswered) >= unansweredTime
+}
+
+// isUncapped reports whether the customer had no cap within a lifetime.
+func (sh *shelf) isUncapped(now time.Time, lifetime time.Duration) bool {
+	return !sh.uncapped.IsZero() && now.Sub(sh.uncapped) < lifetime
+}
+
+// want adds a shelf to those with a demand.
+func (st *Stock) want(sh *shelf) {
+	if !sh.wanting {
+		sh.wanting = true
+		st.wanting = append(st.wanting, sh)
+	}
+}
+
+// Wants reports whether the parent should be queried now.
+func (st *Stock) Wants(now time.Time) bool {
+	for _, sh := range st.wanting {
+		if st.need(now, sh) > 0 && !now.Before(sh.retryAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// need returns the number of tokens that a shelf lacks.
+func (st *Stock) need(now time.Time, sh *shelf) uint32 {
+	want, held := sh.unmet+sh.own+sh.granted.target(now), sh.lots.held()
+	return want - min(want, held)
+}
+
+// Demands appends what the node asks its parent for to out. It must be called for each query.
+func (st *Stock) Demands(now time.Time, out []Demand) []Demand {
+	if st.unanswered.IsZero() {
+		st.unanswered = now
+	}
+	for _, sh := range st.wanting {
+		sh.lots.expire(now.Add(-st.bo.Lifetime()))
+		if need := st.need(now, sh); need > 0 && !now.Before(sh.retryAt) {
+			out = append(out, Demand{Customer: sh.customer, Requests: need, Rate: sh.granted.perSecond(now)})
+		}
+		// Children ask again for what is not met, also if the query or its answer is lost.
+		sh.unmet, sh.own, sh.wanting = 0, 0, false
+	}
+	clear(st.wanting)
+	st.wanting = st.wanting[:0]
+	st.sweep(now)
+	return out
+}
+
+// Receive adds the tokens of the answer to the query that was sent at asked. It reports whether
+// the answer was used: one that arrives twice, or too late, is not.
+func (st *Stock) Receive(asked, now time.Time, grants []Grant) bool {
+	if asked.After(now) || st.wasAnswered(asked) {
+		return false
+	}
+	st.asked[st.nextAsked] = asked
+	st.nextAsked = (st.nextAsked + 1) % maxAsked
+	st.unanswered = time.Time{}
+	lifetime := st.bo.Lifetime()
+	for _, gr := range grants {
+		issued := asked.Add(-max(0, gr.Age))
+		if now.Sub(issued) >= lifetime {
+			continue
+		}
+		sh := st.shelf(now, gr.Customer)
+		if sh == nil {
+			continue
+		}
+		switch {
+		case gr.Uncapped:
+			sh.uncapped = issued
+		default:
+			sh.uncapped = time.Time{}
+			sh.lots.add(issued, gr.Requests)
+		}
+		if gr.Requests > 0 {
+			sh.nextAt, sh.retryAt = time.Time{}, time.Time{}
+		}
+		if gr.RetryAfter > 0 {
+			sh.nextAt = now.Add(gr.RetryAfter)
+			sh.retryAt = now.Add(min(gr.RetryAfter, maxRetryWait)).Add(retryInterval).Truncate(retryInterval)
+		}
+	}
+	return true
+}
+
+// wasAnswered reports whether an answer to the query at asked was received, or may have been.
+func (st *Stock) wasAnswered(asked time.Time) bool {
+	for _, at := range st.asked {
+		if at.Equal(asked) {
+			return true
+		}
+	}
+	return !st.asked[st.nextAsked].IsZero() && asked.Before(st.asked[st.nextAsked])
+}
+
+// sweep drops the state of customers that were not used for long.
+func (st *Stock) sweep(now time.Time) {
+	if now.Sub(st.swept) < idleTime {
+		return
+	}
+	st.swept = now
+	for name, sh := range st.shelves {
+		if !sh.wanting && now.Sub(sh.used) > idleTime {
+			delete(st.shelves, name)
+		}
+	}
+}
