allowances, entry, platform: requests wait for tokens, and are refused with 429 beyond the cap

Take of entry.Allowances returns what it took, so that Return gives back a token with its age, and requests on public routes no longer count.

Not wired yet.

--- a/internal/customers/allowance/allowance.go
+++ b/internal/customers/allowance/allowance.go
@@ -22,6 +22,9 @@
 	// maxLifetime is the time after which a token expires. It bounds what can be spent beyond
 	// the rate, and what a lost node or link costs.
 	maxLifetime = 400 * time.Millisecond
+	// minLifetime is the least time after which a token expires. If it takes more than the
+	// overage, buckets fill more slowly instead.
+	minLifetime = 100 * time.Millisecond
 	// lifetimePart is the part of the overage on the rate that the lifetime of tokens uses.
 	lifetimePart = 0.8
 	// minRemaining is the remaining lifetime below which tokens are not given to a child, which
@@ -64,13 +67,19 @@
 
 // Lifetime returns the time after which tokens expire.
 func (bo Bounds) Lifetime() time.Duration {
-	return min(maxLifetime, time.Duration(lifetimePart*bo.Overage*float64(bo.Window)))
+	return max(minLifetime, min(maxLifetime, time.Duration(lifetimePart*bo.Overage*float64(bo.Window))))
+}
+
+// rate returns the rate at which a bucket fills, in tokens per second. It is less than that of
+// the cap only if the overage is very small.
+func (bo Bounds) rate(cp Cap) float64 {
+	return cp.Rate * min(1, (1+bo.Overage)*bo.Window.Seconds()/(bo.Window+bo.Lifetime()).Seconds())
 }
 
 // share returns the part of the overage and the slack that the root of each failure domain has
 // as its reserve, and that the leader adds to the burst.
 func (bo Bounds) share(cp Cap, domains int) float64 {
-	left := bo.Most(cp) - cp.Rate*(bo.Window+bo.Lifetime()).Seconds() - cp.Burst
+	left := bo.Most(cp) - bo.rate(cp)*(bo.Window+bo.Lifetime()).Seconds() - cp.Burst
 	return max(0, left/float64(max(domains, 1)+1))
 }
 
--- a/internal/customers/allowance/bucket.go
+++ b/internal/customers/allowance/bucket.go
@@ -77,7 +77,7 @@
 // fill adds what came into a bucket since it was filled before.
 func (bu *Bucket) fill(now time.Time, le *level) {
 	if passed := now.Sub(le.at); passed > 0 {
-		le.tokens += le.cap.Rate * passed.Seconds()
+		le.tokens += bu.bo.rate(le.cap) * passed.Seconds()
 		le.at = now
 	}
 	le.tokens = min(le.tokens, bu.bo.depth(le.cap, bu.domains))
@@ -101,7 +101,7 @@
 	gr := Grant{Customer: de.Customer, Requests: min(de.Requests, uint32(le.tokens))}
 	le.tokens -= float64(gr.Requests)
 	if gr.Requests < de.Requests {
-		gr.RetryAfter = time.Duration((1 - le.tokens) / le.cap.Rate * float64(time.Second))
+		gr.RetryAfter = time.Duration((1 - le.tokens) / bu.bo.rate(le.cap) * float64(time.Second))
 	}
 	return gr
 }
--- a/internal/customers/allowance/node.go
+++ b/internal/customers/allowance/node.go
@@ -29,6 +29,12 @@
 		return issued, true, nd.transfer(now)
 	}
 	nd.Wallet.Wait(now, name)
+	return nd.Retake(now, name)
+}
+
+// Retake takes a token for a request that waits, and ends its wait if there is one. ask is true if
+// the parent should be queried.
+func (nd *Node) Retake(now time.Time, name call.Customer) (issued time.Time, ok, ask bool) {
 	ask = nd.transfer(now)
 	issued, ok = nd.Wallet.Take(now, name)
 	if ok {
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -84,6 +84,12 @@
 	// SharePercent is the share of the requests of the kind that the entry admits, in
 	// percent.
 	SharePercent int `json:"share-percent,omitempty"`
+	// Customer is the customer of the request. Allowance is the number of requests that the
+	// entry might still start of a customer that it refuses by its usage cap, and
+	// AllowanceAgeMS the time since its latest allowance was issued, in milliseconds.
+	Customer       string `json:"customer,omitempty"`
+	Allowance      int    `json:"allowance,omitempty"`
+	AllowanceAgeMS int64  `json:"allowance-age-ms,omitempty"`
 }
 
 // Line is the log line of an event.
--- a/internal/traffic/entry/customer.go
+++ b/internal/traffic/entry/customer.go
@@ -20,10 +20,23 @@
 // Allowances keep customers within their usage caps.
 type Allowances interface {
 	// Take takes one request of a customer from its allowance. It may wait until ctx or the
-	// time wait ends. If the answer is false, retryAfter is the time until more is expected.
-	Take(ctx context.Context, cu *config.Customer, wait time.Duration) (allowed bool, retryAfter time.Duration)
-	// Return returns a request that was taken and did not run.
-	Return(cu *config.Customer)
+	// time wait ends.
+	Take(ctx context.Context, cu *config.Customer, wait time.Duration) Allowance
+	// Return returns a request that was taken and did not run. al is what Take returned.
+	Return(cu *config.Customer, al Allowance)
+}
+
+// Allowance is the decision on a request of a customer with a usage cap.
+type Allowance struct {
+	// Allowed reports whether the request may start, and Issued identifies what it took.
+	Allowed bool
+	Issued  time.Time
+	// RetryAfter is the time after which a caller may retry a request that may not start.
+	RetryAfter time.Duration
+	// Held is the number of further requests that the node may start, and Age the time since
+	// the latest of them, or of those it had, were issued; 0 if there were none.
+	Held uint32
+	Age  time.Duration
 }
 
 const (
@@ -65,6 +78,8 @@
 		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
 	rq.customer = cu
+	// Requests on public routes do not count against the cap.
+	rq.capped = cu.Rate != 0 && !rt.Public
 	if cu.Importance != 0 {
 		rq.importance = cu.Importance
 	}
@@ -85,23 +100,23 @@
 // takeAllowance takes the request from the allowance of its customer. It returns a refusal if
 // the usage cap is reached.
 func (en *Entry) takeAllowance(ctx context.Context, rq *request) *attempt.Answer {
-	if en.opt.Allowances == nil || rq.customer == nil || rq.customer.Rate == 0 {
+	if en.opt.Allowances == nil || !rq.capped {
 		return nil
 	}
 	wait := min(maxAllowanceWait, rq.kind.Target/allowanceWaitDivisor)
-	allowed, retryAfter := en.opt.Allowances.Take(ctx, rq.customer, wait)
-	if allowed {
+	rq.allowance = en.opt.Allowances.Take(ctx, rq.customer, wait)
+	if rq.allowance.Allowed {
 		return nil
 	}
-	an := attempt.Refusal(ReasonCap, retryAfter)
+	an := attempt.Refusal(ReasonCap, rq.allowance.RetryAfter)
 	an.Status = http.StatusTooManyRequests
 	return an
 }
 
 // returnAllowance returns a request that did not run to the allowance of its customer.
 func (en *Entry) returnAllowance(rq *request, an *attempt.Answer) {
-	if en.opt.Allowances != nil && rq.customer != nil && rq.customer.Rate != 0 && an.Outcome == call.NotRun {
-		en.opt.Allowances.Return(rq.customer)
+	if rq.allowance.Allowed && an.Outcome == call.NotRun {
+		en.opt.Allowances.Return(rq.customer, rq.allowance)
 	}
 }
 
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -24,8 +24,12 @@
 type request struct {
 	kind *config.Kind
 	// customer is the customer whose key the request has, or nil. hasKey is true if it has any.
-	customer   *config.Customer
-	hasKey     bool
+	customer *config.Customer
+	hasKey   bool
+	// capped is true if the request counts against the usage cap of its customer, and allowance
+	// is what it took of it.
+	capped     bool
+	allowance  Allowance
 	deployment call.Deployment
 	id         call.RequestID
 	account    retry.AccountID
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -198,6 +198,10 @@
 		if rq.parent != nil {
 			ev.Parent = rq.parent.Label
 		}
+		ev.Customer = string(rq.customerName())
+		if rq.capped && an.Reason == ReasonCap {
+			ev.Allowance, ev.AllowanceAgeMS = int(rq.allowance.Held), rq.allowance.Age.Milliseconds()
+		}
 	}
 	en.opt.Events.Add(now, ev)
 }
