--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -10,9 +10,11 @@
 
 	"camphortrail/admission"
 	"camphortrail/config"
+	"camphortrail/internal/fleet/allowances"
 	"camphortrail/internal/fleet/node"
 	"camphortrail/internal/state/control"
 	"camphortrail/platform"
+	"camphortrail/schema"
 )
 
 const (
@@ -77,7 +79,7 @@
 		Log: log.Log, NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
 		Events: os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
 		MaxBufferedBytes: set.MemoryMB << 20 / answerMemoryDivisor, MaxHeapGrowthPercent: maxHeapGrowthPercent,
-		RevocationBound: set.RevocationBound(),
+		RevocationBound: set.RevocationBound(), UsageBounds: set.UsageBounds(),
 		Endpoints: []node.Endpoint{
 			{Address: set.ReadinessAddress, Handler: set.NewReadinessHandler},
 			{Address: set.ControlAddress, Handler: set.NewReportHandler},
@@ -100,8 +102,13 @@
 	if err != nil {
 		return err
 	}
+	buckets := allowances.NewBuckets(set.UsageBounds())
 	co, err := control.New(set.ControlSettings(), control.Options{
 		Log: log.Log, Validate: config.Check, Elastic: true,
+		Grant: func(now time.Time, term uint64, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
+			buckets.Lead(now, term)
+			return buckets.Grant(now, child, cfg, list)
+		},
 		Endpoints: []control.Endpoint{{Address: set.ControlAddress, Handler: set.NewOperatorHandler}},
 	})
 	if err != nil {
--- a/internal/customers/freshness/freshness.go
+++ b/internal/customers/freshness/freshness.go
@@ -95,8 +95,10 @@
 	revision  uint64
 	customers bool
 	// since is the time at which customers became true.
-	since  time.Time
-	nodes  []call.VM
+	since time.Time
+	nodes []call.VM
+	// most is the largest number of nodes so far.
+	most   int
 	proofs proofs
 
 	nextNumber uint64
@@ -147,6 +149,7 @@
 func (ma *Machine) Add(vm call.VM) {
 	if i, ok := slices.BinarySearchFunc(ma.nodes, vm, compareNodes); !ok {
 		ma.nodes = slices.Insert(ma.nodes, i, vm)
+		ma.most = max(ma.most, len(ma.nodes))
 	}
 }
 
@@ -161,6 +164,10 @@
 	}
 }
 
+// IsRoot reports whether the node is the root of its failure domain. A node that sees less than half
+// of the nodes that it has seen is not, as the others may have another root.
+func (ma *Machine) IsRoot() bool { return ma.nodes[0] == ma.set.Name && 2*len(ma.nodes) > ma.most }
+
 // Fresh reports whether the keys of the configuration with the given revision may be trusted.
 func (ma *Machine) Fresh(now time.Time, revision uint64) bool {
 	if ma.set.Bound == 0 {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -22,6 +22,8 @@
 	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/config"
+	"camphortrail/internal/customers/allowance"
+	"camphortrail/internal/fleet/allowances"
 	"camphortrail/internal/fleet/announce"
 	"camphortrail/internal/fleet/gossip"
 	"camphortrail/internal/fleet/renewal"
@@ -94,9 +96,9 @@
 	// RevocationBound is the time after which a withdrawn key of a customer is no longer accepted.
 	// 0 means that there is no bound: the keys of the configuration in force are always trusted.
 	RevocationBound time.Duration
-	// NewAllowances returns what decides on the allowances that renewals carry, if it is set.
-	// askNow makes the node query its parent at once, at most once in 5 ms.
-	NewAllowances func(askNow func()) renewal.Allowances
+	// UsageBounds bound the usage caps of customers over all nodes. Without a window, there are no
+	// caps.
+	UsageBounds allowance.Bounds
 }
 
 // Server serves the connections of a listener, as http.Server does.
@@ -162,6 +164,7 @@
 	announcements                               *announce.Registry
 	claims                                      claimClient
 	renewal                                     *renewal.Renewal
+	allowances                                  *allowances.Allowances
 	events                                      *events.Log
 	memberNotices                               <-chan gossip.Notice
 	// gcPercent is the target percentage of the garbage collector set by
@@ -210,6 +213,9 @@
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
 		Events: nd.events, Freshness: nd.renewal,
 	}
+	if nd.allowances != nil {
+		eopt.Allowances = nd.allowances
+	}
 	if opt.Policy == BaselinePolicy {
 		eopt.HopRetries = baselineHopRetries
 	}
@@ -298,6 +304,9 @@
 		nd.log.Info("most nodes have just started; requests are admitted by a slow start")
 	}
 	nd.entry.SetConfiguration(cd)
+	if nd.allowances != nil {
+		nd.allowances.SetConfiguration(cd)
+	}
 	nd.renewal.SetConfiguration(revision, cd.HasCustomers())
 	if !slices.ContainsFunc(cfg.GetFailureDomains(), func(fd *schema.FailureDomain) bool {
 		return fd.GetName() == nd.set.GetFailureDomain()
--- a/internal/fleet/node/renewal.go
+++ b/internal/fleet/node/renewal.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"camphortrail/call"
+	"camphortrail/internal/fleet/allowances"
 	"camphortrail/internal/fleet/renewal"
 	"camphortrail/schema/schemaconnect"
 )
@@ -17,15 +18,25 @@
 
 // newRenewal returns the renewal of the node's proofs.
 func (nd *Node) newRenewal(seed uint64) *renewal.Renewal {
-	return renewal.New(renewal.Options{
+	opt := renewal.Options{
 		Name: call.VM(nd.set.GetName()), Bound: nd.opt.RevocationBound, Seed: seed,
 		Send: nd.pool.SendRenewal, Discard: nd.pool.DiscardUnused,
 		Controls: nd.renewalControls,
 		NewControlClient: func(address string) renewal.ControlClient {
 			return schemaconnect.NewControlClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxRenewalBytes))
 		},
-		NewAllowances: nd.opt.NewAllowances, Log: nd.log, Metrics: nd.metrics,
-	})
+		Log: nd.log, Metrics: nd.metrics,
+	}
+	if nd.opt.UsageBounds.Window > 0 {
+		opt.NewAllowances = func(askNow func()) renewal.Allowances {
+			nd.allowances = allowances.New(allowances.Options{
+				Bounds: nd.opt.UsageBounds, AskNow: askNow, IsRoot: func() bool { return nd.renewal.IsRoot() },
+				Metrics: nd.metrics, Log: nd.log, Seed: seed,
+			})
+			return nd.allowances
+		}
+	}
+	return renewal.New(opt)
 }
 
 // renewalControls returns the control replicas that are present, or those of the settings if none
--- a/internal/fleet/renewal/renewal.go
+++ b/internal/fleet/renewal/renewal.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +54,8 @@
 	wake chan struct{}
 
 	queries, failures, answered *metrics.Counter
+	// root says whether the node is the root of its failure domain.
+	root atomic.Bool
 
 	mu        sync.Mutex
 	machine   *freshness.Machine
@@ -121,6 +124,7 @@
 	defer rn.mu.Unlock()
 	rn.addresses[vm] = address
 	rn.machine.Add(vm)
+	rn.root.Store(rn.machine.IsRoot())
 }
 
 // RemoveNode removes a node that is not present any more.
@@ -128,10 +132,14 @@
 	rn.mu.Lock()
 	delete(rn.addresses, vm)
 	rn.machine.Remove(vm)
+	rn.root.Store(rn.machine.IsRoot())
 	rn.mu.Unlock()
 	rn.signal()
 }
 
+// IsRoot reports whether the node is the root of its failure domain. It never blocks.
+func (rn *Renewal) IsRoot() bool { return rn.root.Load() }
+
 // Fresh reports whether the keys of the configuration with the given revision may be trusted. It
 // implements entry.Freshness, and counts as a request with a key.
 func (rn *Renewal) Fresh(revision uint64) bool {
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -92,6 +92,11 @@
 	// those of them that its fair share allows, for the rule fair-share.
 	AskedPerS float64 `json:"asked-per-s,omitempty"`
 	OwedPerS  float64 `json:"owed-per-s,omitempty"`
+	// Allowance is the number of requests that the entry might still start of a customer that it
+	// refuses by its usage cap, and AllowanceAgeMS the time since its latest allowance was issued,
+	// in milliseconds.
+	Allowance      int   `json:"allowance,omitempty"`
+	AllowanceAgeMS int64 `json:"allowance-age-ms,omitempty"`
 }
 
 // Line is the log line of an event.
--- a/internal/state/control/service.go
+++ b/internal/state/control/service.go
@@ -180,7 +180,10 @@
 	}
 	an := &schema.RenewalAnswer{Number: rq.Msg.GetNumber(), Proved: true, Revision: uint64(inForce.revision)}
 	if co.opt.Grant != nil {
-		an.Allowances = co.opt.Grant(boottime.Now(), rq.Msg.GetFrom(), inForce.configuration, rq.Msg.GetDemands())
+		an.Allowances = co.opt.Grant(boottime.Now(), uint64(co.view.Load().status.Term), rq.Msg.GetFrom(), inForce.configuration, rq.Msg.GetDemands())
+	}
+	if !co.isCurrent(inForce.applied) {
+		return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
 	}
 	return connect.NewResponse(an), nil
 }
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -33,6 +33,8 @@
 	positioned bool
 	// public is true if the route needs no key.
 	public bool
+	// allowance is what the request took of the allowance of its customer.
+	allowance  Allowance
 	deployment call.Deployment
 	id         call.RequestID
 	account    retry.AccountID
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -204,6 +204,9 @@
 			ev.Parent = rq.parent.Label
 		}
 		en.describeShare(rq, &ev)
+		if an.Reason == ReasonCap {
+			ev.Allowance, ev.AllowanceAgeMS = int(rq.allowance.Held), rq.allowance.Age.Milliseconds()
+		}
 	}
 	en.opt.Events.Add(now, ev)
 }
