entry, throttle, guard: refusals by upstreams with free slots are not taken for overload

Cause: the rule of the throttle that refuses by outcomes counts requests that fail because upstreams refuse part of what they get. Where another service of the tree is nearly at its limit, it refused ever more of classes whose requests fail at a constant rate.

Change: guards say whether they had free slots when the upstream refused, nodes above pass it on, and such failures do not count. Classes of which less than a quarter succeeds are refused for the most part while a service of their tree is busy.

Conclusion: what guards carry is no longer refused at entries, and what they cannot carry is refused before any work where slots are short.

--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -84,6 +84,9 @@
 	// Unreachable is true if the attempt failed because no VM of a service that it called
 	// could be reached, directly or further downstream.
 	Unreachable bool
+	// UpstreamFault is true if the attempt failed only because an upstream with free slots
+	// refused work, this one or one further downstream.
+	UpstreamFault bool
 	// UpstreamRefused is true if the upstream itself, not its guard, refused the
 	// attempt.
 	UpstreamRefused bool
--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -81,7 +81,7 @@
 	at := example()
 	want := &Answer{
 		Outcome: call.Done, Reason: "reason", Status: 201, Header: http.Header{"Etag": {"a", "b"}}, Body: []byte("whole"),
-		Level: call.LevelOf(3, 4), DelayedLevel: call.LevelOf(5, 6), UnusedRetries: 1, Overload: true, UpstreamRefused: true, Unreachable: true,
+		Level: call.LevelOf(3, 4), DelayedLevel: call.LevelOf(5, 6), UnusedRetries: 1, Overload: true, UpstreamRefused: true, Unreachable: true, UpstreamFault: true,
 		RetryAfter: 30 * time.Millisecond, UpstreamTime: time.Millisecond, GuardTime: 2 * time.Millisecond,
 	}
 	for _, blocks := range []bool{false, true} {
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -120,7 +120,7 @@
 		WorkUs:           uint64(max(0, an.UpstreamTime.Microseconds())),
 		HeldUs:           uint64(max(0, an.GuardTime.Microseconds())),
 		OccupancyPercent: uint32(an.Occupancy), DownstreamPercent: uint32(an.DownstreamOccupancy), Needs: fanOutToFields(an.FanOut),
-		Unreachable: an.Unreachable,
+		Unreachable: an.Unreachable, UpstreamFault: an.UpstreamFault,
 	}}
 	af.kind.Answer, af.frame.Kind = &af.answer, &af.kind
 	return &af.frame
@@ -157,6 +157,7 @@
 	}
 	an.FanOut = fanOut
 	an.Reason, an.Overload, an.UpstreamRefused, an.Unreachable = msg.GetReason(), msg.GetOverload(), msg.GetOffered(), msg.GetUnreachable()
+	an.UpstreamFault = msg.GetUpstreamFault()
 	an.Level, an.DelayedLevel, an.UnusedRetries = call.Level(msg.GetLevel()), call.Level(msg.GetPressure()), int(msg.GetUnused())
 	an.RetryAfter = time.Duration(msg.GetRetryAfterMs()) * time.Millisecond
 	an.Occupancy, an.DownstreamOccupancy = call.Occupancy(msg.GetOccupancyPercent()), call.Occupancy(msg.GetDownstreamPercent())
--- a/internal/traffic/calltree/calltree.go
+++ b/internal/traffic/calltree/calltree.go
@@ -124,6 +124,8 @@
 	waitingSince time.Time
 	waited       time.Duration
 	failures     CallFailures
+	// overloaded says that a call failed under overload for another reason than UpstreamFault.
+	overloaded bool
 	// completed is the number of calls that brought an answer.
 	completed int
 }
@@ -133,6 +135,9 @@
 	// Overload says that work was shed, and Unreachable that no VM of a service could be
 	// reached.
 	Overload, Unreachable bool
+	// UpstreamFault says that upstreams with free slots refused work, and that this is the only
+	// reason of Overload.
+	UpstreamFault bool
 }
 
 // BeginCall records that the upstream starts to wait for a call of the attempt.
@@ -153,6 +158,8 @@
 	if in.openCalls == 0 {
 		in.waited += now.Sub(in.waitingSince)
 	}
+	in.failures.UpstreamFault = in.failures.UpstreamFault || cf.UpstreamFault
+	in.overloaded = in.overloaded || cf.Overload && !cf.UpstreamFault
 	in.failures.Overload = in.failures.Overload || cf.Overload
 	in.failures.Unreachable = in.failures.Unreachable || cf.Unreachable
 }
@@ -180,5 +187,7 @@
 	if in.openCalls > 0 {
 		waited += now.Sub(in.waitingSince)
 	}
-	return waited, in.failures
+	cf = in.failures
+	cf.UpstreamFault = cf.UpstreamFault && !in.overloaded
+	return waited, cf
 }
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -248,7 +248,8 @@
 	} else {
 		en.throttles.Finish(now, rq.kind.Class, throttle.Result{
 			Succeeded: !an.Failed() && an.Status != http.StatusInternalServerError, Unreachable: rq.failedUnreachable(an),
-			Occupancy: rq.occupancy, Took: now.Sub(begun), Share: de.Share,
+			UpstreamFault: rq.failedByUpstreamFault(an),
+			Occupancy:     rq.occupancy, Took: now.Sub(begun), Share: de.Share,
 		})
 		en.throttles.LearnCalls(now, rq.kind.Class, rq.fanOut)
 	}
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -35,7 +35,9 @@
 	an := en.serveKeyed(ctx, rq)
 	now := time.Now()
 	if rq.parent != nil {
-		rq.parent.EndCall(now, calltree.CallFailures{Overload: rq.failedByOverload(an), Unreachable: rq.failedUnreachable(an)})
+		rq.parent.EndCall(now, calltree.CallFailures{
+			Overload: rq.failedByOverload(an), Unreachable: rq.failedUnreachable(an), UpstreamFault: rq.failedByUpstreamFault(an),
+		})
 		if !an.Failed() && an.Status < http.StatusInternalServerError {
 			rq.parent.CompleteCall()
 		}
@@ -73,6 +75,14 @@
 	return failed && (rq.overload || an.Status == http.StatusGatewayTimeout)
 }
 
+// failedByUpstreamFault reports whether the answer is a failure only because upstreams with free
+// slots refused work: the last attempt, or calls further downstream.
+func (rq *request) failedByUpstreamFault(an *attempt.Answer) bool {
+	failed := an.Failed() || an.Status == http.StatusInternalServerError
+	last := rq.lastResult.Answer
+	return failed && rq.overload && last != nil && last.UpstreamFault && an.Status != http.StatusGatewayTimeout
+}
+
 // failedUnreachable reports whether the answer is a failure because no VM of a service could be
 // reached: the service of the request, or one further downstream.
 func (rq *request) failedUnreachable(an *attempt.Answer) bool {
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -30,7 +30,7 @@
 	switch {
 	case errors.Is(err, upstream.ErrAborted) && pa.sends > 1:
 		// This send did not leave, and the upstream refused those before.
-		return upstreamRefusal(Full)
+		return gd.upstreamRefusal(Full)
 	case err != nil:
 		return transportFailure(pa, err)
 	}
@@ -38,12 +38,19 @@
 }
 
 // upstreamRefusal returns the answer to an attempt that the upstream refused.
-func upstreamRefusal(class AnswerClass) *attempt.Answer {
+func (gd *Guard) upstreamRefusal(class AnswerClass) *attempt.Answer {
 	an := attempt.Refusal(ReasonUpstreamRefused, fullRetryAfter)
 	an.Overload, an.UpstreamRefused = class == Full, true
+	an.UpstreamFault = class == Full && !gd.busy()
 	return an
 }
 
+// busy reports whether the upstream has hardly any free slots, so that it may refuse attempts for
+// lack of them.
+func (gd *Guard) busy() bool {
+	return gd.loop.waiting.Load() > 0 || 10*gd.loop.running.Load() >= 9*gd.loop.limit.Load()
+}
+
 // transportFailure returns the answer to an attempt whose exchange with the upstream
 // failed before the header of the response. The outcome is NotRun only if there was no
 // connection.
@@ -90,7 +97,7 @@
 		pa.sendAgain = gd.decideFurtherSend(pa, class)
 		// A copy of the refusal that comes late must not be read as the answer to the next send.
 		res.Close = res.Close || pa.sendAgain == allowed
-		return upstreamRefusal(class), false
+		return gd.upstreamRefusal(class), false
 	case err != nil:
 		return pa.brokenAnswer(), false
 	}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -371,6 +371,7 @@
 	failed := an.Failed() || an.Status == http.StatusInternalServerError
 	an.Overload, an.Unreachable = an.Overload || failures.Overload && failed, failures.Unreachable && failed
 	// Neither refused sends nor failures, which end early, say how long the upstream takes.
+	an.UpstreamFault = an.UpstreamFault || failures.UpstreamFault && failed
 	fin.DownstreamWait = waited + lastBegun.Sub(begun)
 	succeeded := an.Outcome == call.Done && an.Status < http.StatusInternalServerError
 	fin.OK = succeeded
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -57,6 +57,9 @@
 	// mostlyRefusedRatio is the refusal ratio from which a class has yielded to more
 	// important ones.
 	mostlyRefusedRatio = 0.85
+	// minCarriedRatio is the share of requests that must succeed while upstreams with free slots
+	// refuse work, so that the class is not refused where a service of its tree is busy.
+	minCarriedRatio = 0.25
 	// minRetryAfter is about the time in which the rule reacts, and maxRetryAfter about
 	// the time in which the refusal ratio falls from nearly all to few.
 	minRetryAfter = 400 * time.Millisecond
@@ -167,7 +170,9 @@
 		if cs.unreachable.active(now) {
 			return Decision{By: Unreachable, Share: share, RetryAfter: cs.retryAfter(rq, 1)}
 		}
-		cs.outcomes.requests++
+		if !cs.hopeless(now) {
+			cs.outcomes.requests++
+		}
 		return Decision{By: Failures, Share: share, RetryAfter: retryDelay(refusalRatio)}
 	}
 	cs.account.admitted++
@@ -293,6 +298,9 @@
 	// Succeeded says that the caller got what it asked for, and Unreachable that it did not
 	// because no VM of a service of the call tree could be reached.
 	Succeeded, Unreachable bool
+	// UpstreamFault says that the request failed only because upstreams with free slots refused
+	// work. Admitting fewer requests would not make more of them succeed.
+	UpstreamFault bool
 	// Occupancy is the highest occupancy of the services of its call tree, or zero if it
 	// is not known.
 	Occupancy call.Occupancy
@@ -314,8 +322,14 @@
 	if rs.Occupancy > 0 {
 		cs.share.observe(now, rs.Occupancy)
 	}
-	cs.addResult(now, rs.Share, rs.Succeeded, rs.Succeeded)
 	cs.unreachable.add(now, rs)
+	if rs.Succeeded || rs.UpstreamFault {
+		cs.faulty.add(now, rs.Succeeded)
+	}
+	if rs.UpstreamFault && !rs.Succeeded {
+		return
+	}
+	cs.addResult(now, rs.Share, rs.Succeeded, rs.Succeeded)
 	if rs.Succeeded {
 		cs.recent.addServed(now, shareHalfLife)
 		cs.account.addServed(now, allocation.AccountHalfLife)
@@ -361,6 +375,9 @@
 	importance  call.Importance
 	outcomes    outcomes
 	unreachable unreachability
+	// faulty counts the requests that succeeded, and those that failed by a fault of upstreams
+	// with free slots.
+	faulty outcomes
 	// recent counts the sends of the last seconds, and account those of many seconds, across
 	// all that decided on them meanwhile. results counts the results of the last second.
 	recent, account sendCounts
@@ -429,5 +446,16 @@
 	if cs.granted {
 		multiplier = grantedMultiplier
 	}
-	return cs.outcomes.refusalRatio(multiplier)
+	ratio := cs.outcomes.refusalRatio(multiplier)
+	if cs.hopeless(now) {
+		ratio = max(ratio, mostlyRefusedRatio)
+	}
+	return ratio
+}
+
+// hopeless reports whether nearly all requests of the class fail by a fault of upstreams with free
+// slots. Refusing some makes no others succeed, but the slots of busy services are wasted on them.
+func (cs *classState) hopeless(now time.Time) bool {
+	cs.faulty.decay(now)
+	return cs.faulty.failing() && cs.faulty.accepts < minCarriedRatio*cs.faulty.requests
 }
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -213,3 +213,53 @@
 		}
 	}
 }
+
+// While upstreams with free slots refuse half of what they get, guards send the calls of some trees
+// again. Entries must not refuse the classes of these trees, although most of their requests fail and
+// another service of the trees is nearly at its limit: requests that are refused for failures make no
+// others succeed then. Of a class that nearly always fails most must be refused, as they waste the
+// slots of the busy service, and refusals for lack of capacity must still count.
+func TestUpstreamFaultIsNotRefused(t *testing.T) {
+	succeeds := map[call.Importance]float64{7: 0.63, 6: 0.54, 5: 0.07}
+	for _, tt := range []struct {
+		occupancy    call.Occupancy
+		isFault      bool
+		least, most7 float64
+		most5        float64
+	}{{50, true, 1, 1, 1}, {50, false, 1, 1, 1}, {90, true, 0.98, 1, 0.3}, {90, false, 0, 0.5, 0.3}} {
+		ctl, now, rng := New(), time.Unix(0, 0), rand.New(rand.NewPCG(2, 2))
+		var asked, admitted [call.MaxImportance + 1]float64
+		var shares [3]float64
+		for n := range 10_500 {
+			// The fault ends after 8.5 s. Half a second later, all classes are served again.
+			if n == 9000 {
+				asked, admitted = [call.MaxImportance + 1]float64{}, [call.MaxImportance + 1]float64{}
+			}
+			if n == 8500 {
+				shares = [3]float64{admitted[7] / asked[7], admitted[6] / asked[6], admitted[5] / asked[5]}
+			}
+			now = now.Add(time.Millisecond)
+			imp := call.Importance(5 + n%3)
+			class := call.Class(rune('0' + imp))
+			asked[imp]++
+			if !ctl.Admit(now, Request{Class: class, Importance: imp}, rng.Float64()).Admitted {
+				continue
+			}
+			admitted[imp]++
+			succeeded := n >= 8500 || rng.Float64() < succeeds[imp]
+			ctl.Finish(now, class, Result{Succeeded: succeeded, Occupancy: tt.occupancy, UpstreamFault: tt.isFault && !succeeded})
+		}
+		for imp := call.Importance(5); imp <= 7 && tt.isFault; imp++ {
+			if after := admitted[imp] / asked[imp]; after < 0.99 {
+				t.Errorf("occupancy %d: %.2f of importance %d admitted after the fault", tt.occupancy, after, imp)
+			}
+		}
+		t.Logf("occupancy %d, fault %t: admitted %.2f", tt.occupancy, tt.isFault, shares)
+		if shares[2] > tt.most5 {
+			t.Errorf("occupancy %d, fault %t: %.2f of importance 5 admitted, want at most %.2f", tt.occupancy, tt.isFault, shares[2], tt.most5)
+		}
+		if shares[0] < tt.least || shares[0] > tt.most7 {
+			t.Errorf("occupancy %d, fault %t: %.2f of importance 7 admitted, want %.2f to %.2f", tt.occupancy, tt.isFault, shares[0], tt.least, tt.most7)
+		}
+	}
+}
