--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -47,6 +47,10 @@
 	Class call.Class
 	// Customer is the customer of the request, or empty.
 	Customer call.Customer
+	// RepeatedSend is true if an attempt for the same request was sent before this one.
+	RepeatedSend bool
+	// CallsDone is the number of calls that the attempts above this one have completed.
+	CallsDone int
 
 	Method string
 	Host   string
@@ -80,6 +84,9 @@
 	// Unreachable is true if the attempt failed because no VM of a service that it called
 	// could be reached, directly or further downstream.
 	Unreachable bool
+	// UpstreamFault is true if the attempt failed only because an upstream with free slots
+	// refused work, this one or one further downstream.
+	UpstreamFault bool
 	// UpstreamRefused is true if the upstream itself, not its guard, refused the
 	// attempt.
 	UpstreamRefused bool
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -269,6 +269,7 @@
 	} else {
 		rs.Succeeded = !an.Failed() && an.Status != http.StatusInternalServerError
 		rs.Unreachable, rs.Occupancy, rs.Took = rq.failedUnreachable(an), rq.occupancy, now.Sub(begun)
+		rs.UpstreamFault = rq.failedByUpstreamFault(an)
 		en.throttles.Finish(now, rq.kind.Class, rs)
 		if rs.Succeeded {
 			en.countServed(now, rq)
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -35,7 +35,12 @@
 	an := en.serveKeyed(ctx, rq)
 	now := time.Now()
 	if rq.parent != nil {
-		rq.parent.EndCall(now, calltree.CallFailures{Overload: rq.failedByOverload(an), Unreachable: rq.failedUnreachable(an)})
+		rq.parent.EndCall(now, calltree.CallFailures{
+			Overload: rq.failedByOverload(an), Unreachable: rq.failedUnreachable(an), UpstreamFault: rq.failedByUpstreamFault(an),
+		})
+		if !an.Failed() && an.Status < http.StatusInternalServerError {
+			rq.parent.CompleteCall()
+		}
 		en.opt.Trees.RecordOccupancy(now, rq.parent.Class, rq.kind.Service, rq.occupancy)
 	}
 	if rq.isCall {
@@ -70,6 +75,14 @@
 	return failed && (rq.overload || an.Status == http.StatusGatewayTimeout)
 }
 
+// failedByUpstreamFault reports whether the answer is a failure only because upstreams with free
+// slots refused work: the last attempt, or calls further downstream.
+func (rq *request) failedByUpstreamFault(an *attempt.Answer) bool {
+	failed := an.Failed() || an.Status == http.StatusInternalServerError
+	last := rq.lastResult.Answer
+	return failed && rq.overload && last != nil && last.UpstreamFault && an.Status != http.StatusGatewayTimeout
+}
+
 // failedUnreachable reports whether the answer is a failure because no VM of a service could be
 // reached: the service of the request, or one further downstream.
 func (rq *request) failedUnreachable(an *attempt.Answer) bool {
@@ -194,6 +207,9 @@
 	if err != nil {
 		return "", "", err
 	}
+	if wn := en.windows[rq.kind.Service]; wn != nil && rq.attempts == 0 {
+		wn.FirstSend(now)
+	}
 	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance})
 	return vm, en.addresses[vm], nil
 }
@@ -364,7 +380,8 @@
 	now := time.Now()
 	en.mu.Lock()
 	rt := en.ratios[rq.kind.Service]
-	allowed := rt == nil || rt.Allow(now)
+	wn := en.windows[rq.kind.Service]
+	allowed := (rt == nil || rt.Allow(now)) && (wn == nil || wn.Allow(now))
 	en.mu.Unlock()
 	return allowed && en.opt.Trees.StepRetry(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
