--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -51,6 +52,10 @@
 	Sockets node.SocketWrappers
 	// Stop is the plan by which nodes stop; the zero plan means node.DefaultStop.
 	Stop node.StopPlan
+	// RevocationBound is the bound on the revocation of keys at all nodes; see node.Options.
+	RevocationBound time.Duration
+	// Events receives the decisions of all nodes on requests, if it is set.
+	Events io.Writer
 	// PartitionDomain is the failure domain that SetPartitioned separates from all other
 	// processes; empty means none.
 	PartitionDomain call.FailureDomain
@@ -225,7 +230,10 @@
 // Nodes must not be read concurrently.
 func (dp *Deployment) StartNode(i int) error {
 	settings := dp.nodeSettings[i]
-	nopt := node.Options{Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, SocketWrappers: dp.opt.Sockets, Dial: dp.opt.Dial, Stop: dp.opt.Stop}
+	nopt := node.Options{
+		Policy: dp.opt.Policy, Seed: dp.opt.Seed + uint64(i) + 1, Log: dp.opt.Log, SocketWrappers: dp.opt.Sockets, Dial: dp.opt.Dial, Stop: dp.opt.Stop,
+		RevocationBound: dp.opt.RevocationBound, Events: dp.opt.Events,
+	}
 	inside := settings.GetFailureDomain() == string(dp.opt.PartitionDomain)
 	if dp.opt.PartitionDomain != "" {
 		dp.partition.wrapSockets(inside, &nopt)
