--- a/internal/fleet/renewal/control_test.go
+++ b/internal/fleet/renewal/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -14,12 +15,12 @@
 // replica is a control replica that answers, refuses at once, or hangs.
 type replica struct {
 	leads, hangs bool
-	asked        int
+	asked        atomic.Int64
 }
 
 // Renew implements ControlClient.
 func (re *replica) Renew(ctx context.Context, rq *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error) {
-	re.asked++
+	re.asked.Add(1)
 	switch {
 	case re.hangs:
 		<-ctx.Done()
@@ -41,6 +42,7 @@
 			func() []string { return []string{"a", "b", "c", "d", "e"} },
 			func(address string) ControlClient { return replicas[address] },
 		)
+		asked := func(address string) int64 { return replicas[address].asked.Load() }
 		ask := func() bool { return cq.query(t.Context(), new(schema.Renewal)) != nil }
 		queries := 1
 		for ; !ask(); queries++ {
@@ -51,13 +53,13 @@
 		if queries != 3 {
 			t.Errorf("the leader was found by query %d, want 3: two replicas hang", queries)
 		}
-		before := replicas["a"].asked + replicas["b"].asked + replicas["c"].asked
+		before := asked("a") + asked("b") + asked("c")
 		for range 10 {
 			if !ask() {
 				t.Fatal("the leader did not answer")
 			}
 		}
-		if after := replicas["a"].asked + replicas["b"].asked + replicas["c"].asked; after != before {
+		if after := asked("a") + asked("b") + asked("c"); after != before {
 			t.Errorf("%d queries to other replicas while the leader answered", after-before)
 		}
 		// The lead changes to a replica that refused before.
