--- a/internal/lab/deployment/customer_test.go
+++ b/internal/lab/deployment/customer_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
 
@@ -24,6 +25,7 @@
 	"camphortrail/internal/traffic/entry"
 	"camphortrail/internal/traffic/header"
 	"camphortrail/schema"
+	"camphortrail/schema/schemaconnect"
 )
 
 // The keys of the two customers, and one that is nobody's.
@@ -307,3 +309,16 @@
 		}
 	}
 }
+
+// BenchmarkRenew measures a query of the root of a failure domain to the leader, at both together.
+func BenchmarkRenew(b *testing.B) {
+	fl := startFleetWith(b, Options{ControlReplicaCount: 1}, time.Second, standin.UpstreamOptions{Service: front, Slots: 1})
+	client := schemaconnect.NewControlClient(fl.Client.HTTP, "http://"+fl.Client.ControlAddresses[0])
+	b.ReportAllocs()
+	for b.Loop() {
+		rs, err := client.Renew(b.Context(), connect.NewRequest(&schema.Renewal{From: "zona-industriale-ovest-12", Number: 1 << 63}))
+		if err != nil || !rs.Msg.GetProved() {
+			b.Fatal("no proof: ", err)
+		}
+	}
+}
