--- a/internal/customers/freshness/freshness.go
+++ b/internal/customers/freshness/freshness.go
@@ -39,6 +39,11 @@
 	maxDelay   = time.Second
 	// maxRootDelay is maxDelay for a root, on which its whole failure domain depends.
 	maxRootDelay = 200 * time.Millisecond
+	// startInterval is the time between two queries that are answered without a proof, in the first
+	// startTime. Without it the first proof takes up to IdleInterval for each level of the tree when
+	// all nodes start at the same time.
+	startInterval = 100 * time.Millisecond
+	startTime     = 3 * time.Second
 	// maxStall is how much later than AnswerTimeout a missing answer may be noticed. Beyond that
 	// the node itself was suspended, and the queried node is not at fault.
 	maxStall = 200 * time.Millisecond
@@ -345,6 +350,9 @@
 	if an.Proved && an.Age >= 0 && an.Age < ma.limit() {
 		ma.proofs = ma.proofs.add(Proof{Revision: an.Revision, At: qu.Sent.Add(-an.Age)}, ma.revision)
 	}
+	if !an.Proved && now.Sub(ma.since) < startTime {
+		ma.hurry(startInterval)
+	}
 	return qu, true
 }
 
