--- a/config/check_customer.go
+++ b/config/check_customer.go
@@ -20,7 +20,7 @@
 		ck.addNumber(fieldCustomers, uint64(len(list)), "has more than 16384 elements")
 		return
 	}
-	names, keys := make(fieldByValue), make(map[KeyDigest]string)
+	names, keys := make(fieldByValue), make(map[KeyDigest]keyField)
 	count := 0
 	for i, cu := range list {
 		at := elementPath(fieldCustomers, i)
@@ -37,7 +37,7 @@
 		}
 		count += len(cu.GetKeyDigests())
 		for j, text := range cu.GetKeyDigests() {
-			ck.checkKeyDigest(keys, elementPath(joinPath(at, "key-digests"), j), text)
+			ck.checkKeyDigest(keys, keyField{i, elementPath(joinPath(at, "key-digests"), j)}, text)
 		}
 	}
 	if count > maxKeys {
@@ -45,15 +45,22 @@
 	}
 }
 
-// checkKeyDigest checks the digest of a key. keys holds the fields of those that were checked.
-func (ck *checker) checkKeyDigest(keys map[KeyDigest]string, field, text string) {
+// keyField is a field with a key, and the index of the customer that it belongs to.
+type keyField struct {
+	customer int
+	path     string
+}
+
+// checkKeyDigest checks the digest of a key. keys holds the fields of those that were checked. A
+// customer may have the same key twice.
+func (ck *checker) checkKeyDigest(keys map[KeyDigest]keyField, field keyField, text string) {
 	kd, ok := parseKeyDigest(text)
 	if !ok {
-		ck.add(field, "", "must be a SHA-256 digest in 64 hexadecimal digits")
+		ck.add(field.path, "", "must be a SHA-256 digest in 64 hexadecimal digits")
 		return
 	}
-	if earlier, ok := keys[kd]; ok {
-		ck.addConflict(field, "", "is the same key as", earlier)
+	if earlier, ok := keys[kd]; ok && earlier.customer != field.customer {
+		ck.addConflict(field.path, "", "is the same key as", earlier.path)
 		return
 	}
 	keys[kd] = field
--- a/config/customer_test.go
+++ b/config/customer_test.go
@@ -21,6 +21,8 @@
 
 func TestCustomerOfKey(t *testing.T) {
 	cfg, first, _ := withCustomers()
+	// A customer may list the same key twice.
+	cfg.Customers[0].KeyDigests = append(cfg.Customers[0].KeyDigests, cfg.Customers[0].KeyDigests[0])
 	cd, err := config.Compile(cfg, 9)
 	if err != nil {
 		t.Fatal(err)
