--- a/internal/customers/allowance/stock.go
+++ b/internal/customers/allowance/stock.go
@@ -45,6 +45,9 @@
 	// and rootSeen the time at which it was told so last.
 	root                bool
 	rootSince, rootSeen time.Time
+	// confirmed is true if a query was answered since then. A node that takes itself for the root
+	// because it reaches nobody never is.
+	confirmed bool
 }
 
 // shelf holds the tokens of one customer.
@@ -108,7 +111,7 @@
 // every second while it is.
 func (st *Stock) SetRoot(now time.Time, root bool) {
 	if root && (!st.root || now.Sub(st.rootSeen) > maxRootGap) {
-		st.rootSince = now
+		st.rootSince, st.confirmed = now, false
 	}
 	st.root, st.rootSeen = root, now
 }
@@ -215,9 +218,9 @@
 	return sh.reserve.take(now.UnixNano()/int64(max(slot, 1)), n, st.bo.reserve(cp, st.domains))
 }
 
-// reserveUsable reports whether the node is a root whose queries stay unanswered.
+// reserveUsable reports whether the node is a root whose queries were answered and no longer are.
 func (st *Stock) reserveUsable(now time.Time) bool {
-	return st.root && now.Sub(st.rootSeen) <= maxRootGap &&
+	return st.root && st.confirmed && now.Sub(st.rootSeen) <= maxRootGap &&
 		now.Sub(st.rootSince) >= rootWindows*(st.bo.Window+st.bo.Lifetime()) &&
 		!st.unanswered.IsZero() && now.Sub(st.unanswered) >= unansweredTime
 }
@@ -279,6 +282,9 @@
 	st.asked[st.nextAsked] = asked
 	st.nextAsked = (st.nextAsked + 1) % maxAsked
 	st.unanswered = time.Time{}
+	if !asked.Before(st.rootSince) {
+		st.confirmed = true
+	}
 	lifetime := st.bo.Lifetime()
 	for _, gr := range grants {
 		issued := asked.Add(-max(0, gr.Age))
