--- a/internal/customers/allowance/bucket.go
+++ b/internal/customers/allowance/bucket.go
@@ -6,6 +6,9 @@
 	"camphortrail/call"
 )
 
+// maxFillTime bounds the time for which an empty bucket fills before nodes ask again.
+const maxFillTime = 40 * time.Millisecond
+
 // Bucket holds the token buckets of all customers with a cap. It belongs to the leader of the
 // control replicas.
 type Bucket struct {
@@ -101,7 +104,16 @@
 	gr := Grant{Customer: de.Customer, Requests: min(de.Requests, uint32(le.tokens))}
 	le.tokens -= float64(gr.Requests)
 	if gr.Requests < de.Requests {
-		gr.RetryAfter = time.Duration((1 - le.tokens) / bu.bo.rate(le.cap) * float64(time.Second))
+		gr.RetryAfter = bu.retryAfter(le)
 	}
 	return gr
 }
+
+// retryAfter returns the time until there are tokens again. While a deep bucket fills, that is
+// longer than until the next token, so that fewer queries fetch more.
+func (bu *Bucket) retryAfter(le *level) time.Duration {
+	perSecond := bu.bo.rate(le.cap)
+	next := time.Duration((1 - le.tokens) / perSecond * float64(time.Second))
+	quarter := time.Duration(bu.bo.depth(le.cap, bu.domains) / 4 / perSecond * float64(time.Second))
+	return max(next, min(quarter, maxFillTime))
+}
