allowance: nodes remember which child lacks tokens, and ask again themselves

Cause: behind two nodes a token took 16 to 50 ms, as each node asked its parent again only when its child had asked again.

Change: a stock keeps the unmet demand of each child for 20 ms and repeats it. After a pause a node may send four queries 2 ms apart; the mean stays at one in 5 ms.

--- a/internal/customers/allowance/node.go
+++ b/internal/customers/allowance/node.go
@@ -48,7 +48,7 @@
 func (nd *Node) transfer(now time.Time) bool {
 	if len(nd.Wallet.wanting) > 0 {
 		nd.demands = nd.Wallet.Demands(now, nd.demands[:0])
-		nd.grants = nd.Stock.GrantOwn(now, nd.demands, nd.grants[:0])
+		nd.grants = nd.Stock.Grant(now, ownWallet, nd.demands, nd.grants[:0])
 		nd.Wallet.Receive(now, now, nd.grants)
 	}
 	return nd.Stock.Wants(now)
@@ -60,16 +60,15 @@
 	return nd.Stock.Demands(now, out)
 }
 
-// Receive adds the tokens of the answer to the query that was sent at asked.
-func (nd *Node) Receive(asked, now time.Time, grants []Grant) {
-	if nd.Stock.Receive(asked, now, grants) {
-		nd.transfer(now)
-	}
+// Receive adds the tokens of the answer to the query that was sent at asked. ask is true if the
+// parent should be queried again.
+func (nd *Node) Receive(asked, now time.Time, grants []Grant) (ask bool) {
+	return nd.Stock.Receive(asked, now, grants) && nd.transfer(now)
 }
 
 // Grant transfers tokens for the demands of a child and appends the answers to out. ask is true
 // if the parent should be queried.
-func (nd *Node) Grant(now time.Time, demands []Demand, out []Grant) (answer []Grant, ask bool) {
-	out = nd.Stock.Grant(now, demands, out)
+func (nd *Node) Grant(now time.Time, child string, demands []Demand, out []Grant) (answer []Grant, ask bool) {
+	out = nd.Stock.Grant(now, child, demands, out)
 	return out, nd.Stock.Wants(now)
 }
--- a/internal/customers/allowance/stock.go
+++ b/internal/customers/allowance/stock.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"slices"
 	"time"
 
 	"camphortrail/call"
@@ -18,6 +19,12 @@
 	// reserveSlots is the number of equal parts of a window in which the use of a reserve is
 	// counted. One more is kept, so that any window lies within those that are kept.
 	reserveSlots = 9
+	// repeatTime is the time for which a node repeats a demand of a child to a parent that has no
+	// tokens yet. Children with waiting requests repeat theirs within it.
+	repeatTime = 20 * time.Millisecond
+	// maxUnmet bounds the children whose demand for a customer is remembered. Nodes have 16
+	// children, and for a short time more when others are lost.
+	maxUnmet = 64
 	// maxAsked is the number of remembered queries that were answered. At one query in 5 ms,
 	// that is more than a lifetime of tokens.
 	maxAsked = 128
@@ -54,9 +61,8 @@
 type shelf struct {
 	customer call.Customer
 	lots     lots
-	// unmet is the demand of children that was not met since the latest query, and own that of
-	// the wallet of the node.
-	unmet, own uint32
+	// unmet holds the demands of children that were not met.
+	unmet []unmet
 	// wanting is true if the shelf is in the list of wanting ones.
 	wanting bool
 	// granted measures the tokens that were given to children.
@@ -70,6 +76,40 @@
 	reserve  reserve
 }
 
+// unmet is a demand of a child that was not met. The child repeats it while requests wait.
+type unmet struct {
+	// child is the name of the child, or ownWallet.
+	child string
+	n     uint32
+	// at is the time of the demand, and asked that of the latest query for it, or zero.
+	at, asked time.Time
+}
+
+// ownWallet is the child that stands for the wallet of the node.
+const ownWallet = ""
+
+// setUnmet replaces the demand of a child that was not met.
+func (sh *shelf) setUnmet(now time.Time, child string, n uint32) {
+	i := slices.IndexFunc(sh.unmet, func(un unmet) bool { return un.child == child })
+	switch {
+	case i >= 0 && n == 0:
+		sh.unmet = slices.Delete(sh.unmet, i, i+1)
+	case i >= 0:
+		sh.unmet[i].n, sh.unmet[i].at = n, now
+	case n > 0 && len(sh.unmet) < maxUnmet:
+		sh.unmet = append(sh.unmet, unmet{child: child, n: n, at: now})
+	}
+}
+
+// dropOld drops the demands that no child repeated.
+func (sh *shelf) dropOld(now time.Time) {
+	sh.unmet = slices.DeleteFunc(sh.unmet, func(un unmet) bool { return now.Sub(un.at) >= repeatTime })
+}
+
+// due reports whether the parent should be asked for a demand: it was not, or so long ago that
+// the answer must have been lost or used by others.
+func (un *unmet) due(now time.Time) bool { return un.asked.IsZero() || now.Sub(un.asked) >= queryInterval }
+
 // reserve counts the requests that a reserve let start, by slots of time.
 type reserve struct {
 	counts [reserveSlots + 1]uint32
@@ -133,7 +173,7 @@
 
 // Grant transfers tokens for the demands of a child and appends the answers to out. The child
 // must get each answer at most once.
-func (st *Stock) Grant(now time.Time, demands []Demand, out []Grant) []Grant {
+func (st *Stock) Grant(now time.Time, child string, demands []Demand, out []Grant) []Grant {
 	for _, de := range demands {
 		sh := st.shelf(now, de.Customer)
 		if sh == nil {
@@ -145,33 +185,15 @@
 		for _, gr := range out[had:] {
 			granted += gr.Requests
 		}
-		sh.granted.add(now, float64(granted))
-		// While the cap is reached, demands are not kept, as children repeat them.
-		if !now.Before(sh.retryAt) && !sh.isUncapped(now, st.bo.Lifetime()) {
-			sh.unmet += de.Requests - granted
+		if child != ownWallet {
+			sh.granted.add(now, float64(granted))
 		}
-		if sh.unmet > 0 || sh.lots.held() <= sh.granted.target(now)/2 {
-			st.want(sh)
+		left := de.Requests - granted
+		if now.Before(sh.retryAt) || sh.isUncapped(now, st.bo.Lifetime()) {
+			left = 0 // children ask again later, if their requests still wait
 		}
-	}
-	return out
-}
-
-// GrantOwn transfers tokens for the demands of the wallet of the node and appends the answers to
-// out.
-func (st *Stock) GrantOwn(now time.Time, demands []Demand, out []Grant) []Grant {
-	for _, de := range demands {
-		sh := st.shelf(now, de.Customer)
-		if sh == nil {
-			continue
-		}
-		had := len(out)
-		out = st.grant(now, sh, de, out)
-		sh.own = de.Requests
-		for _, gr := range out[had:] {
-			sh.own -= gr.Requests
-		}
-		if sh.own > 0 {
+		sh.setUnmet(now, child, left)
+		if left > 0 || child != ownWallet && sh.lots.held() <= sh.granted.target(now)/2 {
 			st.want(sh)
 		}
 	}
@@ -250,7 +272,12 @@
 
 // need returns the number of tokens that a shelf lacks.
 func (st *Stock) need(now time.Time, sh *shelf) uint32 {
-	want, held := sh.unmet+sh.own+sh.granted.target(now), sh.lots.held()
+	want, held := sh.granted.target(now), sh.lots.held()
+	for i := range sh.unmet {
+		if un := &sh.unmet[i]; un.due(now) {
+			want += un.n
+		}
+	}
 	return want - min(want, held)
 }
 
@@ -259,16 +286,22 @@
 	if st.unanswered.IsZero() {
 		st.unanswered = now
 	}
+	kept := st.wanting[:0]
 	for _, sh := range st.wanting {
 		sh.lots.expire(now.Add(-st.bo.Lifetime()))
+		sh.dropOld(now)
 		if need := st.need(now, sh); need > 0 && !now.Before(sh.retryAt) {
 			out = append(out, Demand{Customer: sh.customer, Requests: need, Rate: sh.granted.perSecond(now)})
+			for i := range sh.unmet {
+				sh.unmet[i].asked = now
+			}
+		}
+		if sh.wanting = len(sh.unmet) > 0; sh.wanting {
+			kept = append(kept, sh)
 		}
-		// Children ask again for what is not met, also if the query or its answer is lost.
-		sh.unmet, sh.own, sh.wanting = 0, 0, false
 	}
-	clear(st.wanting)
-	st.wanting = st.wanting[:0]
+	clear(st.wanting[len(kept):])
+	st.wanting = kept
 	st.sweep(now)
 	return out
 }
@@ -305,9 +338,16 @@
 		if gr.Requests > 0 {
 			sh.nextAt, sh.retryAt = time.Time{}, time.Time{}
 		}
-		if gr.RetryAfter > 0 {
+		switch {
+		case gr.RetryAfter > 0:
 			sh.nextAt = now.Add(gr.RetryAfter)
 			sh.retryAt = now.Add(min(gr.RetryAfter, maxRetryWait)).Add(retryInterval - 2*time.Millisecond).Truncate(retryInterval)
+			sh.unmet = sh.unmet[:0]
+		case gr.Requests == 0 && !gr.Uncapped:
+			// The parent has none yet, and asks for them.
+			for i := range sh.unmet {
+				sh.unmet[i].asked = time.Time{}
+			}
 		}
 	}
 	return true
--- a/internal/fleet/allowances/allowances.go
+++ b/internal/fleet/allowances/allowances.go
@@ -23,14 +23,12 @@
 )
 
 const (
-	// minAskInterval is the least time between two queries that are sent for waiting requests.
-	minAskInterval = 5 * time.Millisecond
-	// shortWait and longWait are the times after which a waiting request asks again: the first
-	// fewShortWaits times after shortWait, as the nodes on the way to the leader each may have
-	// to ask first.
-	shortWait     = 5 * time.Millisecond
+	// shortWait and longWait are the times after which a waiting request looks for tokens again:
+	// the first fewShortWaits times after shortWait, as the nodes on the way to the leader each may
+	// have to ask first.
+	shortWait     = 2 * time.Millisecond
 	longWait      = 10 * time.Millisecond
-	fewShortWaits = 2
+	fewShortWaits = 5
 	// maxNextWait bounds the part of a Retry-After until the leader has tokens again, and
 	// maxSpread that over which the callers of refused requests are spread. minSpread keeps
 	// callers apart that were refused at the same time.
@@ -71,9 +69,9 @@
 	// for tokens.
 	waiting int
 	changed chan struct{}
-	// lastAsk is the time of the latest query, and asking is true while a query is due.
-	lastAsk time.Time
-	asking  bool
+	// pace bounds the queries for waiting requests, and asking is true while one is due.
+	pace   allowance.Pace
+	asking bool
 	usage   usage
 
 	demands []allowance.Demand
@@ -199,24 +197,18 @@
 	}
 }
 
-// mayAsk reports whether the parent may be queried now, and notes the query. If one was sent
-// just before, it arranges for another one when the interval has passed.
+// mayAsk reports whether the parent may be queried now. If it was queried just before, another
+// query is arranged for the time when it may be.
 func (al *Allowances) mayAsk(now time.Time) bool {
 	if al.asking {
 		return false
 	}
-	wait := al.lastAsk.Add(minAskInterval).Sub(now)
-	if wait <= 0 {
-		al.lastAsk = now
+	wait := al.pace.Next(now)
+	al.asking = true
+	if wait == 0 {
 		return true
 	}
-	al.asking = true
-	time.AfterFunc(wait, func() {
-		al.mu.Lock()
-		al.asking, al.lastAsk = false, al.opt.Now()
-		al.mu.Unlock()
-		al.opt.AskNow()
-	})
+	time.AfterFunc(wait, al.opt.AskNow)
 	return false
 }
 
@@ -245,7 +237,8 @@
 	defer al.mu.Unlock()
 	al.node.Stock.SetRoot(now, root)
 	al.usage.logCeased(now)
-	al.lastAsk = now
+	al.pace.Sent(now)
+	al.asking = false
 	al.demands = al.node.Demands(now, al.demands[:0])
 	if len(al.demands) == 0 {
 		return nil
@@ -261,9 +254,10 @@
 
 // Receive takes the allowances of the answer to the query that was sent at asked. Each query needs
 // a time of its own, which must not be later than the query: it tells answers that arrive twice.
+// Receive must be called for each answer, also for one without allowances: a root whose queries
+// stay unanswered uses its reserve.
 func (al *Allowances) Receive(asked, now time.Time, list []*schema.CustomerAllowance) {
 	al.mu.Lock()
-	defer al.mu.Unlock()
 	al.grants = al.grants[:0]
 	for _, ca := range list {
 		al.grants = append(al.grants, allowance.Grant{
@@ -271,13 +265,18 @@
 			RetryAfter: microseconds(ca.GetRetryAfterUs()), Uncapped: ca.GetUncapped(),
 		})
 	}
-	al.node.Receive(asked, now, al.grants)
+	ask := al.node.Receive(asked, now, al.grants)
 	al.wake()
+	askNow := ask && al.mayAsk(now)
+	al.mu.Unlock()
+	if askNow {
+		al.opt.AskNow()
+	}
 }
 
 // Grant answers the demands of a child. If they are not met, the node queries its own parent, and
 // the child asks again. The child must get the answer at most once.
-func (al *Allowances) Grant(now time.Time, _ string, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
+func (al *Allowances) Grant(now time.Time, child string, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
 	if len(list) == 0 {
 		return nil
 	}
@@ -285,7 +284,7 @@
 	al.mu.Lock()
 	al.node.Stock.SetRoot(now, root)
 	al.demands = readDemands(al.demands[:0], list)
-	grants, ask := al.node.Grant(now, al.demands, al.grants[:0])
+	grants, ask := al.node.Grant(now, child, al.demands, al.grants[:0])
 	al.grants = grants
 	answer := writeGrants(grants)
 	askNow := ask && al.mayAsk(now)
