--- a/internal/customers/allowance/stock.go
+++ b/internal/customers/allowance/stock.go
@@ -108,7 +108,9 @@
 
 // due reports whether the parent should be asked for a demand: it was not, or so long ago that
 // the answer must have been lost or used by others.
-func (un *unmet) due(now time.Time) bool { return un.asked.IsZero() || now.Sub(un.asked) >= queryInterval }
+func (un *unmet) due(now time.Time) bool {
+	return un.asked.IsZero() || now.Sub(un.asked) >= queryInterval
+}
 
 // reserve counts the requests that a reserve let start, by slots of time.
 type reserve struct {
@@ -260,21 +262,22 @@
 	}
 }
 
-// Wants reports whether the parent should be queried now.
-func (st *Stock) Wants(now time.Time) bool {
+// Wants reports whether the parent should be queried now. Unmet demands of the wallet count only if
+// own is true: its waiting requests decide when to ask again.
+func (st *Stock) Wants(now time.Time, own bool) bool {
 	for _, sh := range st.wanting {
-		if st.need(now, sh) > 0 && !now.Before(sh.retryAt) {
+		if st.need(now, sh, own) > 0 && !now.Before(sh.retryAt) {
 			return true
 		}
 	}
 	return false
 }
 
-// need returns the number of tokens that a shelf lacks.
-func (st *Stock) need(now time.Time, sh *shelf) uint32 {
+// need returns the number of tokens that a shelf lacks, for the wallet only if own is true.
+func (st *Stock) need(now time.Time, sh *shelf, own bool) uint32 {
 	want, held := sh.granted.target(now), sh.lots.held()
 	for i := range sh.unmet {
-		if un := &sh.unmet[i]; un.due(now) {
+		if un := &sh.unmet[i]; un.due(now) && (own || un.child != ownWallet) {
 			want += un.n
 		}
 	}
@@ -290,7 +293,7 @@
 	for _, sh := range st.wanting {
 		sh.lots.expire(now.Add(-st.bo.Lifetime()))
 		sh.dropOld(now)
-		if need := st.need(now, sh); need > 0 && !now.Before(sh.retryAt) {
+		if need := st.need(now, sh, true); need > 0 && !now.Before(sh.retryAt) {
 			out = append(out, Demand{Customer: sh.customer, Requests: need, Rate: sh.granted.perSecond(now)})
 			for i := range sh.unmet {
 				sh.unmet[i].asked = now
--- a/internal/fleet/allowances/allowances.go
+++ b/internal/fleet/allowances/allowances.go
@@ -23,12 +23,10 @@
 )
 
 const (
-	// shortWait and longWait are the times after which a waiting request looks for tokens again:
-	// the first fewShortWaits times after shortWait, as the nodes on the way to the leader each may
-	// have to ask first.
-	shortWait     = 2 * time.Millisecond
-	longWait      = 10 * time.Millisecond
-	fewShortWaits = 5
+	// maxDemand bounds the number of requests in a demand.
+	maxDemand = 1 << 20
+	// unknownChild stands for the name of a child that does not tell it.
+	unknownChild = "(unknown)"
 	// maxNextWait bounds the part of a Retry-After until the leader has tokens again, and
 	// maxSpread that over which the callers of refused requests are spread. minSpread keeps
 	// callers apart that were refused at the same time.
@@ -45,8 +43,8 @@
 	AskNow func()
 	// IsRoot reports whether the node is the root of its failure domain. It must be true on at
 	// most one node of a failure domain, except for some seconds after a change: a node that
-	// sees less than half of its failure domain is not the root. It must not block, nor call
-	// methods of Allowances.
+	// sees less than half of its failure domain is not the root. It is called for each query,
+	// and must not block, nor call methods of Allowances.
 	IsRoot  func() bool
 	Metrics *metrics.Set
 	Log     log.Interface
@@ -72,7 +70,7 @@
 	// pace bounds the queries for waiting requests, and asking is true while one is due.
 	pace   allowance.Pace
 	asking bool
-	usage   usage
+	usage  usage
 
 	demands []allowance.Demand
 	grants  []allowance.Grant
@@ -131,21 +129,18 @@
 	if ok {
 		return entry.Allowance{Allowed: true, Issued: issued}
 	}
-	return al.waitForToken(ctx, cu.Name, now.Add(wait))
+	return al.waitForToken(ctx, cu.Name, now, wait)
 }
 
-// waitForToken waits until a time for a token of a request that was counted as a waiting one.
-func (al *Allowances) waitForToken(ctx context.Context, name call.Customer, until time.Time) entry.Allowance {
+// waitForToken waits for a token of a request that came at begun and was counted as a waiting one.
+func (al *Allowances) waitForToken(ctx context.Context, name call.Customer, begun time.Time, wait time.Duration) entry.Allowance {
+	until := begun.Add(wait)
 	for tries := 0; ; tries++ {
 		answer, changed, ended := al.retake(ctx, name, until, tries > 0)
 		if ended {
 			return answer
 		}
-		interval := longWait
-		if tries < fewShortWaits {
-			interval = shortWait
-		}
-		timer := time.NewTimer(max(0, min(interval, until.Sub(al.opt.Now()))))
+		timer := time.NewTimer(max(0, min(allowance.AskAgain(wait, tries), until.Sub(al.opt.Now()))))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -193,7 +188,7 @@
 	spread := max(minSpread, wa.Backlog(now, name, maxSpread))
 	held, age := wa.Held(now, name)
 	return entry.Allowance{
-		RetryAfter: next + time.Duration(al.rng.Float64()*float64(spread)), Held: held, Age: age,
+		RetryAfter: next + minSpread/2 + time.Duration(al.rng.Float64()*float64(spread)), Held: held, Age: age,
 	}
 }
 
@@ -280,9 +275,10 @@
 	if len(list) == 0 {
 		return nil
 	}
-	root := al.opt.IsRoot()
+	if child == "" {
+		child = unknownChild
+	}
 	al.mu.Lock()
-	al.node.Stock.SetRoot(now, root)
 	al.demands = readDemands(al.demands[:0], list)
 	grants, ask := al.node.Grant(now, child, al.demands, al.grants[:0])
 	al.grants = grants
@@ -299,7 +295,7 @@
 func readDemands(out []allowance.Demand, list []*schema.CustomerDemand) []allowance.Demand {
 	for _, cd := range list {
 		out = append(out, allowance.Demand{
-			Customer: call.Customer(cd.GetCustomer()), Requests: cd.GetRequests(), Rate: float64(cd.GetRateThousandths()) / 1000,
+			Customer: call.Customer(cd.GetCustomer()), Requests: min(cd.GetRequests(), maxDemand), Rate: float64(cd.GetRateThousandths()) / 1000,
 		})
 	}
 	return out
