--- a/internal/customers/allowance/fleet_test.go
+++ b/internal/customers/allowance/fleet_test.go
@@ -17,7 +17,7 @@
 
 // mechanisms that a test can switch off, to show that it needs them.
 type mechanisms struct {
-	noAge, fullBucket, copied, answeredTwice, noHoldOff bool
+	noAge, fullBucket, copied, answeredTwice, noHoldOff, unconfirmed bool
 }
 
 // fleet simulates control replicas and the nodes of some failure domains in virtual time.
@@ -49,6 +49,8 @@
 	// offered is the number of requests, and queries that of queries to parents.
 	offered map[call.Customer]int
 	queries int
+	// measure, if set, is called with each query and its answer.
+	measure func(root bool, demands []Demand, grants []Grant)
 }
 
 type pastCap struct {
@@ -65,12 +67,12 @@
 }
 
 type simNode struct {
-	fl     *fleet
-	dom    *domain
-	name   string
-	nd     *Node
-	caps   map[call.Customer]Cap
-	domain int
+	fl    *fleet
+	dom   *domain
+	name  string
+	nd    *Node
+	caps  map[call.Customer]Cap
+	index int
 	// life counts the processes on the VM. alive is false while none runs.
 	life  int
 	alive bool
@@ -80,7 +82,7 @@
 	suspended time.Time
 	// root is true while the node takes itself for the root, which lags behind.
 	root    bool
-	lastAsk time.Time
+	pace    Pace
 	asking  bool
 	waiting []*simRequest
 }
@@ -112,7 +114,7 @@
 		dom := new(domain)
 		fl.domains = append(fl.domains, dom)
 		for n := range nodes {
-			sn := &simNode{fl: fl, dom: dom, name: fmt.Sprint(d, "-", n), domain: d, caps: caps}
+			sn := &simNode{fl: fl, dom: dom, name: fmt.Sprint(d, "-", n), index: n, caps: caps}
 			dom.nodes = append(dom.nodes, sn)
 			sn.boot()
 		}
@@ -175,18 +177,21 @@
 func (sn *simNode) setRoot() {
 	sn.nd.Stock.SetRoot(sn.fl.sc.Now(), sn.root)
 	if sn.fl.off.noHoldOff {
-		sn.nd.Stock.rootSince = epoch
+		sn.nd.Stock.rootSince, sn.nd.Stock.confirmed = epoch, true
+	}
+	if sn.fl.off.unconfirmed {
+		sn.nd.Stock.confirmed = true
 	}
 }
 
-// updateRoots tells nodes whether they are the root: the first node that is present. Nodes learn
-// it up to 3 s late.
+// updateRoots tells nodes whether they are the root: the first node that is present, and each node
+// that reaches nobody. Nodes learn it up to 3 s late.
 func (fl *fleet) updateRoots() {
 	for _, dom := range fl.domains {
 		first := true
 		for _, sn := range dom.nodes {
 			present := sn.alive && !sn.isolated && !fl.sc.Now().Before(sn.suspended)
-			root := present && first
+			root := present && first || sn.isolated
 			first = first && !present
 			if root == sn.root {
 				continue
@@ -203,6 +208,13 @@
 
 // parent returns the parent of a node, or nil for the control replicas.
 func (sn *simNode) parent() *simNode {
+	if sn.fl.measure != nil {
+		// No node fails, and a search through all of them would take most of the time.
+		if sn.index == 0 {
+			return nil
+		}
+		return sn.dom.nodes[(sn.index-1)/sn.fl.fanOut]
+	}
 	var present []*simNode
 	at := -1
 	for _, other := range sn.dom.nodes {
@@ -226,7 +238,7 @@
 	}
 	sn.asking = true
 	life := sn.life
-	wait := max(0, sn.lastAsk.Add(5*time.Millisecond).Sub(sn.fl.sc.Now()))
+	wait := sn.pace.Next(sn.fl.sc.Now())
 	sn.fl.sc.After(wait, func() {
 		if sn.life == life {
 			sn.run(func() {
@@ -242,9 +254,13 @@
 	fl := sn.fl
 	fl.queries++
 	asked, life := fl.sc.Now(), sn.life
-	sn.lastAsk = asked
+	sn.pace.Sent(asked)
 	demands := sn.nd.Demands(asked, nil)
+	parent := sn.parent()
 	answer := func(grants []Grant) {
+		if fl.measure != nil {
+			fl.measure(parent == nil, demands, grants)
+		}
 		fl.send(sn, nil, func() {
 			fl.sc.After(max(0, sn.dom.stalled.Sub(fl.sc.Now())), func() {
 				if sn.life == life && sn.alive {
@@ -253,14 +269,13 @@
 			})
 		})
 	}
-	parent := sn.parent()
 	if parent == nil {
 		fl.send(sn, nil, func() { fl.control(demands, answer) })
 		return
 	}
 	fl.send(sn, parent, func() {
 		parent.run(func() {
-			grants, ask := parent.nd.Grant(fl.sc.Now(), demands, nil)
+			grants, ask := parent.nd.Grant(fl.sc.Now(), sn.name, demands, nil)
 			if fl.off.copied {
 				for _, gr := range grants {
 					parent.nd.Stock.shelves[gr.Customer].lots.add(fl.sc.Now().Add(-gr.Age), gr.Requests)
@@ -296,7 +311,9 @@
 	if sn.fl.off.answeredTwice {
 		sn.nd.Stock.asked = [maxAsked]time.Time{}
 	}
-	sn.nd.Receive(asked, now, grants)
+	if sn.nd.Receive(asked, now, grants) {
+		sn.ask()
+	}
 	sn.serveWaiting()
 }
 
@@ -429,22 +446,14 @@
 				fl.refused[name]++
 				return
 			}
-			if sn.nd.Stock.Wants(now) {
+			if sn.nd.Stock.Wants(now, true) {
 				sn.ask()
 			}
 			rq.tries++
-			fl.sc.After(waitInterval(rq.tries), again)
+			fl.sc.After(AskAgain(fl.wait, rq.tries), again)
 		})
 	}
-	fl.sc.After(waitInterval(0), again)
-}
-
-// waitInterval returns the time after which a waiting request is looked at again.
-func waitInterval(tries int) time.Duration {
-	if tries < 2 {
-		return 5 * time.Millisecond
-	}
-	return 10 * time.Millisecond
+	fl.sc.After(AskAgain(fl.wait, 0), again)
 }
 
 // start records a started request. Some turn out not to have run.
--- a/internal/fleet/allowances/allowances.go
+++ b/internal/fleet/allowances/allowances.go
@@ -23,14 +23,10 @@
 )
 
 const (
-	// minAskInterval is the least time between two queries that are sent for waiting requests.
-	minAskInterval = 5 * time.Millisecond
-	// shortWait and longWait are the times after which a waiting request asks again: the first
-	// fewShortWaits times after shortWait, as the nodes on the way to the leader each may have
-	// to ask first.
-	shortWait     = 5 * time.Millisecond
-	longWait      = 10 * time.Millisecond
-	fewShortWaits = 2
+	// maxDemand bounds the number of requests in a demand.
+	maxDemand = 1 << 20
+	// unknownChild stands for the name of a child that does not tell it.
+	unknownChild = "(unknown)"
 	// maxNextWait bounds the part of a Retry-After until the leader has tokens again, and
 	// maxSpread that over which the callers of refused requests are spread. minSpread keeps
 	// callers apart that were refused at the same time.
@@ -47,8 +43,8 @@
 	AskNow func()
 	// IsRoot reports whether the node is the root of its failure domain. It must be true on at
 	// most one node of a failure domain, except for some seconds after a change: a node that
-	// sees less than half of its failure domain is not the root. It must not block, nor call
-	// methods of Allowances.
+	// sees less than half of its failure domain is not the root. It is called for each query,
+	// and must not block, nor call methods of Allowances.
 	IsRoot  func() bool
 	Metrics *metrics.Set
 	Log     log.Interface
@@ -71,10 +67,10 @@
 	// for tokens.
 	waiting int
 	changed chan struct{}
-	// lastAsk is the time of the latest query, and asking is true while a query is due.
-	lastAsk time.Time
-	asking  bool
-	usage   usage
+	// pace bounds the queries for waiting requests, and asking is true while one is due.
+	pace   allowance.Pace
+	asking bool
+	usage  usage
 
 	demands []allowance.Demand
 	grants  []allowance.Grant
@@ -133,21 +129,18 @@
 	if ok {
 		return entry.Allowance{Allowed: true, Issued: issued}
 	}
-	return al.waitForToken(ctx, cu.Name, now.Add(wait))
+	return al.waitForToken(ctx, cu.Name, now, wait)
 }
 
-// waitForToken waits until a time for a token of a request that was counted as a waiting one.
-func (al *Allowances) waitForToken(ctx context.Context, name call.Customer, until time.Time) entry.Allowance {
+// waitForToken waits for a token of a request that came at begun and was counted as a waiting one.
+func (al *Allowances) waitForToken(ctx context.Context, name call.Customer, begun time.Time, wait time.Duration) entry.Allowance {
+	until := begun.Add(wait)
 	for tries := 0; ; tries++ {
 		answer, changed, ended := al.retake(ctx, name, until, tries > 0)
 		if ended {
 			return answer
 		}
-		interval := longWait
-		if tries < fewShortWaits {
-			interval = shortWait
-		}
-		timer := time.NewTimer(max(0, min(interval, until.Sub(al.opt.Now()))))
+		timer := time.NewTimer(max(0, min(allowance.AskAgain(wait, tries), until.Sub(al.opt.Now()))))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -195,28 +188,22 @@
 	spread := max(minSpread, wa.Backlog(now, name, maxSpread))
 	held, age := wa.Held(now, name)
 	return entry.Allowance{
-		RetryAfter: next + time.Duration(al.rng.Float64()*float64(spread)), Held: held, Age: age,
+		RetryAfter: next + minSpread/2 + time.Duration(al.rng.Float64()*float64(spread)), Held: held, Age: age,
 	}
 }
 
-// mayAsk reports whether the parent may be queried now, and notes the query. If one was sent
-// just before, it arranges for another one when the interval has passed.
+// mayAsk reports whether the parent may be queried now. If it was queried just before, another
+// query is arranged for the time when it may be.
 func (al *Allowances) mayAsk(now time.Time) bool {
 	if al.asking {
 		return false
 	}
-	wait := al.lastAsk.Add(minAskInterval).Sub(now)
-	if wait <= 0 {
-		al.lastAsk = now
+	wait := al.pace.Next(now)
+	al.asking = true
+	if wait == 0 {
 		return true
 	}
-	al.asking = true
-	time.AfterFunc(wait, func() {
-		al.mu.Lock()
-		al.asking, al.lastAsk = false, al.opt.Now()
-		al.mu.Unlock()
-		al.opt.AskNow()
-	})
+	time.AfterFunc(wait, al.opt.AskNow)
 	return false
 }
 
@@ -245,7 +232,8 @@
 	defer al.mu.Unlock()
 	al.node.Stock.SetRoot(now, root)
 	al.usage.logCeased(now)
-	al.lastAsk = now
+	al.pace.Sent(now)
+	al.asking = false
 	al.demands = al.node.Demands(now, al.demands[:0])
 	if len(al.demands) == 0 {
 		return nil
@@ -261,9 +249,10 @@
 
 // Receive takes the allowances of the answer to the query that was sent at asked. Each query needs
 // a time of its own, which must not be later than the query: it tells answers that arrive twice.
+// Receive must be called for each answer, also for one without allowances: a root whose queries
+// stay unanswered uses its reserve.
 func (al *Allowances) Receive(asked, now time.Time, list []*schema.CustomerAllowance) {
 	al.mu.Lock()
-	defer al.mu.Unlock()
 	al.grants = al.grants[:0]
 	for _, ca := range list {
 		al.grants = append(al.grants, allowance.Grant{
@@ -271,21 +260,27 @@
 			RetryAfter: microseconds(ca.GetRetryAfterUs()), Uncapped: ca.GetUncapped(),
 		})
 	}
-	al.node.Receive(asked, now, al.grants)
+	ask := al.node.Receive(asked, now, al.grants)
 	al.wake()
+	askNow := ask && al.mayAsk(now)
+	al.mu.Unlock()
+	if askNow {
+		al.opt.AskNow()
+	}
 }
 
 // Grant answers the demands of a child. If they are not met, the node queries its own parent, and
 // the child asks again. The child must get the answer at most once.
-func (al *Allowances) Grant(now time.Time, _ string, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
+func (al *Allowances) Grant(now time.Time, child string, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
 	if len(list) == 0 {
 		return nil
 	}
-	root := al.opt.IsRoot()
+	if child == "" {
+		child = unknownChild
+	}
 	al.mu.Lock()
-	al.node.Stock.SetRoot(now, root)
 	al.demands = readDemands(al.demands[:0], list)
-	grants, ask := al.node.Grant(now, al.demands, al.grants[:0])
+	grants, ask := al.node.Grant(now, child, al.demands, al.grants[:0])
 	al.grants = grants
 	answer := writeGrants(grants)
 	askNow := ask && al.mayAsk(now)
@@ -300,7 +295,7 @@
 func readDemands(out []allowance.Demand, list []*schema.CustomerDemand) []allowance.Demand {
 	for _, cd := range list {
 		out = append(out, allowance.Demand{
-			Customer: call.Customer(cd.GetCustomer()), Requests: cd.GetRequests(), Rate: float64(cd.GetRateThousandths()) / 1000,
+			Customer: call.Customer(cd.GetCustomer()), Requests: min(cd.GetRequests(), maxDemand), Rate: float64(cd.GetRateThousandths()) / 1000,
 		})
 	}
 	return out
