link: large frames go in pieces

Cause: a link sends one frame after the other. A body of 360 kB takes 15 ms at 200 Mbit/s, and what the socket buffer takes, up to some megabytes, is ahead of a small frame too.

Change: frames of more than 16 KiB are sent in pieces, one large frame after the other, and smaller ones go between the pieces. The cancellation of a queued attempt stays behind it. The socket holds at most 32 KiB that it has not sent (TCP_NOTSENT_LOWAT), until Shutdown, which hands over what is queued as before. A header of the upgrade says that a node reads pieces; others get whole frames.

Conclusion: small frames arrive before a large one that has begun; large ones arrive whole and in their order; nothing of one that breaks off is delivered.

--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -1,6 +1,7 @@
 // Package link exchanges frames between two nodes. Many attempts and their answers share
 // one TCP connection. On the wire, a frame is its length as a 4-byte big-endian integer and
-// then a protobuf message. The connection starts as an HTTP/1.1 upgrade (RFC 9110, section
+// then a protobuf message. Between nodes that both support it, large frames are sent in pieces,
+// and smaller ones go between them (see pieces.go). The connection starts as an HTTP/1.1 upgrade (RFC 9110, section
 // 7.8), so that it needs no port of its own.
 package link
 
@@ -86,6 +87,10 @@
 	writeStarted atomic.Bool
 	// headerBlocks is true when the peer can read headers as blocks.
 	headerBlocks atomic.Bool
+	// pieces says whether the peer can read frames in pieces. partial holds the pieces of a frame
+	// that have been received.
+	pieces  atomic.Int32
+	partial []byte
 	// ready is closed when nc is set or the link has failed.
 	ready chan struct{}
 	// wake receives a value when unsent or shuttingDown changed.
@@ -101,6 +106,8 @@
 	// next ones.
 	unsent []byte
 	spare  []byte
+	// large holds the queued frames that are sent in pieces.
+	large  largeQueue
 	closed bool
 	// shuttingDown is true when the link closes as soon as unsent is empty.
 	shuttingDown bool
@@ -143,7 +150,7 @@
 func (lk *Link) upgrade(nc net.Conn, address string) error {
 	_ = nc.SetDeadline(time.Now().Add(upgradeTimeout))
 	_, err := io.WriteString(nc, "GET "+Path+" HTTP/1.1\r\nHost: "+address+"\r\nConnection: Upgrade\r\nUpgrade: "+protocol+
-		"\r\n"+framesHeader+": "+headerBlocksToken+"\r\n\r\n")
+		"\r\n"+framesHeader+": "+headerBlocksToken+"\r\n"+piecesHeader+": "+piecesToken+"\r\n\r\n")
 	heads := buffer.NewHeadReader(nc, ErrMalformed)
 	heads.BeginHead(maxUpgradeHeadBytes, nil)
 	lk.br = bufio.NewReaderSize(heads, readBufferBytes)
@@ -160,6 +167,7 @@
 	}
 	heads.EndHead()
 	lk.headerBlocks.Store(res.Header.Get(framesHeader) == headerBlocksToken)
+	lk.setPieces(res.Header)
 	return nc.SetDeadline(time.Time{})
 }
 
@@ -178,9 +186,10 @@
 	}
 	lk := newLink()
 	lk.headerBlocks.Store(r.Header.Get(framesHeader) == headerBlocksToken)
+	lk.setPieces(r.Header)
 	lk.br = bufio.NewReaderSize(io.MultiReader(bufferedInput(rw.Reader), nc), readBufferBytes)
 	lk.unsent = append(lk.unsent, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+
-		"\r\n"+framesHeader+": "+headerBlocksToken+"\r\n\r\n"...)
+		"\r\n"+framesHeader+": "+headerBlocksToken+"\r\n"+piecesHeader+": "+piecesToken+"\r\n\r\n"...)
 	lk.wake <- struct{}{}
 	go lk.writeLoop(nc)
 	<-lk.ready
@@ -198,6 +207,9 @@
 	defer close(lk.writerDone)
 	lk.mu.Lock()
 	lk.nc = nc
+	if !lk.shuttingDown {
+		limitUnsent(nc, maxUnsentBytes)
+	}
 	closed := lk.closed
 	lk.mu.Unlock()
 	close(lk.ready)
@@ -217,8 +229,8 @@
 	}
 }
 
-// flush writes the queued frames. Frames of several senders share one write. It returns
-// false when the link is closed or, during Shutdown, when all frames are written.
+// flush writes the queued frames. Frames of several senders share one write, with at most one
+// piece of a large frame. It returns false when the link is closed or, during Shutdown, when all frames are written.
 func (lk *Link) flush() bool {
 	for {
 		lk.mu.Lock()
@@ -226,8 +238,8 @@
 			lk.mu.Unlock()
 			return false
 		}
-		unsent := lk.unsent
-		if len(unsent) == 0 {
+		unsent, piece := lk.unsent, lk.large.nextPiece(lk.pieces.Load() == piecesUnsupported)
+		if len(unsent) == 0 && piece.empty() {
 			shuttingDown := lk.shuttingDown
 			lk.mu.Unlock()
 			if shuttingDown {
@@ -238,7 +250,7 @@
 		lk.unsent, lk.spare = lk.spare[:0], nil
 		lk.writeStarted.Store(true)
 		lk.mu.Unlock()
-		if _, err := lk.nc.Write(unsent); err != nil {
+		if err := piece.write(lk.nc, unsent); err != nil {
 			lk.Close()
 			return false
 		}
@@ -266,21 +278,30 @@
 	switch {
 	case lk.closed || lk.shuttingDown:
 		return ErrClosed
-	case len(lk.unsent) > maxQueuedBytes:
+	case len(lk.unsent)+lk.large.bytes > maxQueuedBytes:
 		return ErrFull
 	}
-	at, length := len(lk.unsent), fr.SizeVT()
+	length := fr.SizeVT()
+	if lk.goesInPieces(fr, length) {
+		return lk.sendLarge(fr, length)
+	}
+	at := len(lk.unsent)
 	unsent := binary.BigEndian.AppendUint32(slices.Grow(lk.unsent, length+lengthPrefixBytes), uint32(length))
 	unsent = unsent[:at+lengthPrefixBytes+length]
 	if _, err := fr.MarshalToSizedBufferVT(unsent[at+lengthPrefixBytes:]); err != nil {
 		return errors.Wrap(err, "link")
 	}
 	lk.unsent = unsent
+	lk.wakeWriter()
+	return nil
+}
+
+// wakeWriter makes the writer look at the send queue.
+func (lk *Link) wakeWriter() {
 	select {
 	case lk.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // Receive returns the next frame. It returns ErrIdle if no frame starts for about the given
@@ -294,35 +315,48 @@
 	if nc == nil {
 		return nil, ErrClosed
 	}
-	if now := time.Now(); now.Sub(lk.deadlineSet) > idle/deadlineRenewals {
-		lk.deadlineSet = now
-		_ = nc.SetReadDeadline(now.Add(idle))
-	}
-	if _, err := lk.br.Peek(1); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			lk.deadlineSet = time.Time{}
-			return nil, ErrIdle
+	for {
+		if now := time.Now(); now.Sub(lk.deadlineSet) > idle/deadlineRenewals {
+			lk.deadlineSet = now
+			_ = nc.SetReadDeadline(now.Add(idle))
+		}
+		if _, err := lk.br.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				lk.deadlineSet = time.Time{}
+				return nil, ErrIdle
+			}
+			return nil, errors.Wrap(ErrClosed, err.Error())
+		}
+		if fr, err := lk.readFrame(); fr != nil || err != nil {
+			return fr, err
 		}
-		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	return lk.readFrame()
 }
 
-// readFrame reads one frame. It waits until the whole frame has arrived.
+// readFrame reads one frame, and waits until the whole frame has arrived. It returns nil after a
+// piece of a frame that is not the last one.
 func (lk *Link) readFrame() (*schema.Frame, error) {
 	prefix, err := lk.br.Peek(lengthPrefixBytes)
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	length := int(binary.BigEndian.Uint32(prefix))
+	length := binary.BigEndian.Uint32(prefix)
 	_, _ = lk.br.Discard(lengthPrefixBytes)
+	if length&pieceFlag != 0 {
+		return lk.readPiece(length)
+	}
 	if length > maxFrameBytes {
 		return nil, errors.Wrapf(ErrMalformed, "%d bytes", length)
 	}
-	data, err := lk.readBytes(length)
+	data, err := lk.readBytes(int(length))
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
+	return decode(data)
+}
+
+// decode returns the frame that the data hold.
+func decode(data []byte) (*schema.Frame, error) {
 	fr := new(schema.Frame)
 	// The strings and bytes of the frame refer to the data, so that they need no allocations of
 	// their own. The data must therefore not be in the read buffer.
@@ -382,11 +416,12 @@
 func (lk *Link) Shutdown(ctx context.Context) {
 	lk.mu.Lock()
 	lk.shuttingDown = true
-	lk.mu.Unlock()
-	select {
-	case lk.wake <- struct{}{}:
-	default:
+	if lk.nc != nil {
+		// Nothing is left to go before what is queued, so the kernel may take all of it at once.
+		limitUnsent(lk.nc, 0)
 	}
+	lk.mu.Unlock()
+	lk.wakeWriter()
 	select {
 	case <-lk.writerDone:
 	case <-ctx.Done():
