--- a/internal/customers/freshness/network_test.go
+++ b/internal/customers/freshness/network_test.go
@@ -18,6 +18,7 @@
 	// acknowledged[r] is the time at which revision r+1 was acknowledged.
 	acknowledged []time.Time
 	nodes        []*node
+	byName       map[call.VM]*node
 	messages     []message
 	// delay returns the time that a message takes, or false if it is lost. duplicate says whether
 	// it arrives twice.
@@ -43,6 +44,9 @@
 	suspended bool
 	serving   bool
 	revision  uint64
+	// wake is the time of the network at which the node is stepped next, if wakes is true.
+	wake  time.Time
+	wakes bool
 }
 
 // clock returns the time of the node's clock.
@@ -61,13 +65,14 @@
 func newNetwork(seed uint64, n int) *network {
 	nt := &network{
 		rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_000_000, 0), leads: true,
-		cut: func(_, _ call.VM) bool { return false }, nodeQueries: make(map[call.VM]int),
+		cut: func(_, _ call.VM) bool { return false }, nodeQueries: make(map[call.VM]int), byName: make(map[call.VM]*node),
 		delay: func() (time.Duration, bool) { return time.Millisecond, true }, duplicate: func() bool { return false },
 		check: func(*node) {},
 	}
 	nt.accept()
 	for i := range n {
-		nt.nodes = append(nt.nodes, &node{name: call.VM(fmt.Sprintf("vm-%02d", i))})
+		nd := &node{name: call.VM(fmt.Sprintf("vm-%02d", i))}
+		nt.nodes, nt.byName[nd.name] = append(nt.nodes, nd), nd
 	}
 	for _, nd := range nt.nodes {
 		nt.restart(nd, 1)
@@ -99,14 +104,8 @@
 	}
 }
 
-func (nt *network) node(vm call.VM) *node {
-	for _, nd := range nt.nodes {
-		if nd.name == vm {
-			return nd
-		}
-	}
-	return nil
-}
+// node returns the node with a name, or nil for Control.
+func (nt *network) node(vm call.VM) *node { return nt.byName[vm] }
 
 // send sends a message.
 func (nt *network) send(msg message) {
@@ -128,41 +127,50 @@
 // run lets time pass. A suspended node gets its messages after it is resumed.
 func (nt *network) run(length time.Duration) {
 	end := nt.now.Add(length)
+	for _, nd := range nt.nodes {
+		nt.schedule(nd)
+	}
 	for {
-		for _, nd := range nt.nodes {
-			nt.step(nd)
-		}
 		next, earliest := end, -1
+		var due *node
 		for i, msg := range nt.messages {
 			if nd := nt.node(msg.to); (nd == nil || !nd.suspended) && msg.at.Before(next) {
 				next, earliest = msg.at, i
 			}
 		}
 		for _, nd := range nt.nodes {
-			at, ok := nd.machine.Wake(nd.clock(nt))
-			if at = at.Add(-nd.offset); ok && !nd.suspended && at.Before(next) {
-				next, earliest = at, -1
+			if nd.wakes && nd.wake.Before(next) {
+				next, due = nd.wake, nd
 			}
 		}
 		if next.After(nt.now) {
 			nt.now = next
 		}
-		if next.Equal(end) {
-			return
-		}
-		if earliest >= 0 {
+		switch {
+		case due != nil:
+			nt.step(due)
+			nt.schedule(due)
+		case earliest >= 0:
 			msg := nt.messages[earliest]
 			nt.messages = append(nt.messages[:earliest], nt.messages[earliest+1:]...)
 			nt.deliver(msg)
+			if nd := nt.node(msg.to); nd != nil {
+				nt.schedule(nd)
+			}
+		default:
+			return
 		}
 	}
 }
 
+// schedule notes when a node must be stepped next.
+func (nt *network) schedule(nd *node) {
+	at, ok := nd.machine.Wake(nd.clock(nt))
+	nd.wake, nd.wakes = at.Add(-nd.offset), ok && !nd.suspended
+}
+
 // step sends the query of a node that is due.
 func (nt *network) step(nd *node) {
-	if nd.suspended {
-		return
-	}
 	if nd.serving {
 		nd.machine.Used(nd.clock(nt))
 	}
--- a/internal/customers/freshness/script_test.go
+++ b/internal/customers/freshness/script_test.go
@@ -36,7 +36,10 @@
 	td.MaybeScanArgs(t, "time", &length)
 	for _, arg := range td.CmdArgs {
 		if arg.Key == "serving" {
-			defer func() { sc.each(func(nd *node) { nd.serving = true }) }()
+			sc.each(func(nd *node) {
+				nd.serving = true
+				nd.machine.Used(nd.clock(sc.nt))
+			})
 		}
 	}
 	switch td.Cmd {
