--- a/internal/traffic/peer/pool_test.go
+++ b/internal/traffic/peer/pool_test.go
@@ -309,3 +309,35 @@
 	binary.BigEndian.PutUint64(id[8:], uint64(nextID.Add(1)))
 	return id
 }
+
+// Guards against a VM that counts as unreachable for attempts because a link without attempts was
+// replaced after a renewal had no answer, and against one whose attempts end with that link.
+func TestDiscardUnused(t *testing.T) {
+	ts := newTestSetup(t)
+	var suspected atomic.Int64
+	ts.pool.onSuspicion = func(_ call.VM, suspect bool) {
+		if suspect {
+			suspected.Add(1)
+		}
+	}
+	ts.pool.SendRenewal("vm", ts.address, &schema.Renewal{Number: 1})
+	cn := ts.pool.connTo("vm", ts.address)
+	ts.pool.DiscardUnused("vm")
+	if ts.pool.connTo("vm", ts.address) == cn {
+		t.Error("the link is still in use")
+	}
+	ts.pool.DiscardUnused("vm")
+	done := make(chan Result)
+	go func() { done <- ts.send(context.Background(), "/cassa/held", false) }()
+	for ts.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ts.pool.DiscardUnused("vm")
+	close(ts.hold)
+	if rs := <-done; rs.Answer == nil || rs.State != withdrawal.Finished {
+		t.Errorf("result %+v of an attempt on a link that is in use", rs)
+	}
+	if n := suspected.Load(); n != 0 {
+		t.Errorf("the VM was suspected %d times", n)
+	}
+}
