allowance: demands carry no rate, and a query is not taken as one for demands it left out

Cause: a query refreshed the time of all unmet demands, also of those that it did not repeat. The rate in a demand was not used.

Tests: allowances.TestConcurrentUse.

--- a/internal/customers/allowance/allowance.go
+++ b/internal/customers/allowance/allowance.go
@@ -101,8 +101,6 @@
 	// Requests is the number of requests that wait or are expected soon, for which there is no
 	// token.
 	Requests uint32
-	// Rate is the recent number of requests in a second.
-	Rate float64
 }
 
 // Grant transfers tokens of a customer.
--- a/internal/customers/allowance/stock.go
+++ b/internal/customers/allowance/stock.go
@@ -294,9 +294,11 @@
 		sh.lots.expire(now.Add(-st.bo.Lifetime()))
 		sh.dropOld(now)
 		if need := st.need(now, sh, true); need > 0 && !now.Before(sh.retryAt) {
-			out = append(out, Demand{Customer: sh.customer, Requests: need, Rate: sh.granted.perSecond(now)})
+			out = append(out, Demand{Customer: sh.customer, Requests: need})
 			for i := range sh.unmet {
-				sh.unmet[i].asked = now
+				if un := &sh.unmet[i]; un.due(now) {
+					un.asked = now
+				}
 			}
 		}
 		if sh.wanting = len(sh.unmet) > 0; sh.wanting {
--- a/internal/customers/allowance/wallet.go
+++ b/internal/customers/allowance/wallet.go
@@ -173,7 +173,7 @@
 		pu.lots.expire(now.Add(-wa.bo.Lifetime()))
 		want, held := pu.waiting+pu.asked.target(now), pu.lots.held()
 		if want > held {
-			out = append(out, Demand{Customer: pu.customer, Requests: want - held, Rate: pu.asked.perSecond(now)})
+			out = append(out, Demand{Customer: pu.customer, Requests: want - held})
 		}
 		if pu.waiting > 0 {
 			kept = append(kept, pu)
--- a/internal/fleet/allowances/allowances.go
+++ b/internal/fleet/allowances/allowances.go
@@ -240,9 +240,7 @@
 	}
 	list := make([]*schema.CustomerDemand, 0, len(al.demands))
 	for _, de := range al.demands {
-		list = append(list, &schema.CustomerDemand{
-			Customer: string(de.Customer), Requests: de.Requests, RateThousandths: uint64(de.Rate * 1000),
-		})
+		list = append(list, &schema.CustomerDemand{Customer: string(de.Customer), Requests: de.Requests})
 	}
 	return list
 }
@@ -294,9 +292,7 @@
 // readDemands appends the demands of a message to out.
 func readDemands(out []allowance.Demand, list []*schema.CustomerDemand) []allowance.Demand {
 	for _, cd := range list {
-		out = append(out, allowance.Demand{
-			Customer: call.Customer(cd.GetCustomer()), Requests: min(cd.GetRequests(), maxDemand), Rate: float64(cd.GetRateThousandths()) / 1000,
-		})
+		out = append(out, allowance.Demand{Customer: call.Customer(cd.GetCustomer()), Requests: min(cd.GetRequests(), maxDemand)})
 	}
 	return out
 }
--- a/internal/fleet/allowances/allowances_test.go
+++ b/internal/fleet/allowances/allowances_test.go
@@ -65,6 +65,7 @@
 	}
 	var renewals sync.WaitGroup
 	t.Cleanup(renewals.Wait)
+	var asks []chan struct{}
 	for i := range length {
 		ask := make(chan struct{}, 1)
 		al := New(Options{
@@ -78,6 +79,9 @@
 		})
 		al.SetConfiguration(cd)
 		ch.nodes = append(ch.nodes, al)
+		asks = append(asks, ask)
+	}
+	for i, ask := range asks {
 		renewals.Go(func() { ch.renew(t.Context(), i, ask) })
 	}
 	return ch
@@ -332,3 +336,41 @@
 		t.Errorf("last line %q %v", last.Message, last.Fields)
 	}
 }
+
+// Guards against tokens that are spent twice by requests, children and answers at the same time.
+func TestConcurrentUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	al := New(Options{Bounds: usual, IsRoot: func() bool { return false }, Now: func() time.Time { return now }, AskNow: func() {}})
+	cu := &config.Customer{Name: "notary", Rate: 10}
+	const workers, rounds, tokens = 8, 100, 7
+	var spent atomic.Uint64
+	var wg sync.WaitGroup
+	for wk := range workers {
+		wg.Go(func() {
+			for n := range rounds {
+				asked := now.Add(-time.Duration(wk*rounds+n) * time.Microsecond)
+				al.Receive(asked, now, []*schema.CustomerAllowance{{Customer: "notary", Requests: tokens}})
+				for _, ca := range al.Grant(now, "child", []*schema.CustomerDemand{{Customer: "notary", Requests: 2}}) {
+					spent.Add(uint64(ca.GetRequests()))
+				}
+				for range 10 {
+					an := al.Take(t.Context(), cu, 0)
+					switch {
+					case an.Allowed && n%4 == 0:
+						al.Return(cu, an)
+					case an.Allowed:
+						spent.Add(1)
+					}
+				}
+				al.Demands(now)
+			}
+		})
+	}
+	wg.Wait()
+	for al.Take(t.Context(), cu, 0).Allowed {
+		spent.Add(1)
+	}
+	if got := spent.Load(); got == 0 || got > workers*rounds*tokens {
+		t.Errorf("%d spent, want at most %d", got, workers*rounds*tokens)
+	}
+}
