--- a/internal/customers/allowance/use_test.go
+++ b/internal/customers/allowance/use_test.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// Guards against tokens that come too late for requests with a short target, which wait for 12 ms:
+// those of nodes behind two others.
+func TestFewRefusalsWithShortWait(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	fl, list := useFleet(rng)
+	fl.wait = 12 * time.Millisecond
+	for i, cp := range list {
+		fl.offer(customerName(i), rng.ExpFloat64, func(time.Time) float64 { return 0.6 * cp.Rate }, func() *simNode { return fl.anyNode(rng, 0, 1, 2) })
+	}
+	fl.sc.Advance(25 * time.Second)
+	expectFewRefused(t, fl, list, 500)
+}
+
 // Guards against capacity that is lost in the stocks of nodes, or not asked for, while a customer
 // wants more than its cap.
 func TestCapIsSpent(t *testing.T) {
