allowances: a longer pause stands for a new term if the caller tells none

Cause: renewals come every second while no customer sends, so that a pause of 250 ms emptied the buckets of a quiet deployment at each of them.

Change: a pause of 1.5 s stands for a new term; Lead tells terms exactly.

--- a/internal/fleet/allowances/buckets.go
+++ b/internal/fleet/allowances/buckets.go
@@ -9,9 +9,10 @@
 	"camphortrail/schema"
 )
 
-// maxGrantGap is the time without calls of Grant after which the replica may have lost the
-// leadership and got it back, if Lead is never called.
-const maxGrantGap = 250 * time.Millisecond
+// maxGrantGap is the time without calls of Grant after which the replica is taken for a new leader
+// if Lead is never called. It is more than the interval of renewals while no customer sends, and
+// less than two changes of the leader usually take.
+const maxGrantGap = 1500 * time.Millisecond
 
 // Buckets issues tokens on a control replica. Its methods are safe for concurrent use.
 type Buckets struct {
@@ -34,8 +35,8 @@
 
 // Lead tells that the replica leads in a term of the replicated log. It should be called before
 // each Grant with the present term. The buckets of a new term begin empty, as the leader before
-// may just have spent full ones. Without Lead, the buckets are empty after each pause in the calls
-// of Grant, which keeps the caps but loses bursts.
+// may just have spent full ones. Without Lead, a new term is told by a pause in the calls of Grant:
+// a replica that loses its leadership and has it again within maxGrantGap is not found out.
 func (bu *Buckets) Lead(now time.Time, term uint64) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
@@ -44,10 +45,10 @@
 }
 
 // Grant answers the demands of a child with tokens under the caps of the configuration in force.
-// It may only be called while the replica is the leader. The answer must not be sent if the lease
-// has ended since.
+// It may only be called while the replica is the leader, and should be called also without demands.
+// The answer must not be sent if the lease has ended since.
 func (bu *Buckets) Grant(now time.Time, _ string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
-	if len(list) == 0 || cfg == nil {
+	if cfg == nil {
 		return nil
 	}
 	bu.mu.Lock()
@@ -59,6 +60,9 @@
 		}
 		bu.lastGrant = now
 	}
+	if len(list) == 0 {
+		return nil
+	}
 	if bu.configuration != cfg {
 		bu.configuration = cfg
 		bu.bucket.Configure(now, len(cfg.GetFailureDomains()), capsOf(cfg))
