--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -57,10 +57,12 @@
 	// Request is the id that the sender of the request gave it.
 	Request string `json:"request,omitempty"`
 	// Parent is the request for which an upstream makes this request as a call.
-	Parent  string `json:"parent,omitempty"`
-	Reason  string `json:"reason,omitempty"`
-	Class   string `json:"class,omitempty"`
-	Service string `json:"service,omitempty"`
+	Parent string `json:"parent,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	// Customer is the customer of the request, or of the request that it is a call of.
+	Customer string `json:"customer,omitempty"`
+	Class    string `json:"class,omitempty"`
+	Service  string `json:"service,omitempty"`
 	// VM is the VM to which the last attempt was sent; for Resent, the one before the resend.
 	VM         string `json:"chosen-vm,omitempty"`
 	Status     int    `json:"status,omitempty"`
@@ -84,12 +86,11 @@
 	// SharePercent is the share of the requests of the kind that the entry admits, in
 	// percent.
 	SharePercent int `json:"share-percent,omitempty"`
-	// Customer is the customer of the request. Allowance is the number of requests that the
-	// entry might still start of a customer that it refuses by its usage cap, and
-	// AllowanceAgeMS the time since its latest allowance was issued, in milliseconds.
-	Customer       string `json:"customer,omitempty"`
-	Allowance      int    `json:"allowance,omitempty"`
-	AllowanceAgeMS int64  `json:"allowance-age-ms,omitempty"`
+	// Allowance is the number of requests that the entry might still start of a customer that it
+	// refuses by its usage cap, and AllowanceAgeMS the time since its latest allowance was issued,
+	// in milliseconds.
+	Allowance      int   `json:"allowance,omitempty"`
+	AllowanceAgeMS int64 `json:"allowance-age-ms,omitempty"`
 }
 
 // Line is the log line of an event.
--- a/internal/traffic/entry/customer.go
+++ b/internal/traffic/entry/customer.go
@@ -67,7 +67,7 @@
 		}
 		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
-	rq.hasKey = true
+	rq.hasKey, rq.public = true, rt.Public
 	cu, ok := cd.CustomerOfKey(*rd.Key)
 	switch {
 	case !ok && rt.Public:
@@ -78,8 +78,6 @@
 		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
 	rq.customer = cu
-	// Requests on public routes do not count against the cap.
-	rq.capped = cu.Rate != 0 && !rt.Public
 	if cu.Importance != 0 {
 		rq.importance = cu.Importance
 	}
@@ -100,7 +98,7 @@
 // takeAllowance takes the request from the allowance of its customer. It returns a refusal if
 // the usage cap is reached.
 func (en *Entry) takeAllowance(ctx context.Context, rq *request) *attempt.Answer {
-	if en.opt.Allowances == nil || !rq.capped {
+	if en.opt.Allowances == nil || !rq.isCapped() {
 		return nil
 	}
 	wait := min(maxAllowanceWait, rq.kind.Target/allowanceWaitDivisor)
@@ -120,6 +118,12 @@
 	}
 }
 
+// isCapped reports whether the request counts against the usage cap of its customer. Calls have no
+// customer of their own, and requests on public routes do not count.
+func (rq *request) isCapped() bool {
+	return rq.customer != nil && rq.customer.Rate != 0 && !rq.public
+}
+
 // customerName returns the name of the customer of a request, or of the attempt that makes it as
 // a call, or an empty name.
 func (rq *request) customerName() call.Customer {
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -26,9 +26,9 @@
 	// customer is the customer whose key the request has, or nil. hasKey is true if it has any.
 	customer *config.Customer
 	hasKey   bool
-	// capped is true if the request counts against the usage cap of its customer, and allowance
-	// is what it took of it.
-	capped     bool
+	// public is true if the route needs no key.
+	public bool
+	// allowance is what the request took of the usage cap of its customer.
 	allowance  Allowance
 	deployment call.Deployment
 	id         call.RequestID
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -195,11 +195,11 @@
 		if an.Reason == ReasonDeadline && now.Before(rq.deadline) {
 			ev.Reason = leftReason(rq.cause)
 		}
+		ev.Customer = string(rq.customerName())
 		if rq.parent != nil {
 			ev.Parent = rq.parent.Label
 		}
-		ev.Customer = string(rq.customerName())
-		if rq.capped && an.Reason == ReasonCap {
+		if an.Reason == ReasonCap {
 			ev.Allowance, ev.AllowanceAgeMS = int(rq.allowance.Held), rq.allowance.Age.Milliseconds()
 		}
 	}
