--- a/internal/traffic/entry/customer.go
+++ b/internal/traffic/entry/customer.go
@@ -109,7 +109,6 @@
 		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
 	rq.customer = cu
-	// Requests on public routes do not count against the cap.
 	if cu.Importance != 0 {
 		rq.importance = cu.Importance
 	}
