pipeline, entry, platform: uploads are refused before their bodies are read

Cause: the body of a request was read before its route, key and the state of the node were looked at, so that an upload of 360 kB took its time and memory to be refused.

Change: the server asks Reject once the header of a request with a body is read. The entry refuses what ServeRequest would refuse by the header alone: no configuration, no route, a key that is unknown, stale or missing, and requests of callers while it stops. The answer goes out at once in the order of requests. A body of up to 1 MiB is then read and dropped, so that requests behind it are served; otherwise, and after an expectation of 100-continue, the connection ends with the answer.

--- a/internal/traffic/entry/customer.go
+++ b/internal/traffic/entry/customer.go
@@ -48,28 +48,38 @@
 	}
 	rq.header.Del(rd.KeyHeader)
 	rq.header.Del(rd.CustomerHeader)
-	if rd.Key == nil {
+	rq.hasKey = rd.Key != nil
+	cu, an := en.customerOf(cd, rt, rd.Key)
+	if cu == nil {
+		return an
+	}
+	rq.customer = cu
+	if cu.Importance != 0 {
+		rq.importance = cu.Importance
+	}
+	rq.header[rd.CustomerHeader] = []string{string(cu.Name)}
+	return nil
+}
+
+// customerOf returns the customer that holds a key, or nil. It returns a refusal if the route needs
+// a key of a customer and there is none that may be used.
+func (en *Entry) customerOf(cd *config.Compiled, rt *config.Route, key *string) (*config.Customer, *attempt.Answer) {
+	if key == nil {
 		if rt.Public || en.mayBeCall() {
-			return nil
+			return nil, nil
 		}
-		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
+		return nil, refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
-	rq.hasKey = true
-	cu, ok := cd.CustomerOfKey(*rd.Key)
+	cu, ok := cd.CustomerOfKey(*key)
 	switch {
 	case !ok && rt.Public:
-		return nil
+		return nil, nil
 	case !en.keysFresh(cd):
-		return attempt.Refusal(ReasonKeyStale, en.jitter(staleKeysRetryAfter))
+		return nil, attempt.Refusal(ReasonKeyStale, en.jitter(staleKeysRetryAfter))
 	case !ok:
-		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
-	}
-	rq.customer = cu
-	if cu.Importance != 0 {
-		rq.importance = cu.Importance
+		return nil, refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
-	rq.header[rd.CustomerHeader] = []string{string(cu.Name)}
-	return nil
+	return cu, nil
 }
 
 // keysFresh reports whether the keys of a configuration may be trusted.
--- /dev/null
+++ b/internal/traffic/entry/reject_test.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"camphortrail/call"
+	"camphortrail/config"
+	"camphortrail/schema"
+)
+
+// customerConfiguration has a customer with the key "right", a public route and one for customers.
+func customerConfiguration(t *testing.T) *config.Compiled {
+	t.Helper()
+	rt := func(name, prefix string, public bool) *schema.Route {
+		return &schema.Route{
+			Name: name, Host: "h", PathPrefix: prefix, Importance: 5, DeadlineMs: 3000, Attempts: 2, Public: public,
+			Shares: []*schema.RouteShare{{Service: "cassa", Weight: 1}},
+		}
+	}
+	cd, err := config.Compile(&schema.Configuration{
+		Deployment: "test", Version: 2, FailureDomains: []*schema.FailureDomain{{Name: "d1", Region: "r1"}},
+		Services:  []*schema.Service{{Name: "cassa", RetryRatioPercent: 10, MaxRequestBytes: 100, MaxAnswerBytes: 100}},
+		Routes:    []*schema.Route{rt("issue", "/x/", false), rt("tags", "/public/", true)},
+		Customers: []*schema.Customer{{Name: "acme", KeyDigests: []string{config.DigestOfKey("right").String()}}},
+	}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cd
+}
+
+// staleKeys is a Freshness that trusts no key.
+type staleKeys struct{}
+
+func (staleKeys) Fresh(uint64) bool { return false }
+
+// A request may be refused by its header only for what ServeRequest would refuse it for as well.
+func TestReject(t *testing.T) {
+	right, wrong := "right", "wrong"
+	for _, tt := range []struct {
+		name            string
+		uri             string
+		key             *string
+		stale, stopping bool
+		// starting says that the node has just started, so that a request without a key may be a
+		// call.
+		starting bool
+		status   int
+		reason   string
+	}{
+		{name: "served", uri: "/x/1", key: &right},
+		{name: "no route", uri: "/y/1", key: &right, status: http.StatusNotFound, reason: ReasonNoService},
+		{name: "unknown key", uri: "/x/1", key: &wrong, status: http.StatusUnauthorized, reason: ReasonKeyUnknown},
+		{name: "unknown key, public", uri: "/public/1", key: &wrong},
+		{name: "stale key", uri: "/x/1", key: &right, stale: true, status: http.StatusServiceUnavailable, reason: ReasonKeyStale},
+		{name: "no key", uri: "/x/1", status: http.StatusUnauthorized, reason: ReasonKeyUnknown},
+		{name: "no key, may be a call", uri: "/x/1", starting: true},
+		{name: "stopping", uri: "/x/1", key: &right, stopping: true, status: http.StatusServiceUnavailable, reason: ReasonStopping},
+		{name: "stopping, may be a call", uri: "/x/1", starting: true, stopping: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tn := newRoutedTestNode(t, answerOK)
+			tn.SetConfiguration(customerConfiguration(t))
+			if tt.stale {
+				tn.opt.Freshness = staleKeys{}
+			}
+			if !tt.starting {
+				tn.started = time.Now().Add(-2 * learnTime)
+			}
+			if tt.stopping {
+				tn.Stop()
+			}
+			newRequest := func() *Request {
+				return &Request{
+					ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: tt.uri, Header: http.Header{}, Key: tt.key,
+					KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+				}
+			}
+			an := tn.Reject(newRequest())
+			if tt.status == 0 {
+				if an != nil {
+					t.Fatalf("refused: %d %s", an.Status, an.Reason)
+				}
+				return
+			}
+			if an == nil || an.Status != tt.status || an.Reason != tt.reason || an.Outcome != call.NotRun {
+				t.Fatalf("answer %+v, want %d %s", an, tt.status, tt.reason)
+			}
+			if full := tn.ServeRequest(t.Context(), newRequest()); full.Status != an.Status || full.Reason != an.Reason {
+				t.Errorf("ServeRequest answers %d %s", full.Status, full.Reason)
+			}
+		})
+	}
+}
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -166,6 +166,11 @@
 		// The deadline has replaced that of Abort.
 		return cn.refuse(http.StatusServiceUnavailable, ReasonNoMemory)
 	}
+	if cn.sv.opt.Reject != nil && r.Body != nil && r.Body != http.NoBody {
+		if an, rejected := cn.sv.opt.Reject(r); rejected {
+			return cn.reject(r, an)
+		}
+	}
 	body, err := cn.readBody(r, lim.MaxBodyBytes)
 	switch {
 	case err == errBodyTooLarge:
@@ -179,6 +184,32 @@
 	return cn.startHandler(r, body)
 }
 
+// maxDiscardBytes bounds the body of a rejected request that is read so that the connection can go
+// on. It is some times the size of a large upload.
+const maxDiscardBytes = 1 << 20
+
+// reject answers a request before its body is read. A body of bounded length is then read and
+// dropped, and requests may follow. Otherwise the connection ends with the answer: a caller that
+// expected to be told to go on may leave the body out, so that the position of the next request is
+// not known. It returns false if no request may follow.
+func (cn *conn) reject(r *http.Request, an Answer) bool {
+	cn.memory.Release()
+	mayFollow := r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes && r.Header.Get("Expect") == "" &&
+		!r.Close && r.ProtoAtLeast(1, 1)
+	// A close while the caller sends would also lose the requests that it has sent behind.
+	an.Close = an.Close && !mayFollow
+	ex := &exchange{request: Request{HTTP: r, conn: cn}, closeAfter: !mayFollow}
+	if !cn.enqueue(ex) {
+		return false
+	}
+	cn.complete(ex, an)
+	if !mayFollow {
+		return cn.awaitLastAnswer()
+	}
+	_, err := io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
 // awaitCapacity waits until fewer than maxInFlight requests are in flight. It returns false
 // if the connection closes before that.
 func (cn *conn) awaitCapacity() bool {
--- /dev/null
+++ b/internal/traffic/pipeline/reject_test.go
@@ -0,0 +1,124 @@
+package pipeline
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rejectingServer returns a server that rejects requests with a body below /no.
+func rejectingServer(t *testing.T, paths ...string) *testServer {
+	t.Helper()
+	ts := newTestServer(t, Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 4 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}, paths...)
+	ts.opt.Reject = func(r *http.Request) (Answer, bool) {
+		return Answer{Status: http.StatusUnauthorized, Header: http.Header{}, Close: true}, strings.HasPrefix(r.URL.Path, "/no")
+	}
+	return ts
+}
+
+// client is a connection of a caller.
+type client struct {
+	t  *testing.T
+	nc net.Conn
+	br *bufio.Reader
+}
+
+func newClient(t *testing.T, ts *testServer) *client {
+	t.Helper()
+	nc, err := net.Dial("tcp", ts.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	return &client{t, nc, bufio.NewReader(nc)}
+}
+
+func (cl *client) write(text string) {
+	cl.t.Helper()
+	if _, err := io.WriteString(cl.nc, text); err != nil {
+		cl.t.Fatal(err)
+	}
+}
+
+// expect reads an answer and checks its status, the start of its body, and whether it announces the
+// end of the connection.
+func (cl *client) expect(status int, body string, closes bool) {
+	cl.t.Helper()
+	rs, err := http.ReadResponse(cl.br, nil)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	got, err := io.ReadAll(rs.Body)
+	if err != nil || rs.StatusCode != status || !strings.HasPrefix(string(got), body) || rs.Close != closes {
+		cl.t.Fatalf("answer %d %.40q, closes %t, error %v; want %d %q, closes %t", rs.StatusCode, got, rs.Close, err, status, body, closes)
+	}
+}
+
+const (
+	upload = "POST /no HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n"
+	next   = "POST /next HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
+)
+
+// A rejected upload must be answered before its body has arrived, and requests behind it on the
+// connection must be served.
+func TestUploadIsRejectedBeforeItsBody(t *testing.T) {
+	ts := rejectingServer(t)
+	cl := newClient(t, ts)
+	for range 2 {
+		cl.write(upload + "\r\n")
+		cl.expect(http.StatusUnauthorized, "", false)
+		cl.write(strings.Repeat("x", 300000) + next)
+		cl.expect(http.StatusOK, "/next ok", false)
+	}
+}
+
+// The rejection of a pipelined upload must follow the answers to earlier requests.
+func TestRejectionKeepsTheOrder(t *testing.T) {
+	ts := rejectingServer(t, "/first")
+	cl := newClient(t, ts)
+	cl.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n" + upload + "\r\n" + strings.Repeat("x", 300000) + next)
+	for range 2 {
+		<-ts.started
+	}
+	close(ts.gates["/first"])
+	cl.expect(http.StatusOK, "/first", false)
+	cl.expect(http.StatusUnauthorized, "", false)
+	cl.expect(http.StatusOK, "/next ok", false)
+}
+
+// A caller that expects to be told to go on must be told so, or get the refusal as the last answer
+// of the connection: it leaves the body out then.
+func TestExpectation(t *testing.T) {
+	ts := rejectingServer(t)
+	cl := newClient(t, ts)
+	cl.write("POST /yes HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+	cl.expect(http.StatusContinue, "", false)
+	cl.write("ok")
+	cl.expect(http.StatusOK, "/yes ok", false)
+	cl.write(upload + "Expect: 100-continue\r\n\r\n")
+	cl.expect(http.StatusUnauthorized, "", true)
+	if _, err := cl.br.ReadByte(); err != io.EOF {
+		t.Errorf("error %v, want the end of the connection", err)
+	}
+}
+
+// A body that is too long to be dropped, or of unknown length, must end the connection with the
+// refusal. Nothing behind it may run.
+func TestRejectionOfAnEndlessBody(t *testing.T) {
+	for _, head := range []string{"Content-Length: 3000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"} {
+		ts := rejectingServer(t)
+		cl := newClient(t, ts)
+		cl.write("POST /no HTTP/1.1\r\nHost: h\r\n" + head + next)
+		cl.expect(http.StatusUnauthorized, "", true)
+		select {
+		case path := <-ts.started:
+			t.Errorf("%s was started", path)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
