--- a/internal/traffic/peer/pool_test.go
+++ b/internal/traffic/peer/pool_test.go
@@ -62,6 +62,7 @@
 // paths below /cassa/held once hold is closed.
 type testSetup struct {
 	pool    *Pool
+	guard   *guard.Guard
 	wires   standin.Dialer
 	address string
 	// runs counts the requests that reached the upstream.
@@ -95,6 +96,7 @@
 	var duties sync.WaitGroup
 	t.Cleanup(func() { stop(); duties.Wait() })
 	gd := guard.New(guard.Options{Trees: calltree.New(retry.DefaultLimits()), Seed: 1, Incarnation: 7})
+	ts.guard = gd
 	duties.Go(func() { _ = gd.Run(ctx) })
 	if err := gd.SetUpstream(ctx, &membership.Upstream{Service: "cassa", Slots: 8, Address: upstream.Addr().String()}); err != nil {
 		t.Fatal(err)
