pipeline: a pipelined expectation of 100-continue is answered in its order

Cause: a request that expects 100-continue behind requests in flight was never told to go on, and its caller held the body back until its own timer ran out.

Change: the interim answer follows the answers to earlier requests.

Tests: pipeline.TestContinueKeepsTheOrder; pipeline twice with -race.

--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -73,6 +73,9 @@
 	readingRequest bool
 	// closing is true when no further answer will be sent.
 	closing bool
+	// continueWanted is true while the caller of the request that is being read waits to be told
+	// to send its body, and answers to earlier requests go before that.
+	continueWanted bool
 	// idleSince is the time, in Unix nanoseconds, since which no request is in flight or
 	// being read. It is 0 while one is.
 	idleSince atomic.Int64
@@ -291,10 +294,11 @@
 	if r.ContentLength > limit {
 		return nil, errBodyTooLarge
 	}
-	if r.Header.Get("Expect") == "100-continue" && cn.noneInFlight() {
-		if _, err := io.WriteString(cn.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	if r.Header.Get("Expect") == "100-continue" {
+		if err := cn.sendContinue(); err != nil {
 			return nil, err
 		}
+		defer cn.dropContinue()
 	}
 	body, err := buffer.ReadAll(&cn.memory, r.Body, r.ContentLength, limit)
 	switch {
@@ -308,6 +312,34 @@
 	return body, err
 }
 
+// sendContinue tells the caller to send the body of its request, at once or after the answers to the
+// requests in flight.
+func (cn *conn) sendContinue() error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.continueWanted = true
+	return cn.writeContinue()
+}
+
+// writeContinue writes the interim answer 100 if one is wanted and no request is in flight. cn.mu must
+// be held.
+func (cn *conn) writeContinue() error {
+	if !cn.continueWanted || len(cn.queue) > 0 || cn.closing {
+		return nil
+	}
+	cn.continueWanted = false
+	_ = cn.nc.SetWriteDeadline(time.Now().Add(cn.sv.opt.Limits().IdleTimeout))
+	_, err := io.WriteString(cn.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// dropContinue records that the body has arrived, so that no interim answer is wanted any more.
+func (cn *conn) dropContinue() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.continueWanted = false
+}
+
 // noneInFlight reports whether no request is in flight.
 func (cn *conn) noneInFlight() bool {
 	cn.mu.Lock()
@@ -444,6 +476,10 @@
 			return
 		}
 	}
+	if err := cn.writeContinue(); err != nil {
+		cn.close()
+		return
+	}
 	if len(cn.queue) == 0 && !cn.readingRequest && !cn.closing {
 		now := time.Now()
 		cn.idleSince.Store(now.UnixNano())
--- a/internal/traffic/pipeline/reject_test.go
+++ b/internal/traffic/pipeline/reject_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// The interim answer to a pipelined request must follow the answers to earlier ones. Without it, the
+// caller would hold its body back.
+func TestContinueKeepsTheOrder(t *testing.T) {
+	ts := rejectingServer(t, "/first")
+	cl := newClient(t, ts)
+	cl.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\nPOST /yes HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+	<-ts.started
+	time.Sleep(20 * time.Millisecond)
+	close(ts.gates["/first"])
+	cl.expect(http.StatusOK, "/first", false)
+	cl.expect(http.StatusContinue, "", false)
+	cl.write("ok")
+	cl.expect(http.StatusOK, "/yes ok", false)
+}
+
 // A body that is too long to be dropped, or of unknown length, must end the connection with the
 // refusal. Nothing behind it may run.
 func TestRejectionOfAnEndlessBody(t *testing.T) {
