--- a/internal/state/control/renew_test.go
+++ b/internal/state/control/renew_test.go
@@ -20,7 +20,10 @@
 	var grants atomic.Int64
 	var granted atomic.Pointer[schema.Configuration]
 	fl := newFleetWith(t, size, Options{
-		Grant: func(_ time.Time, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
+		Grant: func(_ time.Time, term uint64, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
+			if term == 0 {
+				t.Error("no term of the replicated log")
+			}
 			grants.Add(1)
 			granted.Store(cfg)
 			return []*schema.CustomerAllowance{{Customer: list[0].GetCustomer() + " of " + child}}
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -73,6 +73,9 @@
 	readingRequest bool
 	// closing is true when no further answer will be sent.
 	closing bool
+	// continueWanted is true while the caller of the request that is being read waits to be told
+	// to send its body, and answers to earlier requests go before that.
+	continueWanted bool
 	// idleSince is the time, in Unix nanoseconds, since which no request is in flight or
 	// being read. It is 0 while one is.
 	idleSince atomic.Int64
@@ -166,6 +169,11 @@
 		// The deadline has replaced that of Abort.
 		return cn.refuse(http.StatusServiceUnavailable, ReasonNoMemory)
 	}
+	if cn.sv.opt.Reject != nil && r.Body != nil && r.Body != http.NoBody {
+		if an, rejected := cn.sv.opt.Reject(r); rejected {
+			return cn.reject(r, an)
+		}
+	}
 	body, err := cn.readBody(r, lim.MaxBodyBytes)
 	switch {
 	case err == errBodyTooLarge:
@@ -179,6 +187,32 @@
 	return cn.startHandler(r, body)
 }
 
+// maxDiscardBytes bounds the body of a rejected request that is read so that the connection can go
+// on. It is some times the size of a large upload.
+const maxDiscardBytes = 1 << 20
+
+// reject answers a request before its body is read. A body of bounded length is then read and
+// dropped, and requests may follow. Otherwise the connection ends with the answer: a caller that
+// expected to be told to go on may leave the body out, so that the position of the next request is
+// not known. It returns false if no request may follow.
+func (cn *conn) reject(r *http.Request, an Answer) bool {
+	cn.memory.Release()
+	mayFollow := r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes && r.Header.Get("Expect") == "" &&
+		!r.Close && r.ProtoAtLeast(1, 1)
+	// A close while the caller sends would also lose the requests that it has sent behind.
+	an.Close = an.Close && !mayFollow
+	ex := &exchange{request: Request{HTTP: r, conn: cn}, closeAfter: !mayFollow}
+	if !cn.enqueue(ex) {
+		return false
+	}
+	cn.complete(ex, an)
+	if !mayFollow {
+		return cn.awaitLastAnswer()
+	}
+	_, err := io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
 // awaitCapacity waits until fewer than maxInFlight requests are in flight. It returns false
 // if the connection closes before that.
 func (cn *conn) awaitCapacity() bool {
@@ -260,10 +294,11 @@
 	if r.ContentLength > limit {
 		return nil, errBodyTooLarge
 	}
-	if r.Header.Get("Expect") == "100-continue" && cn.noneInFlight() {
-		if _, err := io.WriteString(cn.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	if r.Header.Get("Expect") == "100-continue" {
+		if err := cn.sendContinue(); err != nil {
 			return nil, err
 		}
+		defer cn.dropContinue()
 	}
 	body, err := buffer.ReadAll(&cn.memory, r.Body, r.ContentLength, limit)
 	switch {
@@ -277,6 +312,34 @@
 	return body, err
 }
 
+// sendContinue tells the caller to send the body of its request, at once or after the answers to the
+// requests in flight.
+func (cn *conn) sendContinue() error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.continueWanted = true
+	return cn.writeContinue()
+}
+
+// writeContinue writes the interim answer 100 if one is wanted and no request is in flight. cn.mu must
+// be held.
+func (cn *conn) writeContinue() error {
+	if !cn.continueWanted || len(cn.queue) > 0 || cn.closing {
+		return nil
+	}
+	cn.continueWanted = false
+	_ = cn.nc.SetWriteDeadline(time.Now().Add(cn.sv.opt.Limits().IdleTimeout))
+	_, err := io.WriteString(cn.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// dropContinue records that the body has arrived, so that no interim answer is wanted any more.
+func (cn *conn) dropContinue() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.continueWanted = false
+}
+
 // noneInFlight reports whether no request is in flight.
 func (cn *conn) noneInFlight() bool {
 	cn.mu.Lock()
@@ -413,6 +476,10 @@
 			return
 		}
 	}
+	if err := cn.writeContinue(); err != nil {
+		cn.close()
+		return
+	}
 	if len(cn.queue) == 0 && !cn.readingRequest && !cn.closing {
 		now := time.Now()
 		cn.idleSince.Store(now.UnixNano())
