cost, route: placement by least expected time to completion, not yet used by nodes

With route.Placement{ByCost: true}, Choose takes the VM of the least expected time among three random ones of the own failure domain and three of the region.

--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -23,16 +23,20 @@
 
 func BenchmarkChoose(b *testing.B) {
 	for _, bm := range []struct {
-		name  string
-		level call.Level
-		gap   time.Duration
+		name   string
+		level  call.Level
+		gap    time.Duration
+		byCost bool
 	}{
-		{"admitted", 0, time.Nanosecond},
-		{"shed", call.LevelOf(7, 0), time.Nanosecond},
-		{"shed-rarely", call.LevelOf(7, 0), 100 * time.Microsecond},
+		{"admitted", 0, time.Nanosecond, false},
+		{"shed", call.LevelOf(7, 0), time.Nanosecond, false},
+		{"shed-rarely", call.LevelOf(7, 0), 100 * time.Microsecond, false},
+		{"by-cost", 0, time.Microsecond, true},
 	} {
 		b.Run(bm.name, func(b *testing.B) {
 			tb := largeTable()
+			tb.Step(epoch, Placement{ByCost: bm.byCost})
+			load := Load{Reported: bm.byCost, Ahead: 3 * time.Millisecond, Slowness: 1.2, Own: time.Millisecond, Cost: time.Millisecond}
 			services := tb.Services()
 			now := epoch
 			for _, service := range services {
@@ -44,11 +48,11 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(bm.gap)
-				rq := Request{Service: services[i%len(services)], Importance: 3, Cohort: call.Cohort(i)}
+				rq := Request{Service: services[i%len(services)], Importance: 3, Cohort: call.Cohort(i), Cost: load.Cost}
 				if vm, err := tb.Choose(now, rq); err == nil {
 					tb.Step(now, Sent{Service: rq.Service, VM: vm})
 					tb.Step(now, Answered{
-						Service: rq.Service, VM: vm, Latency: time.Millisecond, Outcome: call.Done, Level: bm.level,
+						Service: rq.Service, VM: vm, Latency: time.Millisecond, Outcome: call.Done, Level: bm.level, Load: load,
 					})
 				}
 			}
--- a/route/choose.go
+++ b/route/choose.go
@@ -43,11 +43,19 @@
 		}
 	}
 	up := sl.probe(rq.Importance)
-	if delayed < sl.level {
-		up = sl.fromFirstTier(up, otherRegion, sl.startsAtOnce)
+	if delayed < sl.level && up == nil {
+		if tb.byCost {
+			up = sl.leastTime(rq.Cost, sl.startsAtOnce)
+		} else {
+			up = sl.fromFirstTier(nil, otherRegion, sl.startsAtOnce)
+		}
 	}
 	if up == nil {
-		up = sl.shortestWait()
+		if tb.byCost {
+			up = sl.leastTime(rq.Cost, sl.wouldAdmit)
+		} else {
+			up = sl.shortestWait()
+		}
 	}
 	up = sl.fromFirstTier(up, tierCount, sl.wouldAdmit)
 	if up == nil {
--- a/route/event.go
+++ b/route/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is an input of a Table: Upsert, Remove, Suspect, Alive, SameRegion, Sent,
-// Answered or Failed.
+// Answered, Failed or Placement.
 type Event interface{ event() }
 
 // Upsert adds or changes an upstream of a service.
@@ -46,6 +46,8 @@
 	VM      call.VM
 	// Importance is that of the attempt; zero counts as the highest.
 	Importance call.Importance
+	// Cost is that of the Request.
+	Cost time.Duration
 }
 
 // Answered reports the answer to an attempt.
@@ -63,6 +65,8 @@
 	DelayedLevel call.Level
 	// Occupancy is that of the guard.
 	Occupancy call.Occupancy
+	// Load is what the guard reported of the work at its upstream.
+	Load Load
 	// Overload says that the guard refused the attempt for overload.
 	Overload bool
 	// Leaving says that the guard refused the attempt because its upstream takes no new
--- a/route/route.go
+++ b/route/route.go
@@ -52,6 +52,9 @@
 	Service    call.Service
 	Importance call.Importance
 	Cohort     call.Cohort
+	// Cost is the expected time that an upstream of usual speed takes for the attempt itself. It
+	// matters with placement by cost only.
+	Cost time.Duration
 	// Exclude lists the VMs that must not be chosen.
 	Exclude []call.VM
 }
@@ -64,6 +67,8 @@
 	sameRegion    map[call.FailureDomain]bool
 	services      map[call.Service]*service
 	upstreamCount int
+	// byCost says that VMs are chosen by the least expected time to completion.
+	byCost bool
 }
 
 // New returns an empty table. It draws random choices from rng.
@@ -92,6 +97,8 @@
 		tb.answered(now, ev)
 	case Failed:
 		tb.failed(now, ev)
+	case Placement:
+		tb.byCost = ev.ByCost
 	}
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -153,6 +153,7 @@
 		return
 	}
 	up.addOutstanding(ev.Importance, 1)
+	up.placement.sent += float64(ev.Cost)
 	if up.failures >= ejectFailures {
 		sv.cachedLevels.invalidate()
 	}
@@ -173,6 +174,9 @@
 		sv.cachedLevels.invalidate()
 	}
 	up.failures, up.ejectedUntil = 0, never
+	if ev.Load.Reported {
+		up.placement.report(now, ev.Importance, ev.Load)
+	}
 	// A refusal is quick whatever the load of the upstream is.
 	if ev.Overload || ev.Outcome == call.NotRun {
 		return
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -64,6 +64,8 @@
 	failures     int
 	ejectedUntil instant
 	lastChosen   instant
+	// placement is for placement by cost.
+	placement placement
 }
 
 // addOutstanding adds change to the outstanding attempts of an importance.
