node, guard, entry: placement by cost, enabled by the setting placement

Cause: the routing rule mixes the cost of requests, queues and the speed of upstreams in one latency.

Change: with the setting placement = cost, guards report the work ahead of an attempt and the present speed with each answer, and entries learn costs by route and size of body and choose by the least expected time, if a route names a target.

Not tried out on a whole deployment.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -75,8 +75,8 @@
 	}
 	nd, err := node.New(set.NodeSettings(), node.Options{
 		Log: log.Log, NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
-		RetryRatio: set.GuardRetryRatio(),
-		Events:     os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
+		RetryRatio: set.GuardRetryRatio(), PlaceByCost: set.Placement == platform.PlacementByCost,
+		Events: os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
 		MaxBufferedBytes: set.MemoryMB << 20 / answerMemoryDivisor, MaxHeapGrowthPercent: maxHeapGrowthPercent,
 		Endpoints: []node.Endpoint{
 			{Address: set.ReadinessAddress, Handler: set.NewReadinessHandler},
--- a/config/compile.go
+++ b/config/compile.go
@@ -71,6 +71,7 @@
 	kindsByMethod map[string]*methodKinds
 	routesByHost  map[string]*hostRoutes
 	classNames    map[call.Class]bool
+	hasTargets    bool
 	customers     customers
 }
 
--- a/config/route.go
+++ b/config/route.go
@@ -84,6 +84,7 @@
 	for _, rt := range list {
 		out := &Route{Name: rt.GetName(), Public: rt.GetPublic()}
 		cd.classNames[call.Class(out.Name)] = true
+		cd.hasTargets = cd.hasTargets || rt.GetTargetMs() > 0
 		var sum uint64
 		for _, sh := range rt.GetShares() {
 			sum += uint64(sh.GetWeight())
@@ -120,6 +121,9 @@
 	}
 }
 
+// HasTargets reports whether a route names a time within which answers have their full value.
+func (cd *Compiled) HasTargets() bool { return cd.hasTargets }
+
 // Route returns the route of the host with the longest path prefix that path begins with.
 // It ignores a port in host and the case of host. It does not allocate if host is in
 // lower case.
--- a/cost/model.go
+++ b/cost/model.go
@@ -77,6 +77,9 @@
 	return md.all.value()
 }
 
+// All returns the expected cost of a request of which nothing is known.
+func (md *Model) All() Estimate { return md.all.value() }
+
 // Retain removes the keys of classes for which retain returns false.
 func (md *Model) Retain(retain func(call.Class) bool) {
 	for ky := range md.keys {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -83,6 +83,9 @@
 	// RetryRatio is the number of times for each first send to a service that all nodes together
 	// may send a refused attempt again; see guard.Options.
 	RetryRatio float64
+	// PlaceByCost makes the node choose VMs by the least expected time to completion, and report
+	// the load of its upstream to others; see entry.Options.
+	PlaceByCost bool
 	// Admission configures the admission to the upstream beside the node.
 	Admission admission.Settings
 	// MaxBufferedBytes is the total size of the answer bodies being read, in bytes, above
@@ -191,14 +194,14 @@
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNonZero()), Protocol: opt.UpstreamProtocol,
-		Events: nd.events, Admission: opt.Admission, RetryRatio: opt.RetryRatio, MaxBufferedBytes: opt.MaxBufferedBytes,
+		Events: nd.events, Admission: opt.Admission, RetryRatio: opt.RetryRatio, ReportLoad: opt.PlaceByCost, MaxBufferedBytes: opt.MaxBufferedBytes,
 		AggregateDemand: func(de *attempt.Demand) (allocation.Grant, bool) { return nd.entry.AggregateDemand(de) },
 	})
 	nd.pool = peer.New(peer.Options{OnSuspicion: nd.setSuspect, OnGrant: nd.setGrant, Dial: opt.Dial})
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
-		Events: nd.events,
+		Events: nd.events, PlaceByCost: opt.PlaceByCost,
 	}
 	if opt.Policy == BaselinePolicy {
 		eopt.HopRetries = baselineHopRetries
--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -99,10 +99,27 @@
 	// directly and through their calls.
 	FanOut []call.FanOut
 
+	// Load is the load of the upstream, or nil if the guard does not report it.
+	Load *Load
+
 	// compact is the result of CompactRecord, once it was called.
 	compact *schema.RecordedAnswer
 }
 
+// Load says how soon an upstream would complete an attempt.
+type Load struct {
+	// Ahead is the expected time of the work that an attempt of the importance finds ahead of it,
+	// divided by the slots.
+	Ahead time.Duration
+	// Slowness is the present factor on the usual times of the upstream, and Age the time since it
+	// was learned.
+	Slowness float64
+	Age      time.Duration
+	// Own is the time that the upstream took for the attempt, without waiting for its calls, or
+	// zero if it did not succeed.
+	Own time.Duration
+}
+
 // Refusal returns an answer with outcome NotRun and status 503, for an attempt that did
 // not begin.
 func Refusal(reason string, retryAfter time.Duration) *Answer {
--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -82,6 +82,7 @@
 	want := &Answer{
 		Outcome: call.Done, Reason: "reason", Status: 201, Header: http.Header{"Etag": {"a", "b"}}, Body: []byte("whole"),
 		Level: call.LevelOf(3, 4), DelayedLevel: call.LevelOf(5, 6), UnusedRetries: 1, Overload: true, UpstreamRefused: true, Unreachable: true, UpstreamFault: true,
+		Load:       &Load{Ahead: 3 * time.Millisecond, Slowness: 1.25, Age: 40 * time.Millisecond, Own: 12 * time.Millisecond},
 		RetryAfter: 30 * time.Millisecond, UpstreamTime: time.Millisecond, GuardTime: 2 * time.Millisecond,
 	}
 	for _, blocks := range []bool{false, true} {
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -122,6 +122,12 @@
 		OccupancyPercent: uint32(an.Occupancy), DownstreamPercent: uint32(an.DownstreamOccupancy), Needs: fanOutToFields(an.FanOut),
 		Unreachable: an.Unreachable, UpstreamFault: an.UpstreamFault,
 	}}
+	if ld := an.Load; ld != nil {
+		af.answer.Load = &schema.UpstreamLoad{
+			AheadUs: uint64(max(0, ld.Ahead.Microseconds())), SlownessThousandths: uint32(min(max(ld.Slowness, 0), maxSlowness) * thousandths),
+			AgeUs: uint64(max(0, ld.Age.Microseconds())), OwnUs: uint64(max(0, ld.Own.Microseconds())),
+		}
+	}
 	af.kind.Answer, af.frame.Kind = &af.answer, &af.kind
 	return &af.frame
 }
@@ -155,6 +161,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if an.Load, err = loadFromMessage(msg.GetLoad()); err != nil {
+		return nil, err
+	}
 	an.FanOut = fanOut
 	an.Reason, an.Overload, an.UpstreamRefused, an.Unreachable = msg.GetReason(), msg.GetOverload(), msg.GetOffered(), msg.GetUnreachable()
 	an.UpstreamFault = msg.GetUpstreamFault()
@@ -172,6 +181,23 @@
 	maxStatus    = 999
 )
 
+// maxSlowness bounds the factor on the usual times of an upstream.
+const maxSlowness = 1000
+
+// loadFromMessage converts the load in an answer, which may be missing.
+func loadFromMessage(msg *schema.UpstreamLoad) (*Load, error) {
+	switch {
+	case msg == nil:
+		return nil, nil
+	case msg.GetAheadUs() > maxTimeUS, msg.GetAgeUs() > maxTimeUS, msg.GetOwnUs() > maxTimeUS, msg.GetSlownessThousandths() > maxSlowness*thousandths:
+		return nil, errors.Wrap(ErrBadFrame, "load")
+	}
+	return &Load{
+		Ahead: time.Duration(msg.GetAheadUs()) * time.Microsecond, Slowness: float64(msg.GetSlownessThousandths()) / thousandths,
+		Age: time.Duration(msg.GetAgeUs()) * time.Microsecond, Own: time.Duration(msg.GetOwnUs()) * time.Microsecond,
+	}, nil
+}
+
 // headerToFields returns the fields of a header, sorted by name.
 func headerToFields(hd http.Header) []*schema.HeaderField {
 	names := make([]string, 0, len(hd))
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"camphortrail/call"
 	"camphortrail/config"
+	"camphortrail/cost"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
@@ -82,6 +83,9 @@
 	Metrics    *metrics.Set
 	// Events logs the decisions on requests, if it is set.
 	Events *events.Log
+	// PlaceByCost makes the entry choose VMs by the least expected time to completion, if the
+	// configuration names a target of a route.
+	PlaceByCost bool
 	// RetrySlack, if set, is the number of retries to one service that all nodes
 	// together may make without any successes.
 	RetrySlack float64
@@ -105,6 +109,9 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	routes *route.Table
+	// costs estimates what requests cost at an upstream of usual speed. It is nil unless VMs are
+	// chosen by cost.
+	costs *cost.Model
 	// ratios bounds the retries of each service relative to its successes.
 	ratios map[call.Service]*retry.Ratio
 	// windows bounds the retries of each service in any 10 s, if there is a retry slack. The bound
@@ -171,6 +178,7 @@
 		rt.SetPercent(retry.Percent(svc.RetryRatioPercent))
 		en.configureWindow(svc)
 	}
+	en.configurePlacement(cd)
 	en.mu.Unlock()
 	en.config.Store(cd)
 }
@@ -189,6 +197,20 @@
 	wn.SetPercent(retry.Percent(svc.RetryRatioPercent))
 }
 
+// configurePlacement sets the rule by which VMs are chosen. The caller holds mu.
+func (en *Entry) configurePlacement(cd *config.Compiled) {
+	byCost := en.opt.PlaceByCost && cd.HasTargets()
+	en.routes.Step(time.Now(), route.Placement{ByCost: byCost})
+	switch {
+	case !byCost:
+		en.costs = nil
+	case en.costs == nil:
+		en.costs = cost.NewModel()
+	default:
+		en.costs.Retain(cd.HasClass)
+	}
+}
+
 // StartSlowly makes the entry limit the requests in flight until it knows what they take. It must
 // be called before the first configuration.
 func (en *Entry) StartSlowly() {
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -68,6 +68,8 @@
 	// vm is the target of the latest attempt, and lastResult its result.
 	vm         call.VM
 	lastResult peer.Result
+	// cost is the expected time of the latest attempt at an upstream of usual speed, or zero.
+	cost time.Duration
 	// restampUsed is true if the uncharged attempt after a stale stamp was used.
 	restampUsed bool
 	// overload is true if the latest attempt failed because work was refused under
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -11,6 +11,7 @@
 
 	"camphortrail/admission"
 	"camphortrail/call"
+	"camphortrail/cost"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
@@ -203,6 +204,10 @@
 	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	if en.costs != nil {
+		rq.cost = en.costs.Estimate(rq.costKey()).Mean
+		want.Cost = rq.cost
+	}
 	vm, err := en.routes.Choose(now, want)
 	if err != nil {
 		return "", "", err
@@ -210,7 +215,7 @@
 	if wn := en.windows[rq.kind.Service]; wn != nil && rq.attempts == 0 {
 		wn.FirstSend(now)
 	}
-	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance})
+	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance, Cost: rq.cost})
 	return vm, en.addresses[vm], nil
 }
 
@@ -309,9 +314,30 @@
 		Importance: rq.importance, Level: rs.Answer.Level, DelayedLevel: rs.Answer.DelayedLevel, Occupancy: rs.Answer.Occupancy,
 		Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
 		Leaving:  refusesService(rs.Answer.Reason),
+		Load:     en.learnCost(now, rq, rs.Answer.Load),
 	})
 }
 
+// costKey returns the key of requests that are expected to cost as much as this one.
+func (rq *request) costKey() cost.Key { return cost.KeyOf(rq.kind.Class, len(rq.body)) }
+
+// learnCost learns what an attempt cost, and returns the load for the routing table. The load of the
+// answer may be nil.
+func (en *Entry) learnCost(now time.Time, rq *request, ld *attempt.Load) route.Load {
+	if ld == nil {
+		return route.Load{}
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.costs == nil {
+		return route.Load{}
+	}
+	if ld.Own > 0 {
+		en.costs.Add(now, rq.costKey(), ld.Own)
+	}
+	return route.Load{Reported: true, Ahead: ld.Ahead, Slowness: ld.Slowness, Age: ld.Age, Own: ld.Own, Cost: rq.cost}
+}
+
 // recordOccupancy raises the request's occupancy to the highest that the attempt met: that
 // of its service, or of the services that the attempt called.
 func (en *Entry) recordOccupancy(now time.Time, rq *request, an *attempt.Answer) {
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -87,6 +87,8 @@
 	// RetryRatio is the number of times for each first send that arrives here that the guard may
 	// send an attempt again after the upstream refused it without running it. Zero means never.
 	RetryRatio float64
+	// ReportLoad makes the guard report the load of the upstream with each answer.
+	ReportLoad bool
 	// MaxBufferedBytes bounds the memory of the answers that are being read (default 64 MiB).
 	// When it is used up, the largest of them are given up.
 	MaxBufferedBytes int64
@@ -109,6 +111,7 @@
 	usage usage
 
 	furtherSends    furtherSends
+	load            upstreamLoad
 	slots           slotAllocation
 	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
 	memory          *buffer.Budget
@@ -140,6 +143,8 @@
 	}
 	gd.loop = newAdmissionLoop(po, &gd.usage)
 	gd.slots.allocator = allocation.New()
+	gd.load.enabled = opt.ReportLoad
+	gd.load.reset()
 	if !opt.FIFO {
 		gd.furtherSends.init(opt.RetryRatio, opt.Metrics)
 	}
@@ -221,6 +226,7 @@
 	gd.logFailure(pa, an, begun)
 	an.Level, an.DelayedLevel = gd.level(), call.Level(gd.loop.delayedLevel.Load())
 	an.Occupancy = call.Occupancy(gd.loop.occupancy.Load())
+	gd.reportLoad(time.Now(), at, an)
 	an.FanOut = gd.trees.FanOut(time.Now(), at.Class, at.Service, an.Occupancy)
 	return an
 }
@@ -360,6 +366,7 @@
 	}
 	gd.trees.Enter(in)
 	begun := time.Now()
+	handle := gd.load.begin(begun, at)
 	an, lastBegun := gd.forwardUntilRun(pa, tg, in)
 	ended = time.Now()
 	gd.trees.Exit(ended, at.ID)
@@ -375,6 +382,11 @@
 	fin.DownstreamWait = waited + lastBegun.Sub(begun)
 	succeeded := an.Outcome == call.Done && an.Status < http.StatusInternalServerError
 	fin.OK = succeeded
+	own := max(an.UpstreamTime-waited, 0)
+	gd.load.end(ended, at, handle, an.UpstreamTime, own, succeeded)
+	if succeeded && gd.load.enabled {
+		an.Load = &attempt.Load{Own: own}
+	}
 	gd.trees.AttemptEnded(ended, in, succeeded)
 	if succeeded {
 		// Fast failures must not count as a fast upstream.
--- a/internal/traffic/guard/target.go
+++ b/internal/traffic/guard/target.go
@@ -38,6 +38,7 @@
 	}
 	if old != nil && up.Service != old.upstream.Service {
 		gd.furtherSends.reset()
+		gd.load.reset()
 		// The attempts that wait are for the former service.
 		if err := gd.loop.inputs.Put(ctx, input{event: admission.Announce{}}); err != nil {
 			return err
