--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -86,6 +86,9 @@
 	// RetryRatio is the number of times for each first send to a service that all nodes together
 	// may send a refused attempt again; see guard.Options.
 	RetryRatio float64
+	// PlaceByCost makes the node choose VMs by the least expected time to completion, and report
+	// the load of its upstream to others; see entry.Options.
+	PlaceByCost bool
 	// Admission configures the admission to the upstream beside the node.
 	Admission admission.Settings
 	// MaxBufferedBytes is the total size of the answer bodies being read, in bytes, above
@@ -202,7 +205,7 @@
 	nd.guard = guard.New(guard.Options{
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNonZero()), Protocol: opt.UpstreamProtocol,
-		Events: nd.events, Admission: opt.Admission, RetryRatio: opt.RetryRatio, MaxBufferedBytes: opt.MaxBufferedBytes,
+		Events: nd.events, Admission: opt.Admission, RetryRatio: opt.RetryRatio, ReportLoad: opt.PlaceByCost, MaxBufferedBytes: opt.MaxBufferedBytes,
 		AggregateDemand: func(de *attempt.Demand) (allocation.Grant, bool) { return nd.entry.AggregateDemand(de) },
 		AnswerRenewal:   func(msg *schema.Renewal) *schema.RenewalAnswer { return nd.renewal.Answer(msg) },
 	})
@@ -214,7 +217,7 @@
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
-		Events: nd.events, Freshness: nd.renewal,
+		Events: nd.events, Freshness: nd.renewal, PlaceByCost: opt.PlaceByCost,
 	}
 	if nd.allowances != nil {
 		eopt.Allowances = nd.allowances
