buffer, pipeline, guard, link: one account for the memory that clients make a node hold

Cause: only what was being read was counted. Whole requests that wait or run, their parsed headers, answers that wait for a client, attempts at a guard, queues of links, and connections with half a head were not.

Change: buffer.Ledger, a state machine, decides for each connection what it may read and keep, from the first byte of a head to the last byte of the answer; a head is charged by its lines before it is parsed. The budget of a quarter of the memory is shared by the server for callers and the attempts of other nodes. Who holds most is refused or closed first. A connection that keeps more than is free is not read. Header lines are bounded (1,024, or one for 16 bytes of max-header-bytes), send queues of links together (an eighth of the memory), connections beyond their bound also when they hold half a head, and the connections of the addresses for reports and operators (64). Refusals are counted and logged by reason, at most a line a second for each.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -30,6 +30,9 @@
 	// answerMemoryDivisor bounds the answers that are being read to 1/answerMemoryDivisor of
 	// the memory of the VM.
 	answerMemoryDivisor = 8
+	// linkMemoryDivisor bounds what is queued for other nodes to 1/linkMemoryDivisor of the
+	// memory of the VM. The queue of a link holds a frame of any size.
+	linkMemoryDivisor = 8
 	// stopNotice is the time for which a stopping node still serves requests. The platform
 	// stops sending requests to it after two failed readiness checks, 1 s apart.
 	stopNotice = 2500 * time.Millisecond
@@ -74,7 +77,8 @@
 		return err
 	}
 	nd, err := node.New(set.NodeSettings(), node.Options{
-		Log: log.Log, NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
+		Log: log.Log, ClientMemory: set.ClientMemory(), MaxQueuedBytes: set.MemoryMB << 20 / linkMemoryDivisor,
+		NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
 		Events: os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
 		MaxBufferedBytes: set.MemoryMB << 20 / answerMemoryDivisor, MaxHeapGrowthPercent: maxHeapGrowthPercent,
 		Endpoints: []node.Endpoint{
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -4,10 +4,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -28,9 +30,11 @@
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/allocation"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/calltree"
 	"camphortrail/internal/traffic/entry"
 	"camphortrail/internal/traffic/guard"
+	"camphortrail/internal/traffic/link"
 	"camphortrail/internal/traffic/peer"
 	"camphortrail/membership"
 	"camphortrail/retry"
@@ -85,6 +89,12 @@
 	// MaxBufferedBytes is the total size of the answer bodies being read, in bytes, above
 	// which the guard stops reading large ones; see guard.Options.
 	MaxBufferedBytes int64
+	// ClientMemory, if set, bounds the memory of the attempts of other nodes; see guard.Options.
+	// The server for callers shares it.
+	ClientMemory *buffer.Budget
+	// MaxQueuedBytes is the size of the send queues of all links together, in bytes, above which
+	// further frames are rejected. 0 means no bound but that of each link.
+	MaxQueuedBytes int64
 	// MaxHeapGrowthPercent, if set, is the most by which the heap may exceed the live
 	// heap while the node is busy, in percent; see process.HeapGrowth.
 	MaxHeapGrowthPercent int
@@ -164,6 +174,7 @@
 
 // New listens on the addresses of the settings and returns a node that is ready to run.
 func New(set *schema.Settings, opt Options) (*Node, error) {
+	opt.ClientMemory = cmp.Or(opt.ClientMemory, buffer.NewBudget(math.MaxInt64))
 	if opt.Stop == (StopPlan{}) {
 		opt.Stop = DefaultStop
 	}
@@ -185,13 +196,18 @@
 		nd.events = events.New(set.GetName())
 	}
 	nd.rpc = &http.Client{Transport: opt.SocketWrappers.newTransport(opt.Dial)}
+	var quota *link.Quota
+	if opt.MaxQueuedBytes > 0 {
+		quota = link.NewQuota(opt.MaxQueuedBytes)
+	}
 	nd.guard = guard.New(guard.Options{
+		ClientMemory: opt.ClientMemory, LinkQuota: quota,
 		Trees: trees, FIFO: opt.Policy == BaselinePolicy, Seed: seed, Metrics: nd.metrics,
 		Incarnation: withdrawal.Incarnation(randomNonZero()), Protocol: opt.UpstreamProtocol,
 		Events: nd.events, Admission: opt.Admission, MaxBufferedBytes: opt.MaxBufferedBytes,
 		AggregateDemand: func(de *attempt.Demand) (allocation.Grant, bool) { return nd.entry.AggregateDemand(de) },
 	})
-	nd.pool = peer.New(peer.Options{OnSuspicion: nd.setSuspect, OnGrant: nd.setGrant, Dial: opt.Dial})
+	nd.pool = peer.New(peer.Options{OnSuspicion: nd.setSuspect, OnGrant: nd.setGrant, Dial: opt.Dial, LinkQuota: quota})
 	eopt := entry.Options{
 		VM: call.VM(set.GetName()), Domain: call.FailureDomain(set.GetFailureDomain()), Trees: trees,
 		Guard: nd.guard, Pool: nd.pool, Seed: seed, Metrics: nd.metrics, RetrySlack: opt.RetrySlack,
@@ -353,6 +369,12 @@
 // knows no upstream.
 func (nd *Node) UpstreamService() call.Service { return nd.guard.Service() }
 
+// ClientMemory returns the budget for what callers and other nodes make the node hold.
+func (nd *Node) ClientMemory() *buffer.Budget { return nd.opt.ClientMemory }
+
+// Metrics returns the metrics of the node.
+func (nd *Node) Metrics() *metrics.Set { return nd.metrics }
+
 // Log returns the log of the node.
 func (nd *Node) Log() log.Interface { return nd.log }
 
--- a/internal/fleet/node/servers.go
+++ b/internal/fleet/node/servers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"camphortrail/internal/traffic/connlimit"
 	"camphortrail/internal/traffic/inflight"
 )
 
@@ -34,11 +35,17 @@
 		{newServer(nd.localHandler()), "local", nd.localListener},
 	}
 	for i, ln := range nd.endpointListeners {
-		servers = append(servers, namedServer{newServer(nd.opt.Endpoints[i].Handler(nd)), "endpoint " + ln.Addr().String(), ln})
+		sv := newServer(nd.opt.Endpoints[i].Handler(nd))
+		sv.ReadTimeout = endpointReadTimeout
+		connlimit.Limit(sv.Server, connlimit.DefaultMax)
+		servers = append(servers, namedServer{sv, "endpoint " + ln.Addr().String(), ln})
 	}
 	return servers
 }
 
+// endpointReadTimeout bounds the time to read a request to an additional endpoint.
+const endpointReadTimeout = 10 * time.Second
+
 // flushTimeout bounds the time in which an internalServer writes its last answers and closes
 // its connections.
 const flushTimeout = 100 * time.Millisecond
--- a/internal/state/control/serve.go
+++ b/internal/state/control/serve.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 
+	"camphortrail/internal/traffic/connlimit"
 	"camphortrail/schema/schemaconnect"
 )
 
@@ -59,6 +60,13 @@
 	return rm
 }
 
+const (
+	// maxEndpointHeaderBytes bounds the head of a request to an additional endpoint, and
+	// endpointReadTimeout the time to read it with its body, a document of some megabytes.
+	maxEndpointHeaderBytes = 16 << 10
+	endpointReadTimeout    = 10 * time.Second
+)
+
 // serve starts the servers of all addresses, each as a task, and returns them.
 func (co *Control) serve(start func(func(context.Context) error)) []*http.Server {
 	var protocols http.Protocols
@@ -74,7 +82,12 @@
 		listeners = append(listeners, co.localListener)
 	}
 	for i, ln := range co.endpoints {
-		servers = append(servers, &http.Server{Handler: co.opt.Endpoints[i].Handler(co), ReadHeaderTimeout: readHeaderTimeout})
+		sv := &http.Server{
+			Handler: co.opt.Endpoints[i].Handler(co), ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes: maxEndpointHeaderBytes, ReadTimeout: endpointReadTimeout,
+		}
+		connlimit.Limit(sv, connlimit.DefaultMax)
+		servers = append(servers, sv)
 		listeners = append(listeners, ln)
 	}
 	for i, sv := range servers {
--- a/internal/traffic/buffer/buffer.go
+++ b/internal/traffic/buffer/buffer.go
@@ -5,10 +5,15 @@
 // largest message, and the sum over all connections exceeds the memory of the VM. A Budget
 // bounds the sum. When it is used up, the largest message is given up, which is the one that
 // has been sent without end for longest, so that short ones are still read beside it.
+//
+// A second load pattern is clients that send many requests ahead and don't read the answers, or
+// whose requests take far more memory than their bytes. So a Budget also counts whole requests
+// and answers, by connection; see Ledger.
 package buffer
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -22,23 +27,29 @@
 	Abort()
 }
 
+// Canceller is a Reader that can also give up whole requests and answers.
+type Canceller interface {
+	// Cancel cancels the requests that run, or closes a connection whose other end does not
+	// read. It does not wait.
+	Cancel()
+}
+
+// maxWait bounds the time for which Grow and GrowKept wait for memory on its way back. Aborted
+// reads return theirs at once, but a request that was cancelled may go on.
+const maxWait = time.Second
+
 // Budget bounds the total size of the reservations that are held. It is safe for concurrent
 // use.
 type Budget struct {
-	limit int64
-
-	mu   sync.Mutex
-	used int64
-	// evicted is the part of used that belongs to evicted reservations.
-	evicted int64
-	holders map[*Reservation]struct{}
-	// released is signalled when a reservation ends.
+	mu     sync.Mutex
+	ledger *Ledger
+	// released is signalled when memory is returned.
 	released *sync.Cond
 }
 
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget {
-	bb := &Budget{limit: limit, holders: make(map[*Reservation]struct{})}
+	bb := &Budget{ledger: NewLedger(limit)}
 	bb.released = sync.NewCond(&bb.mu)
 	return bb
 }
@@ -47,22 +58,25 @@
 func (bb *Budget) Used() int64 {
 	bb.mu.Lock()
 	defer bb.mu.Unlock()
-	return bb.used
+	return bb.ledger.Used()
 }
 
-// Reservation is the memory of one message. Its zero value is not usable; call Init.
+// Reservation is the memory of one connection or message. Its zero value is not usable; call
+// Init.
 type Reservation struct {
 	budget *Budget
 	reader Reader
-	// size and isEvicted are guarded by the lock of the budget.
-	size      int64
-	isEvicted bool
+	// holder and closed are guarded by the lock of the budget.
+	holder Holder
+	closed bool
 }
 
 // Init prepares a reservation of no bytes for a message that the reader reads.
-func (rs *Reservation) Init(bb *Budget, rd Reader) { rs.budget, rs.reader = bb, rd }
+func (rs *Reservation) Init(bb *Budget, rd Reader) {
+	rs.budget, rs.reader, rs.holder.owner = bb, rd, rs
+}
 
-// Grow adds bytes to the reservation. If the budget does not suffice, it evicts the largest
+// Grow adds bytes to what is being read. If the budget does not suffice, it evicts the largest
 // reservations and waits until they are released. It returns ErrNoMemory if this reservation
 // would be the largest one, or was evicted. Reservations of equal size are not evicted for one
 // another.
@@ -70,69 +84,140 @@
 	bb := rs.budget
 	bb.mu.Lock()
 	defer bb.mu.Unlock()
-	for !rs.isEvicted && bb.used+bytes > bb.limit {
-		if bb.used-bb.evicted+bytes > bb.limit && !bb.evictLarger(rs.size+bytes) {
-			bb.evict(rs)
-			break
-		}
-		bb.released.Wait()
-	}
-	if rs.isEvicted {
+	if !rs.charge(Reading, bytes) {
+		bb.ledger.Abort(&rs.holder)
 		return ErrNoMemory
 	}
-	if rs.size == 0 {
-		bb.holders[rs] = struct{}{}
+	return nil
+}
+
+// GrowKept adds bytes to what is kept, as Grow does, and returns ErrNoMemory if there is no memory
+// for it. What was kept before is not affected.
+func (rs *Reservation) GrowKept(bytes int64) error {
+	bb := rs.budget
+	bb.mu.Lock()
+	defer bb.mu.Unlock()
+	if !rs.charge(Kept, bytes) {
+		return ErrNoMemory
 	}
-	rs.size += bytes
-	bb.used += bytes
 	return nil
 }
 
-// evictLarger evicts the largest reservation if it is larger than size, and reports whether it
-// did. The lock is held.
-func (bb *Budget) evictLarger(size int64) bool {
-	var largest *Reservation
-	for rs := range bb.holders {
-		if !rs.isEvicted && rs.size > size {
-			largest, size = rs, rs.size
+// charge charges bytes and waits for memory on its way back. The lock is held.
+func (rs *Reservation) charge(part Part, bytes int64) bool {
+	bb := rs.budget
+	var timer *time.Timer
+	expired := false
+	for {
+		dec, vi := bb.ledger.Charge(&rs.holder, part, bytes)
+		if dec != Wait {
+			if timer != nil {
+				timer.Stop()
+			}
+			return dec == Granted
 		}
+		if vi.Holder != nil {
+			vi.Holder.owner.evicted(vi)
+			// Others may wait that are evicted now.
+			bb.released.Broadcast()
+		}
+		if expired {
+			return false
+		}
+		if timer == nil {
+			timer = time.AfterFunc(maxWait, func() {
+				bb.mu.Lock()
+				defer bb.mu.Unlock()
+				expired = true
+				bb.released.Broadcast()
+			})
+		}
+		bb.released.Wait()
 	}
-	if largest == nil {
-		return false
-	}
-	bb.evict(largest)
-	largest.reader.Abort()
-	// Others may wait that are evicted now.
-	bb.released.Broadcast()
-	return true
 }
 
-// evict marks a reservation as evicted. The lock is held.
-func (bb *Budget) evict(rs *Reservation) {
-	rs.isEvicted = true
-	bb.evicted += rs.size
+// evicted tells the reader to give up memory. The lock of the budget is held.
+func (rs *Reservation) evicted(vi Victim) {
+	if vi.Abort {
+		rs.reader.Abort()
+	}
+	if ca, ok := rs.reader.(Canceller); ok && vi.Cancel {
+		ca.Cancel()
+	}
 }
 
-// Evicted reports whether the message must be given up.
+// Evicted reports whether the message that is being read must be given up.
 func (rs *Reservation) Evicted() bool {
 	rs.budget.mu.Lock()
 	defer rs.budget.mu.Unlock()
-	return rs.isEvicted
+	return rs.holder.aborted
 }
 
-// Release returns the whole reservation to the budget. Later calls have no effect.
+// Release returns what is being read to the budget. Later calls have no effect.
 func (rs *Reservation) Release() {
 	bb := rs.budget
 	bb.mu.Lock()
 	defer bb.mu.Unlock()
-	if rs.size == 0 {
+	if rs.holder.reading == 0 {
 		return
 	}
-	bb.used -= rs.size
-	if rs.isEvicted {
-		bb.evicted -= rs.size
+	bb.ledger.ReleaseReading(&rs.holder)
+	bb.released.Broadcast()
+}
+
+// Keep keeps up to bytes of what was read, returns the rest to the budget, and returns how much is
+// kept.
+func (rs *Reservation) Keep(bytes int64) int64 {
+	bb := rs.budget
+	bb.mu.Lock()
+	defer bb.mu.Unlock()
+	kept := bb.ledger.Keep(&rs.holder, bytes)
+	bb.released.Broadcast()
+	return kept
+}
+
+// Drop returns bytes of what is kept to the budget.
+func (rs *Reservation) Drop(bytes int64) {
+	if bytes == 0 {
+		return
 	}
-	delete(bb.holders, rs)
-	rs.size = 0
+	bb := rs.budget
+	bb.mu.Lock()
+	defer bb.mu.Unlock()
+	bb.ledger.Release(&rs.holder, Kept, bytes)
 	bb.released.Broadcast()
 }
+
+// Held returns the size of the reservation in bytes.
+func (rs *Reservation) Held() int64 {
+	rs.budget.mu.Lock()
+	defer rs.budget.mu.Unlock()
+	return rs.holder.total()
+}
+
+// SetStalled says whether the other end has stopped reading its answers.
+func (rs *Reservation) SetStalled(stalled bool) {
+	rs.budget.mu.Lock()
+	defer rs.budget.mu.Unlock()
+	rs.budget.ledger.SetStalled(&rs.holder, stalled)
+}
+
+// AwaitShare waits until the connection keeps no more than its share of the budget, so that
+// another request may be read. It returns false after Close.
+func (rs *Reservation) AwaitShare() bool {
+	bb := rs.budget
+	bb.mu.Lock()
+	defer bb.mu.Unlock()
+	for !rs.closed && !bb.ledger.MayRead(&rs.holder) {
+		bb.released.Wait()
+	}
+	return !rs.closed
+}
+
+// Close ends the waits of AwaitShare. What is reserved stays so until it is returned.
+func (rs *Reservation) Close() {
+	rs.budget.mu.Lock()
+	defer rs.budget.mu.Unlock()
+	rs.closed = true
+	rs.budget.released.Broadcast()
+}
--- a/internal/traffic/buffer/buffer_test.go
+++ b/internal/traffic/buffer/buffer_test.go
@@ -57,8 +57,8 @@
 		})
 	}
 	group.Wait()
-	if used := bb.Used(); used != 0 || len(bb.holders) != 0 || bb.evicted != 0 {
-		t.Errorf("after all messages %d bytes are used, %d of them evicted, by %d", used, bb.evicted, len(bb.holders))
+	if used := bb.Used(); used != 0 || len(bb.ledger.holders) != 0 || bb.ledger.returning != 0 {
+		t.Errorf("after all messages %d bytes are used, %d of them evicted, by %d", used, bb.ledger.returning, len(bb.ledger.holders))
 	}
 }
 
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -15,7 +15,6 @@
 // answer that says why there is none.
 func (gd *Guard) forward(pa *pendingAttempt, tg *target) *attempt.Answer {
 	at, rn := pa.attempt, &pa.run
-	defer pa.memory.Release()
 	rq := &upstream.Request{Method: at.Method, URI: at.URI, Host: at.Host, Header: at.Header, Body: at.Body, Memory: &pa.memory}
 	if rq.Header == nil {
 		rq.Header = make(http.Header)
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -86,6 +87,11 @@
 	// MaxBufferedBytes bounds the memory of the answers that are being read (default 64 MiB).
 	// When it is used up, the largest of them are given up.
 	MaxBufferedBytes int64
+	// ClientMemory, if it is set, bounds the memory of the attempts of other nodes that wait or
+	// run, together with what else is charged to it.
+	ClientMemory *buffer.Budget
+	// LinkQuota, if it is set, bounds the send queues of the links of other nodes.
+	LinkQuota *link.Quota
 }
 
 // Guard admits attempts and runs them on the upstream on its VM. Its methods are safe for
@@ -107,6 +113,8 @@
 	slots           slotAllocation
 	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
 	memory          *buffer.Budget
+	clientMemory    *buffer.Budget
+	linkQuota       *link.Quota
 	workers         worker.Pool
 
 	mu       sync.Mutex
@@ -136,6 +144,8 @@
 	gd.loop = newAdmissionLoop(po, &gd.usage)
 	gd.slots.allocator = allocation.New()
 	gd.memory = buffer.NewBudget(cmp.Or(opt.MaxBufferedBytes, defaultMaxBufferedBytes))
+	gd.clientMemory = cmp.Or(opt.ClientMemory, buffer.NewBudget(math.MaxInt64))
+	gd.linkQuota = opt.LinkQuota
 	return gd
 }
 
@@ -193,6 +203,7 @@
 	pa := newPendingAttempt(gd, at)
 	stop := context.AfterFunc(ctx, pa.cancel)
 	defer stop()
+	defer pa.memory.Release()
 	return gd.handle(pa)
 }
 
--- a/internal/traffic/guard/pending.go
+++ b/internal/traffic/guard/pending.go
@@ -5,7 +5,9 @@
 
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
+	"camphortrail/internal/traffic/header"
 	"camphortrail/internal/traffic/upstream"
+	"camphortrail/schema"
 )
 
 // pendingAttempt is an attempt that waits for admission or runs.
@@ -15,8 +17,10 @@
 	// decided gets one decision.
 	decided chan decision
 	run     upstream.Run
-	// memory is the memory of the answer while it is read.
+	// memory is the memory of the answer, until it is queued for its entry.
 	memory buffer.Reservation
+	// request is the memory of an attempt of another node, with its header.
+	request buffer.Reservation
 
 	mu sync.Mutex
 	// cancelled says that nobody waits for the answer any more. admitting is set while the
@@ -26,12 +30,35 @@
 
 func newPendingAttempt(gd *Guard, at *attempt.Attempt) *pendingAttempt {
 	pa := &pendingAttempt{
-		guard: gd, attempt: at, decided: make(chan decision, 1), run: upstream.Run{Deadline: gd.runDeadline(at)},
+		guard: gd, attempt: at, decided: make(chan decision, 1),
+	}
+	if at != nil {
+		pa.run.Deadline = gd.runDeadline(at)
 	}
 	pa.memory.Init(gd.memory, &pa.run)
+	pa.request.Init(gd.clientMemory, (*attemptHolder)(pa))
 	return pa
 }
 
+// attemptBytes is the memory of an attempt of another node with a short header: the stack of its
+// goroutine, and what the guard knows of it.
+const attemptBytes = 24 << 10
+
+// attemptMemory returns the memory that an attempt in a frame takes.
+func attemptMemory(msg *schema.Attempt) int64 {
+	lines := header.BlockFields(msg.GetHeaderBlock()) + len(msg.GetHeader())
+	return attemptBytes + buffer.HeadCost(len(msg.GetHeaderBlock())+len(msg.GetUri()), lines) + int64(len(msg.GetBody()))
+}
+
+// attemptHolder gives up an attempt when its memory is needed for smaller ones.
+type attemptHolder pendingAttempt
+
+// Abort implements buffer.Reader. The attempt was read already.
+func (*attemptHolder) Abort() {}
+
+// Cancel implements buffer.Canceller.
+func (ah *attemptHolder) Cancel() { go (*pendingAttempt)(ah).cancel() }
+
 // cancel tells the admission loop, now or once it knows the attempt, that nobody waits for the
 // answer any more. It does not wait for the loop. Later calls have no effect.
 func (pa *pendingAttempt) cancel() {
--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return
 	}
+	lk.SetQuota(gd.linkQuota)
 	gd.addLink(lk)
 	// The entry needs a stamp before it sends its first attempt. Sending fails if the link has
 	// closed already, which Receive reports.
@@ -84,13 +85,20 @@
 func (ses *session) begin(msg *schema.Attempt) {
 	gd := ses.guard
 	arrival := time.Now()
+	pa := newPendingAttempt(gd, nil)
+	held := attemptMemory(msg)
+	if pa.request.GrowKept(held) != nil {
+		gd.refuseFrame(ses.link, msg, errNoMemory)
+		return
+	}
 	at, err := attempt.FromFrame(msg, arrival)
 	if err != nil {
+		pa.request.Drop(held)
 		gd.refuseFrame(ses.link, msg, err)
 		return
 	}
 	gd.active.Enter()
-	pa := newPendingAttempt(gd, at)
+	pa.attempt, pa.run.Deadline = at, gd.runDeadline(at)
 	ses.mu.Lock()
 	ses.unanswered[at.ID] = pa
 	if len(ses.unacknowledged) == 0 {
@@ -101,6 +109,8 @@
 	gd.workers.Go(func() {
 		defer gd.active.Exit()
 		defer ses.remove(at.ID)
+		defer pa.request.Drop(held)
+		defer pa.memory.Release()
 		an := gd.handle(pa)
 		an.GuardTime = time.Since(arrival)
 		// If sending fails, the entry asks for the answer by a withdrawal.
@@ -139,8 +149,11 @@
 	return due
 }
 
-// refuseFrame answers a malformed attempt with the error as reason. It closes the link
-// if the attempt has no usable id.
+// errNoMemory is the error of an attempt for which the guard has no memory.
+var errNoMemory = errors.New(ReasonNoMemory)
+
+// refuseFrame answers an attempt that is malformed, or for which there is no memory, with the error
+// as reason. It closes the link if the attempt has no usable id.
 func (gd *Guard) refuseFrame(lk *link.Link, msg *schema.Attempt, err error) {
 	var id call.AttemptID
 	if copy(id[:], msg.GetAttemptId()) < len(id) {
@@ -148,6 +161,9 @@
 		return
 	}
 	an := attempt.Refusal(err.Error(), 0)
+	if err == errNoMemory {
+		an.RetryAfter, an.Overload = fullRetryAfter, true
+	}
 	an.UnusedRetries = int(msg.GetAllowance())
 	_ = lk.Send(an.Frame(id, gd.Stamp().String(), lk.SupportsHeaderBlocks()))
 }
--- a/internal/traffic/header/block.go
+++ b/internal/traffic/header/block.go
@@ -58,6 +58,20 @@
 	return hd, nil
 }
 
+// BlockFields returns the number of fields in a block, up to the first malformed one. It allocates
+// nothing.
+func BlockFields(block []byte) (fields int) {
+	for rest := unsafe.String(unsafe.SliceData(block), len(block)); rest != ""; fields++ {
+		var err error
+		for range 2 {
+			if _, rest, err = cutString(rest); err != nil {
+				return fields
+			}
+		}
+	}
+	return fields
+}
+
 // cutString returns the first string of a block and the rest of the block.
 func cutString(block string) (str, rest string, err error) {
 	length, shift := uint64(0), 0
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -102,6 +102,11 @@
 	unsent []byte
 	spare  []byte
 	closed bool
+	// quota bounds the send queue beyond freeQueueBytes, and quotaTaken is what unsent takes of it.
+	quota      *Quota
+	quotaTaken int64
+	// writing is true while frames are written.
+	writing bool
 	// shuttingDown is true when the link closes as soon as unsent is empty.
 	shuttingDown bool
 }
@@ -237,12 +242,17 @@
 		}
 		lk.unsent, lk.spare = lk.spare[:0], nil
 		lk.writeStarted.Store(true)
+		lk.writing = true
+		quota, taken := lk.quota, lk.takeQuota()
 		lk.mu.Unlock()
-		if _, err := lk.nc.Write(unsent); err != nil {
+		_, err := lk.nc.Write(unsent)
+		quota.give(taken)
+		if err != nil {
 			lk.Close()
 			return false
 		}
 		lk.mu.Lock()
+		lk.writing = false
 		if cap(unsent) <= readBufferBytes {
 			lk.spare = unsent
 		}
@@ -270,6 +280,9 @@
 		return ErrFull
 	}
 	at, length := len(lk.unsent), fr.SizeVT()
+	if err := lk.reserve(at + lengthPrefixBytes + length); err != nil {
+		return err
+	}
 	unsent := binary.BigEndian.AppendUint32(slices.Grow(lk.unsent, length+lengthPrefixBytes), uint32(length))
 	unsent = unsent[:at+lengthPrefixBytes+length]
 	if _, err := fr.MarshalToSizedBufferVT(unsent[at+lengthPrefixBytes:]); err != nil {
@@ -371,6 +384,7 @@
 		return
 	}
 	lk.closed = true
+	lk.quota.give(lk.takeQuota())
 	close(lk.done)
 	if lk.nc != nil {
 		_ = lk.nc.Close()
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -116,6 +116,7 @@
 func (pl *Pool) openConn(vm call.VM, address string) *conn {
 	pl.lastConnID++
 	cn := &conn{id: pl.lastConnID, vm: vm, address: address, link: link.Open(pl.dial, address), opened: time.Now(), greeted: make(chan struct{})}
+	cn.link.SetQuota(pl.quota)
 	pl.connsByVM[vm] = cn
 	pl.connsByID[cn.id] = cn
 	go pl.readFrames(cn)
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -64,6 +64,7 @@
 	signals *queue.Queue[withdrawal.Signal]
 	dropped atomic.Uint64
 	dial    DialFunc
+	quota   *link.Quota
 
 	mu         sync.Mutex
 	lastConnID withdrawal.ConnID
@@ -122,6 +123,8 @@
 	// Dial opens the connections to guards. If it is nil, a net.Dialer with a timeout of
 	// dialTimeout is used.
 	Dial DialFunc
+	// LinkQuota, if it is set, bounds the send queues of the connections together.
+	LinkQuota *link.Quota
 }
 
 // New returns a pool without connections. Its Run method must run while Send is used.
@@ -131,6 +134,7 @@
 	}
 	return &Pool{
 		dial:        opt.Dial,
+		quota:       opt.LinkQuota,
 		signals:     queue.New[withdrawal.Signal](signalQueueSize),
 		connsByVM:   make(map[call.VM]*conn),
 		connsByID:   make(map[withdrawal.ConnID]*conn),
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -29,13 +30,40 @@
 	ReasonMalformed      = "malformed-request"
 	ReasonIncomplete     = "incomplete-body"
 	ReasonNoMemory       = "no-memory"
+	ReasonHeaderLines    = "too-many-header-lines"
+)
+
+// Reasons of closed connections in a Refusal.
+const (
+	ReasonNotReading  = "answers-not-read"
+	ReasonConnections = "too-many-connections"
+)
+
+const (
+	// requestBytes is the memory of a request in flight with a short head and answer: the stack
+	// of its goroutine, the parsed request, and what entry and guard know of it.
+	requestBytes = 24 << 10
+	// freeAnswerBytes is the part of an answer that requestBytes includes.
+	freeAnswerBytes = 4 << 10
+	// headerLineBytes is the memory of a header line of an answer beside its text.
+	headerLineBytes = 64
+	// writeBytes is the size of the parts in which long answers are written.
+	writeBytes = 64 << 10
+	// stallTime is the time without progress after which a client counts as one that does not
+	// read. Its connection is closed when others need the memory.
+	stallTime = 3 * time.Second
 )
 
 var (
 	errHeaderTooLarge = errors.New("pipeline: header is larger than the limit")
 	errBodyTooLarge   = errors.New("pipeline: body is larger than the limit")
+	errNotReading     = errors.New("pipeline: the client does not read its answers")
 )
 
+// ErrNoMemory is the cause of the cancellation of a request whose connection holds most memory
+// when it is needed for others.
+var ErrNoMemory = errors.New("pipeline: no memory for the request")
+
 // exchange is a request in flight and its answer.
 type exchange struct {
 	request Request
@@ -48,6 +76,8 @@
 	readAt time.Time
 	// cancel cancels the request alone. It is nil without a handler.
 	cancel context.CancelCauseFunc
+	// held is the memory of the request and its answer.
+	held int64
 }
 
 // conn is one connection of a caller.
@@ -57,8 +87,12 @@
 	remote string
 	heads  *buffer.HeadReader
 	br     *bufio.Reader
-	// memory is that of the request that is being read.
+	// memory is that of the connection: of the request that is being read, of those in flight,
+	// and of answers.
 	memory buffer.Reservation
+	// stalled is true while the client does not read its answers, and givenUp when the
+	// connection is closed because of that.
+	stalled, givenUp atomic.Bool
 	// ctx is the context of requests that arrive while none is in flight. Only the reading
 	// goroutine uses it.
 	ctx    context.Context
@@ -76,6 +110,9 @@
 	// idleSince is the time, in Unix nanoseconds, since which no request is in flight or
 	// being read. It is 0 while one is.
 	idleSince atomic.Int64
+	// headSince is the time, in Unix nanoseconds, since which the head of a request is being
+	// read while none is in flight, or 0.
+	headSince atomic.Int64
 }
 
 func newConn(sv *Server, nc net.Conn) *conn {
@@ -107,6 +144,9 @@
 		if ex.cancel != nil {
 			ex.cancel(cause)
 		}
+		if ex.ready {
+			cn.drop(ex)
+		}
 	}
 	cn.mu.Unlock()
 	cn.memory.Release()
@@ -145,19 +185,25 @@
 	}
 	lim := cn.sv.opt.Limits()
 	cn.setRequestDeadline(lim)
-	cn.heads.BeginHead(int64(lim.MaxHeaderBytes+headerReadSlack), &cn.memory)
-	if _, err := cn.br.Peek(1); err != nil {
+	if err := cn.beginHead(lim); err != nil {
 		return false
 	}
 	if !cn.beginRequest(lim) {
 		return false
 	}
+	if cn.memory.Grow(requestBytes) != nil {
+		return cn.refuse(http.StatusServiceUnavailable, ReasonNoMemory)
+	}
 	r, err := http.ReadRequest(cn.br)
 	if err != nil {
 		return cn.refuseUnreadable(err)
 	}
-	if headerBytes(r) > lim.MaxHeaderBytes {
+	size, lines := headerSize(r)
+	switch {
+	case size > lim.MaxHeaderBytes:
 		return cn.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge)
+	case lines > cn.sv.maxHeaderLines(lim):
+		return cn.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderLines)
 	}
 	r.RemoteAddr = cn.remote
 	_ = cn.nc.SetReadDeadline(time.Now().Add(lim.IdleTimeout))
@@ -175,19 +221,38 @@
 	case err != nil:
 		return cn.refuse(http.StatusBadRequest, ReasonIncomplete)
 	}
-	cn.memory.Release()
-	return cn.startHandler(r, body)
+	held := cn.memory.Keep(requestBytes + buffer.HeadCost(size, lines) + int64(len(body)))
+	return cn.startHandler(r, body, held)
+}
+
+// beginHead waits until a head begins to arrive, and reserves the memory of what is buffered of
+// it.
+func (cn *conn) beginHead(lim Limits) error {
+	cn.heads.BeginHead(int64(lim.MaxHeaderBytes+headerReadSlack), &cn.memory)
+	ahead := cn.br.Buffered()
+	if ahead == 0 {
+		_, err := cn.br.Peek(1)
+		if err == buffer.ErrNoMemory {
+			err = nil // refused when the rest is reserved
+		}
+		return err
+	}
+	data, _ := cn.br.Peek(ahead)
+	_ = cn.heads.AddBuffered(data) // as above
+	return nil
 }
 
-// awaitCapacity waits until fewer than maxInFlight requests are in flight. It returns false
-// if the connection closes before that.
+// awaitCapacity waits until fewer than maxInFlight requests are in flight, and until those hold no
+// more memory than the share of the connection. It returns false if the connection closes before
+// that.
 func (cn *conn) awaitCapacity() bool {
 	cn.mu.Lock()
-	defer cn.mu.Unlock()
 	for len(cn.queue) >= maxInFlight && !cn.closing {
 		cn.notFull.Wait()
 	}
-	return !cn.closing
+	closing, alone := cn.closing, len(cn.queue) == 0
+	cn.mu.Unlock()
+	return !closing && (alone || cn.memory.AwaitShare())
 }
 
 // setRequestDeadline sets the time by which the next request must begin to arrive. There is
@@ -217,6 +282,9 @@
 	}
 	cn.readingRequest = true
 	cn.idleSince.Store(0)
+	if len(cn.queue) == 0 {
+		cn.headSince.Store(time.Now().UnixNano())
+	}
 	_ = cn.nc.SetReadDeadline(time.Now().Add(lim.HeaderTimeout))
 	return true
 }
@@ -236,21 +304,54 @@
 	return cn.refuse(http.StatusBadRequest, ReasonMalformed)
 }
 
-// headerBytes returns the size that Limits.MaxHeaderBytes bounds: method, URI, host, and each
-// header field with 4 bytes for its colon, space and line end.
-func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+// headerSize returns the size that Limits.MaxHeaderBytes bounds: method, URI, host, and each
+// header field with 4 bytes for its colon, space and line end. It also returns the number of
+// header lines.
+func headerSize(r *http.Request) (size, lines int) {
+	size = len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
+		lines += len(values)
 		for _, value := range values {
 			size += len(name) + len(value) + 4
 		}
 	}
-	return size
+	return size, lines
 }
 
 // Abort makes the read of a request fail. It implements buffer.Reader.
 func (cn *conn) Abort() { _ = cn.nc.SetReadDeadline(time.Unix(1, 0)) }
 
+// Cancel closes the connection if its client does not read, and otherwise cancels its requests in
+// flight, whose answers then say whether they have run. It implements buffer.Canceller.
+func (cn *conn) Cancel() {
+	if cn.stalled.Load() {
+		cn.givenUp.Store(true)
+		_ = cn.nc.SetWriteDeadline(time.Unix(1, 0))
+	}
+	go func() {
+		cn.mu.Lock()
+		defer cn.mu.Unlock()
+		for _, ex := range cn.queue {
+			if ex.cancel != nil && !ex.ready {
+				ex.cancel(ErrNoMemory)
+			}
+		}
+	}()
+}
+
+// report tells Options.Refused that a request was refused or the connection closed.
+func (cn *conn) report(reason string) {
+	if cn.sv.opt.Refused != nil {
+		cn.sv.opt.Refused(Refusal{Reason: reason, Remote: cn.remote, Held: cn.memory.Held()})
+	}
+}
+
+// drop returns the memory of a request and its answer. cn.mu must be held.
+func (cn *conn) drop(ex *exchange) {
+	cn.memory.Drop(ex.held)
+	ex.held = 0
+}
+
 // readBody returns the body of a request, errBodyTooLarge if it is longer than limit, or
 // buffer.ErrNoMemory.
 func (cn *conn) readBody(r *http.Request, limit int64) ([]byte, error) {
@@ -284,15 +385,17 @@
 	return len(cn.queue) == 0
 }
 
-// startHandler runs the handler of a request in another goroutine. It returns false if no
+// startHandler runs the handler of a request, which holds memory, in another goroutine. It returns false if no
 // request may follow on the connection.
-func (cn *conn) startHandler(r *http.Request, body []byte) bool {
+func (cn *conn) startHandler(r *http.Request, body []byte, held int64) bool {
+	cn.headSince.Store(0)
 	ctx, cancel := cn.requestContext()
-	ex := &exchange{request: Request{HTTP: r, Body: body, conn: cn}, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), cancel: cancel}
+	ex := &exchange{held: held, request: Request{HTTP: r, Body: body, conn: cn}, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), cancel: cancel}
 	if cn.sv.opt.Deadline != nil {
 		ex.readAt, ex.request.Deadline = time.Now(), cn.sv.opt.Deadline(r)
 	}
 	if !cn.enqueue(ex) {
+		cn.memory.Drop(held)
 		return false
 	}
 	cn.sv.workers.Go(func() { cn.complete(ex, cn.sv.opt.Handler(ctx, &ex.request)) })
@@ -355,6 +458,8 @@
 // refuse answers a request that is not passed to the handler, and ends the connection,
 // because the position of the next request in the stream is not known. It returns false.
 func (cn *conn) refuse(status int, reason string) bool {
+	cn.report(reason)
+	cn.headSince.Store(0)
 	cn.memory.Release()
 	ex := &exchange{request: Request{HTTP: &http.Request{Method: http.MethodGet}}, closeAfter: true}
 	if cn.enqueue(ex) {
@@ -398,9 +503,24 @@
 // complete stores the answer of a request. It writes all answers that no earlier request
 // holds back.
 func (cn *conn) complete(ex *exchange, an Answer) {
+	grown := int64(0)
+	if size := answerSize(an); size > freeAnswerBytes {
+		grown = size - freeAnswerBytes
+		if cn.memory.GrowKept(grown) != nil {
+			cn.report(ReasonNoMemory)
+			grown, an = 0, cn.sv.opt.Refuse(http.StatusBadGateway, ReasonNoMemory)
+		}
+	}
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	ex.answer, ex.ready = an, true
+	ex.held += grown
+	if cn.closing {
+		cn.drop(ex)
+		return
+	}
+	// The body is not needed any more, and the answer may wait for long.
+	ex.request.Body = nil
 	if len(cn.queue) > 0 && cn.queue[0] != ex && !ex.request.Deadline.IsZero() {
 		time.AfterFunc(time.Until(ex.giveWayAt()), func() { cn.giveWay(ex) })
 	}
@@ -408,7 +528,9 @@
 		head := cn.queue[0]
 		cn.queue = cn.queue[1:]
 		last := head.closeAfter || len(cn.queue) == 0 && (head.answer.Close || cn.sv.opt.Draining())
-		if err := cn.writeAnswer(head, last); err != nil || last {
+		err := cn.writeAnswer(head, last)
+		cn.drop(head)
+		if err != nil || last {
 			cn.close()
 			return
 		}
@@ -425,6 +547,7 @@
 func (cn *conn) close() {
 	cn.closing = true
 	cn.notFull.Broadcast()
+	cn.memory.Close()
 	_ = cn.nc.SetReadDeadline(time.Now())
 }
 
@@ -441,17 +564,50 @@
 func (cn *conn) abort() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
+	cn.abortLocked()
+}
+
+// abortLocked is abort for a caller that holds cn.mu.
+func (cn *conn) abortLocked() {
 	cn.closing = true
 	cn.notFull.Broadcast()
+	cn.memory.Close()
 	_ = cn.nc.Close()
 }
 
+// closeUnserved closes the connection at once if no request is in flight on it, so that nothing of
+// it was passed on.
+func (cn *conn) closeUnserved() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if len(cn.queue) == 0 && !cn.closing {
+		cn.report(ReasonConnections)
+		cn.abortLocked()
+	}
+}
+
+// answerSize returns the memory of an answer.
+func answerSize(an Answer) int64 {
+	size := len(an.Body)
+	for name, values := range an.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerLineBytes
+		}
+	}
+	return int64(size)
+}
+
 // writeAnswer writes one answer. If last is true, it announces that the connection closes.
 // cn.mu must be held.
 func (cn *conn) writeAnswer(ex *exchange, last bool) error {
 	an := ex.answer
+	// A long body is not copied behind the head.
+	short := len(an.Body) <= writeBytes
 	var buf bytes.Buffer
-	buf.Grow(512 + len(an.Body))
+	buf.Grow(512)
+	if short {
+		buf.Grow(512 + len(an.Body))
+	}
 	buf.WriteString("HTTP/1.1 " + strconv.Itoa(an.Status) + " " + http.StatusText(an.Status) + "\r\n")
 	header.WriteFields(&buf, an.Header, nil)
 	if last {
@@ -461,10 +617,60 @@
 		buf.WriteString("Content-Length: " + strconv.Itoa(len(an.Body)) + "\r\n")
 	}
 	buf.WriteString("\r\n")
-	if ex.request.HTTP.Method != http.MethodHead {
+	end := time.Now().Add(cn.sv.opt.Limits().IdleTimeout)
+	if ex.request.HTTP.Method == http.MethodHead {
+		return cn.write(buf.Bytes(), end)
+	}
+	if short {
 		buf.Write(an.Body)
+		return cn.write(buf.Bytes(), end)
+	}
+	if err := cn.write(buf.Bytes(), end); err != nil {
+		return err
+	}
+	for body := an.Body; len(body) > 0; {
+		part := body[:min(len(body), writeBytes)]
+		body = body[len(part):]
+		if err := cn.write(part, end); err != nil {
+			return err
+		}
 	}
-	_ = cn.nc.SetWriteDeadline(time.Now().Add(cn.sv.opt.Limits().IdleTimeout))
-	_, err := cn.nc.Write(buf.Bytes())
-	return err
+	return nil
+}
+
+// write writes data until a time. It marks the connection as stalled when the client has taken
+// nothing for stallTime.
+func (cn *conn) write(data []byte, end time.Time) error {
+	for {
+		until := time.Now().Add(stallTime)
+		if until.After(end) {
+			until = end
+		}
+		_ = cn.nc.SetWriteDeadline(until)
+		if cn.givenUp.Load() {
+			return errNotReading
+		}
+		n, err := cn.nc.Write(data)
+		if n > 0 && cn.stalled.Load() {
+			cn.setStalled(false)
+		}
+		data = data[n:]
+		switch {
+		case err == nil:
+			return nil
+		case cn.givenUp.Load():
+			cn.report(ReasonNotReading)
+			return errNotReading
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end):
+			return err
+		case n == 0:
+			cn.setStalled(true)
+		}
+	}
+}
+
+// setStalled records whether the client reads its answers.
+func (cn *conn) setStalled(stalled bool) {
+	cn.stalled.Store(stalled)
+	cn.memory.SetStalled(stalled)
 }
--- a/internal/traffic/pipeline/memory_test.go
+++ b/internal/traffic/pipeline/memory_test.go
@@ -43,7 +43,7 @@
 		cl := ts.dial(t)
 		cl.send("/short")
 		if status, _, _ := cl.read(); status != http.StatusOK {
-			t.Errorf("short request: status %d", status)
+			t.Fatalf("short request: status %d", status)
 		}
 		<-ts.started
 		if used := ts.memory.Used(); used > limit {
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -102,22 +102,44 @@
 	// MayRepeat, if not nil, reports whether a request may be repeated after it has run. Such
 	// requests give way to an answer behind them that would expire (ErrGaveWay).
 	MayRepeat func(r *http.Request) bool
-	// Refuse returns the answer to a request that violates the limits or the protocol.
-	// reason is one of the Reason constants.
+	// Refuse returns the answer to a request that violates the limits or the protocol, or for
+	// which there is no memory. reason is one of the Reason constants. Status 502 stands for an
+	// answer that was dropped; all others for a request that was not passed to the handler.
 	Refuse func(status int, reason string) Answer
 	// Limits returns the current limits. It is called for each request.
 	Limits func() Limits
 	// MaxConns, if not 0, is the number of connections above which each new one closes
 	// the connection that has been idle longest.
 	MaxConns int
-	// MaxBufferedBytes, if not 0, bounds the memory of the bodies that are being read. When it
-	// is used up, the largest of these requests are refused.
-	MaxBufferedBytes int64
+	// Memory, if not nil, bounds the memory of connections, requests and answers, until they are
+	// written. When it is used up, the connections that hold most are refused or closed first.
+	Memory *buffer.Budget
+	// MaxHeaderLines, if not 0, bounds the header lines of a request. The default is the larger
+	// of DefaultMaxHeaderLines and a line for 16 bytes of MaxHeaderBytes.
+	MaxHeaderLines int
+	// Refused, if not nil, is called for each request that is not passed to the handler, each
+	// answer that is dropped for lack of memory, and each connection that is closed for a limit.
+	// It must not wait.
+	Refused func(Refusal)
 	// Draining reports whether the server closes each connection after the answer to the
 	// last request in flight on it.
 	Draining func() bool
 }
 
+// DefaultMaxHeaderLines is the least default of Options.MaxHeaderLines. Header lines have 30 bytes
+// and more on the mean, so that 16,384 bytes of ordinary headers hold some 500.
+const DefaultMaxHeaderLines = 1024
+
+// Refusal says that a request was refused, an answer dropped or a connection closed.
+type Refusal struct {
+	// Reason is one of the Reason constants.
+	Reason string
+	// Remote is the address of the client, and Held the memory that its connection held, in
+	// bytes.
+	Remote string
+	Held   int64
+}
+
 // Server is an HTTP/1.1 server for pipelined requests. It is safe for concurrent use.
 type Server struct {
 	opt    Options
@@ -135,10 +157,15 @@
 func New(opt Options) *Server {
 	return &Server{
 		opt: opt, conns: make(map[*conn]struct{}),
-		memory: buffer.NewBudget(cmp.Or(opt.MaxBufferedBytes, math.MaxInt64)),
+		memory: cmp.Or(opt.Memory, buffer.NewBudget(math.MaxInt64)),
 	}
 }
 
+// maxHeaderLines returns the number of header lines that a request may have.
+func (sv *Server) maxHeaderLines(lim Limits) int {
+	return cmp.Or(sv.opt.MaxHeaderLines, max(DefaultMaxHeaderLines, lim.MaxHeaderBytes/16))
+}
+
 // Serve accepts connections until Shutdown or Close is called, and then returns
 // http.ErrServerClosed. It returns another error if the listener is closed.
 func (sv *Server) Serve(ln net.Listener) error {
@@ -184,24 +211,32 @@
 	}
 	sv.conns[cn] = struct{}{}
 	if sv.opt.MaxConns > 0 && len(sv.conns) > sv.opt.MaxConns {
-		sv.closeLongestIdle()
+		return sv.closeLongestUnused(cn)
 	}
 	return true
 }
 
-// closeLongestIdle closes the connection that has been idle longest, if any is idle. sv.mu
-// must be held.
-func (sv *Server) closeLongestIdle() {
+// closeLongestUnused closes the connection that has been idle, or sending the head of its first
+// request, for longest. It returns false if there is none, so that the new connection is closed
+// itself. sv.mu must be held.
+func (sv *Server) closeLongestUnused(added *conn) bool {
 	var longest *conn
 	oldest := int64(math.MaxInt64)
 	for cn := range sv.conns {
-		if since := cn.idleSince.Load(); since != 0 && since < oldest {
+		since := max(cn.idleSince.Load(), cn.headSince.Load())
+		if since != 0 && since < oldest {
 			longest, oldest = cn, since
 		}
 	}
-	if longest != nil {
-		go longest.closeIdle()
+	if longest == nil {
+		delete(sv.conns, added)
+		added.report(ReasonConnections)
+		return false
 	}
+	// It does not count any more, so that the next connection closes another one.
+	delete(sv.conns, longest)
+	go longest.closeUnserved()
+	return true
 }
 
 func (sv *Server) remove(cn *conn) {
--- a/internal/traffic/pipeline/pipeline_test.go
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"camphortrail/internal/traffic/buffer"
 )
 
 // testServer is a server whose handler answers a request with its path and body. For a path
@@ -75,7 +78,7 @@
 		MayRepeat: func(r *http.Request) bool { return r.Method == http.MethodGet },
 		Refuse:    func(status int, reason string) Answer { return Answer{Status: status, Body: []byte(reason)} },
 		Limits:    func() Limits { return lim },
-		Draining:  ts.draining.Load, MaxBufferedBytes: maxBufferedBytes,
+		Draining:  ts.draining.Load, Memory: buffer.NewBudget(cmp.Or(maxBufferedBytes, 1<<40)),
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
