--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -272,3 +272,47 @@
 		}
 	}
 }
+
+// Guards against peers that do not read: the send queues of all links together stay within their
+// quota, a frame of any size is still queued alone, and all of the quota is returned.
+func TestQueuesShareQuota(t *testing.T) {
+	const limit, size = 1 << 20, 300 << 10
+	quota := NewQuota(limit)
+	address, accepted := serveLinks(t)
+	var links []*Link
+	full := 0
+	for range 3 {
+		lk := Open(dial, address)
+		lk.SetQuota(quota)
+		// The peer reads nothing, so that frames wait once its buffers are full.
+		defer (<-accepted).Close()
+		links = append(links, lk)
+		for n := range 100 {
+			if err := lk.Send(attemptFrame(n, size)); errors.Is(err, ErrFull) {
+				full++
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			if used := quota.Used(); used > limit {
+				t.Fatalf("%d bytes are taken of %d", used, limit)
+			}
+		}
+	}
+	if full == 0 {
+		t.Error("no frame was rejected")
+	}
+	for _, lk := range links {
+		lk.Close()
+	}
+	for end := time.Now().Add(10 * time.Second); quota.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes of the quota are not returned", quota.Used())
+		}
+	}
+	alone := Open(dial, address)
+	defer alone.Close()
+	alone.SetQuota(NewQuota(1))
+	if err := alone.Send(attemptFrame(1, size)); err != nil {
+		t.Errorf("a single frame: %v", err)
+	}
+}
--- a/internal/traffic/pipeline/memory_test.go
+++ b/internal/traffic/pipeline/memory_test.go
@@ -1,12 +1,20 @@
 package pipeline
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"camphortrail/internal/traffic/buffer"
 )
 
 // Guards against bodies and headers without end on many connections that together take the
@@ -57,3 +65,125 @@
 		}
 	}
 }
+
+// memoryServer is a server with a bound of its memory, whose handler answers with as many bytes as
+// the path states.
+type memoryServer struct {
+	*Server
+	address string
+	memory  *buffer.Budget
+
+	mu       sync.Mutex
+	refusals map[string]int
+}
+
+func newMemoryServer(t *testing.T, limit int64) *memoryServer {
+	t.Helper()
+	ms := &memoryServer{memory: buffer.NewBudget(limit), refusals: make(map[string]int)}
+	ms.Server = New(Options{
+		Handler: func(_ context.Context, rq *Request) Answer {
+			size, _ := strconv.Atoi(rq.HTTP.URL.Path[1:])
+			return Answer{Status: http.StatusOK, Body: make([]byte, size)}
+		},
+		Refuse: func(status int, reason string) Answer { return Answer{Status: status, Body: []byte(reason)} },
+		Limits: func() Limits {
+			return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
+		},
+		Memory: ms.memory, Draining: func() bool { return false },
+		Refused: func(rf Refusal) {
+			ms.mu.Lock()
+			defer ms.mu.Unlock()
+			ms.refusals[rf.Reason]++
+		},
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms.address = ln.Addr().String()
+	go func() { _ = ms.Serve(ln) }()
+	t.Cleanup(func() { _ = ms.Close() })
+	return ms
+}
+
+// request sends a request on a connection of its own and returns the status and the body.
+func (ms *memoryServer) request(t *testing.T, path, lines string) (int, string) {
+	t.Helper()
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: a\r\n%s\r\n", path, lines)
+	rs, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(rs.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rs.StatusCode, string(body)
+}
+
+// Guards against answers that wait for clients that do not read them: their sum must stay within
+// the budget, others must be served, and all memory must be returned afterwards.
+func TestUnreadAnswersStayWithinBudget(t *testing.T) {
+	const limit = 8 << 20
+	ms := newMemoryServer(t, limit)
+	var clients []net.Conn
+	for range 8 {
+		nc, err := net.Dial("tcp", ms.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients = append(clients, nc)
+		_ = nc.SetWriteDeadline(time.Now().Add(5 * time.Second))
+		_, _ = io.WriteString(nc, strings.Repeat("GET /1000000 HTTP/1.1\r\nHost: a\r\n\r\n", maxInFlight))
+	}
+	for range 50 {
+		if status, body := ms.request(t, "/1000", ""); status != http.StatusOK || len(body) != 1000 {
+			t.Errorf("ordinary request: %d, %d bytes", status, len(body))
+		}
+		if used := ms.memory.Used(); used > limit {
+			t.Errorf("%d bytes are used of %d", used, limit)
+		}
+	}
+	for _, nc := range clients {
+		_ = nc.Close()
+	}
+	for end := time.Now().Add(15 * time.Second); ms.memory.Used() != 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are used after all requests", ms.memory.Used())
+		}
+	}
+}
+
+// An answer for which there is no memory must not be reported as one of a request that did not run.
+func TestDroppedAnswerIsBadGateway(t *testing.T) {
+	ms := newMemoryServer(t, 1<<20)
+	if status, body := ms.request(t, "/3000000", ""); status != http.StatusBadGateway || body != ReasonNoMemory {
+		t.Errorf("status %d, %.40s", status, body)
+	}
+	if status, body := ms.request(t, "/300000", ""); status != http.StatusOK || len(body) != 300000 {
+		t.Errorf("status %d, %d bytes", status, len(body))
+	}
+}
+
+// Headers of legal size in more lines than ordinary ones have must be refused, and ordinary ones of
+// the largest size served.
+func TestHeaderLinesAreBounded(t *testing.T) {
+	ms := newMemoryServer(t, 8<<20)
+	if status, body := ms.request(t, "/1", strings.Repeat("a:\r\n", DefaultMaxHeaderLines+1)); status != http.StatusRequestHeaderFieldsTooLarge || body != ReasonHeaderLines {
+		t.Errorf("many lines: status %d, %s", status, body)
+	}
+	if status, _ := ms.request(t, "/1", strings.Repeat("Accept: */*\r\n", 1000)); status != http.StatusOK {
+		t.Errorf("ordinary lines: status %d", status)
+	}
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.refusals[ReasonHeaderLines] != 1 {
+		t.Errorf("refusals %v", ms.refusals)
+	}
+}
