--- a/internal/traffic/calltree/origin.go
+++ b/internal/traffic/calltree/origin.go
@@ -59,12 +59,26 @@
 	if !tr.outlasted(deadline) {
 		ro.outlasting++
 	}
+	return ro.calls()
+}
+
+// calls reports whether the requests of the class count as calls.
+func (ro *requestOrigin) calls() bool {
 	if ro.fromCallers() {
 		return false
 	}
 	return ro.requests < minOriginSamples || ro.outlasting*callerDivisor < ro.requests
 }
 
+// KnownCalls reports whether a class is known as a class of calls. Unlike IsKnownCall, it counts
+// nothing.
+func (tr *Trees) KnownCalls(class call.Class) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	ro := tr.origins[class]
+	return ro != nil && ro.requests >= minOriginSamples && ro.calls()
+}
+
 // IsKnownCall is IsCall for requests without a key where callers need one: a class counts as calls
 // only after minOriginSamples requests.
 func (tr *Trees) IsKnownCall(class call.Class, deadline time.Time) bool {
--- a/internal/traffic/entry/reject.go
+++ b/internal/traffic/entry/reject.go
@@ -33,9 +33,11 @@
 		return refusalWithStatus(ReasonNoService, http.StatusNotFound)
 	}
 	if cd.HasCustomers() {
-		// Whether a request without a key is a call is decided once, by ServeRequest.
-		unknown := func() bool { return true }
-		if _, an := en.customerOf(cd, credentialOf(rd), rt.Public, unknown); an != nil {
+		mayBeCall := func() bool {
+			known := slices.ContainsFunc(rt.Kinds, func(kd *config.Kind) bool { return en.opt.Trees.KnownCalls(kd.Class) })
+			return known || en.opt.Trees.Running() || en.recentlyStarted()
+		}
+		if _, an := en.customerOf(cd, credentialOf(rd), rt.Public, mayBeCall); an != nil {
 			return an
 		}
 	}
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -109,6 +109,12 @@
 	// large holds the queued frames that are sent in pieces.
 	large  largeQueue
 	closed bool
+	// quota bounds the send queue beyond freeQueueBytes, and quotaTaken is what the queue takes of
+	// it.
+	quota      *Quota
+	quotaTaken int64
+	// writing is the number of bytes that are being written.
+	writing int
 	// shuttingDown is true when the link closes as soon as unsent is empty.
 	shuttingDown bool
 }
@@ -230,7 +236,8 @@
 }
 
 // flush writes the queued frames. Frames of several senders share one write, with at most one
-// piece of a large frame. It returns false when the link is closed or, during Shutdown, when all frames are written.
+// piece of a large frame. It returns false when the link is closed or, during Shutdown, when all
+// frames are written.
 func (lk *Link) flush() bool {
 	for {
 		lk.mu.Lock()
@@ -249,12 +256,15 @@
 		}
 		lk.unsent, lk.spare = lk.spare[:0], nil
 		lk.writeStarted.Store(true)
+		lk.writing = len(unsent) + len(piece.data)
 		lk.mu.Unlock()
 		if err := piece.write(lk.nc, unsent); err != nil {
 			lk.Close()
 			return false
 		}
 		lk.mu.Lock()
+		lk.writing = 0
+		lk.returnQuota()
 		if cap(unsent) <= readBufferBytes {
 			lk.spare = unsent
 		}
@@ -282,6 +292,9 @@
 		return ErrFull
 	}
 	length := fr.SizeVT()
+	if err := lk.reserve(lengthPrefixBytes + length); err != nil {
+		return err
+	}
 	if lk.goesInPieces(fr, length) {
 		return lk.sendLarge(fr, length)
 	}
@@ -405,6 +418,8 @@
 		return
 	}
 	lk.closed = true
+	lk.quota.give(lk.quotaTaken)
+	lk.quotaTaken = 0
 	close(lk.done)
 	if lk.nc != nil {
 		_ = lk.nc.Close()
