--- a/internal/traffic/entry/customer_counters.go
+++ b/internal/traffic/entry/customer_counters.go
@@ -51,19 +51,20 @@
 
 // add counts a request that has a key, or was refused because it has none. rq may be nil.
 func (ccs *customerCounters) add(rq *request, an *attempt.Answer) {
-	if rq == nil {
+	// Requests of a deployment without customers don't wait for the lock.
+	if rq == nil || rq.customer == nil && an.Reason != ReasonKeyUnknown && an.Reason != ReasonKeyStale {
 		return
 	}
 	refused := an.Outcome == call.NotRun
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
-	if rq.customer == nil {
-		switch {
-		case refused && an.Reason == ReasonKeyUnknown:
-			ccs.unknown++
-		case refused && an.Reason == ReasonKeyStale:
-			ccs.stale++
-		}
+	switch {
+	case rq.customer != nil:
+	case an.Reason == ReasonKeyUnknown:
+		ccs.unknown++
+		return
+	default:
+		ccs.stale++
 		return
 	}
 	cc := ccs.counts[rq.customer.Name]
