renewal, rollout: a node asks for a revision that it knows from a proof

Cause: a node that gossip reaches late has only old proofs for its revision, and stops to trust keys 4.5 s after the newer one was acknowledged. By slope the last of 1,100 nodes has a revision after 3.4 to 4.3 s (docs/CAPACITY.md), and a lost hint costs up to 10 s.

Change: after 1 s in which proofs name a revision above the one in force, the node fetches it from the process that sent the proof, at most once a second.

Tests: freshness.TestMissingRevision, rollout.TestHintOfRenewal. The gain at 1,100 nodes is not measured.

--- a/internal/customers/freshness/freshness.go
+++ b/internal/customers/freshness/freshness.go
@@ -44,6 +44,9 @@
 	// all nodes start at the same time.
 	startInterval = 100 * time.Millisecond
 	startTime     = 3 * time.Second
+	// missingTime is the time for which a node knows from a proof of a revision that it does not
+	// have before it asks for it. The rollout brings a revision to most nodes within that time.
+	missingTime = time.Second
 	// maxStall is how much later than AnswerTimeout a missing answer may be noticed. Beyond that
 	// the node itself was suspended, and the queried node is not at fault.
 	maxStall = 200 * time.Millisecond
@@ -119,6 +122,10 @@
 	// from which a node near the root may query control because the proofs of the root are old.
 	due, lastSent, controlDue time.Time
 	askNow                    bool
+	// missing is the highest revision in a proof that is above the one in force, or 0, and
+	// missingSince the time from which Missing may report it.
+	missing      uint64
+	missingSince time.Time
 	// usedUntil and childUntil are the times until which the node counts as active.
 	usedUntil, childUntil time.Time
 }
@@ -142,6 +149,9 @@
 // Without customers no queries are sent.
 func (ma *Machine) SetConfiguration(now time.Time, revision uint64, customers bool) {
 	ma.revision = revision
+	if ma.missing <= revision {
+		ma.missing = 0
+	}
 	if customers && !ma.customers {
 		ma.since, ma.due = now, now
 	}
@@ -350,12 +360,29 @@
 	if an.Proved && an.Age >= 0 && an.Age < ma.limit() {
 		ma.proofs = ma.proofs.add(Proof{Revision: an.Revision, At: qu.Sent.Add(-an.Age)}, ma.revision)
 	}
+	if an.Proved && an.Revision > max(ma.revision, ma.missing) {
+		if ma.missing == 0 {
+			ma.missingSince = now.Add(missingTime)
+		}
+		ma.missing = an.Revision
+	}
 	if !an.Proved && now.Sub(ma.since) < startTime {
 		ma.hurry(startInterval)
 	}
 	return qu, true
 }
 
+// Missing returns a revision that the node has known from a proof for missingTime and does not have
+// in force, at most once in missingTime. Without it the node stops to trust keys once its older
+// proof has become too old.
+func (ma *Machine) Missing(now time.Time) (revision uint64, ok bool) {
+	if ma.missing == 0 || now.Before(ma.missingSince) {
+		return 0, false
+	}
+	ma.missingSince = now.Add(missingTime)
+	return ma.missing, true
+}
+
 // AnswerChild answers the query of a child that is active or not. The child may have a later
 // revision in force than this node, so that it gets the newest proof of all. Without a proof the
 // next query of this node is due soon.
--- a/internal/customers/freshness/rapid_test.go
+++ b/internal/customers/freshness/rapid_test.go
@@ -136,3 +136,31 @@
 		}
 	})
 }
+
+// TestMissingRevision guards against a node that lacks a revision and does not ask for it until it
+// trusts no key any more, and against one that asks while the rollout is on its way.
+func TestMissingRevision(t *testing.T) {
+	nt := newNetwork(1, 1)
+	nd := nt.nodes[0]
+	nt.run(2 * time.Second)
+	if revision, ok := nd.machine.Missing(nd.clock(nt)); ok {
+		t.Errorf("revision %d is missing, want none", revision)
+	}
+	nt.accept()
+	nt.run(1500 * time.Millisecond)
+	if revision, ok := nd.machine.Missing(nd.clock(nt)); ok {
+		t.Errorf("revision %d is missing while the rollout may bring it", revision)
+	}
+	nt.run(time.Second)
+	if revision, ok := nd.machine.Missing(nd.clock(nt)); !ok || revision != 2 {
+		t.Errorf("revision %d is missing (%t), want 2", revision, ok)
+	}
+	if _, ok := nd.machine.Missing(nd.clock(nt)); ok {
+		t.Error("the revision is asked for again at once")
+	}
+	nt.apply(nd, 2)
+	nt.run(2 * time.Second)
+	if revision, ok := nd.machine.Missing(nd.clock(nt)); ok {
+		t.Errorf("revision %d is missing after it came into force", revision)
+	}
+}
--- a/internal/fleet/node/renewal.go
+++ b/internal/fleet/node/renewal.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 
 	"connectrpc.com/connect"
@@ -24,6 +25,12 @@
 		NewControlClient: func(address string) renewal.ControlClient {
 			return schemaconnect.NewControlClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxRenewalBytes))
 		},
+		Hint: func(revision uint64, address string) {
+			// Without an address the next proof brings another hint.
+			if ap, err := netip.ParseAddrPort(address); err == nil {
+				nd.rollout.Hint(revision, ap)
+			}
+		},
 		NewAllowances: nd.opt.NewAllowances, Log: nd.log, Metrics: nd.metrics,
 	})
 }
--- a/internal/fleet/renewal/control.go
+++ b/internal/fleet/renewal/control.go
@@ -125,6 +125,13 @@
 	}
 }
 
+// leaderAddress returns the address of the replica that answered last, or an empty address.
+func (cq *controlQuerier) leaderAddress() string {
+	cq.mu.Lock()
+	defer cq.mu.Unlock()
+	return cq.leader
+}
+
 // client returns the client of a replica.
 func (cq *controlQuerier) client(address string) ControlClient {
 	cq.mu.Lock()
--- a/internal/fleet/renewal/renewal.go
+++ b/internal/fleet/renewal/renewal.go
@@ -12,6 +12,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/customers/freshness"
 	"camphortrail/internal/state/boottime"
+	"camphortrail/membership"
 	"camphortrail/schema"
 )
 
@@ -37,6 +38,8 @@
 	// one at an address.
 	Controls         func() []string
 	NewControlClient func(address string) ControlClient
+	// Hint, if set, is told a revision that the node lacks, and a process that probably has it.
+	Hint func(revision uint64, address string)
 	// NewAllowances returns what decides on allowances, if it is set.
 	NewAllowances func(askNow func()) Allowances
 	Log           log.Interface
@@ -171,16 +174,26 @@
 func (rn *Renewal) Receive(from call.VM, msg *schema.RenewalAnswer) {
 	now := boottime.Now()
 	an := freshness.Answer{Revision: msg.GetRevision()}
-	// An age that a Duration does not hold is beyond every limit.
-	if us := msg.GetProofAgeUs(); msg.GetProved() && us < uint64(time.Hour/time.Microsecond) {
+	// An age that a Duration does not hold is beyond every limit, and no configuration has a revision
+	// above membership.MaxRevision.
+	us := msg.GetProofAgeUs()
+	if msg.GetProved() && us < uint64(time.Hour/time.Microsecond) && an.Revision <= membership.MaxRevision {
 		an.Proved, an.Age = true, time.Duration(us)*time.Microsecond
 	}
 	rn.mu.Lock()
 	qu, ok := rn.machine.Receive(now, from, msg.GetNumber(), an)
+	missing, isMissing := rn.machine.Missing(now)
+	address := rn.addresses[from]
 	rn.mu.Unlock()
 	if !ok {
 		return
 	}
+	if isMissing && rn.opt.Hint != nil {
+		if from == freshness.Control {
+			address = rn.control.leaderAddress()
+		}
+		rn.opt.Hint(missing, address)
+	}
 	if rn.allowances != nil {
 		rn.allowances.Receive(qu.Sent, now, msg.GetAllowances())
 	}
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	startPeersInterval = 200 * time.Millisecond
 	fetchTimeout       = 2 * time.Second
 	resultCapacity     = 16
+	// hintCapacity is the number of hints of Hint that wait for Run. Each is repeated.
+	hintCapacity = 4
 )
 
 // ErrOtherDeployment is returned for a configuration of another deployment.
@@ -97,6 +100,8 @@
 	current  atomic.Pointer[activeConfiguration]
 	ready    chan struct{}
 	results  *queue.Queue[Event]
+	// hints holds the calls of Hint.
+	hints *queue.Queue[membership.RevisionHint]
 	// presentControls is used only by the goroutine of Run.
 	presentControls []string
 	fetches         sync.WaitGroup
@@ -123,6 +128,7 @@
 		follower:      NewFollower(set.Controls, set.CheckInterval, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		ready:         make(chan struct{}),
 		results:       queue.New[Event](resultCapacity),
+		hints:         queue.New[membership.RevisionHint](hintCapacity),
 		refused:       set.Metrics.NewCounter("camphortrail_configurations_refused_total"),
 		failedFetches: set.Metrics.NewCounter("camphortrail_configuration_fetches_failed_total"),
 		copyErrors:    set.Metrics.NewCounter("camphortrail_configuration_copy_errors_total"),
@@ -157,14 +163,27 @@
 			}
 			ro.step(ctx, Tick{Peers: peers, Controls: ro.presentControls})
 		case hi := <-ro.set.Hints:
-			ro.presentControls = ro.set.PresentControls()
-			ro.step(ctx, Hinted{Revision: hi.Revision, Source: ro.sourceOf(hi.Address.String())})
+			ro.handleHint(ctx, hi)
+		case hi := <-ro.hints.Out():
+			ro.handleHint(ctx, hi)
 		case ev := <-ro.results.Out():
 			ro.step(ctx, ev)
 		}
 	}
 }
 
+// handleHint passes a hint to the follower.
+func (ro *Rollout) handleHint(ctx context.Context, hi membership.RevisionHint) {
+	ro.presentControls = ro.set.PresentControls()
+	ro.step(ctx, Hinted{Revision: hi.Revision, Source: ro.sourceOf(hi.Address.String())})
+}
+
+// Hint reports that the process at an address probably has a revision in force. Hints that exceed
+// the capacity of the queue are dropped.
+func (ro *Rollout) Hint(revision uint64, address netip.AddrPort) {
+	ro.hints.Offer(membership.RevisionHint{Revision: revision, Address: address})
+}
+
 // peersInterval returns the time between two reads of the present peers.
 func (ro *Rollout) peersInterval() time.Duration {
 	if ro.follower.Starting() {
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -71,6 +71,25 @@
 	})
 }
 
+// Guards against a node that hears of a revision only from a renewal, and waits for the next check.
+func TestHintOfRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := &testSetup{hints: make(chan membership.RevisionHint)}
+		ts.control.set(3, "lombardy")
+		ts.peer.set(3, "lombardy")
+		ro, stop := ts.start(t)
+		defer stop()
+		if got := revisionAfter(ro, time.Minute); got != 3 {
+			t.Fatalf("revision %d, want 3", got)
+		}
+		ts.peer.set(4, "lombardy")
+		ro.Hint(4, netip.MustParseAddrPort(peerAddress))
+		if got := revisionAfter(ro, 500*time.Millisecond); got != 4 {
+			t.Errorf("revision %d after a hint, want 4", got)
+		}
+	})
+}
+
 // testSetup has the sources and the settings of a Rollout with one control replica and
 // one peer. adopted lists the revisions that came into force.
 type testSetup struct {
