--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -14,7 +14,6 @@
 	"camphortrail/internal/fleet/node"
 	"camphortrail/internal/state/control"
 	"camphortrail/platform"
-	"camphortrail/schema"
 )
 
 const (
@@ -110,10 +109,7 @@
 	buckets := allowances.NewBuckets(set.UsageBounds())
 	co, err := control.New(set.ControlSettings(), control.Options{
 		Log: log.Log, Validate: config.Check, Elastic: true,
-		Grant: func(now time.Time, term uint64, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
-			buckets.Lead(now, term)
-			return buckets.Grant(now, child, cfg, list)
-		},
+		Lead: buckets.Lead, Grant: buckets.Grant,
 		Endpoints: []control.Endpoint{{Address: set.ControlAddress, Handler: set.NewOperatorHandler}},
 	})
 	if err != nil {
--- a/internal/state/control/renew_test.go
+++ b/internal/state/control/renew_test.go
@@ -20,10 +20,12 @@
 	var grants atomic.Int64
 	var granted atomic.Pointer[schema.Configuration]
 	fl := newFleetWith(t, size, Options{
-		Grant: func(_ time.Time, term uint64, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
+		Lead: func(_ time.Time, term uint64) {
 			if term == 0 {
 				t.Error("no term of the replicated log")
 			}
+		},
+		Grant: func(_ time.Time, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance {
 			grants.Add(1)
 			granted.Store(cfg)
 			return []*schema.CustomerAllowance{{Customer: list[0].GetCustomer() + " of " + child}}
--- a/internal/state/control/service.go
+++ b/internal/state/control/service.go
@@ -174,16 +174,20 @@
 
 // Renew implements schemaconnect.ControlHandler. The proof has age 0, as the lease holds now.
 func (co *Control) Renew(_ context.Context, rq *connect.Request[schema.Renewal]) (*connect.Response[schema.RenewalAnswer], error) {
-	inForce := co.state.current.Load()
+	inForce, term := co.state.current.Load(), co.view.Load().status.Term
 	if !co.isCurrent(inForce.applied) {
 		return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
 	}
 	an := &schema.RenewalAnswer{Number: rq.Msg.GetNumber(), Proved: true, Revision: uint64(inForce.revision)}
 	if co.opt.Grant != nil {
-		an.Allowances = co.opt.Grant(boottime.Now(), uint64(co.view.Load().status.Term), rq.Msg.GetFrom(), inForce.configuration, rq.Msg.GetDemands())
-	}
-	if !co.isCurrent(inForce.applied) {
-		return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
+		if co.opt.Lead != nil {
+			co.opt.Lead(boottime.Now(), uint64(term))
+		}
+		an.Allowances = co.opt.Grant(boottime.Now(), rq.Msg.GetFrom(), inForce.configuration, rq.Msg.GetDemands())
+		if co.view.Load().status.Term != term || !co.isCurrent(inForce.applied) {
+			// Another leader may issue tokens already.
+			return nil, connect.NewError(connect.CodeUnavailable, ErrNotCurrent)
+		}
 	}
 	return connect.NewResponse(an), nil
 }
