pipeline, entry, throttle: small bodies, the counter of the rest, and a quicker replay

Cause: every request with a body was matched twice, which a body that arrives with its header need not pay. A customer named "other" would have shared the counter of the rest.

Change: Reject is asked for bodies above 2 KiB or with an expectation. The rest has an empty name, which no customer has.

--- a/internal/traffic/entry/customer_counters.go
+++ b/internal/traffic/entry/customer_counters.go
@@ -15,9 +15,9 @@
 
 const (
 	// maxCustomerCounters is the number of customers with counters of their own. The others share
-	// those of otherCustomers.
+	// those of otherCustomers, which is no name of a customer.
 	maxCustomerCounters = 64
-	otherCustomers      = "other"
+	otherCustomers      = ""
 	// rankInterval is the time after which the counters go to the customers with most requests.
 	rankInterval = 10 * time.Second
 )
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -169,7 +169,7 @@
 		// The deadline has replaced that of Abort.
 		return cn.refuse(http.StatusServiceUnavailable, ReasonNoMemory)
 	}
-	if cn.sv.opt.Reject != nil && r.Body != nil && r.Body != http.NoBody {
+	if cn.sv.opt.Reject != nil && bodyIsAwaited(r) {
 		if an, rejected := cn.sv.opt.Reject(r); rejected {
 			return cn.reject(r, an)
 		}
@@ -187,6 +187,18 @@
 	return cn.startHandler(r, body)
 }
 
+// smallBodyBytes is the size up to which a body usually arrives with its header, so that nothing is
+// gained by a refusal before it is read.
+const smallBodyBytes = 2 << 10
+
+// bodyIsAwaited reports whether most of the body of a request is still to arrive.
+func bodyIsAwaited(r *http.Request) bool {
+	if r.Body == nil || r.Body == http.NoBody {
+		return false
+	}
+	return r.ContentLength < 0 || r.ContentLength > smallBodyBytes || r.Header.Get("Expect") != ""
+}
+
 // maxDiscardBytes bounds the body of a rejected request that is read so that the connection can go
 // on. It is some times the size of a large upload.
 const maxDiscardBytes = 1 << 20
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -102,8 +102,9 @@
 	// MayRepeat, if not nil, reports whether a request may be repeated after it has run. Such
 	// requests give way to an answer behind them that would expire (ErrGaveWay).
 	MayRepeat func(r *http.Request) bool
-	// Reject, if not nil, returns the answer to a request with a body that its header alone rules
-	// out. The body is not kept then, and the request is not passed to the handler.
+	// Reject, if not nil, returns the answer to a request that its header alone rules out. It is
+	// asked if most of the body is still to arrive. The body is not kept then, and the request is
+	// not passed to the handler.
 	Reject func(r *http.Request) (an Answer, rejected bool)
 	// Refuse returns the answer to a request that violates the limits or the protocol.
 	// reason is one of the Reason constants.
--- a/internal/traffic/throttle/customers_test.go
+++ b/internal/traffic/throttle/customers_test.go
@@ -25,6 +25,8 @@
 	burstFactor  float64
 	// withoutPositions switches positions off.
 	withoutPositions bool
+	// sums holds for each customer the sum of its weight and those before it.
+	sums []float64
 }
 
 // customerCount counts the first sends of a customer and those of its requests that were served.
@@ -46,15 +48,15 @@
 	if mcs.number == 0 {
 		return 1
 	}
-	usual, sum := 0.0, 0.0
+	usual := 0.0
 	for k := range mcs.number {
 		usual += math.Pow(float64(k+1), -customerSkew)
-		sum += mcs.weight(k)
 	}
+	factor := 1 + (mcs.greedyFactor-1)*math.Pow(float64(mcs.greedy+1), -customerSkew)/usual
 	if class == mcs.burst {
-		sum *= mcs.burstFactor
+		factor *= mcs.burstFactor
 	}
-	return sum / usual
+	return factor
 }
 
 // drawCustomer sets the customer of a request, if there are customers, and counts the request.
@@ -63,17 +65,15 @@
 	if mcs.number == 0 {
 		return
 	}
-	sum := 0.0
-	for k := range mcs.number {
-		sum += mcs.weight(k)
-	}
-	point := ms.rng.Float64() * sum
-	for k := range mcs.number {
-		if point -= mcs.weight(k); point < 0 || k == mcs.number-1 {
-			rq.customer = k
-			break
+	if mcs.sums == nil {
+		sum := 0.0
+		for k := range mcs.number {
+			sum += mcs.weight(k)
+			mcs.sums = append(mcs.sums, sum)
 		}
 	}
+	at, _ := slices.BinarySearch(mcs.sums, ms.rng.Float64()*mcs.sums[mcs.number-1])
+	rq.customer = min(at, mcs.number-1)
 	if cts := ms.customerCount(rq); cts != nil {
 		cts.asked++
 	}
@@ -172,7 +172,7 @@
 	ms := newMesh(shape, 0)
 	ms.Advance(calm)
 	mcs := &ms.shape.customers
-	mcs.greedyFactor, mcs.burst, mcs.burstFactor = factor, lookUp, 2
+	mcs.greedyFactor, mcs.burst, mcs.burstFactor, mcs.sums = factor, lookUp, 2, nil
 	ms.Advance(onset)
 	ms.reset()
 	ms.countedFrom = ms.Now()
