entry, pipeline: uploads beyond the cap or the share are refused before their bodies are read

Cause: what the usage cap and the throttle refuse is most of what is refused, and was still read in full first.

Change: for requests whose body is still to arrive, the server calls Begin with the header. The entry takes the allowance and asks the throttle then, once. If the body does not arrive, Abandon gives both back; if the entry has begun to stop meanwhile, the request is refused.

--- a/internal/traffic/calltree/origin.go
+++ b/internal/traffic/calltree/origin.go
@@ -65,15 +65,6 @@
 	return ro.requests < minOriginSamples || ro.outlasting*callerDivisor < ro.requests
 }
 
-// FromCallers reports whether the requests of a class are known to come from callers, and are not
-// calls of the upstream. Unlike IsCall, it counts nothing.
-func (tr *Trees) FromCallers(class call.Class) bool {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	ro := tr.origins[class]
-	return ro != nil && ro.fromCallers()
-}
-
 // origin returns the counts of a class, and creates them if needed. The lock is held.
 func (tr *Trees) origin(class call.Class) *requestOrigin {
 	ro := tr.origins[class]
--- /dev/null
+++ b/internal/traffic/entry/begin.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/throttle"
+)
+
+// begunRequest is a request that was accepted by its header, and whose body is being read.
+type begunRequest struct{ rq *request }
+
+// Begin decides on a request by its header, before its body is read: whether it has a route and the
+// key that it needs, whether the entry takes requests, and whether the usage cap and the throttle
+// allow it. It returns a refusal, or nil. In the latter case the request must be passed to
+// ServeRequest once it has its body, or to Abandon.
+func (en *Entry) Begin(ctx context.Context, rd *Request) *attempt.Answer {
+	now := time.Now()
+	rq, an := en.newRoutedRequest(rd, now)
+	if an == nil && !rq.isCall && en.opt.HopRetries == 0 {
+		an = en.decideEarly(ctx, rq)
+	}
+	if an != nil {
+		en.recordAnswer(ctx, rd, rq, an, now)
+		return an
+	}
+	rd.begun = &begunRequest{rq}
+	return nil
+}
+
+// decideEarly takes a request from its allowance and asks the throttle. It returns a refusal, or nil.
+func (en *Entry) decideEarly(ctx context.Context, rq *request) *attempt.Answer {
+	if an := en.takeAllowance(ctx, rq); an != nil {
+		return an
+	}
+	de := en.admit(rq)
+	if !de.Admitted {
+		an := en.throttleRefusal(de)
+		en.returnAllowance(rq, an)
+		return an
+	}
+	rq.decision = &de
+	return nil
+}
+
+// continueBegun returns a request that Begin has accepted, with its body. It returns a refusal if the
+// entry has stopped meanwhile: others have been told to send their requests elsewhere.
+func (en *Entry) continueBegun(rd *Request) (*request, *attempt.Answer) {
+	rq := rd.begun.rq
+	rq.body, rq.blocker = rd.Body, rd.Blocker
+	if !rq.isCall && en.stopping.Load() {
+		en.release(rq)
+		return rq, attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
+	}
+	return rq, nil
+}
+
+// Abandon ends a request that Begin has accepted and whose body did not arrive.
+func (en *Entry) Abandon(rd *Request) {
+	if rd.begun != nil {
+		en.release(rd.begun.rq)
+		rd.begun = nil
+	}
+}
+
+// release returns what an accepted request has taken, as it does not run.
+func (en *Entry) release(rq *request) {
+	if rq.decision == nil {
+		return
+	}
+	en.mu.Lock()
+	en.throttles.CallerLeft(time.Now(), rq.kind.Class, throttle.Result{Share: rq.decision.Share, Importance: rq.ownImportance()}, false)
+	en.mu.Unlock()
+	en.returnAllowance(rq, attempt.Refusal(ReasonRequestIncomplete, 0))
+	rq.decision, rq.decidedBy = nil, 0
+}
--- a/internal/traffic/entry/reject_test.go
+++ b/internal/traffic/entry/begin_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -36,8 +38,8 @@
 
 func (staleKeys) Fresh(uint64) bool { return false }
 
-// A request may be refused by its header only for what ServeRequest would refuse it for as well.
-func TestReject(t *testing.T) {
+// A request must be refused by its header for the same reason as with its body.
+func TestBegin(t *testing.T) {
 	right, wrong := "right", "wrong"
 	for _, tt := range []struct {
 		name            string
@@ -78,7 +80,7 @@
 					KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
 				}
 			}
-			an := tn.Reject(newRequest())
+			an := tn.Begin(t.Context(), newRequest())
 			if tt.status == 0 {
 				if an != nil {
 					t.Fatalf("refused: %d %s", an.Status, an.Reason)
@@ -94,3 +96,67 @@
 		})
 	}
 }
+
+// countingAllowances counts the requests that were taken and not returned.
+type countingAllowances struct{ taken int }
+
+func (ca *countingAllowances) Take(context.Context, *config.Customer, time.Duration) (bool, time.Duration) {
+	ca.taken++
+	return ca.taken <= 3, time.Second
+}
+
+func (ca *countingAllowances) Return(*config.Customer) { ca.taken-- }
+
+// A request that was accepted by its header must be decided on once: it takes one allowance and one
+// place of the throttle, and gives both back if its body does not arrive or the entry stops
+// meanwhile.
+func TestBegunRequestIsDecidedOnce(t *testing.T) {
+	right := "right"
+	for _, end := range []string{"served", "abandoned", "stopped"} {
+		t.Run(end, func(t *testing.T) {
+			bodies := make(chan string, 10)
+			tn := newRoutedTestNode(t, func(_ http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				bodies <- string(body)
+			})
+			cd := customerConfiguration(t)
+			cu, _ := cd.CustomerOfKey(right)
+			cu.Rate = 1
+			tn.SetConfiguration(cd)
+			allowances := &countingAllowances{}
+			tn.opt.Allowances = allowances
+			rd := &Request{
+				ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: "/x/1", Header: http.Header{}, Key: &right,
+				KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+			}
+			if an := tn.Begin(t.Context(), rd); an != nil {
+				t.Fatalf("refused: %d %s", an.Status, an.Reason)
+			}
+			rd.Body = []byte("body")
+			wantTaken := 0
+			switch end {
+			case "served":
+				wantTaken = 1
+				if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.Done || <-bodies != "body" {
+					t.Errorf("answer %+v", an)
+				}
+			case "abandoned":
+				tn.Abandon(rd)
+				tn.Abandon(rd)
+			case "stopped":
+				tn.Stop()
+				if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.NotRun || an.Reason != ReasonStopping {
+					t.Errorf("answer %+v", an)
+				}
+			}
+			if allowances.taken != wantTaken || len(bodies) != 0 {
+				t.Errorf("%d allowances taken, want %d; %d further runs", allowances.taken, wantTaken, len(bodies))
+			}
+			// The cap is reached: an upload is refused before its body is read.
+			allowances.taken = 3
+			if an := tn.Begin(t.Context(), rd); end != "stopped" && (an == nil || an.Status != http.StatusTooManyRequests) {
+				t.Errorf("beyond the cap: %+v", an)
+			}
+		})
+	}
+}
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -82,6 +82,9 @@
 	occupancy call.Occupancy
 	// fanOut is the fan-out of requests of the same kind, from the latest answer.
 	fanOut []call.FanOut
+	// decision is that of the throttle if it was made before the body was read, or nil. The request
+	// was also taken from its allowance then.
+	decision *throttle.Decision
 	// admitted is true if the request is a caller's and was not refused by the throttle.
 	admitted bool
 	// blocker tells which requests wait for the answer to this one. It may be nil.
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -40,6 +40,8 @@
 	KeyHeader, CustomerHeader string
 	// Blocker, if not nil, tells which requests wait for the answer to this one.
 	Blocker Blocker
+	// begun is set by Begin.
+	begun *begunRequest
 }
 
 // Blocker is a request that others may wait for on the same connection.
@@ -55,10 +57,23 @@
 	en.active.Enter()
 	defer en.active.Exit()
 	begun := time.Now()
-	rq, an := en.newRoutedRequest(rd, begun)
+	var rq *request
+	var an *attempt.Answer
+	if rd.begun != nil {
+		rq, an = en.continueBegun(rd)
+	} else {
+		rq, an = en.newRoutedRequest(rd, begun)
+	}
 	if an == nil {
 		an = en.serveCounted(ctx, rq, en.serveCapped)
 	}
+	en.recordAnswer(ctx, rd, rq, an, begun)
+	return an
+}
+
+// recordAnswer counts and logs the answer to a request that began to be served at a time. rq may be
+// nil.
+func (en *Entry) recordAnswer(ctx context.Context, rd *Request, rq *request, an *attempt.Answer, begun time.Time) {
 	if rq != nil && rq.connection != "" {
 		en.opt.Trees.Answered(time.Now(), rq.connection)
 	}
@@ -71,7 +86,6 @@
 	}
 	en.countCustomer(rq, an)
 	en.logRequest(rd, rq, an, begun)
-	return an
 }
 
 // serveCounted serves a request, and counts it while it is served if it is one of a caller.
@@ -207,8 +221,10 @@
 // serveCapped serves a request if the usage cap of its customer allows it. What is beyond the cap
 // does not count as demand.
 func (en *Entry) serveCapped(ctx context.Context, rq *request) *attempt.Answer {
-	if an := en.takeAllowance(ctx, rq); an != nil {
-		return an
+	if rq.decision == nil {
+		if an := en.takeAllowance(ctx, rq); an != nil {
+			return an
+		}
 	}
 	an := en.serveThrottled(ctx, rq)
 	en.returnAllowance(rq, an)
@@ -223,21 +239,12 @@
 	if rq.isCall || en.opt.HopRetries > 0 {
 		return en.serveUntilDeadline(ctx, rq)
 	}
-	de := en.admit(rq)
+	de := en.decide(rq)
 	if de.Settle > 0 {
 		de = en.settle(ctx, rq, de)
 	}
 	if !de.Admitted {
-		reason := ReasonOverload
-		switch de.By {
-		case throttle.Failures:
-			reason = ReasonKindFails
-		case throttle.Unreachable:
-			reason = ReasonUnreachable
-		}
-		an := attempt.Refusal(reason, en.jitter(de.RetryAfter))
-		an.Overload = true
-		return an
+		return en.throttleRefusal(de)
 	}
 	rq.admitted = true
 	begun := time.Now()
@@ -260,6 +267,28 @@
 	return an
 }
 
+// throttleRefusal returns the answer to a request that the throttle refuses.
+func (en *Entry) throttleRefusal(de throttle.Decision) *attempt.Answer {
+	reason := ReasonOverload
+	switch de.By {
+	case throttle.Failures:
+		reason = ReasonKindFails
+	case throttle.Unreachable:
+		reason = ReasonUnreachable
+	}
+	an := attempt.Refusal(reason, en.jitter(de.RetryAfter))
+	an.Overload = true
+	return an
+}
+
+// decide returns the decision on a request of a caller: the one that Begin has made, or a new one.
+func (en *Entry) decide(rq *request) throttle.Decision {
+	if rq.decision != nil {
+		return *rq.decision
+	}
+	return en.admit(rq)
+}
+
 // admit decides whether a request of a caller is admitted, and notes the share.
 func (en *Entry) admit(rq *request) throttle.Decision {
 	en.mu.Lock()
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -169,12 +169,18 @@
 		// The deadline has replaced that of Abort.
 		return cn.refuse(http.StatusServiceUnavailable, ReasonNoMemory)
 	}
-	if cn.sv.opt.Reject != nil && bodyIsAwaited(r) {
-		if an, rejected := cn.sv.opt.Reject(r); rejected {
-			return cn.reject(r, an)
+	ex := &exchange{request: Request{HTTP: r, conn: cn}}
+	if cn.sv.opt.Begin != nil && bodyIsAwaited(r) && r.ContentLength <= lim.MaxBodyBytes {
+		cn.readDeadline(ex)
+		var refusal *Answer
+		if ex.request.Begun, refusal = cn.sv.opt.Begin(r); refusal != nil {
+			return cn.reject(ex, *refusal)
 		}
 	}
 	body, err := cn.readBody(r, lim.MaxBodyBytes)
+	if err != nil {
+		cn.abandon(ex)
+	}
 	switch {
 	case err == errBodyTooLarge:
 		return cn.refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
@@ -184,7 +190,23 @@
 		return cn.refuse(http.StatusBadRequest, ReasonIncomplete)
 	}
 	cn.memory.Release()
-	return cn.startHandler(r, body)
+	ex.request.Body = body
+	return cn.startHandler(ex)
+}
+
+// abandon ends a request that Begin has accepted and that is not passed to the handler.
+func (cn *conn) abandon(ex *exchange) {
+	if ex.request.Begun != nil {
+		cn.sv.opt.Abandon(ex.request.Begun)
+	}
+}
+
+// readDeadline sets the deadline of a request whose header has just been read, unless it is set. Begin
+// may remove headers.
+func (cn *conn) readDeadline(ex *exchange) {
+	if cn.sv.opt.Deadline != nil && ex.readAt.IsZero() {
+		ex.readAt, ex.request.Deadline = time.Now(), cn.sv.opt.Deadline(ex.request.HTTP)
+	}
 }
 
 // smallBodyBytes is the size up to which a body usually arrives with its header, so that nothing is
@@ -207,13 +229,14 @@
 // dropped, and requests may follow. Otherwise the connection ends with the answer: a caller that
 // expected to be told to go on may leave the body out, so that the position of the next request is
 // not known. It returns false if no request may follow.
-func (cn *conn) reject(r *http.Request, an Answer) bool {
+func (cn *conn) reject(ex *exchange, an Answer) bool {
 	cn.memory.Release()
+	r := ex.request.HTTP
 	mayFollow := r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes && r.Header.Get("Expect") == "" &&
 		!r.Close && r.ProtoAtLeast(1, 1)
 	// A close while the caller sends would also lose the requests that it has sent behind.
 	an.Close = an.Close && !mayFollow
-	ex := &exchange{request: Request{HTTP: r, conn: cn}, closeAfter: !mayFollow}
+	ex.closeAfter = !mayFollow
 	if !cn.enqueue(ex) {
 		return false
 	}
@@ -361,13 +384,13 @@
 
 // startHandler runs the handler of a request in another goroutine. It returns false if no
 // request may follow on the connection.
-func (cn *conn) startHandler(r *http.Request, body []byte) bool {
+func (cn *conn) startHandler(ex *exchange) bool {
+	r := ex.request.HTTP
 	ctx, cancel := cn.requestContext()
-	ex := &exchange{request: Request{HTTP: r, Body: body, conn: cn}, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), cancel: cancel}
-	if cn.sv.opt.Deadline != nil {
-		ex.readAt, ex.request.Deadline = time.Now(), cn.sv.opt.Deadline(r)
-	}
+	ex.closeAfter, ex.cancel = r.Close || !r.ProtoAtLeast(1, 1), cancel
+	cn.readDeadline(ex)
 	if !cn.enqueue(ex) {
+		cn.abandon(ex)
 		return false
 	}
 	cn.sv.workers.Go(func() { cn.complete(ex, cn.sv.opt.Handler(ctx, &ex.request)) })
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -59,7 +59,9 @@
 	// Deadline is the time at which the caller gives the request up, or zero if it is not
 	// known.
 	Deadline time.Time
-	conn     *conn
+	// Begun is what Options.Begin has returned for the request, or nil if it was not asked.
+	Begun any
+	conn  *conn
 }
 
 // Blocks returns the earliest deadline of the requests that have arrived behind this one on its
@@ -102,10 +104,13 @@
 	// MayRepeat, if not nil, reports whether a request may be repeated after it has run. Such
 	// requests give way to an answer behind them that would expire (ErrGaveWay).
 	MayRepeat func(r *http.Request) bool
-	// Reject, if not nil, returns the answer to a request that its header alone rules out. It is
-	// asked if most of the body is still to arrive. The body is not kept then, and the request is
-	// not passed to the handler.
-	Reject func(r *http.Request) (an Answer, rejected bool)
+	// Begin, if not nil, decides on a request by its header alone, if most of the body is still to
+	// arrive. It returns a refusal, and then the body is not kept and the request is not passed to the
+	// handler, or else what the request gets as Begun.
+	Begin func(r *http.Request) (begun any, refusal *Answer)
+	// Abandon is called with what Begin has returned if the body does not arrive, so that the request
+	// is not passed to the handler.
+	Abandon func(begun any)
 	// Refuse returns the answer to a request that violates the limits or the protocol.
 	// reason is one of the Reason constants.
 	Refuse func(status int, reason string) Answer
--- a/internal/traffic/pipeline/reject_test.go
+++ b/internal/traffic/pipeline/reject_test.go
@@ -14,12 +14,19 @@
 func rejectingServer(t *testing.T, paths ...string) *testServer {
 	t.Helper()
 	ts := newTestServer(t, Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 4 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}, paths...)
-	ts.opt.Reject = func(r *http.Request) (Answer, bool) {
-		return Answer{Status: http.StatusUnauthorized, Header: http.Header{}, Close: true}, strings.HasPrefix(r.URL.Path, "/no")
+	ts.opt.Begin = func(r *http.Request) (any, *Answer) {
+		if strings.HasPrefix(r.URL.Path, "/no") {
+			return nil, &Answer{Status: http.StatusUnauthorized, Header: http.Header{}, Close: true}
+		}
+		return r.URL.Path, nil
 	}
+	ts.opt.Abandon = func(begun any) { abandoned <- begun.(string) }
 	return ts
 }
 
+// abandoned receives the paths of the requests that were begun and not passed to the handler.
+var abandoned = make(chan string, 10)
+
 // client is a connection of a caller.
 type client struct {
 	t  *testing.T
@@ -137,3 +144,21 @@
 		}
 	}
 }
+
+// A request whose body does not arrive must be abandoned once, and not be passed to the handler.
+func TestIncompleteBodyIsAbandoned(t *testing.T) {
+	ts := rejectingServer(t)
+	cl := newClient(t, ts)
+	cl.write("POST /part HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\npart")
+	cl.nc.Close()
+	if path := <-abandoned; path != "/part" {
+		t.Errorf("abandoned %s", path)
+	}
+	select {
+	case path := <-ts.started:
+		t.Errorf("%s was started", path)
+	case path := <-abandoned:
+		t.Errorf("%s was abandoned again", path)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
