--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -51,6 +51,10 @@
 // deadline.
 const CallerLeft = "caller-left"
 
+// FairShare is the rule of requests that were refused since their customers are beyond their fair
+// shares.
+const FairShare = "fair-share"
+
 // Event is one decision. Zero fields are left out of the line, except the two times.
 type Event struct {
 	Kind Kind `json:"event"`
--- a/internal/traffic/entry/shares.go
+++ b/internal/traffic/entry/shares.go
@@ -9,10 +9,6 @@
 	"camphortrail/internal/traffic/throttle"
 )
 
-// ruleFairShare is the rule of requests that were refused since their customers are beyond their
-// fair shares.
-const ruleFairShare = "fair-share"
-
 // setPosition gives a request of a customer its position among those of its importance, and the
 // cohort that the whole call tree keeps. The caller holds mu.
 func (en *Entry) setPosition(now time.Time, rq *request) {
@@ -56,7 +52,7 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	owed, asked := en.shares.Owed(rq.importance, rq.position, float64(rq.share)/100)
-	ev.Rule, ev.OwedPerS, ev.AskedPerS = ruleFairShare, roundHundredths(owed), roundHundredths(asked)
+	ev.Rule, ev.OwedPerS, ev.AskedPerS = events.FairShare, roundHundredths(owed), roundHundredths(asked)
 }
 
 // roundHundredths rounds a number to hundredths.
