--- a/internal/traffic/calltree/origin.go
+++ b/internal/traffic/calltree/origin.go
@@ -70,15 +70,6 @@
 	return ro.requests < minOriginSamples || ro.outlasting*callerDivisor < ro.requests
 }
 
-// KnownCalls reports whether a class is known as a class of calls. Unlike IsKnownCall, it counts
-// nothing.
-func (tr *Trees) KnownCalls(class call.Class) bool {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	ro := tr.origins[class]
-	return ro != nil && ro.requests >= minOriginSamples && ro.calls()
-}
-
 // IsKnownCall is IsCall for requests without a key where callers need one: a class counts as calls
 // only after minOriginSamples requests.
 func (tr *Trees) IsKnownCall(class call.Class, deadline time.Time) bool {
@@ -88,15 +79,6 @@
 	return isCall && tr.origin(class).requests >= minOriginSamples
 }
 
-// FromCallers reports whether the requests of a class are known to come from callers, and are not
-// calls of the upstream. Unlike IsCall, it counts nothing.
-func (tr *Trees) FromCallers(class call.Class) bool {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	ro := tr.origins[class]
-	return ro != nil && ro.fromCallers()
-}
-
 // origin returns the counts of a class, and creates them if needed. The lock is held.
 func (tr *Trees) origin(class call.Class) *requestOrigin {
 	ro := tr.origins[class]
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -215,12 +215,18 @@
 		// The deadline has replaced that of Abort.
 		return cn.refuse(http.StatusServiceUnavailable, ReasonNoMemory)
 	}
-	if cn.sv.opt.Reject != nil && r.Body != nil && r.Body != http.NoBody {
-		if an, rejected := cn.sv.opt.Reject(r); rejected {
-			return cn.reject(r, an)
+	ex := &exchange{request: Request{HTTP: r, conn: cn}}
+	if cn.sv.opt.Begin != nil && bodyIsAwaited(r) && r.ContentLength <= lim.MaxBodyBytes {
+		cn.readDeadline(ex)
+		var refusal *Answer
+		if ex.request.Begun, refusal = cn.sv.opt.Begin(r); refusal != nil {
+			return cn.reject(ex, *refusal)
 		}
 	}
 	body, err := cn.readBody(r, lim.MaxBodyBytes)
+	if err != nil {
+		cn.abandon(ex)
+	}
 	switch {
 	case err == errBodyTooLarge:
 		return cn.refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
@@ -230,7 +236,35 @@
 		return cn.refuse(http.StatusBadRequest, ReasonIncomplete)
 	}
 	held := cn.memory.Keep(requestBytes + buffer.HeadCost(size, lines) + int64(len(body)))
-	return cn.startHandler(r, body, held)
+	ex.request.Body, ex.held = body, held
+	return cn.startHandler(ex)
+}
+
+// abandon ends a request that Begin has accepted and that is not passed to the handler.
+func (cn *conn) abandon(ex *exchange) {
+	if ex.request.Begun != nil {
+		cn.sv.opt.Abandon(ex.request.Begun)
+	}
+}
+
+// readDeadline sets the deadline of a request whose header has just been read, unless it is set. Begin
+// may remove headers.
+func (cn *conn) readDeadline(ex *exchange) {
+	if cn.sv.opt.Deadline != nil && ex.readAt.IsZero() {
+		ex.readAt, ex.request.Deadline = time.Now(), cn.sv.opt.Deadline(ex.request.HTTP)
+	}
+}
+
+// smallBodyBytes is the size up to which a body usually arrives with its header, so that nothing is
+// gained by a refusal before it is read.
+const smallBodyBytes = 2 << 10
+
+// bodyIsAwaited reports whether most of the body of a request is still to arrive.
+func bodyIsAwaited(r *http.Request) bool {
+	if r.Body == nil || r.Body == http.NoBody {
+		return false
+	}
+	return r.ContentLength < 0 || r.ContentLength > smallBodyBytes || r.Header.Get("Expect") != ""
 }
 
 // maxDiscardBytes bounds the body of a rejected request that is read so that the connection can go
@@ -241,13 +275,14 @@
 // dropped, and requests may follow. Otherwise the connection ends with the answer: a caller that
 // expected to be told to go on may leave the body out, so that the position of the next request is
 // not known. It returns false if no request may follow.
-func (cn *conn) reject(r *http.Request, an Answer) bool {
+func (cn *conn) reject(ex *exchange, an Answer) bool {
 	cn.memory.Release()
+	r := ex.request.HTTP
 	mayFollow := r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes && r.Header.Get("Expect") == "" &&
 		!r.Close && r.ProtoAtLeast(1, 1)
 	// A close while the caller sends would also lose the requests that it has sent behind.
 	an.Close = an.Close && !mayFollow
-	ex := &exchange{request: Request{HTTP: r, conn: cn}, closeAfter: !mayFollow}
+	ex.closeAfter = !mayFollow
 	if !cn.enqueue(ex) {
 		return false
 	}
@@ -448,17 +483,17 @@
 	return len(cn.queue) == 0
 }
 
-// startHandler runs the handler of a request, which holds memory, in another goroutine. It returns false if no
+// startHandler runs the handler of a request in another goroutine. It returns false if no
 // request may follow on the connection.
-func (cn *conn) startHandler(r *http.Request, body []byte, held int64) bool {
+func (cn *conn) startHandler(ex *exchange) bool {
 	cn.headSince.Store(0)
+	r := ex.request.HTTP
 	ctx, cancel := cn.requestContext()
-	ex := &exchange{held: held, request: Request{HTTP: r, Body: body, conn: cn}, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), cancel: cancel}
-	if cn.sv.opt.Deadline != nil {
-		ex.readAt, ex.request.Deadline = time.Now(), cn.sv.opt.Deadline(r)
-	}
+	ex.closeAfter, ex.cancel = r.Close || !r.ProtoAtLeast(1, 1), cancel
+	cn.readDeadline(ex)
 	if !cn.enqueue(ex) {
-		cn.memory.Drop(held)
+		cn.memory.Drop(ex.held)
+		cn.abandon(ex)
 		return false
 	}
 	cn.sv.workers.Go(func() { cn.complete(ex, cn.sv.opt.Handler(ctx, &ex.request)) })
