--- a/call/call.go
+++ b/call/call.go
@@ -38,8 +38,9 @@
 	MaxImportance Importance = 7
 )
 
-// Cohort is a hash of the root request. It is the same for all calls of one request, so
-// that admission treats the whole call tree alike.
+// Cohort orders the requests of one importance: lower ones are refused first. It is a hash of the
+// root request, or follows from the fair share of its customer. It is the same for all calls of one
+// request, so that admission treats the whole call tree alike.
 type Cohort uint8
 
 // Depth is the number of calls between the root request and this one.
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -23,6 +23,9 @@
 // While no request of a class gets through since a service of its tree cannot be reached, only
 // such probes are admitted, and others are told when to return. The first success ends that.
 //
+// Requests of customers come with positions (package shares). They decide which requests of a class
+// are admitted within its share or refused for failures, and not how many.
+//
 // Each class has an account of the requests that it sent and of those that were served, over
 // many seconds. Guards divide by the sums of these accounts, so that a class that one rule
 // has served too little for some seconds gets more in the next ones.
