--- a/internal/traffic/buffer/buffer.go
+++ b/internal/traffic/buffer/buffer.go
@@ -103,19 +103,28 @@
 	return nil
 }
 
-// charge charges bytes and waits for memory on its way back. The lock is held.
+// charge charges bytes. The lock is held.
 func (rs *Reservation) charge(part Part, bytes int64) bool {
+	dec, vi := rs.budget.ledger.Charge(&rs.holder, part, bytes)
+	if dec == Wait {
+		return rs.chargeLater(vi, part, bytes)
+	}
+	return dec == Granted
+}
+
+// chargeLater charges bytes once memory that is on its way back has been returned. It is apart from
+// charge, so that a charge without a wait allocates nothing. The lock is held.
+func (rs *Reservation) chargeLater(vi Victim, part Part, bytes int64) bool {
 	bb := rs.budget
-	var timer *time.Timer
 	expired := false
+	timer := time.AfterFunc(maxWait, func() {
+		bb.mu.Lock()
+		defer bb.mu.Unlock()
+		expired = true
+		bb.released.Broadcast()
+	})
+	defer timer.Stop()
 	for {
-		dec, vi := bb.ledger.Charge(&rs.holder, part, bytes)
-		if dec != Wait {
-			if timer != nil {
-				timer.Stop()
-			}
-			return dec == Granted
-		}
 		if vi.Holder != nil {
 			vi.Holder.owner.evicted(vi)
 			// Others may wait that are evicted now.
@@ -124,15 +133,11 @@
 		if expired {
 			return false
 		}
-		if timer == nil {
-			timer = time.AfterFunc(maxWait, func() {
-				bb.mu.Lock()
-				defer bb.mu.Unlock()
-				expired = true
-				bb.released.Broadcast()
-			})
-		}
 		bb.released.Wait()
+		var dec Decision
+		if dec, vi = bb.ledger.Charge(&rs.holder, part, bytes); dec != Wait {
+			return dec == Granted
+		}
 	}
 }
 
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -604,7 +604,6 @@
 	// A long body is not copied behind the head.
 	short := len(an.Body) <= writeBytes
 	var buf bytes.Buffer
-	buf.Grow(512)
 	if short {
 		buf.Grow(512 + len(an.Body))
 	}
