buffer, pipeline: cancelled connections that stall are closed, and a stricter oracle

Cause: a connection whose requests were cancelled for memory was not closed if its client stopped reading later, and was never cancelled again; a connection that a new one displaces was no longer waited for in a stop if a request came at that moment.

Change: these cases, and actions that fill the limit and the reserve.

--- a/internal/traffic/buffer/ledger.go
+++ b/internal/traffic/buffer/ledger.go
@@ -150,6 +150,8 @@
 		if h.cancelled {
 			ld.returning += bytes
 		}
+		// Later requests of the connection are not cancelled.
+		h.cancelled = h.cancelled && h.kept > 0
 	}
 	if h.total() == 0 {
 		delete(ld.holders, h)
--- a/internal/traffic/buffer/ledger_test.go
+++ b/internal/traffic/buffer/ledger_test.go
@@ -97,6 +97,22 @@
 				part := Part(rapid.IntRange(0, 1).Draw(t, "part"))
 				charge(rapid.IntRange(1, holders-1).Draw(t, "holder"), part, rapid.Int64Range(1, limit/2).Draw(t, "bytes"))
 			},
+			// Takes all that is left but a few bytes.
+			"fill": func(t *rapid.T) {
+				left := rapid.Int64Range(0, smallBytes).Draw(t, "left")
+				if bytes := limit - limit/ReserveDivisor - ld.Used() - left; bytes > 0 {
+					charge(rapid.IntRange(1, holders-1).Draw(t, "holder"), Kept, bytes)
+				}
+			},
+			// Lets small holders take the reserve.
+			"fill reserve": func(*rapid.T) {
+				for at := 1; at < holders; at++ {
+					bytes := min(smallBytes-list[at].total(), limit-ld.Used())
+					if bytes > 0 {
+						charge(at, Kept, bytes)
+					}
+				}
+			},
 			"keep": func(t *rapid.T) {
 				at := rapid.IntRange(1, holders-1).Draw(t, "holder")
 				kept := ld.Keep(list[at], rapid.Int64Range(0, limit).Draw(t, "bytes"))
@@ -112,6 +128,12 @@
 				ld.SetStalled(list[rapid.IntRange(1, holders-1).Draw(t, "holder")], rapid.Bool().Draw(t, "stalled"))
 			},
 			"ordinary": func(t *rapid.T) {
+				if ld.Used()+ordinary <= limit {
+					if dec, vi := ld.Charge(list[0], Reading, ordinary); dec != Granted {
+						t.Fatalf("an ordinary request that fits was not admitted: %v, %+v", dec, vi)
+					}
+					ld.ReleaseReading(list[0])
+				}
 				if !charge(0, Reading, ordinary) {
 					t.Fatal("an ordinary request was refused")
 				}
@@ -185,3 +207,23 @@
 		runtime.KeepAlive(kept)
 	}
 }
+
+// BenchmarkAccount measures what the account adds to a request in calm, beside connections that hold
+// memory.
+func BenchmarkAccount(b *testing.B) {
+	bb := NewBudget(64 << 20)
+	for range 1000 {
+		var rs Reservation
+		rs.Init(bb, new(endless))
+		_ = rs.GrowKept(24 << 10)
+	}
+	var rs Reservation
+	rs.Init(bb, new(endless))
+	b.ReportAllocs()
+	for b.Loop() {
+		if rs.Grow(24<<10) != nil {
+			b.Fatal("no memory")
+		}
+		rs.Drop(rs.Keep(24 << 10))
+	}
+}
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -90,9 +90,9 @@
 	// memory is that of the connection: of the request that is being read, of those in flight,
 	// and of answers.
 	memory buffer.Reservation
-	// stalled is true while the client does not read its answers, and givenUp when the
-	// connection is closed because of that.
-	stalled, givenUp atomic.Bool
+	// stalled is true while the client does not read its answers, cancelled when its memory is
+	// needed for others, and givenUp when the connection is closed because of both.
+	stalled, cancelled, givenUp atomic.Bool
 	// ctx is the context of requests that arrive while none is in flight. Only the reading
 	// goroutine uses it.
 	ctx    context.Context
@@ -324,6 +324,7 @@
 // Cancel closes the connection if its client does not read, and otherwise cancels its requests in
 // flight, whose answers then say whether they have run. It implements buffer.Canceller.
 func (cn *conn) Cancel() {
+	cn.cancelled.Store(true)
 	if cn.stalled.Load() {
 		cn.givenUp.Store(true)
 		_ = cn.nc.SetWriteDeadline(time.Unix(1, 0))
@@ -664,6 +665,10 @@
 			return err
 		case n == 0:
 			cn.setStalled(true)
+			if cn.cancelled.Load() {
+				cn.report(ReasonNotReading)
+				return errNotReading
+			}
 		}
 	}
 }
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -233,8 +233,9 @@
 		added.report(ReasonConnections)
 		return false
 	}
-	// It does not count any more, so that the next connection closes another one.
-	delete(sv.conns, longest)
+	// The next connection closes another one.
+	longest.idleSince.Store(0)
+	longest.headSince.Store(0)
 	go longest.closeUnserved()
 	return true
 }
