--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -52,6 +52,8 @@
 	// stallTime is the time without progress after which a client counts as one that does not
 	// read. Its connection is closed when others need the memory.
 	stallTime = 3 * time.Second
+	// stallPollTime is the time between two checks for that while an answer is written.
+	stallPollTime = time.Second
 )
 
 var (
@@ -641,8 +643,8 @@
 // write writes data until a time. It marks the connection as stalled when the client has taken
 // nothing for stallTime.
 func (cn *conn) write(data []byte, end time.Time) error {
-	for {
-		until := time.Now().Add(stallTime)
+	for progress := time.Now(); ; {
+		until := time.Now().Add(stallPollTime)
 		if until.After(end) {
 			until = end
 		}
@@ -651,8 +653,11 @@
 			return errNotReading
 		}
 		n, err := cn.nc.Write(data)
-		if n > 0 && cn.stalled.Load() {
-			cn.setStalled(false)
+		if n > 0 {
+			progress = time.Now()
+			if cn.stalled.Load() {
+				cn.setStalled(false)
+			}
 		}
 		data = data[n:]
 		switch {
@@ -663,7 +668,7 @@
 			return errNotReading
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end):
 			return err
-		case n == 0:
+		case time.Since(progress) >= stallTime:
 			cn.setStalled(true)
 			if cn.cancelled.Load() {
 				cn.report(ReasonNotReading)
--- a/internal/traffic/pipeline/memory_test.go
+++ b/internal/traffic/pipeline/memory_test.go
@@ -51,7 +51,7 @@
 		cl := ts.dial(t)
 		cl.send("/short")
 		if status, _, _ := cl.read(); status != http.StatusOK {
-			t.Fatalf("short request: status %d", status)
+			t.Errorf("short request: status %d", status)
 		}
 		<-ts.started
 		if used := ts.memory.Used(); used > limit {
@@ -87,7 +87,7 @@
 		},
 		Refuse: func(status int, reason string) Answer { return Answer{Status: status, Body: []byte(reason)} },
 		Limits: func() Limits {
-			return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
+			return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
 		},
 		Memory: ms.memory, Draining: func() bool { return false },
 		Refused: func(rf Refusal) {
@@ -187,3 +187,50 @@
 		t.Errorf("refusals %v", ms.refusals)
 	}
 }
+
+// Guards against cutting off a client that reads slowly, or pauses for longer than stallTime, while
+// nobody else needs the memory: it must get the whole answer.
+func TestSlowReaderGetsWholeAnswer(t *testing.T) {
+	t.Parallel()
+	ms := newMemoryServer(t, 64<<20)
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	const size = 20 << 20
+	fmt.Fprintf(nc, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", size)
+	time.Sleep(stallTime + 500*time.Millisecond)
+	rs, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, rs.Body); err != nil || n != size {
+		t.Errorf("%d bytes of %d, %v", n, size, err)
+	}
+}
+
+// Guards against a connection that keeps its memory because its client does not read: when others
+// need it, the connection closes, also if their need came before it counted as stalled.
+func TestStalledConnectionGivesWay(t *testing.T) {
+	t.Parallel()
+	const limit = 8 << 20
+	ms := newMemoryServer(t, limit)
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	fmt.Fprintf(nc, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", limit-limit/buffer.ReserveDivisor-(64<<10))
+	for ms.memory.Used() < limit/2 {
+		time.Sleep(time.Millisecond)
+	}
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		if status, _ := ms.request(t, "/4000000", ""); status == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the memory of a client that does not read is not returned")
+		}
+	}
+}
