--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -52,6 +52,8 @@
 	// stallTime is the time without progress after which a client counts as one that does not
 	// read. Its connection is closed when others need the memory.
 	stallTime = 3 * time.Second
+	// stallPollTime is the time between two checks for that while an answer is written.
+	stallPollTime = time.Second
 )
 
 var (
@@ -90,9 +92,9 @@
 	// memory is that of the connection: of the request that is being read, of those in flight,
 	// and of answers.
 	memory buffer.Reservation
-	// stalled is true while the client does not read its answers, and givenUp when the
-	// connection is closed because of that.
-	stalled, givenUp atomic.Bool
+	// stalled is true while the client does not read its answers, cancelled when its memory is
+	// needed for others, and givenUp when the connection is closed because of both.
+	stalled, cancelled, givenUp atomic.Bool
 	// ctx is the context of requests that arrive while none is in flight. Only the reading
 	// goroutine uses it.
 	ctx    context.Context
@@ -393,6 +395,7 @@
 // Cancel closes the connection if its client does not read, and otherwise cancels its requests in
 // flight, whose answers then say whether they have run. It implements buffer.Canceller.
 func (cn *conn) Cancel() {
+	cn.cancelled.Store(true)
 	if cn.stalled.Load() {
 		cn.givenUp.Store(true)
 		_ = cn.nc.SetWriteDeadline(time.Unix(1, 0))
@@ -706,7 +709,6 @@
 	// A long body is not copied behind the head.
 	short := len(an.Body) <= writeBytes
 	var buf bytes.Buffer
-	buf.Grow(512)
 	if short {
 		buf.Grow(512 + len(an.Body))
 	}
@@ -743,8 +745,8 @@
 // write writes data until a time. It marks the connection as stalled when the client has taken
 // nothing for stallTime.
 func (cn *conn) write(data []byte, end time.Time) error {
-	for {
-		until := time.Now().Add(stallTime)
+	for progress := time.Now(); ; {
+		until := time.Now().Add(stallPollTime)
 		if until.After(end) {
 			until = end
 		}
@@ -753,8 +755,11 @@
 			return errNotReading
 		}
 		n, err := cn.nc.Write(data)
-		if n > 0 && cn.stalled.Load() {
-			cn.setStalled(false)
+		if n > 0 {
+			progress = time.Now()
+			if cn.stalled.Load() {
+				cn.setStalled(false)
+			}
 		}
 		data = data[n:]
 		switch {
@@ -765,8 +770,12 @@
 			return errNotReading
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end):
 			return err
-		case n == 0:
+		case time.Since(progress) >= stallTime:
 			cn.setStalled(true)
+			if cn.cancelled.Load() {
+				cn.report(ReasonNotReading)
+				return errNotReading
+			}
 		}
 	}
 }
