--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -51,6 +51,10 @@
 // deadline.
 const CallerLeft = "caller-left"
 
+// FairShare is the rule of requests that were refused since their customers are beyond their fair
+// shares.
+const FairShare = "fair-share"
+
 // Event is one decision. Zero fields are left out of the line, except the two times.
 type Event struct {
 	Kind Kind `json:"event"`
@@ -68,6 +72,8 @@
 	Status     int    `json:"status,omitempty"`
 	Importance int    `json:"importance,omitempty"`
 	Attempts   int    `json:"attempts,omitempty"`
+	// Sends is the number of times that the guard sent the attempt to the upstream.
+	Sends int `json:"sends,omitempty"`
 	// TookMS is the time since the request arrived, and LeftMS the time until its deadline,
 	// in milliseconds.
 	TookMS int64 `json:"took-ms"`
--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -43,6 +43,7 @@
 	want := example()
 	want.Deadline = now.Add(1500 * time.Millisecond)
 	want.Label, want.Class = "label", "counter"
+	want.RepeatedSend, want.CallsDone = true, 5
 	arrived := *want
 	arrived.Deadline = want.Deadline.Add(-returnMargin)
 	for _, blocks := range []bool{false, true} {
@@ -80,7 +81,8 @@
 	at := example()
 	want := &Answer{
 		Outcome: call.Done, Reason: "reason", Status: 201, Header: http.Header{"Etag": {"a", "b"}}, Body: []byte("whole"),
-		Level: call.LevelOf(3, 4), DelayedLevel: call.LevelOf(5, 6), UnusedRetries: 1, Overload: true, UpstreamRefused: true, Unreachable: true,
+		Level: call.LevelOf(3, 4), DelayedLevel: call.LevelOf(5, 6), UnusedRetries: 1, Overload: true, UpstreamRefused: true, Unreachable: true, UpstreamFault: true,
+		Load:       &Load{Ahead: 3 * time.Millisecond, Slowness: 1.25, Age: 40 * time.Millisecond, Own: 12 * time.Millisecond},
 		RetryAfter: 30 * time.Millisecond, UpstreamTime: time.Millisecond, GuardTime: 2 * time.Millisecond,
 	}
 	for _, blocks := range []bool{false, true} {
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -29,7 +29,7 @@
 		DeadlineUs: uint64(max(0, at.Deadline.Add(-returnMargin).Sub(now).Microseconds())),
 		Allowance:  uint32(max(0, at.RetryBudget)), Idempotent: at.Idempotent, MaxAnswerBytes: at.MaxAnswerBytes,
 		Stamp: at.Stamp.String(), Label: at.Label, Class: string(at.Class), Method: at.Method, Host: at.Host, Uri: at.URI,
-		Body: at.Body, Customer: string(at.Customer),
+		Body: at.Body, Customer: string(at.Customer), RepeatedSend: at.RepeatedSend, CallsDone: uint32(min(max(at.CallsDone, 0), maxCount)),
 	}}
 	if blocks {
 		af.attempt.HeaderBlock = header.AppendBlock(make([]byte, 0, typicalHeaderBytes), at.Header)
@@ -62,7 +62,8 @@
 		Deadline:    now.Add(time.Duration(msg.GetDeadlineUs()) * time.Microsecond),
 		RetryBudget: int(msg.GetAllowance()), Idempotent: msg.GetIdempotent(), MaxAnswerBytes: msg.GetMaxAnswerBytes(),
 		Label: msg.GetLabel(), Class: call.Class(msg.GetClass()), Method: msg.GetMethod(), Host: msg.GetHost(), URI: msg.GetUri(),
-		Body: msg.GetBody(), Customer: call.Customer(msg.GetCustomer()),
+		Body: msg.GetBody(), Customer: call.Customer(msg.GetCustomer()), RepeatedSend: msg.GetRepeatedSend(),
+		CallsDone: int(msg.GetCallsDone()),
 	}
 	var err error
 	if at.Header, err = headerFromMessage(msg.GetHeader(), msg.GetHeaderBlock()); err != nil {
@@ -81,6 +82,8 @@
 		return nil, errors.Wrap(ErrBadFrame, "deadline_us")
 	case msg.GetAllowance() > maxCount:
 		return nil, errors.Wrap(ErrBadFrame, "allowance")
+	case msg.GetCallsDone() > maxCount:
+		return nil, errors.Wrap(ErrBadFrame, "calls_done")
 	case msg.GetMaxAnswerBytes() < 0:
 		return nil, errors.Wrap(ErrBadFrame, "max_answer_bytes")
 	}
@@ -117,8 +120,14 @@
 		WorkUs:           uint64(max(0, an.UpstreamTime.Microseconds())),
 		HeldUs:           uint64(max(0, an.GuardTime.Microseconds())),
 		OccupancyPercent: uint32(an.Occupancy), DownstreamPercent: uint32(an.DownstreamOccupancy), Needs: fanOutToFields(an.FanOut),
-		Unreachable: an.Unreachable,
+		Unreachable: an.Unreachable, UpstreamFault: an.UpstreamFault,
 	}}
+	if ld := an.Load; ld != nil {
+		af.answer.Load = &schema.UpstreamLoad{
+			AheadUs: uint64(max(0, ld.Ahead.Microseconds())), SlownessThousandths: uint32(min(max(ld.Slowness, 0), maxSlowness) * thousandths),
+			AgeUs: uint64(max(0, ld.Age.Microseconds())), OwnUs: uint64(max(0, ld.Own.Microseconds())),
+		}
+	}
 	af.kind.Answer, af.frame.Kind = &af.answer, &af.kind
 	return &af.frame
 }
@@ -152,8 +161,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if an.Load, err = loadFromMessage(msg.GetLoad()); err != nil {
+		return nil, err
+	}
 	an.FanOut = fanOut
 	an.Reason, an.Overload, an.UpstreamRefused, an.Unreachable = msg.GetReason(), msg.GetOverload(), msg.GetOffered(), msg.GetUnreachable()
+	an.UpstreamFault = msg.GetUpstreamFault()
 	an.Level, an.DelayedLevel, an.UnusedRetries = call.Level(msg.GetLevel()), call.Level(msg.GetPressure()), int(msg.GetUnused())
 	an.RetryAfter = time.Duration(msg.GetRetryAfterMs()) * time.Millisecond
 	an.Occupancy, an.DownstreamOccupancy = call.Occupancy(msg.GetOccupancyPercent()), call.Occupancy(msg.GetDownstreamPercent())
@@ -168,6 +181,23 @@
 	maxStatus    = 999
 )
 
+// maxSlowness bounds the factor on the usual times of an upstream.
+const maxSlowness = 1000
+
+// loadFromMessage converts the load in an answer, which may be missing.
+func loadFromMessage(msg *schema.UpstreamLoad) (*Load, error) {
+	switch {
+	case msg == nil:
+		return nil, nil
+	case msg.GetAheadUs() > maxTimeUS, msg.GetAgeUs() > maxTimeUS, msg.GetOwnUs() > maxTimeUS, msg.GetSlownessThousandths() > maxSlowness*thousandths:
+		return nil, errors.Wrap(ErrBadFrame, "load")
+	}
+	return &Load{
+		Ahead: time.Duration(msg.GetAheadUs()) * time.Microsecond, Slowness: float64(msg.GetSlownessThousandths()) / thousandths,
+		Age: time.Duration(msg.GetAgeUs()) * time.Microsecond, Own: time.Duration(msg.GetOwnUs()) * time.Microsecond,
+	}, nil
+}
+
 // headerToFields returns the fields of a header, sorted by name.
 func headerToFields(hd http.Header) []*schema.HeaderField {
 	names := make([]string, 0, len(hd))
--- a/internal/traffic/calltree/origin.go
+++ b/internal/traffic/calltree/origin.go
@@ -59,6 +59,11 @@
 	if !tr.outlasted(deadline) {
 		ro.outlasting++
 	}
+	return ro.calls()
+}
+
+// calls reports whether the requests of the class count as calls.
+func (ro *requestOrigin) calls() bool {
 	if ro.fromCallers() {
 		return false
 	}
--- a/internal/traffic/entry/customer.go
+++ b/internal/traffic/entry/customer.go
@@ -92,29 +92,38 @@
 	rq.header.Del(cr.keyHeader)
 	rq.header.Del(cr.customerOut)
 	rq.hasKey, rq.public = cr.present, public
+	cu, an := en.customerOf(cd, cr, public, mayBeCall)
+	if cu == nil {
+		return an
+	}
+	rq.customer = cu
+	if cu.Importance != 0 {
+		rq.importance = cu.Importance
+	}
+	rq.header[cr.customerOut] = []string{string(cu.Name)}
+	return nil
+}
+
+// customerOf returns the customer that holds the key of a request, or nil. It returns a refusal if
+// the request needs a key of a customer and has none that may be used.
+func (en *Entry) customerOf(cd *config.Compiled, cr credential, public bool, mayBeCall func() bool) (*config.Customer, *attempt.Answer) {
 	if !cr.present {
 		if public || mayBeCall() {
-			return nil
+			return nil, nil
 		}
-		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
+		return nil, refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
 	cu, ok := cr.customerOf(cd)
 	switch {
 	case public && !ok:
-		return nil
+		return nil, nil
 	case public:
 	case !en.keysFresh(cd):
-		return attempt.Refusal(ReasonKeyStale, en.jitter(staleKeysRetryAfter))
+		return nil, attempt.Refusal(ReasonKeyStale, en.jitter(staleKeysRetryAfter))
 	case !ok:
-		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
-	}
-	rq.customer = cu
-	// Requests on public routes do not count against the cap.
-	if cu.Importance != 0 {
-		rq.importance = cu.Importance
+		return nil, refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
 	}
-	rq.header[cr.customerOut] = []string{string(cu.Name)}
-	return nil
+	return cu, nil
 }
 
 // keysFresh reports whether the keys of a configuration may be trusted.
@@ -140,7 +149,7 @@
 	if en.opt.Allowances == nil || !rq.isCapped() {
 		return nil
 	}
-	wait := min(maxAllowanceWait, rq.kind.Target/allowanceWaitDivisor)
+	wait := min(maxAllowanceWait, rq.kind.Target/allowanceWaitDivisor, time.Until(rq.deadline))
 	rq.allowance = en.opt.Allowances.Take(ctx, rq.customer, wait)
 	if rq.allowance.Allowed {
 		return nil
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -77,6 +77,8 @@
 	// vm is the target of the latest attempt, and lastResult its result.
 	vm         call.VM
 	lastResult peer.Result
+	// cost is the expected time of the latest attempt at an upstream of usual speed, or zero.
+	cost time.Duration
 	// restampUsed is true if the uncharged attempt after a stale stamp was used.
 	restampUsed bool
 	// overload is true if the latest attempt failed because work was refused under
@@ -87,6 +89,9 @@
 	occupancy call.Occupancy
 	// fanOut is the fan-out of requests of the same kind, from the latest answer.
 	fanOut []call.FanOut
+	// decision is that of the throttle if it was made before the body was read, or nil. The request
+	// was also taken from its allowance then.
+	decision *throttle.Decision
 	// admitted is true if the request is a caller's and was not refused by the throttle.
 	admitted bool
 	// blocker tells which requests wait for the answer to this one. It may be nil.
@@ -293,10 +298,18 @@
 		ID: id, Request: rq.id, Service: rq.kind.Service, Importance: rq.importance, Depth: rq.depth,
 		Deadline: rq.deadline, Idempotent: rq.kind.Idempotent, MaxAnswerBytes: rq.kind.MaxAnswerBytes,
 		Method: rq.method, Host: rq.host, URI: rq.uri, Header: rq.header, Body: rq.body, Label: rq.label,
-		Class: rq.kind.Class, Customer: rq.customerName(),
+		Class: rq.kind.Class, Customer: rq.customerName(), RepeatedSend: rq.attempts > 0, CallsDone: rq.callsDone(),
 	}
 }
 
+// callsDone returns the number of calls that the attempts above the request have completed.
+func (rq *request) callsDone() int {
+	if rq.parent == nil {
+		return 0
+	}
+	return rq.parent.Completed()
+}
+
 // refusalWithStatus returns a refusal with a status other than 503 and no retry time.
 func refusalWithStatus(reason string, status int) *attempt.Answer {
 	an := attempt.Refusal(reason, 0)
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -11,6 +11,7 @@
 
 	"camphortrail/admission"
 	"camphortrail/call"
+	"camphortrail/cost"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
@@ -35,7 +36,12 @@
 	an := en.serveKeyed(ctx, rq)
 	now := time.Now()
 	if rq.parent != nil {
-		rq.parent.EndCall(now, calltree.CallFailures{Overload: rq.failedByOverload(an), Unreachable: rq.failedUnreachable(an)})
+		rq.parent.EndCall(now, calltree.CallFailures{
+			Overload: rq.failedByOverload(an), Unreachable: rq.failedUnreachable(an), UpstreamFault: rq.failedByUpstreamFault(an),
+		})
+		if !an.Failed() && an.Status < http.StatusInternalServerError {
+			rq.parent.CompleteCall()
+		}
 		en.opt.Trees.RecordOccupancy(now, rq.parent.Class, rq.kind.Service, rq.occupancy)
 	}
 	if rq.isCall {
@@ -70,6 +76,14 @@
 	return failed && (rq.overload || an.Status == http.StatusGatewayTimeout)
 }
 
+// failedByUpstreamFault reports whether the answer is a failure only because upstreams with free
+// slots refused work: the last attempt, or calls further downstream.
+func (rq *request) failedByUpstreamFault(an *attempt.Answer) bool {
+	failed := an.Failed() || an.Status == http.StatusInternalServerError
+	last := rq.lastResult.Answer
+	return failed && rq.overload && last != nil && last.UpstreamFault && an.Status != http.StatusGatewayTimeout
+}
+
 // failedUnreachable reports whether the answer is a failure because no VM of a service could be
 // reached: the service of the request, or one further downstream.
 func (rq *request) failedUnreachable(an *attempt.Answer) bool {
@@ -190,11 +204,18 @@
 	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	if en.costs != nil {
+		rq.cost = en.costs.Estimate(rq.costKey()).Mean
+		want.Cost = rq.cost
+	}
 	vm, err := en.routes.Choose(now, want)
 	if err != nil {
 		return "", "", err
 	}
-	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance})
+	if wn := en.windows[rq.kind.Service]; wn != nil && rq.attempts == 0 {
+		wn.FirstSend(now)
+	}
+	en.routes.Step(now, route.Sent{Service: rq.kind.Service, VM: vm, Importance: rq.importance, Cost: rq.cost})
 	return vm, en.addresses[vm], nil
 }
 
@@ -293,9 +314,30 @@
 		Importance: rq.importance, Level: rs.Answer.Level, DelayedLevel: rs.Answer.DelayedLevel, Occupancy: rs.Answer.Occupancy,
 		Overload: rs.Answer.Overload && rs.Answer.Outcome == call.NotRun,
 		Leaving:  refusesService(rs.Answer.Reason),
+		Load:     en.learnCost(now, rq, rs.Answer.Load),
 	})
 }
 
+// costKey returns the key of requests that are expected to cost as much as this one.
+func (rq *request) costKey() cost.Key { return cost.KeyOf(rq.kind.Class, len(rq.body)) }
+
+// learnCost learns what an attempt cost, and returns the load for the routing table. The load of the
+// answer may be nil.
+func (en *Entry) learnCost(now time.Time, rq *request, ld *attempt.Load) route.Load {
+	if ld == nil {
+		return route.Load{}
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.costs == nil {
+		return route.Load{}
+	}
+	if ld.Own > 0 {
+		en.costs.Add(now, rq.costKey(), ld.Own)
+	}
+	return route.Load{Reported: true, Ahead: ld.Ahead, Slowness: ld.Slowness, Age: ld.Age, Own: ld.Own, Cost: rq.cost}
+}
+
 // recordOccupancy raises the request's occupancy to the highest that the attempt met: that
 // of its service, or of the services that the attempt called.
 func (en *Entry) recordOccupancy(now time.Time, rq *request, an *attempt.Answer) {
@@ -364,7 +406,8 @@
 	now := time.Now()
 	en.mu.Lock()
 	rt := en.ratios[rq.kind.Service]
-	allowed := rt == nil || rt.Allow(now)
+	wn := en.windows[rq.kind.Service]
+	allowed := (rt == nil || rt.Allow(now)) && (wn == nil || wn.Allow(now))
 	en.mu.Unlock()
 	return allowed && en.opt.Trees.StepRetry(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
 }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -44,6 +45,7 @@
 	ReasonUpstreamRefused   = "upstream-refused"
 	ReasonConnectionRefused = "upstream-refuses-connections"
 	ReasonStopping          = "stopping"
+	ReasonRetryTotal        = "retry-total"
 )
 
 const (
@@ -85,9 +87,19 @@
 	AggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
 	// AnswerRenewal answers the renewals that other nodes send to this one, if it is set.
 	AnswerRenewal func(msg *schema.Renewal) *schema.RenewalAnswer
+	// RetryRatio is the number of times for each first send that arrives here that the guard may
+	// send an attempt again after the upstream refused it without running it. Zero means never.
+	RetryRatio float64
+	// ReportLoad makes the guard report the load of the upstream with each answer.
+	ReportLoad bool
 	// MaxBufferedBytes bounds the memory of the answers that are being read (default 64 MiB).
 	// When it is used up, the largest of them are given up.
 	MaxBufferedBytes int64
+	// ClientMemory, if it is set, bounds the memory of the attempts of other nodes that wait or
+	// run, together with what else is charged to it.
+	ClientMemory *buffer.Budget
+	// LinkQuota, if it is set, bounds the send queues of the links of other nodes.
+	LinkQuota *link.Quota
 }
 
 // Guard admits attempts and runs them on the upstream on its VM. Its methods are safe for
@@ -106,10 +118,14 @@
 
 	usage usage
 
+	furtherSends    furtherSends
+	load            upstreamLoad
 	slots           slotAllocation
 	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
 	answerRenewal   func(msg *schema.Renewal) *schema.RenewalAnswer
 	memory          *buffer.Budget
+	clientMemory    *buffer.Budget
+	linkQuota       *link.Quota
 	workers         worker.Pool
 
 	mu       sync.Mutex
@@ -139,7 +155,14 @@
 	}
 	gd.loop = newAdmissionLoop(po, &gd.usage)
 	gd.slots.allocator = allocation.New()
+	gd.load.enabled = opt.ReportLoad
+	gd.load.reset()
+	if !opt.FIFO {
+		gd.furtherSends.init(opt.RetryRatio, opt.Metrics)
+	}
 	gd.memory = buffer.NewBudget(cmp.Or(opt.MaxBufferedBytes, defaultMaxBufferedBytes))
+	gd.clientMemory = cmp.Or(opt.ClientMemory, buffer.NewBudget(math.MaxInt64))
+	gd.linkQuota = opt.LinkQuota
 	return gd
 }
 
@@ -197,6 +220,7 @@
 	pa := newPendingAttempt(gd, at)
 	stop := context.AfterFunc(ctx, pa.cancel)
 	defer stop()
+	defer pa.memory.Release()
 	return gd.handle(pa)
 }
 
@@ -207,15 +231,17 @@
 	begun := time.Now()
 	an := gd.register(at)
 	if an == nil {
+		gd.furtherSends.arrive(begun, at)
 		an = gd.admit(pa)
 	} else {
 		an.UnusedRetries = at.RetryBudget
 	}
 	gd.countRefusal(at, an)
 	gd.usage.count(at.Class, an)
-	gd.logFailure(at, an, begun)
+	gd.logFailure(pa, an, begun)
 	an.Level, an.DelayedLevel = gd.level(), call.Level(gd.loop.delayedLevel.Load())
 	an.Occupancy = call.Occupancy(gd.loop.occupancy.Load())
+	gd.reportLoad(time.Now(), at, an)
 	an.FanOut = gd.trees.FanOut(time.Now(), at.Class, at.Service, an.Occupancy)
 	return an
 }
@@ -230,7 +256,8 @@
 }
 
 // logFailure logs why an attempt brought no answer of the upstream.
-func (gd *Guard) logFailure(at *attempt.Attempt, an *attempt.Answer, begun time.Time) {
+func (gd *Guard) logFailure(pa *pendingAttempt, an *attempt.Answer, begun time.Time) {
+	at := pa.attempt
 	if an.Outcome == call.Done {
 		return
 	}
@@ -239,7 +266,10 @@
 		Kind: events.Refused, Request: at.Label, Reason: "guard-" + an.Reason, Service: string(at.Service),
 		Importance: int(at.Importance), TookMS: now.Sub(begun).Milliseconds(), LeftMS: at.Deadline.Sub(now).Milliseconds(),
 		RetryAfterMS: an.RetryAfter.Milliseconds(), Running: ld.Running, Waiting: ld.Waiting, Slots: ld.Slots, Level: int(ld.Level),
-		OccupancyPercent: int(gd.loop.occupancy.Load()), Customer: string(at.Customer),
+		OccupancyPercent: int(gd.loop.occupancy.Load()), Customer: string(at.Customer), Sends: pa.sends,
+	}
+	if an.UpstreamRefused && pa.sendAgain == deniedTotal {
+		ev.Reason = "guard-" + ReasonRetryTotal
 	}
 	if an.Outcome == call.Unknown {
 		ev.Kind = events.Failed
@@ -331,7 +361,7 @@
 // execute runs an attempt that was admitted at the given time, and then frees its slot.
 func (gd *Guard) execute(pa *pendingAttempt, admitted time.Time) *attempt.Answer {
 	at := pa.attempt
-	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class, Customer: at.Customer}
+	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class, Customer: at.Customer, CallsDone: at.CallsDone}
 	now := time.Now()
 	in.Started, in.UpstreamDeadline = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
@@ -351,18 +381,27 @@
 	}
 	gd.trees.Enter(in)
 	begun := time.Now()
-	an := gd.forward(pa, tg)
+	handle := gd.load.begin(begun, at)
+	an, lastBegun := gd.forwardUntilRun(pa, tg, in)
 	ended = time.Now()
 	gd.trees.Exit(ended, at.ID)
 	unused := gd.trees.StepRetry(ended, retry.Close{Account: retry.AttemptAccount(at.ID)})
 	waited, failures := in.DownstreamWait(ended)
 	an.UnusedRetries = int(unused.Budget)
-	an.UpstreamTime = ended.Sub(begun)
+	an.UpstreamTime = ended.Sub(lastBegun)
 	an.DownstreamOccupancy = gd.trees.Occupancy(ended, at.Class)
 	failed := an.Failed() || an.Status == http.StatusInternalServerError
 	an.Overload, an.Unreachable = an.Overload || failures.Overload && failed, failures.Unreachable && failed
-	fin.OK, fin.DownstreamWait = an.Outcome == call.Done, waited
+	// Neither refused sends nor failures, which end early, say how long the upstream takes.
+	an.UpstreamFault = an.UpstreamFault || failures.UpstreamFault && failed
+	fin.DownstreamWait = waited + lastBegun.Sub(begun)
 	succeeded := an.Outcome == call.Done && an.Status < http.StatusInternalServerError
+	fin.OK = succeeded
+	own := max(an.UpstreamTime-waited, 0)
+	gd.load.end(ended, at, handle, an.UpstreamTime, own, succeeded)
+	if succeeded && gd.load.enabled {
+		an.Load = &attempt.Load{Own: own}
+	}
 	gd.trees.AttemptEnded(ended, in, succeeded)
 	if succeeded {
 		// Fast failures must not count as a fast upstream.
