pipeline, buffer, guard: answers that are written are released, and attempts do not wait for memory

Cause: the array of a connection's queue went on referring to the answers that were written, some megabytes for each connection with large socket buffers. Answers that wait for memory were not bounded, and an attempt that waits for it held up its link.

Change: the queue forgets what is written; the answers that wait for memory take at most the reserve; a guard refuses an attempt at once.

--- a/internal/traffic/buffer/buffer.go
+++ b/internal/traffic/buffer/buffer.go
@@ -45,6 +45,8 @@
 	ledger *Ledger
 	// released is signalled when memory is returned.
 	released *sync.Cond
+	// waiting is the size of the answers that wait in GrowKept. They are in memory already.
+	waiting int64
 }
 
 // NewBudget returns a budget of limit bytes.
@@ -92,7 +94,8 @@
 }
 
 // GrowKept adds bytes to what is kept, as Grow does, and returns ErrNoMemory if there is no memory
-// for it. What was kept before is not affected.
+// for it. What was kept before is not affected. As the bytes are in memory already, only as many of
+// them wait as the reserve has.
 func (rs *Reservation) GrowKept(bytes int64) error {
 	bb := rs.budget
 	bb.mu.Lock()
@@ -103,13 +106,45 @@
 	return nil
 }
 
+// TryGrowKept is GrowKept without a wait. Memory on its way back serves later calls.
+func (rs *Reservation) TryGrowKept(bytes int64) error {
+	bb := rs.budget
+	bb.mu.Lock()
+	defer bb.mu.Unlock()
+	dec, vi := bb.ledger.Charge(&rs.holder, Kept, bytes)
+	bb.notify(vi)
+	if dec != Granted {
+		return ErrNoMemory
+	}
+	return nil
+}
+
 // charge charges bytes. The lock is held.
 func (rs *Reservation) charge(part Part, bytes int64) bool {
-	dec, vi := rs.budget.ledger.Charge(&rs.holder, part, bytes)
-	if dec == Wait {
-		return rs.chargeLater(vi, part, bytes)
+	bb := rs.budget
+	dec, vi := bb.ledger.Charge(&rs.holder, part, bytes)
+	if dec != Wait {
+		return dec == Granted
 	}
-	return dec == Granted
+	if part == Kept {
+		if bb.waiting+bytes > bb.ledger.reserve {
+			bb.notify(vi)
+			return false
+		}
+		bb.waiting += bytes
+		defer func() { bb.waiting -= bytes }()
+	}
+	return rs.chargeLater(vi, part, bytes)
+}
+
+// notify tells a victim, if there is one, to give up memory. The lock is held.
+func (bb *Budget) notify(vi Victim) {
+	if vi.Holder == nil {
+		return
+	}
+	vi.Holder.owner.evicted(vi)
+	// Others may wait that are evicted now.
+	bb.released.Broadcast()
 }
 
 // chargeLater charges bytes once memory that is on its way back has been returned. It is apart from
@@ -125,11 +160,7 @@
 	})
 	defer timer.Stop()
 	for {
-		if vi.Holder != nil {
-			vi.Holder.owner.evicted(vi)
-			// Others may wait that are evicted now.
-			bb.released.Broadcast()
-		}
+		bb.notify(vi)
 		if expired {
 			return false
 		}
--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -87,7 +87,8 @@
 	arrival := time.Now()
 	pa := newPendingAttempt(gd, nil)
 	held := attemptMemory(msg)
-	if pa.request.GrowKept(held) != nil {
+	// A wait would hold up the other frames of the link.
+	if pa.request.TryGrowKept(held) != nil {
 		gd.refuseFrame(ses.link, msg, errNoMemory)
 		return
 	}
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -529,6 +529,8 @@
 	}
 	for len(cn.queue) > 0 && cn.queue[0].ready && !cn.closing {
 		head := cn.queue[0]
+		// The array of the queue would keep the answer.
+		cn.queue[0] = nil
 		cn.queue = cn.queue[1:]
 		last := head.closeAfter || len(cn.queue) == 0 && (head.answer.Close || cn.sv.opt.Draining())
 		err := cn.writeAnswer(head, last)
