pipeline: a rejected request no longer counts as a head that is being sent

reject left headSince set. While the body of a rejected request was dropped, its connection counted as one that sends the head of its first request, so that a new connection above MaxConns closed it before idle ones. The requests behind the upload were lost, and the answer could be. The new test failed with an unexpected EOF before, and passes now.

--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -278,6 +278,7 @@
 // expected to be told to go on may leave the body out, so that the position of the next request is
 // not known. It returns false if no request may follow.
 func (cn *conn) reject(ex *exchange, an Answer) bool {
+	cn.headSince.Store(0)
 	cn.memory.Release()
 	r := ex.request.HTTP
 	mayFollow := r.ContentLength >= 0 && r.ContentLength <= maxDiscardBytes && r.Header.Get("Expect") == "" &&
--- a/internal/traffic/pipeline/reject_test.go
+++ b/internal/traffic/pipeline/reject_test.go
@@ -162,3 +162,39 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// Guards against a rejected request whose connection still counts as one that sends a head: above
+// MaxConns it would be closed before idle ones, and the answer might be lost.
+func TestRejectedRequestIsNotClosedAsHead(t *testing.T) {
+	ts := rejectingServer(t)
+	ts.mu.Lock()
+	ts.opt.MaxConns = 2
+	ts.mu.Unlock()
+	cl := newClient(t, ts)
+	cl.write(upload + "\r\n")
+	cl.expect(http.StatusUnauthorized, "", false)
+	idle := newClient(t, ts)
+	idle.write("GET /idle HTTP/1.1\r\nHost: h\r\n\r\n")
+	idle.expect(http.StatusOK, "/idle", false)
+	for !ts.hasIdle() {
+		time.Sleep(time.Millisecond)
+	}
+	newClient(t, ts)
+	if _, err := idle.br.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: error %v, want its end", err)
+	}
+	cl.write(strings.Repeat("x", 300000) + next)
+	cl.expect(http.StatusOK, "/next ok", false)
+}
+
+// hasIdle reports whether a connection counts as idle.
+func (ts *testServer) hasIdle() bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	for cn := range ts.conns {
+		if cn.idleSince.Load() != 0 {
+			return true
+		}
+	}
+	return false
+}
