link: small frames are queued beside a large one of any size

The merge counted the frame that is sent in pieces against maxQueuedBytes and against the quota, until its last piece was written. A body beyond either (32 MiB, or an eighth of the memory of the VM) may be queued alone, but all other frames of the link were rejected with ErrFull for as long as its pieces were sent. Such a frame no longer counts. Others count as before, so that the bounds of a link stay those of one frame and the queue. The new test failed with a full queue before, and passes now.

--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -288,7 +288,7 @@
 	switch {
 	case lk.closed || lk.shuttingDown:
 		return ErrClosed
-	case len(lk.unsent)+lk.large.bytes > maxQueuedBytes:
+	case len(lk.unsent)+lk.large.bounded() > maxQueuedBytes:
 		return ErrFull
 	}
 	length := fr.SizeVT()
--- a/internal/traffic/link/pieces.go
+++ b/internal/traffic/link/pieces.go
@@ -61,6 +61,9 @@
 	begun bool
 	// attempt is the id of the attempt in the frame, or nil.
 	attempt []byte
+	// alone says that the queue was empty when the frame was queued. Such a frame does not count
+	// against the bounds of the queue, since it may be larger than these.
+	alone bool
 }
 
 // largeQueue holds the frames that are sent in pieces, in the order in which they were queued.
@@ -70,6 +73,14 @@
 	bytes int
 }
 
+// bounded returns the part of bytes that counts against the bounds of the queue.
+func (lq *largeQueue) bounded() int {
+	if len(lq.frames) > 0 && lq.frames[0].alone {
+		return lq.bytes - len(lq.frames[0].rest)
+	}
+	return lq.bytes
+}
+
 // goesInPieces reports whether a frame is queued with the large ones: it is large, or it cancels an
 // attempt that is queued there and must not overtake it. lk.mu must be held.
 func (lk *Link) goesInPieces(fr *schema.Frame, length int) bool {
@@ -88,7 +99,9 @@
 	if _, err := fr.MarshalToSizedBufferVT(data); err != nil {
 		return errors.Wrap(err, "link")
 	}
-	lk.large.frames = append(lk.large.frames, largeFrame{rest: data, attempt: bytes.Clone(fr.GetAttempt().GetAttemptId())})
+	lk.large.frames = append(lk.large.frames, largeFrame{
+		rest: data, attempt: bytes.Clone(fr.GetAttempt().GetAttemptId()), alone: lk.queued() == 0,
+	})
 	lk.large.bytes += length
 	lk.wakeWriter()
 	return nil
--- a/internal/traffic/link/pieces_test.go
+++ b/internal/traffic/link/pieces_test.go
@@ -237,3 +237,39 @@
 		t.Errorf("error %v, want ErrMalformed", err)
 	}
 }
+
+// Guards against a large frame that takes the whole queue while it is sent, so that all others on
+// the link are rejected meanwhile: a body may be larger than the quota and than maxQueuedBytes.
+func TestSmallFramesAreQueuedBesideAnyLargeOne(t *testing.T) {
+	address, links := serveLinks(t)
+	near := Open(dial, address)
+	far := <-links
+	defer near.Close()
+	defer far.Close()
+	quota := NewQuota(128 << 10)
+	near.SetQuota(quota)
+	const size = maxQueuedBytes + largeBytes
+	if err := near.Send(attemptFrame(1, size)); err != nil {
+		t.Fatal(err)
+	}
+	awaitBegun(t, near)
+	if err := near.Send(attemptFrame(2, 100)); err != nil {
+		t.Fatal(err)
+	}
+	// Another large frame counts.
+	if err := near.Send(attemptFrame(3, 256<<10)); !errors.Is(err, ErrFull) {
+		t.Errorf("a second large frame: %v", err)
+	}
+	for _, want := range []int{2, 1} {
+		fr, err := far.Receive(receiveTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if number(fr) != want || want == 1 && len(fr.GetAttempt().GetBody()) != size {
+			t.Fatalf("frame %d of %d bytes, want %d", number(fr), len(fr.GetAttempt().GetBody()), want)
+		}
+	}
+	if used := quota.Used(); used != 0 {
+		t.Errorf("%d bytes of the quota are taken", used)
+	}
+}
--- a/internal/traffic/link/quota.go
+++ b/internal/traffic/link/quota.go
@@ -49,12 +49,16 @@
 // queued returns the bytes of the queue, with those that are being written. lk.mu must be held.
 func (lk *Link) queued() int { return len(lk.unsent) + lk.large.bytes + lk.writing }
 
+// bounded returns the part of queued that counts against the bounds of the queue. lk.mu must be
+// held.
+func (lk *Link) bounded() int { return len(lk.unsent) + lk.large.bounded() + lk.writing }
+
 // reserve takes the quota for length more bytes in the queue, or returns ErrFull. A single frame is
-// always queued, as it may be longer than the quota. lk.mu must be held.
+// always queued, as it may be longer than the quota, and small frames go between its pieces. lk.mu
+// must be held.
 func (lk *Link) reserve(length int) error {
-	queued := lk.queued()
-	more := int64(max(0, queued+length-freeQueueBytes)) - lk.quotaTaken
-	if more <= 0 || queued == 0 {
+	more := int64(max(0, lk.bounded()+length-freeQueueBytes)) - lk.quotaTaken
+	if more <= 0 || lk.queued() == 0 {
 		return nil
 	}
 	if !lk.quota.take(more) {
@@ -66,7 +70,7 @@
 
 // returnQuota returns what a shorter queue does not take any more. lk.mu must be held.
 func (lk *Link) returnQuota() {
-	if unused := lk.quotaTaken - int64(max(0, lk.queued()-freeQueueBytes)); unused > 0 {
+	if unused := lk.quotaTaken - int64(max(0, lk.bounded()-freeQueueBytes)); unused > 0 {
 		lk.quota.give(unused)
 		lk.quotaTaken -= unused
 	}
