pipeline: the memory of a body is returned once its handler has returned

The body of a request stayed charged until its answer was written, so that a large answer to a large body could be dropped with 502 although the request ran, with no other client. A body that was read after Begin also stayed allocated while its answer waited, since what Begin returns refers to it. Both are given up before the answer is charged now. The new test (a body and an answer of 3 MiB each, of 4 MiB) got 502 before, and 200 now.

--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -425,6 +425,18 @@
 	ex.held = 0
 }
 
+// dropBody returns the memory of the body of a request whose handler has returned. It is not needed any
+// more, the answer may be large as well, and it may wait for long. What Begin has returned refers to
+// the body too.
+func (cn *conn) dropBody(ex *exchange) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	size := min(int64(len(ex.request.Body)), ex.held)
+	ex.request.Body, ex.request.Begun = nil, nil
+	ex.held -= size
+	cn.memory.Drop(size)
+}
+
 // readBody returns the body of a request, errBodyTooLarge if it is longer than limit, or
 // buffer.ErrNoMemory.
 func (cn *conn) readBody(r *http.Request, limit int64) ([]byte, error) {
@@ -605,6 +617,7 @@
 // complete stores the answer of a request. It writes all answers that no earlier request
 // holds back.
 func (cn *conn) complete(ex *exchange, an Answer) {
+	cn.dropBody(ex)
 	grown := int64(0)
 	if size := answerSize(an); size > freeAnswerBytes {
 		grown = size - freeAnswerBytes
@@ -621,8 +634,6 @@
 		cn.drop(ex)
 		return
 	}
-	// The body is not needed any more, and the answer may wait for long.
-	ex.request.Body = nil
 	if len(cn.queue) > 0 && cn.queue[0] != ex && !ex.request.Deadline.IsZero() {
 		time.AfterFunc(time.Until(ex.giveWayAt()), func() { cn.giveWay(ex) })
 	}
--- a/internal/traffic/pipeline/memory_test.go
+++ b/internal/traffic/pipeline/memory_test.go
@@ -234,3 +234,49 @@
 		}
 	}
 }
+
+// Guards against a body that is charged after its handler has returned: an answer beside it would be
+// dropped for lack of memory although the request ran. It also guards against a reference to the
+// body from what Begin has returned, by which it would stay allocated while the answer waits.
+func TestBodyIsReturnedBeforeItsAnswer(t *testing.T) {
+	const limit, body = 4 << 20, 3 << 20
+	ms := newMemoryServer(t, limit)
+	ms.Server.mu.Lock()
+	ms.opt.Limits = func() Limits {
+		return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: body, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	}
+	requests := make(chan *Request, 1)
+	handler := ms.opt.Handler
+	ms.opt.Handler = func(ctx context.Context, rq *Request) Answer {
+		requests <- rq
+		return handler(ctx, rq)
+	}
+	ms.opt.Begin = func(r *http.Request) (any, *Answer) { return r, nil }
+	ms.opt.Abandon = func(any) {}
+	ms.Server.mu.Unlock()
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	fmt.Fprintf(nc, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", body, body)
+	if _, err := nc.Write(make([]byte, body)); err != nil {
+		t.Fatal(err)
+	}
+	rs, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, rs.Body); rs.StatusCode != http.StatusOK || n != body || err != nil {
+		t.Errorf("status %d, %d bytes, %v", rs.StatusCode, n, err)
+	}
+	if rq := <-requests; rq.Body != nil || rq.Begun != nil {
+		t.Error("the request still refers to its body")
+	}
+	for end := time.Now().Add(10 * time.Second); ms.memory.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are used after the request", ms.memory.Used())
+		}
+	}
+}
