entry, calltree: an abandoned request is forgotten on its connection

Begin records a request on its connection (calltree) until it is answered. Abandon returned the allowance and the place of the throttle, but left that record, so that each upload that broke off left one for its address for as long as the node ran. It is removed now. The extended test found one record before, and none now.

--- a/internal/traffic/calltree/chain.go
+++ b/internal/traffic/calltree/chain.go
@@ -91,6 +91,20 @@
 	tr.answered = append(tr.answered, ch)
 }
 
+// Abandoned records that the latest request on a connection gets no answer and did not run.
+func (tr *Trees) Abandoned(connection string) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	delete(tr.chains, connection)
+}
+
+// Unanswered returns the number of connections with an unanswered request.
+func (tr *Trees) Unanswered() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return len(tr.chains)
+}
+
 // dropExpired removes the answered chains that no call can continue any more.
 func (tr *Trees) dropExpired(now time.Time) {
 	old := 0
--- a/internal/traffic/entry/begin.go
+++ b/internal/traffic/entry/begin.go
@@ -59,6 +59,7 @@
 // Abandon ends a request that Begin has accepted and whose body did not arrive.
 func (en *Entry) Abandon(rd *Request) {
 	if rd.begun != nil {
+		en.opt.Trees.Abandoned(rd.Connection)
 		en.release(rd.begun.rq)
 		rd.begun = nil
 	}
--- a/internal/traffic/entry/begin_test.go
+++ b/internal/traffic/entry/begin_test.go
@@ -131,6 +131,7 @@
 			rd := &Request{
 				ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: "/x/1", Header: http.Header{}, Key: &right,
 				KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+				Connection: "10.0.0.1:1",
 			}
 			if an := tn.Begin(t.Context(), rd); an != nil {
 				t.Fatalf("refused: %d %s", an.Status, an.Reason)
@@ -155,6 +156,10 @@
 			if allowances.taken != wantTaken || len(bodies) != 0 {
 				t.Errorf("%d allowances taken, want %d; %d further runs", allowances.taken, wantTaken, len(bodies))
 			}
+			// Connections have ever new addresses, so that what is kept of one would add up.
+			if n := tn.opt.Trees.Unanswered(); n != 0 {
+				t.Errorf("%d connections count as unanswered", n)
+			}
 			// The cap is reached: an upload is refused before its body is read.
 			allowances.taken = 3
 			if an := tn.Begin(t.Context(), rd); end != "stopped" && (an == nil || an.Status != http.StatusTooManyRequests) {
