pipeline: a cancelled connection is an ordinary one once its memory is returned

After the memory of a connection had been needed for others once, a client of it that paused for 3 s while it read a later answer was cut off, although nobody needed the memory any more. The mark is removed when the connection holds nothing.

--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -652,6 +652,10 @@
 		cn.close()
 		return
 	}
+	if cn.cancelled.Load() && cn.memory.Held() == 0 {
+		// The memory has been returned. Later requests are not concerned.
+		cn.cancelled.Store(false)
+	}
 	if len(cn.queue) == 0 && !cn.readingRequest && !cn.closing {
 		now := time.Now()
 		cn.idleSince.Store(now.UnixNano())
--- a/internal/traffic/pipeline/memory_test.go
+++ b/internal/traffic/pipeline/memory_test.go
@@ -280,3 +280,41 @@
 		}
 	}
 }
+
+// Guards against a connection that counts as cancelled for ever: once the memory that others needed
+// has been returned, a client that pauses for longer than stallTime must get later answers whole.
+func TestLaterAnswersOfCancelledConnectionAreWhole(t *testing.T) {
+	t.Parallel()
+	ms := newMemoryServer(t, 64<<20)
+	handler := ms.opt.Handler
+	ms.Server.mu.Lock()
+	ms.opt.Handler = func(ctx context.Context, rq *Request) Answer {
+		if rq.HTTP.URL.Path == "/1" {
+			rq.conn.Cancel()
+			<-ctx.Done()
+		}
+		return handler(ctx, rq)
+	}
+	ms.Server.mu.Unlock()
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.(*net.TCPConn).SetReadBuffer(64 << 10)
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	br := bufio.NewReader(nc)
+	for _, size := range []int64{1, 20 << 20} {
+		fmt.Fprintf(nc, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", size)
+		if size > 1 {
+			time.Sleep(stallTime + 3*time.Second)
+		}
+		rs, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, rs.Body); err != nil || n != size {
+			t.Errorf("%d bytes of %d, %v", n, size, err)
+		}
+	}
+}
