entry: a key that is withdrawn while a body arrives does not start the request

Begin checks the key by the header. The body may take until the deadline of the request, and ServeRequest did not look at the key again, so that a request could start with a key later than revokeMs after its withdrawal, or without a recent proof. Both are checked again when the body has arrived; the digest of the key is looked up only if the configuration has changed. A refused request returns its token and its place of the throttle.

--- a/internal/traffic/entry/begin.go
+++ b/internal/traffic/entry/begin.go
@@ -2,21 +2,27 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"camphortrail/config"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/throttle"
 )
 
 // begunRequest is a request that was accepted by its header, and whose body is being read.
-type begunRequest struct{ rq *request }
+type begunRequest struct {
+	rq *request
+	// config is the configuration by which it was accepted.
+	config *config.Compiled
+}
 
 // Begin decides on a request by its header, before its body is read: whether it has a route and the
 // key that it needs, whether the entry takes requests, and whether the usage cap and the throttle
 // allow it. It returns a refusal, or nil. In the latter case the request must be passed to
 // ServeRequest once it has its body, or to Abandon.
 func (en *Entry) Begin(ctx context.Context, rd *Request) *attempt.Answer {
-	now := time.Now()
+	now, cd := time.Now(), en.config.Load()
 	rq, an := en.newRoutedRequest(rd, now)
 	if an == nil && !rq.isCall && en.opt.HopRetries == 0 {
 		an = en.decideEarly(ctx, rq)
@@ -25,7 +31,7 @@
 		en.recordAnswer(ctx, rd, rq, an, now)
 		return an
 	}
-	rd.begun = &begunRequest{rq}
+	rd.begun = &begunRequest{rq, cd}
 	return nil
 }
 
@@ -45,15 +51,36 @@
 }
 
 // continueBegun returns a request that Begin has accepted, with its body. It returns a refusal if the
-// entry has stopped meanwhile: others have been told to send their requests elsewhere.
+// request may not start any more.
 func (en *Entry) continueBegun(rd *Request) (*request, *attempt.Answer) {
 	rq := rd.begun.rq
 	rq.body, rq.blocker = rd.Body, rd.Blocker
-	if !rq.isCall && en.stopping.Load() {
+	an := en.checkBegun(rd)
+	if an != nil {
 		en.release(rq)
-		return rq, attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
 	}
-	return rq, nil
+	return rq, an
+}
+
+// checkBegun refuses a request if the entry has stopped while its body was read, as others have been
+// told to send their requests elsewhere, or if its key was withdrawn or may have been: a body can
+// take longer to arrive than a withdrawal to be in force.
+func (en *Entry) checkBegun(rd *Request) *attempt.Answer {
+	rq, cd := rd.begun.rq, en.config.Load()
+	switch {
+	case !rq.isCall && en.stopping.Load():
+		return attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
+	case rq.customer == nil || rq.public || !cd.HasCustomers():
+		return nil
+	case !en.keysFresh(cd):
+		return attempt.Refusal(ReasonKeyStale, en.jitter(staleKeysRetryAfter))
+	case cd == rd.begun.config:
+		return nil
+	}
+	if cu, ok := credentialOf(rd).customerOf(cd); !ok || cu.Name != rq.customer.Name {
+		return refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
+	}
+	return nil
 }
 
 // Abandon ends a request that Begin has accepted and whose body did not arrive.
--- a/internal/traffic/entry/begin_test.go
+++ b/internal/traffic/entry/begin_test.go
@@ -14,6 +14,12 @@
 
 // customerConfiguration has a customer with the key "right", a public route and one for customers.
 func customerConfiguration(t *testing.T) *config.Compiled {
+	t.Helper()
+	return configurationOf(t, "right")
+}
+
+// configurationOf returns a configuration with a customer that has a key.
+func configurationOf(t *testing.T, key string) *config.Compiled {
 	t.Helper()
 	rt := func(name, prefix string, public bool) *schema.Route {
 		return &schema.Route{
@@ -25,7 +31,7 @@
 		Deployment: "test", Version: 2, FailureDomains: []*schema.FailureDomain{{Name: "d1", Region: "r1"}},
 		Services:  []*schema.Service{{Name: "cassa", RetryRatioPercent: 10, MaxRequestBytes: 100, MaxAnswerBytes: 100}},
 		Routes:    []*schema.Route{rt("issue", "/x/", false), rt("tags", "/public/", true)},
-		Customers: []*schema.Customer{{Name: "acme", KeyDigests: []string{config.DigestOfKey("right").String()}}},
+		Customers: []*schema.Customer{{Name: "acme", KeyDigests: []string{config.DigestOfKey(key).String()}}},
 	}, 2)
 	if err != nil {
 		t.Fatal(err)
@@ -111,11 +117,11 @@
 func (ca *countingAllowances) Return(*config.Customer, Allowance) { ca.taken-- }
 
 // A request that was accepted by its header must be decided on once: it takes one allowance and one
-// place of the throttle, and gives both back if its body does not arrive or the entry stops
-// meanwhile.
+// place of the throttle, and gives both back if its body does not arrive, or if the entry stops or its
+// key is withdrawn or may have been meanwhile.
 func TestBegunRequestIsDecidedOnce(t *testing.T) {
 	right := "right"
-	for _, end := range []string{"served", "abandoned", "stopped"} {
+	for _, end := range []string{"served", "abandoned", "stopped", "withdrawn", "stale"} {
 		t.Run(end, func(t *testing.T) {
 			bodies := make(chan string, 10)
 			tn := newRoutedTestNode(t, func(_ http.ResponseWriter, r *http.Request) {
@@ -152,6 +158,18 @@
 				if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.NotRun || an.Reason != ReasonStopping {
 					t.Errorf("answer %+v", an)
 				}
+			case "withdrawn":
+				tn.SetConfiguration(configurationOf(t, "other"))
+				if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.NotRun || an.Reason != ReasonKeyUnknown {
+					t.Errorf("answer %+v", an)
+				}
+				tn.SetConfiguration(cd)
+			case "stale":
+				tn.opt.Freshness = staleKeys{}
+				if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.NotRun || an.Reason != ReasonKeyStale {
+					t.Errorf("answer %+v", an)
+				}
+				tn.opt.Freshness = nil
 			}
 			if allowances.taken != wantTaken || len(bodies) != 0 {
 				t.Errorf("%d allowances taken, want %d; %d further runs", allowances.taken, wantTaken, len(bodies))
