--- a/internal/traffic/pipeline/memory_test.go
+++ b/internal/traffic/pipeline/memory_test.go
@@ -234,3 +234,87 @@
 		}
 	}
 }
+
+// Guards against a body that is charged after its handler has returned: an answer beside it would be
+// dropped for lack of memory although the request ran. It also guards against a reference to the
+// body from what Begin has returned, by which it would stay allocated while the answer waits.
+func TestBodyIsReturnedBeforeItsAnswer(t *testing.T) {
+	const limit, body = 4 << 20, 3 << 20
+	ms := newMemoryServer(t, limit)
+	ms.Server.mu.Lock()
+	ms.opt.Limits = func() Limits {
+		return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: body, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	}
+	requests := make(chan *Request, 1)
+	handler := ms.opt.Handler
+	ms.opt.Handler = func(ctx context.Context, rq *Request) Answer {
+		requests <- rq
+		return handler(ctx, rq)
+	}
+	ms.opt.Begin = func(r *http.Request) (any, *Answer) { return r, nil }
+	ms.opt.Abandon = func(any) {}
+	ms.Server.mu.Unlock()
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	fmt.Fprintf(nc, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", body, body)
+	if _, err := nc.Write(make([]byte, body)); err != nil {
+		t.Fatal(err)
+	}
+	rs, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, rs.Body); rs.StatusCode != http.StatusOK || n != body || err != nil {
+		t.Errorf("status %d, %d bytes, %v", rs.StatusCode, n, err)
+	}
+	if rq := <-requests; rq.Body != nil || rq.Begun != nil {
+		t.Error("the request still refers to its body")
+	}
+	for end := time.Now().Add(10 * time.Second); ms.memory.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are used after the request", ms.memory.Used())
+		}
+	}
+}
+
+// Guards against a connection that counts as cancelled for ever: once the memory that others needed
+// has been returned, a client that pauses for longer than stallTime must get later answers whole.
+func TestLaterAnswersOfCancelledConnectionAreWhole(t *testing.T) {
+	t.Parallel()
+	ms := newMemoryServer(t, 64<<20)
+	handler := ms.opt.Handler
+	ms.Server.mu.Lock()
+	ms.opt.Handler = func(ctx context.Context, rq *Request) Answer {
+		if rq.HTTP.URL.Path == "/1" {
+			rq.conn.Cancel()
+			<-ctx.Done()
+		}
+		return handler(ctx, rq)
+	}
+	ms.Server.mu.Unlock()
+	nc, err := net.Dial("tcp", ms.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.(*net.TCPConn).SetReadBuffer(64 << 10)
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	br := bufio.NewReader(nc)
+	for _, size := range []int64{1, 20 << 20} {
+		fmt.Fprintf(nc, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", size)
+		if size > 1 {
+			time.Sleep(stallTime + 3*time.Second)
+		}
+		rs, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, rs.Body); err != nil || n != size {
+			t.Errorf("%d bytes of %d, %v", n, size, err)
+		}
+	}
+}
