guard: no further sends while the process stops or the upstream drains

An upstream that began to drain in the pause between two sends got the second one. Change: both are checked, before the pause and after it.

--- a/internal/traffic/guard/further.go
+++ b/internal/traffic/guard/further.go
@@ -31,7 +31,8 @@
 	// deniedSlots means that other attempts wait for the slot. The upstream refuses for lack of
 	// capacity then, and would again.
 	deniedSlots
-	// deniedTime means that the attempt has no time left, or that nobody waits for it.
+	// deniedTime means that the attempt has no time left, that nobody waits for it, or that the
+	// process stops before its deadline.
 	deniedTime
 )
 
@@ -146,7 +147,7 @@
 	needed := retry.FurtherDelay(pa.sends) + 2*gd.slots.slotTime(at.Class)
 	tg := gd.target.Load()
 	switch {
-	case pa.sends >= maxSends, at.Deadline.Sub(now) < needed, pa.isCancelled(), pa.memory.Evicted(), pa.run.Ended():
+	case pa.sends >= maxSends, at.Deadline.Sub(now) < needed, gd.hasEnded(pa):
 		return deniedTime
 	case tg == nil || tg.upstream.Draining, gd.loop.waiting.Load() > 0 && gd.loop.running.Load() >= gd.loop.limit.Load():
 		return deniedSlots
@@ -154,6 +155,19 @@
 	return allowed
 }
 
+// hasEnded reports whether an attempt must not be sent again: nobody waits for it, its deadline has
+// passed, there is no memory for its answer, or the process stops before its deadline.
+func (gd *Guard) hasEnded(pa *pendingAttempt) bool {
+	return pa.isCancelled() || pa.run.Ended() || pa.memory.Evicted() || gd.outlastsStop(pa.attempt)
+}
+
+// takesFurtherSends reports whether the upstream is still the process of the target, and is not
+// draining.
+func (gd *Guard) takesFurtherSends(tg *target) bool {
+	cur := gd.target.Load()
+	return cur != nil && cur.client == tg.client && !cur.upstream.Draining
+}
+
 // forwardUntilRun sends the attempt to the target, and again after refusals as long as that is
 // allowed. The attempt stays registered and keeps its slot meanwhile. It returns the last answer
 // and the time at which the last send began.
@@ -166,9 +180,7 @@
 			return an, begun
 		}
 		time.Sleep(retry.FurtherDelay(pa.sends))
-		// The caller may have left, and the upstream may be another process now.
-		cur := gd.target.Load()
-		if pa.isCancelled() || pa.run.Ended() || pa.memory.Evicted() || cur == nil || cur.client != tg.client {
+		if gd.hasEnded(pa) || !gd.takesFurtherSends(tg) {
 			return an, begun
 		}
 		now := time.Now()
--- a/internal/traffic/guard/further_test.go
+++ b/internal/traffic/guard/further_test.go
@@ -204,3 +204,39 @@
 		t.Errorf("the limit is %d, want all 4 slots", limit)
 	}
 }
+
+// An attempt that would outlast the stop of the process must not be sent again once the stop has
+// begun: if the process ended during the run, the outcome of a refused attempt would be unknown.
+func TestNoFurtherSendDuringStop(t *testing.T) {
+	var gd *Guard
+	address, runs := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		gd.FinishBy(time.Now().Add(time.Second))
+		writeRefusal(conn, rq)
+	})
+	gd, _ = sharingGuard(t, address, 20)
+	if an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second)); an.Outcome != call.NotRun || runs.Load() != 1 {
+		t.Errorf("outcome %v after %d sends, want not-run after 1", an.Outcome, runs.Load())
+	}
+}
+
+// An upstream that begins to drain, leaves or is replaced during the pause between two sends must
+// not get the second one.
+func TestNoFurtherSendToAnotherRun(t *testing.T) {
+	gd, _ := sharingGuard(t, "127.0.0.1:1", 0)
+	tg := gd.target.Load()
+	if !gd.takesFurtherSends(tg) {
+		t.Error("the same run gets no further sends")
+	}
+	draining, restarted := tg.upstream, tg.upstream
+	draining.Draining = true
+	restarted.StartTime = restarted.StartTime.Add(time.Second)
+	// The order matters: only the first one is still the same run.
+	for _, up := range []*membership.Upstream{&draining, &restarted, nil} {
+		if err := gd.SetUpstream(t.Context(), up); err != nil {
+			t.Fatal(err)
+		}
+		if gd.takesFurtherSends(tg) {
+			t.Errorf("upstream %+v gets further sends of an earlier run", up)
+		}
+	}
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -200,6 +200,12 @@
 // stops. Others may still begin, as they are over by then.
 func (gd *Guard) FinishBy(end time.Time) { gd.finishBy.Store(&end) }
 
+// outlastsStop reports whether the process stops and the attempt may still run then.
+func (gd *Guard) outlastsStop(at *attempt.Attempt) bool {
+	end := gd.finishBy.Load()
+	return end != nil && at.Deadline.After(*end)
+}
+
 // Wait waits until no attempt is being handled, or until ctx ends.
 func (gd *Guard) Wait(ctx context.Context) error { return gd.active.Wait(ctx) }
 
@@ -286,7 +292,7 @@
 	if tg := gd.target.Load(); tg != nil && tg.upstream.Service != at.Service {
 		return attempt.Refusal(ReasonWrongService, 0)
 	}
-	if end := gd.finishBy.Load(); end != nil && at.Deadline.After(*end) {
+	if gd.outlastsStop(at) {
 		return attempt.Refusal(ReasonStopping, 0)
 	}
 	rs := gd.step(withdrawal.Arrive[*schema.RecordedAnswer]{Attempt: at.ID, Stamp: at.Stamp})
