guard: an attempt refused and then without a connection counts as refused by the upstream

Cause: when an upstream refused an attempt and took no connection for the next send, the answer said only that there was no connection. The entry then sent the request to another upstream without charge, and to the same one again for unsafe requests, though the upstream had got it. So retries could go beyond the total of the service. Change: the answer says that the upstream refused it if there was a send before. The test failed before.

--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -31,7 +31,9 @@
 		// This send did not leave, and the upstream refused those before.
 		return gd.upstreamRefusal(Full)
 	case err != nil:
-		return transportFailure(pa, err)
+		an = transportFailure(pa, err)
+		// The sends before reached the upstream, so that another attempt of the request is a retry.
+		an.UpstreamRefused = an.Outcome == call.NotRun && pa.sends > 1
 	}
 	return an
 }
--- a/internal/traffic/guard/further_test.go
+++ b/internal/traffic/guard/further_test.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -240,3 +241,33 @@
 		}
 	}
 }
+
+// An attempt that the upstream refused, and that then finds no connection to it, has reached the
+// upstream. If its answer did not say so, the entry would send the request again without charge, and
+// the retries to the service could exceed their bound.
+func TestLostUpstreamAfterRefusalIsCharged(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		rq, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		ln.Close()
+		writeRefusal(conn, rq)
+	}()
+	gd, _ := sharingGuard(t, ln.Addr().String(), 20)
+	an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second))
+	if an.Outcome != call.NotRun || an.Reason != ReasonConnectionRefused || !an.UpstreamRefused {
+		t.Errorf("outcome %v, reason %s, refused by the upstream: %t; want not-run, %s, true", an.Outcome, an.Reason, an.UpstreamRefused, ReasonConnectionRefused)
+	}
+}
