cost: the slowness of an idle upstream is 1

Cause: after about 7 s without requests the decayed sums were too small for the division, and the factor fell to 0 (0.014 after 8 s, 1e-7 after 10 s). A guard multiplies the work ahead by it, and so reported none with a refusal or failure after such a time. Change: sums of a weight below 1e-6 of a request count as none. The test failed before.

--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// After a time without requests the factor must return to 1 and stay there. A factor near zero made a
+// guard report no work ahead with its first refusal after 8 s.
+func TestSpeedWithoutRequestsIsUsual(t *testing.T) {
+	var sp cost.Speed
+	for range 20 {
+		sp.Add(epoch, 40*time.Millisecond, 20*time.Millisecond)
+	}
+	for _, after := range []time.Duration{3, 5, 7, 8, 10, 60, 3600} {
+		if factor, age := sp.Slowness(epoch.Add(after * time.Second)); factor < 0.99 || factor > 1.01 || age != after*time.Second {
+			t.Errorf("factor %v of age %v after %d s, want 1", factor, age, after)
+		}
+	}
+}
+
 // Remaining must be the sum over the requests that run, in whatever order they begin and end.
 func TestRemainingIsTheSum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/cost/load.go
+++ b/cost/load.go
@@ -34,15 +34,21 @@
 }
 
 // Slowness returns the present factor on the usual times, and its age: the time since the last
-// request that it is based on. It is 1 if nothing is known.
+// request that it is based on. It is 1 if nothing is known, or nothing recent.
 func (sp *Speed) Slowness(now time.Time) (factor float64, age time.Duration) {
 	if sp.count == 0 {
 		return 1, 0
 	}
 	sp.decay(now)
+	age = now.Sub(sp.updated)
+	// After seconds without requests the sums are too small for the division.
+	const minCount = 1e-6
+	if sp.count < minCount {
+		return 1, age
+	}
 	// The prior has the mean expectation of the recent requests.
-	prior := speedPrior * sp.expected / max(sp.count, 1e-9)
-	return (sp.took + prior) / max(sp.expected+prior, 1), now.Sub(sp.updated)
+	prior := speedPrior * sp.expected / sp.count
+	return (sp.took + prior) / max(sp.expected+prior, 1), age
 }
 
 func (sp *Speed) decay(now time.Time) {
