guard: a refusal that is followed by another send gives back its memory

Cause: the bodies of all refusals of an attempt stayed charged to the memory of answers until its end: 3,204 bytes at the fifth send in the test, and up to 11 times the largest answer. Change: the memory is released before each further send. The test failed before.

--- a/internal/traffic/guard/further.go
+++ b/internal/traffic/guard/further.go
@@ -183,6 +183,8 @@
 		if gd.hasEnded(pa) || !gd.takesFurtherSends(tg) {
 			return an, begun
 		}
+		// The refusal is not passed on.
+		pa.memory.Release()
 		now := time.Now()
 		gd.trees.SentAgain(now, in)
 		gd.logFurtherSend(now, pa)
--- a/internal/traffic/guard/further_test.go
+++ b/internal/traffic/guard/further_test.go
@@ -271,3 +271,29 @@
 		t.Errorf("outcome %v, reason %s, refused by the upstream: %t; want not-run, %s, true", an.Outcome, an.Reason, an.UpstreamRefused, ReasonConnectionRefused)
 	}
 }
+
+// Refusals that are not passed on must not stay charged to the memory of answers, or an attempt that
+// is sent ten times could use up what others need.
+func TestRefusalsReleaseTheirMemory(t *testing.T) {
+	const bodyBytes = 800
+	var gd *Guard
+	var used []int64
+	address, _ := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		used = append(used, gd.memory.Used())
+		if len(used) == 5 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 No\r\nContent-Length: %d\r\n%s: not-run\r\n%s: %s\r\n\r\n%s",
+			bodyBytes, header.Outcome, header.Attempt, rq.Header.Get(header.Attempt), strings.Repeat("r", bodyBytes))
+	})
+	gd, _ = sharingGuard(t, address, 20)
+	if an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second)); an.Outcome != call.Done {
+		t.Fatalf("outcome %v, reason %s; want done", an.Outcome, an.Reason)
+	}
+	for i, bytes := range used {
+		if bytes != used[0] {
+			t.Errorf("%d bytes are charged at send %d, want %d as at the first one", bytes, i+1, used[0])
+		}
+	}
+}
