route: work sent to a VM that reports no load does not add up forever

Cause: with placement by cost, the cost of what was sent to a VM counted as work ahead until the next report. Nodes of an earlier version send none, so that such a VM was chosen 3 times in 2,000 instead of about half of them. docs/design/placement.md says that it counts as of usual speed without work ahead. Change: an answer without a report ends it, as one with a report does. The test failed before.

--- a/route/placement_test.go
+++ b/route/placement_test.go
@@ -303,6 +303,36 @@
 	}
 }
 
+// A VM whose node is of an earlier version and reports no load must get as many attempts as another
+// one, not ever fewer because all that was ever sent to it counts as work ahead.
+func TestVMWithoutReportsIsChosen(t *testing.T) {
+	tb := route.New(route.Settings{Domain: "d"}, rand.New(rand.NewPCG(1, 3)))
+	now := time.Unix(1000, 0)
+	tb.Step(now, route.Placement{ByCost: true})
+	for _, vm := range []call.VM{"old", "new"} {
+		tb.Step(now, route.Upsert{VM: vm, Service: service, Domain: "d", Slots: 10})
+	}
+	chosen := map[call.VM]int{}
+	const choices = 2000
+	for range choices {
+		now = now.Add(time.Millisecond)
+		vm, err := tb.Choose(now, route.Request{Service: service, Importance: 5, Cost: 20 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		chosen[vm]++
+		tb.Step(now, route.Sent{Service: service, VM: vm, Importance: 5, Cost: 20 * time.Millisecond})
+		ev := route.Answered{Service: service, VM: vm, Importance: 5, Outcome: call.Done, Latency: 20 * time.Millisecond, Occupancy: 60}
+		if vm == "new" {
+			ev.Load = route.Load{Reported: true, Slowness: 1, Own: 20 * time.Millisecond, Cost: 20 * time.Millisecond}
+		}
+		tb.Step(now, ev)
+	}
+	if old := chosen["old"]; old < choices/3 || old > choices*2/3 {
+		t.Errorf("the VM without reports was chosen %d times of %d, want about half", old, choices)
+	}
+}
+
 func (pr *placementRun) share(imp call.Importance) float64 {
 	return float64(pr.inTime[imp]) / float64(pr.asked[imp])
 }
--- a/route/table.go
+++ b/route/table.go
@@ -176,6 +176,9 @@
 	up.failures, up.ejectedUntil = 0, never
 	if ev.Load.Reported {
 		up.placement.report(now, ev.Importance, ev.Load)
+	} else {
+		// Nodes of an earlier version report no load. What was sent to them is not all outstanding.
+		up.placement.sent = 0
 	}
 	// A refusal is quick whatever the load of the upstream is.
 	if ev.Overload || ev.Outcome == call.NotRun {
