entry: a retry that the account does not allow is not charged to the service

Cause: the ratio and the window of a service were charged before the account of the request was asked. Most calls of a tree have no budget, so while upstreams refuse half of what they get, their refusals used up the total of the service without being sent. Change: ratio and window are asked, then the account is charged, and then they are. The bound is the same. The test failed before.

--- a/internal/traffic/entry/entry_test.go
+++ b/internal/traffic/entry/entry_test.go
@@ -414,3 +414,25 @@
 		}
 	}
 }
+
+// A retry that the request's account does not allow must leave the retries of the service to
+// others. Most calls of a tree have no budget, and while upstreams refuse half of what they get,
+// their refusals used up the total of the service for retries that were never sent.
+func TestRetryWithoutBudgetIsNotCharged(t *testing.T) {
+	trees := calltree.New(retry.DefaultLimits())
+	en := New(Options{Trees: trees, RetrySlack: 4})
+	en.SetConfiguration(testConfiguration(t))
+	kind := &config.Kind{Service: "cassa"}
+	without := &request{kind: kind, account: retry.RequestAccount(call.RequestID{1})}
+	for range 10 {
+		if en.chargeRetry(without) {
+			t.Fatal("a request without an account may send again")
+		}
+	}
+	with := &request{kind: kind, account: retry.RequestAccount(call.RequestID{2})}
+	now := time.Now()
+	trees.StepRetry(now, retry.OpenRequest{Request: call.RequestID{2}, Total: 1, Deadline: now.Add(time.Minute)})
+	if !en.chargeRetry(with) {
+		t.Error("a request with a budget may not send again")
+	}
+}
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -400,16 +400,22 @@
 	return true
 }
 
-// chargeRetry charges a retry to the retry ratio of the service and to the request's
-// account, and reports whether both allow it.
+// chargeRetry charges a retry to the retry ratio and window of the service and to the request's
+// account, and reports whether all of them allow it. If one does not, nothing is charged: most
+// calls of a tree have no budget, and their refusals would use up the retries of the others.
 func (en *Entry) chargeRetry(rq *request) bool {
 	now := time.Now()
 	en.mu.Lock()
+	defer en.mu.Unlock()
 	rt := en.ratios[rq.kind.Service]
 	wn := en.windows[rq.kind.Service]
-	allowed := (rt == nil || rt.Allow(now)) && (wn == nil || wn.Allow(now))
-	en.mu.Unlock()
-	return allowed && en.opt.Trees.StepRetry(now, retry.Retry{Account: rq.account}).Decision == retry.Charged
+	if rt != nil && !rt.Available(now) || wn != nil && !wn.Available(now) {
+		return false
+	}
+	if en.opt.Trees.StepRetry(now, retry.Retry{Account: rq.account}).Decision != retry.Charged {
+		return false
+	}
+	return (rt == nil || rt.Allow(now)) && (wn == nil || wn.Allow(now))
 }
 
 // mayHaveReachedUpstream reports whether the attempt may have reached an upstream. If not,
--- a/retry/ratio.go
+++ b/retry/ratio.go
@@ -45,11 +45,15 @@
 	rt.successes++
 }
 
-// Allow reports whether a retry is within the ratio, and counts it if so. A percentage of
-// zero allows none.
-func (rt *Ratio) Allow(now time.Time) bool {
+// Available reports whether a retry is within the ratio. A percentage of zero allows none.
+func (rt *Ratio) Available(now time.Time) bool {
 	rt.decay(now)
-	if rt.fraction == 0 || rt.retries+1 > rt.successes*rt.fraction+rt.minRetries {
+	return rt.fraction != 0 && rt.retries+1 <= rt.successes*rt.fraction+rt.minRetries
+}
+
+// Allow reports whether a retry is within the ratio, and counts it if so.
+func (rt *Ratio) Allow(now time.Time) bool {
+	if !rt.Available(now) {
 		return false
 	}
 	rt.retries++
--- a/retry/window.go
+++ b/retry/window.go
@@ -27,11 +27,15 @@
 	wn.sends.first[wn.sends.current%ringBuckets]++
 }
 
-// Allow reports whether a further send is within the bound, and counts it if so. A percentage of
-// zero allows none.
-func (wn *Window) Allow(now time.Time) bool {
+// Available reports whether a further send is within the bound. A percentage of zero allows none.
+func (wn *Window) Available(now time.Time) bool {
 	wn.advance(now)
-	if wn.fraction == 0 || wn.sends.available+wn.slack < 1 {
+	return wn.fraction != 0 && wn.sends.available+wn.slack >= 1
+}
+
+// Allow reports whether a further send is within the bound, and counts it if so.
+func (wn *Window) Allow(now time.Time) bool {
+	if !wn.Available(now) {
 		return false
 	}
 	wn.sends.spend()
