guard: first sends for a service allow none for another one

Cause: the total and the learned costs were discarded only if an upstream of another service followed directly. With no upstream in between, which is what a restart looks like, the first sends for the former service allowed further sends for the new one. Change: the guard remembers the service for which it learned. The test failed before.

--- a/internal/traffic/guard/further_test.go
+++ b/internal/traffic/guard/further_test.go
@@ -297,3 +297,24 @@
 		}
 	}
 }
+
+// The first sends for a service must not allow further sends for another one that the VM runs
+// later, also if there is no upstream in between. The total of the latter could be exceeded.
+func TestFirstSendsAreOfOneService(t *testing.T) {
+	gd, _ := sharingGuard(t, "127.0.0.1:1", 20)
+	at := newAttempt(gd, false, time.Second)
+	same := gd.target.Load().upstream
+	other := same
+	other.Service = "stock"
+	for _, tc := range []struct {
+		upstream *membership.Upstream
+		want     furtherDecision
+	}{{nil, allowed}, {&same, allowed}, {nil, allowed}, {&other, deniedTotal}} {
+		if err := gd.SetUpstream(t.Context(), tc.upstream); err != nil {
+			t.Fatal(err)
+		}
+		if fd := gd.furtherSends.allow(time.Now(), at); fd != tc.want {
+			t.Errorf("upstream %+v: decision %d, want %d", tc.upstream, fd, tc.want)
+		}
+	}
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -118,8 +118,11 @@
 
 	usage usage
 
-	furtherSends    furtherSends
-	load            upstreamLoad
+	furtherSends furtherSends
+	load         upstreamLoad
+	// learnedService is the service for which both have learned. Only SetUpstream uses it.
+	learnedService call.Service
+
 	slots           slotAllocation
 	aggregateDemand func(de *attempt.Demand) (allocation.Grant, bool)
 	answerRenewal   func(msg *schema.Renewal) *schema.RenewalAnswer
--- a/internal/traffic/guard/target.go
+++ b/internal/traffic/guard/target.go
@@ -18,7 +18,7 @@
 }
 
 // SetUpstream applies what the upstream announced. nil means that it has left. The error
-// is that of ctx.
+// is that of ctx. It must not be called concurrently.
 func (gd *Guard) SetUpstream(ctx context.Context, up *membership.Upstream) error {
 	old := gd.target.Load()
 	isSame := old != nil && up != nil && up.SameRun(old.upstream)
@@ -36,9 +36,13 @@
 	if up == nil {
 		return gd.loop.inputs.Put(ctx, input{event: admission.Announce{}})
 	}
-	if old != nil && up.Service != old.upstream.Service {
+	if up.Service != gd.learnedService {
+		// There may have been no upstream in between.
+		gd.learnedService = up.Service
 		gd.furtherSends.reset()
 		gd.load.reset()
+	}
+	if old != nil && up.Service != old.upstream.Service {
 		// The attempts that wait are for the former service.
 		if err := gd.loop.inputs.Put(ctx, input{event: admission.Announce{}}); err != nil {
 			return err
