route: a choice by cost with an earlier time than a report does not panic

Cause: entries take the time of a choice before they get the lock of the table. If that was delayed by 200 ms, as on a VM with 0.64 of a core it can be, and a report was applied meanwhile, its age was negative, and the halvings were a negative shift: the process ended with a panic. Change: the age is at least 0, and so is the time of a cold start. The test panicked before.

--- a/route/placement.go
+++ b/route/placement.go
@@ -89,7 +89,8 @@
 	if pl.presentAt == never {
 		return lasting
 	}
-	age := now.since(pl.presentAt)
+	// The time of a choice may have been taken before that of a report which was applied first.
+	age := max(now.since(pl.presentAt), 0)
 	// The weight halves with each half-life; in between it falls in a line, which is quicker than an
 	// exponential.
 	halvings := min(age/slownessHalfLife, maxHalvings)
@@ -112,7 +113,7 @@
 		ahead = max(pl.ahead[imp]-float64(now.since(pl.aheadAt[imp])), 0)
 	}
 	slots := float64(up.slots)
-	if since := now.since(up.warmUpFrom); since < up.warmUp {
+	if since := max(now.since(up.warmUpFrom), 0); since < up.warmUp {
 		slots *= warmUpStartShare + (1-warmUpStartShare)*float64(since)/float64(up.warmUp)
 	}
 	ahead += pl.sent * slowness / slots
--- a/route/placement_test.go
+++ b/route/placement_test.go
@@ -333,6 +333,25 @@
 	}
 }
 
+// Entries take the time of a choice before they get the lock of the table. If a busy VM delays that by
+// more than the half-life of a slowness, and a report is applied meanwhile, the choice must not panic.
+func TestChoiceBeforeTheTimeOfAReport(t *testing.T) {
+	tb := route.New(route.Settings{Domain: "d"}, rand.New(rand.NewPCG(1, 3)))
+	now := time.Unix(1000, 0)
+	tb.Step(now, route.Placement{ByCost: true})
+	tb.Step(now, route.Upsert{VM: "vm", Service: service, Domain: "d", Slots: 10, WarmUp: time.Second})
+	now = now.Add(time.Second)
+	ev := route.Answered{Service: service, VM: "vm", Importance: 5, Outcome: call.Done, Latency: 20 * time.Millisecond}
+	ev.Load = route.Load{Reported: true, Slowness: 2}
+	tb.Step(now, ev)
+	for _, before := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
+		rq := route.Request{Service: service, Importance: 5, Cost: 20 * time.Millisecond}
+		if vm, err := tb.Choose(now.Add(-before), rq); vm != "vm" || err != nil {
+			t.Errorf("%v before the report: %q, %v", before, vm, err)
+		}
+	}
+}
+
 func (pr *placementRun) share(imp call.Importance) float64 {
 	return float64(pr.inTime[imp]) / float64(pr.asked[imp])
 }
