--- a/cost/load.go
+++ b/cost/load.go
@@ -40,15 +40,14 @@
 		return 1, 0
 	}
 	sp.decay(now)
-	age = now.Sub(sp.updated)
 	// After seconds without requests the sums are too small for the division.
 	const minCount = 1e-6
 	if sp.count < minCount {
-		return 1, age
+		return 1, 0
 	}
 	// The prior has the mean expectation of the recent requests.
 	prior := speedPrior * sp.expected / sp.count
-	return (sp.took + prior) / max(sp.expected+prior, 1), age
+	return (sp.took + prior) / max(sp.expected+prior, 1), now.Sub(sp.updated)
 }
 
 func (sp *Speed) decay(now time.Time) {
