--- a/internal/traffic/guard/further_test.go
+++ b/internal/traffic/guard/further_test.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -204,3 +205,116 @@
 		t.Errorf("the limit is %d, want all 4 slots", limit)
 	}
 }
+
+// An attempt that would outlast the stop of the process must not be sent again once the stop has
+// begun: if the process ended during the run, the outcome of a refused attempt would be unknown.
+func TestNoFurtherSendDuringStop(t *testing.T) {
+	var gd *Guard
+	address, runs := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		gd.FinishBy(time.Now().Add(time.Second))
+		writeRefusal(conn, rq)
+	})
+	gd, _ = sharingGuard(t, address, 20)
+	if an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second)); an.Outcome != call.NotRun || runs.Load() != 1 {
+		t.Errorf("outcome %v after %d sends, want not-run after 1", an.Outcome, runs.Load())
+	}
+}
+
+// An upstream that begins to drain, leaves or is replaced during the pause between two sends must
+// not get the second one.
+func TestNoFurtherSendToAnotherRun(t *testing.T) {
+	gd, _ := sharingGuard(t, "127.0.0.1:1", 0)
+	tg := gd.target.Load()
+	if !gd.takesFurtherSends(tg) {
+		t.Error("the same run gets no further sends")
+	}
+	draining, restarted := tg.upstream, tg.upstream
+	draining.Draining = true
+	restarted.StartTime = restarted.StartTime.Add(time.Second)
+	// The order matters: only the first one is still the same run.
+	for _, up := range []*membership.Upstream{&draining, &restarted, nil} {
+		if err := gd.SetUpstream(t.Context(), up); err != nil {
+			t.Fatal(err)
+		}
+		if gd.takesFurtherSends(tg) {
+			t.Errorf("upstream %+v gets further sends of an earlier run", up)
+		}
+	}
+}
+
+// An attempt that the upstream refused, and that then finds no connection to it, has reached the
+// upstream. If its answer did not say so, the entry would send the request again without charge, and
+// the retries to the service could exceed their bound.
+func TestLostUpstreamAfterRefusalIsCharged(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		rq, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		ln.Close()
+		writeRefusal(conn, rq)
+	}()
+	gd, _ := sharingGuard(t, ln.Addr().String(), 20)
+	an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second))
+	if an.Outcome != call.NotRun || an.Reason != ReasonConnectionRefused || !an.UpstreamRefused {
+		t.Errorf("outcome %v, reason %s, refused by the upstream: %t; want not-run, %s, true", an.Outcome, an.Reason, an.UpstreamRefused, ReasonConnectionRefused)
+	}
+}
+
+// Refusals that are not passed on must not stay charged to the memory of answers, or an attempt that
+// is sent ten times could use up what others need.
+func TestRefusalsReleaseTheirMemory(t *testing.T) {
+	const bodyBytes = 800
+	var gd *Guard
+	var used []int64
+	address, _ := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+		used = append(used, gd.memory.Used())
+		if len(used) == 5 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 No\r\nContent-Length: %d\r\n%s: not-run\r\n%s: %s\r\n\r\n%s",
+			bodyBytes, header.Outcome, header.Attempt, rq.Header.Get(header.Attempt), strings.Repeat("r", bodyBytes))
+	})
+	gd, _ = sharingGuard(t, address, 20)
+	if an := gd.Handle(t.Context(), newAttempt(gd, false, 5*time.Second)); an.Outcome != call.Done {
+		t.Fatalf("outcome %v, reason %s; want done", an.Outcome, an.Reason)
+	}
+	for i, bytes := range used {
+		if bytes != used[0] {
+			t.Errorf("%d bytes are charged at send %d, want %d as at the first one", bytes, i+1, used[0])
+		}
+	}
+}
+
+// The first sends for a service must not allow further sends for another one that the VM runs
+// later, also if there is no upstream in between. The total of the latter could be exceeded.
+func TestFirstSendsAreOfOneService(t *testing.T) {
+	gd, _ := sharingGuard(t, "127.0.0.1:1", 20)
+	at := newAttempt(gd, false, time.Second)
+	same := gd.target.Load().upstream
+	other := same
+	other.Service = "stock"
+	for _, tc := range []struct {
+		upstream *membership.Upstream
+		want     furtherDecision
+	}{{nil, allowed}, {&same, allowed}, {nil, allowed}, {&other, deniedTotal}} {
+		if err := gd.SetUpstream(t.Context(), tc.upstream); err != nil {
+			t.Fatal(err)
+		}
+		if fd := gd.furtherSends.allow(time.Now(), at); fd != tc.want {
+			t.Errorf("upstream %+v: decision %d, want %d", tc.upstream, fd, tc.want)
+		}
+	}
+}
