control: buckets of a leader fill from the start of its lease

Cause: Options.Lead was called by Renew only, so that the buckets of customers began to fill at the first renewal of a term. Nodes renew only if the configuration names customers. A deployment whose first customers were configured long after the election refused their first requests, though nothing had been issued: a customer with a small rate got none of its burst.

Change: the replica also calls Lead when it first holds the lease of a term. No other replica issues tokens from then on, so the bound stays as it is.

The new test fails without the call (no call of Lead before the time limit) and passes with -race. The effect on refusals after a start was not measured.

--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -70,7 +70,8 @@
 	Elastic bool
 	// Endpoints are additional addresses that the replica serves.
 	Endpoints []Endpoint
-	// Lead, if set, is called before Grant with the term in which the replica leads.
+	// Lead, if set, is called with the term in which the replica leads: when it first holds the lease
+	// of the term, and before each Grant. now is of the boot clock.
 	Lead func(now time.Time, term uint64)
 	// Grant, if set, answers the demands of customers that a renewal of the node child carries.
 	// cfg is the configuration in force, and now is of the boot clock. Only a replica that leads
@@ -127,10 +128,12 @@
 	writes      *queue.Queue[quorum.Persist]
 	written     *queue.Queue[quorum.Event]
 	applies     *queue.Queue[quorum.Action]
-	// ticks, leaderAbsence and backlog are used by the goroutine of the log only. overloaded
-	// is set while the backlog has reached overloadBacklog.
+	// ticks, leaderAbsence, leaseTerm and backlog are used by the goroutine of the log only.
+	// leaseTerm is the latest term whose lease was reported to Options.Lead. overloaded is set
+	// while the backlog has reached overloadBacklog.
 	ticks         uint
 	leaderAbsence leaderAbsence
+	leaseTerm     quorum.Term
 	backlog       []quorum.Action
 	overloaded    atomic.Bool
 	// snapshotPending is set from the taking of a snapshot until it is written and passed
--- a/internal/state/control/log.go
+++ b/internal/state/control/log.go
@@ -86,6 +86,7 @@
 	mv := &machineView{status: co.machine.Status()}
 	mv.leaseEnd, mv.requiredIndex = co.machine.Lease()
 	co.view.Store(mv)
+	co.reportLease(mv)
 	if co.leaderAbsence.due(time.Now(), mv.status.Leader) {
 		co.log.WithField("role", mv.status.Role.String()).
 			Warn("no leader; an election needs a majority of the control replicas that hold the log, or all of them at the first start")
@@ -93,6 +94,18 @@
 	return nil
 }
 
+// reportLease calls Options.Lead when the replica first holds the lease of a term. Without it the
+// buckets of a leader would begin to fill at the first renewal, which may come long after: the first
+// requests of customers would be refused although nothing was issued before.
+func (co *Control) reportLease(mv *machineView) {
+	now := boottime.Now()
+	if co.opt.Lead == nil || mv.status.Term == co.leaseTerm || !now.Before(mv.leaseEnd) {
+		return
+	}
+	co.leaseTerm = mv.status.Term
+	co.opt.Lead(now, uint64(mv.status.Term))
+}
+
 // leaderAbsence measures how long there has been no leader.
 type leaderAbsence struct{ since time.Time }
 
--- a/internal/state/control/renew_test.go
+++ b/internal/state/control/renew_test.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// TestLeadIsCalledWithoutRenewals guards against buckets of customers that begin to fill only at the
+// first renewal of a term, so that the first requests after a start are refused.
+func TestLeadIsCalledWithoutRenewals(t *testing.T) {
+	t.Parallel()
+	terms := make(chan uint64, 100)
+	fl := newFleetWith(t, 3, Options{Lead: func(_ time.Time, term uint64) { terms <- term }})
+	fl.mustAccept(configuration(1, "sportello"))
+	select {
+	case term := <-terms:
+		if term == 0 {
+			t.Error("no term of the replicated log")
+		}
+	case <-time.After(testTimeout):
+		t.Error("a leader holds its lease, and Lead was not called")
+	}
+}
+
 // TestIsolatedLeaderGivesNoProof guards against a leader that goes on to prove its configuration
 // after another replica may lead.
 func TestIsolatedLeaderGivesNoProof(t *testing.T) {
