rollout: a peer in force brings the next round of a starting node forward

Cause: a starting node whose first fetches failed, as there was no leader yet, waited 500 to 1,000 ms for the next round. A hint of its own revision was ignored, and one of a higher revision did not change the time of the round if an earlier hint had named that revision.

Change: while a node starts, a hint of a peer that has the best revision or a higher one in force brings the next round forward, to 100 to 150 ms after the last one. Hints of control replicas don't, as these announce a restored revision before there is a leader. Only nodes that start do so, and the number of rounds is bounded by time, not by hints.

The new test fails without the change (1 round in 200 ms for a node that has the revision of the peer) and passes with -race. The time to the first configuration of a whole deployment was not measured.

--- a/internal/fleet/rollout/follower.go
+++ b/internal/fleet/rollout/follower.go
@@ -22,6 +22,10 @@
 	// retryInterval is the minimum time between two rounds of fetches. A random part up
 	// to the same length is added.
 	retryInterval = 500 * time.Millisecond
+	// startRetryInterval is the minimum time between two rounds of fetches of a starting node if a
+	// peer reports that it has a configuration in force. Then a control replica probably answers,
+	// which may have had no leader in the round before.
+	startRetryInterval = 100 * time.Millisecond
 	// hintJitter is the maximum random delay of the first fetch after a hint. It spreads
 	// the fetches of all nodes that receive the hint at the same time.
 	hintJitter = 50 * time.Millisecond
@@ -154,10 +158,11 @@
 	hints          []Hinted
 
 	// fetching lists the sources from which a fetch is in progress. nextRound is the
-	// earliest time of the next fetches during the start or after a hint, and nextCheck
-	// that of the next fetch without a hint.
+	// earliest time of the next fetches during the start or after a hint, lastRound the time of the
+	// last ones during the start, and nextCheck that of the next fetch without a hint.
 	fetching  []Source
 	nextRound time.Time
+	lastRound time.Time
 	nextCheck time.Time
 	// turn counts the calls of nextSource, which alternates between the kinds of sources.
 	turn int
@@ -228,8 +233,14 @@
 func (fo *Follower) isBehind() bool { return fo.hintedRevision > fo.haveRevision() }
 
 // handleHint records a hint of a higher revision. It retains the last hint of each
-// source, and maxHints in all.
+// source, and maxHints in all. While the node starts, a peer that has the best revision or a higher
+// one in force brings the next round forward.
 func (fo *Follower) handleHint(hi Hinted) {
+	if fo.starting && hi.Source.Kind == PeerSource && hi.Revision >= fo.haveRevision() {
+		if at := fo.lastRound.Add(startRetryInterval + fo.jitter(hintJitter)); at.Before(fo.nextRound) {
+			fo.nextRound = at
+		}
+	}
 	if hi.Revision <= fo.haveRevision() {
 		return
 	}
@@ -310,7 +321,7 @@
 // fetchAtStart fetches from the source of the last hint, from some control replicas and from the
 // first peers, which are those of the own failure domain.
 func (fo *Follower) fetchAtStart(peers []string) {
-	fo.nextRound = fo.now.Add(retryInterval + fo.jitter(retryInterval))
+	fo.lastRound, fo.nextRound = fo.now, fo.now.Add(retryInterval+fo.jitter(retryInterval))
 	limit := maxControlsAtStart + maxPeersAtStart
 	fo.fetchFromHint(limit)
 	for _, idx := range fo.sample(len(fo.controls), maxControlsAtStart) {
--- a/internal/fleet/rollout/follower_test.go
+++ b/internal/fleet/rollout/follower_test.go
@@ -297,3 +297,56 @@
 		t.Errorf("actions %v, want %v among them", actions, want)
 	}
 }
+
+// TestPeerInForceHurriesStart guards against a node that waits for up to a second after a start of all
+// processes, although a leader was elected and a peer has the configuration in force. Many hints must
+// not cause more rounds than one in startRetryInterval.
+func TestPeerInForceHurriesStart(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		copied   uint64
+		revision uint64
+		kind     SourceKind
+		want     bool
+	}{
+		{"own revision at a peer", 7, 7, PeerSource, true},
+		{"higher revision at a peer", 7, 8, PeerSource, true},
+		{"no local copy", 0, 7, PeerSource, true},
+		{"lower revision at a peer", 7, 6, PeerSource, false},
+		{"own revision at a control replica", 7, 7, ControlSource, false},
+	} {
+		control, peer := Source{Kind: ControlSource, Address: "control"}, Source{Kind: tt.kind, Address: "other"}
+		fo := NewFollower([]string{control.Address}, time.Minute, rand.New(rand.NewPCG(1, 1)))
+		now := time.Unix(1000, 0)
+		if tt.copied > 0 {
+			fo.Step(now, Loaded{Revision: tt.copied, Configuration: &schema.Configuration{}})
+		}
+		rounds := 0
+		tick := func() {
+			for _, ac := range slices.Clone(fo.Step(now, Tick{})) {
+				if fe, ok := ac.(Fetch); ok {
+					if fe.Source == control {
+						rounds++
+					}
+					fo.Step(now, FetchFailed{Source: fe.Source})
+				}
+			}
+		}
+		tick()
+		if rounds != 1 {
+			t.Fatalf("%s: %d rounds at the start", tt.name, rounds)
+		}
+		const hinted = 2 * startRetryInterval
+		for range hinted / tickInterval {
+			now = now.Add(tickInterval)
+			fo.Step(now, Hinted{Revision: tt.revision, Source: peer})
+			tick()
+		}
+		if got := rounds > 1; got != tt.want {
+			t.Errorf("%s: %d rounds in %v, want more than 1: %t", tt.name, rounds, hinted, tt.want)
+		}
+		if most := 1 + int(hinted/startRetryInterval); rounds > most {
+			t.Errorf("%s: %d rounds in %v, want at most %d", tt.name, rounds, hinted, most)
+		}
+	}
+}
