renewal: a new leader is found while a lost replica does not answer

Cause: each query of a root tried the replicas in turn and waited for a lost one until the time limit of 300 ms. A leader that was elected meanwhile was found only by the next query, up to 200 ms later.

Change: a replica that did not answer in time before is asked beside the others, which are asked again every 50 ms until it answers or the time ends. A slow leader is waited for as long as before. The additional queries are sent by the roots only, and only while a replica is silent and no other one leads.

The new test fails without the change (no answer after 300 ms, with a leader after 120 ms) and passes three times with -race. The time without proofs or tokens after the loss of a leader was not measured on whole processes.

--- a/internal/fleet/renewal/control.go
+++ b/internal/fleet/renewal/control.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -16,6 +18,9 @@
 	// maxControlQueries bounds the queries to control that wait for an answer at the same time. An
 	// answer takes some milliseconds, and queries are MinQueryInterval apart.
 	maxControlQueries = 4
+	// repeatInterval is the time after which replicas that refused are asked again while another one
+	// does not answer.
+	repeatInterval = 50 * time.Millisecond
 	// maxControlClients bounds the clients that are kept. Control replicas come and go.
 	maxControlClients = 32
 )
@@ -68,25 +73,65 @@
 }
 
 // query asks the replicas one after the other until one answers. A replica that does not lead
-// refuses at once.
+// refuses at once. One that did not answer in time before is asked beside the others, which are
+// asked again meanwhile: after the loss of a leader, another one may be elected at any moment.
 func (cq *controlQuerier) query(ctx context.Context, msg *schema.Renewal) *schema.RenewalAnswer {
 	ctx, stop := context.WithTimeout(ctx, freshness.AnswerTimeout)
 	defer stop()
-	tried := make(map[string]bool)
-	for address := cq.next(tried); address != ""; address = cq.next(tried) {
-		tried[address] = true
-		rs, err := cq.client(address).Renew(ctx, connect.NewRequest(msg))
-		cq.note(address, err == nil, ctx.Err() != nil)
-		if err == nil {
-			return rs.Msg
-		}
-		if ctx.Err() != nil {
-			break
+	tried, pending := make(map[string]bool), make(map[string]bool)
+	results := make(chan result, maxControlClients)
+	for ctx.Err() == nil {
+		address := cq.next(tried)
+		switch {
+		case address != "" && cq.isSuspect(address) && len(pending) < maxControlClients:
+			tried[address], pending[address] = true, true
+			go func() { results <- result{address, cq.ask(ctx, address, msg)} }()
+		case address != "":
+			tried[address] = true
+			if an := cq.ask(ctx, address, msg); an != nil {
+				return an
+			}
+		case len(pending) == 0:
+			return nil
+		default:
+			select {
+			case rs := <-results:
+				if rs.answer != nil {
+					return rs.answer
+				}
+				delete(pending, rs.address)
+			case <-time.After(repeatInterval):
+				tried = maps.Clone(pending)
+			case <-ctx.Done():
+			}
 		}
 	}
 	return nil
 }
 
+// result is the answer of a replica, or nil.
+type result struct {
+	address string
+	answer  *schema.RenewalAnswer
+}
+
+// ask asks one replica. It returns nil if the replica refuses or does not answer in time.
+func (cq *controlQuerier) ask(ctx context.Context, address string, msg *schema.Renewal) *schema.RenewalAnswer {
+	rs, err := cq.client(address).Renew(ctx, connect.NewRequest(msg))
+	cq.note(address, err == nil, ctx.Err() != nil)
+	if err != nil {
+		return nil
+	}
+	return rs.Msg
+}
+
+// isSuspect reports whether a replica has not answered since a query to it was not answered in time.
+func (cq *controlQuerier) isSuspect(address string) bool {
+	cq.mu.Lock()
+	defer cq.mu.Unlock()
+	return cq.lastTimeout[address] > 0
+}
+
 // next returns the replica to try next, or an empty address. It is the leader, if it is known.
 func (cq *controlQuerier) next(tried map[string]bool) string {
 	cq.mu.Lock()
--- a/internal/fleet/renewal/control_test.go
+++ b/internal/fleet/renewal/control_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -12,10 +13,13 @@
 	"camphortrail/schema"
 )
 
-// replica is a control replica that answers, refuses at once, or hangs.
+// replica is a control replica that answers after a delay, refuses at once, or hangs.
 type replica struct {
 	leads, hangs bool
-	asked        atomic.Int64
+	// leadsFrom, if set, is the time from which the replica leads.
+	leadsFrom time.Time
+	delay     time.Duration
+	asked     atomic.Int64
 }
 
 // Renew implements ControlClient.
@@ -25,9 +29,10 @@
 	case re.hangs:
 		<-ctx.Done()
 		return nil, ctx.Err()
-	case !re.leads:
+	case !re.leads && (re.leadsFrom.IsZero() || time.Now().Before(re.leadsFrom)):
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("not current"))
 	}
+	time.Sleep(re.delay)
 	return connect.NewResponse(&schema.RenewalAnswer{Number: rq.Msg.GetNumber(), Proved: true}), nil
 }
 
@@ -70,6 +75,43 @@
 	})
 }
 
+// TestNewLeaderIsFoundBesideLostOne guards against a root that waits for a lost leader in each query,
+// while another replica is elected. A slow leader must still be waited for.
+func TestNewLeaderIsFoundBesideLostOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := map[string]*replica{"a": {leads: true}, "b": {}, "c": {}}
+		cq := newControlQuerier(
+			func() []string { return []string{"a", "b", "c"} },
+			func(address string) ControlClient { return replicas[address] },
+		)
+		ask := func() (answered bool, took time.Duration) {
+			begun := time.Now()
+			answered = cq.query(t.Context(), new(schema.Renewal)) != nil
+			return answered, time.Since(begun)
+		}
+		if answered, _ := ask(); !answered {
+			t.Fatal("the leader did not answer")
+		}
+		replicas["a"].hangs = true
+		if answered, _ := ask(); answered {
+			t.Fatal("a lost leader answered")
+		}
+		const elected = 120 * time.Millisecond
+		replicas["c"].leadsFrom = time.Now().Add(elected)
+		if answered, took := ask(); !answered || took > elected+repeatInterval {
+			t.Errorf("answered %t after %v, a leader was elected after %v", answered, took, elected)
+		}
+		synctest.Wait()
+		if n := replicas["b"].asked.Load(); n > 6 {
+			t.Errorf("%d queries to a replica that refused, want at most 6", n)
+		}
+		replicas["a"].hangs, replicas["a"].delay, replicas["c"].leadsFrom = false, 200*time.Millisecond, time.Time{}
+		if answered, took := ask(); !answered || took != replicas["a"].delay {
+			t.Errorf("a slow leader: answered %t after %v", answered, took)
+		}
+	})
+}
+
 // TestControlQueriesAreBounded guards against queries that pile up while the leader hangs.
 func TestControlQueriesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
