entry: the key of a request is checked again after its body

Cause: a request that Begin accepts by its header was run once its body had arrived, whatever had become of its key. A body may take as long as the deadline of the request, so that a withdrawn key could start an upload after the bound on revocation.

Change: ServeRequest checks the key of such a request again, against the configuration in force and its proof. A refused request gives back its token and its place in the throttle.

The new test fails without the change (200 in place of 401 for a withdrawn key and for a key that another customer holds, and in place of 503 for keys that are not trusted) and passes with -race.

--- a/internal/traffic/entry/begin.go
+++ b/internal/traffic/entry/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"camphortrail/internal/traffic/attempt"
@@ -45,7 +46,8 @@
 }
 
 // continueBegun returns a request that Begin has accepted, with its body. It returns a refusal if the
-// entry has stopped meanwhile: others have been told to send their requests elsewhere.
+// entry has stopped meanwhile, as others have been told to send their requests elsewhere, or if the key
+// is not valid any more.
 func (en *Entry) continueBegun(rd *Request) (*request, *attempt.Answer) {
 	rq := rd.begun.rq
 	rq.body, rq.blocker = rd.Body, rd.Blocker
@@ -53,9 +55,28 @@
 		en.release(rq)
 		return rq, attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
 	}
+	if an := en.checkKeyAgain(rd, rq); an != nil {
+		en.release(rq)
+		return rq, an
+	}
 	return rq, nil
 }
 
+// checkKeyAgain checks the key of a request whose body has arrived. A body may take as long as the
+// deadline of the request, which is longer than a withdrawn key may be accepted. It returns a refusal,
+// or nil.
+func (en *Entry) checkKeyAgain(rd *Request, rq *request) *attempt.Answer {
+	cd := en.config.Load()
+	if rq.customer == nil || rq.public || !cd.HasCustomers() {
+		return nil
+	}
+	cu, an := en.customerOf(cd, credentialOf(rd), false, func() bool { return false })
+	if an == nil && cu.Name != rq.customer.Name {
+		an = refusalWithStatus(ReasonKeyUnknown, http.StatusUnauthorized)
+	}
+	return an
+}
+
 // Abandon ends a request that Begin has accepted and whose body did not arrive.
 func (en *Entry) Abandon(rd *Request) {
 	if rd.begun != nil {
--- a/internal/traffic/entry/begin_test.go
+++ b/internal/traffic/entry/begin_test.go
@@ -14,6 +14,12 @@
 
 // customerConfiguration has a customer with the key "right", a public route and one for customers.
 func customerConfiguration(t *testing.T) *config.Compiled {
+	t.Helper()
+	return customerConfigurationWith(t, []*schema.Customer{{Name: "acme", KeyDigests: []string{config.DigestOfKey("right").String()}}})
+}
+
+// customerConfigurationWith has the given customers, a public route and one for customers.
+func customerConfigurationWith(t *testing.T, customers []*schema.Customer) *config.Compiled {
 	t.Helper()
 	rt := func(name, prefix string, public bool) *schema.Route {
 		return &schema.Route{
@@ -25,7 +31,7 @@
 		Deployment: "test", Version: 2, FailureDomains: []*schema.FailureDomain{{Name: "d1", Region: "r1"}},
 		Services:  []*schema.Service{{Name: "cassa", RetryRatioPercent: 10, MaxRequestBytes: 100, MaxAnswerBytes: 100}},
 		Routes:    []*schema.Route{rt("issue", "/x/", false), rt("tags", "/public/", true)},
-		Customers: []*schema.Customer{{Name: "acme", KeyDigests: []string{config.DigestOfKey("right").String()}}},
+		Customers: customers,
 	}, 2)
 	if err != nil {
 		t.Fatal(err)
@@ -163,3 +169,62 @@
 		})
 	}
 }
+
+// Guards against a request whose key is withdrawn, or cannot be trusted any more, while its body
+// arrives: a slow body must not extend the life of a key. It guards also against an allowance that such
+// a request keeps.
+func TestKeyIsCheckedAfterBody(t *testing.T) {
+	right := "right"
+	for _, tt := range []struct {
+		name   string
+		holder string
+		stale  bool
+		status int
+		reason string
+	}{
+		{name: "valid", holder: "acme", status: http.StatusOK},
+		{name: "withdrawn", status: http.StatusUnauthorized, reason: ReasonKeyUnknown},
+		{name: "of another customer", holder: "other", status: http.StatusUnauthorized, reason: ReasonKeyUnknown},
+		{name: "not trusted", holder: "acme", stale: true, status: http.StatusServiceUnavailable, reason: ReasonKeyStale},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tn := newRoutedTestNode(t, answerOK)
+			cd := customerConfiguration(t)
+			cu, _ := cd.CustomerOfKey(right)
+			cu.Rate = 1
+			tn.SetConfiguration(cd)
+			allowances := &countingAllowances{}
+			tn.opt.Allowances = allowances
+			rd := &Request{
+				ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: "/x/1", Header: http.Header{}, Key: &right,
+				KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+			}
+			if an := tn.Begin(t.Context(), rd); an != nil {
+				t.Fatalf("refused: %d %s", an.Status, an.Reason)
+			}
+			customers := []*schema.Customer{{Name: "acme"}, {Name: "other"}}
+			for _, cu := range customers {
+				if cu.GetName() == tt.holder {
+					cu.KeyDigests = []string{config.DigestOfKey(right).String()}
+				}
+			}
+			tn.SetConfiguration(customerConfigurationWith(t, customers))
+			if tt.stale {
+				tn.opt.Freshness = staleKeys{}
+			}
+			an := tn.ServeRequest(t.Context(), rd)
+			if an.Status != tt.status || an.Reason != tt.reason {
+				t.Errorf("answer %d %q, want %d %q", an.Status, an.Reason, tt.status, tt.reason)
+			}
+			wantTaken := 0
+			if tt.status == http.StatusOK {
+				wantTaken = 1
+			} else if an.Outcome != call.NotRun {
+				t.Errorf("outcome %v", an.Outcome)
+			}
+			if allowances.taken != wantTaken {
+				t.Errorf("%d allowances taken, want %d", allowances.taken, wantTaken)
+			}
+		})
+	}
+}
