--- a/internal/ops/explain/explain.go
+++ b/internal/ops/explain/explain.go
@@ -174,9 +174,6 @@
 	if ln.SharePercent > 0 {
 		add("(%d %% of its kind admitted)", ln.SharePercent)
 	}
-	if ln.Customer != "" {
-		add("(customer %s)", ln.Customer)
-	}
 	if ln.Rule == events.FairShare {
 		add("(%s: %.2f of %.2f requests a second owed)", ln.Rule, ln.OwedPerS, ln.AskedPerS)
 	}
