--- a/internal/customers/allowance/fleet_test.go
+++ b/internal/customers/allowance/fleet_test.go
@@ -278,7 +278,7 @@
 			grants, ask := parent.nd.Grant(fl.sc.Now(), sn.name, demands, nil)
 			if fl.off.copied {
 				for _, gr := range grants {
-					parent.nd.Stock.shelves[gr.Customer].lots.add(fl.sc.Now().Add(-gr.Age), gr.Requests)
+					parent.nd.Stock.items[gr.Customer].lots.add(fl.sc.Now().Add(-gr.Age), gr.Requests)
 				}
 			}
 			if ask {
@@ -301,11 +301,11 @@
 		}
 		sn.nd.Stock.asked = [maxAsked]time.Time{}
 		asked = now
-		for _, sh := range sn.nd.Stock.shelves {
-			sh.lots.refresh(now)
+		for _, it := range sn.nd.Stock.items {
+			it.lots.refresh(now)
 		}
-		for _, pu := range sn.nd.Wallet.purses {
-			pu.lots.refresh(now)
+		for _, ba := range sn.nd.Wallet.balances {
+			ba.lots.refresh(now)
 		}
 	}
 	if sn.fl.off.answeredTwice {
@@ -419,7 +419,7 @@
 		sn.start(name, issued)
 		return
 	}
-	if sn.nd.Wallet.Hopeless(name, now.Add(fl.wait)) {
+	if sn.nd.Wallet.ExpectsNone(name, now.Add(fl.wait)) {
 		sn.nd.Wallet.StopWaiting(now, name)
 		sn.nd.Wallet.Refuse(now, name)
 		fl.refused[name]++
@@ -439,7 +439,7 @@
 			if !slices.Contains(sn.waiting, rq) {
 				return
 			}
-			if !now.Before(rq.until) || sn.nd.Wallet.Hopeless(name, rq.until) {
+			if !now.Before(rq.until) || sn.nd.Wallet.ExpectsNone(name, rq.until) {
 				sn.nd.Wallet.StopWaiting(now, name)
 				sn.nd.Wallet.Refuse(now, name)
 				sn.waiting = slices.DeleteFunc(sn.waiting, func(other *simRequest) bool { return other == rq })
--- a/internal/customers/allowance/stock.go
+++ b/internal/customers/allowance/stock.go
@@ -37,9 +37,9 @@
 	// capOf returns the cap of a customer in the configuration of the node.
 	capOf   func(call.Customer) (Cap, bool)
 	domains int
-	shelves map[call.Customer]*shelf
-	// wanting holds the shelves with a demand that may have to be passed on.
-	wanting []*shelf
+	items   map[call.Customer]*item
+	// wanting holds the items with a demand that may have to be passed on.
+	wanting []*item
 	swept   time.Time
 
 	// asked holds the times of the latest queries that were answered, as a ring. An answer that
@@ -57,13 +57,13 @@
 	confirmed bool
 }
 
-// shelf holds the tokens of one customer.
-type shelf struct {
+// item holds the tokens of one customer.
+type item struct {
 	customer call.Customer
 	lots     lots
 	// unmet holds the demands of children that were not met.
 	unmet []unmet
-	// wanting is true if the shelf is in the list of wanting ones.
+	// wanting is true if the item is in the list of wanting ones.
 	wanting bool
 	// granted measures the tokens that were given to children.
 	granted meter
@@ -89,21 +89,21 @@
 const ownWallet = ""
 
 // setUnmet replaces the demand of a child that was not met.
-func (sh *shelf) setUnmet(now time.Time, child string, n uint32) {
-	i := slices.IndexFunc(sh.unmet, func(un unmet) bool { return un.child == child })
+func (it *item) setUnmet(now time.Time, child string, n uint32) {
+	i := slices.IndexFunc(it.unmet, func(un unmet) bool { return un.child == child })
 	switch {
 	case i >= 0 && n == 0:
-		sh.unmet = slices.Delete(sh.unmet, i, i+1)
+		it.unmet = slices.Delete(it.unmet, i, i+1)
 	case i >= 0:
-		sh.unmet[i].n, sh.unmet[i].at = n, now
-	case n > 0 && len(sh.unmet) < maxUnmet:
-		sh.unmet = append(sh.unmet, unmet{child: child, n: n, at: now})
+		it.unmet[i].n, it.unmet[i].at = n, now
+	case n > 0 && len(it.unmet) < maxUnmet:
+		it.unmet = append(it.unmet, unmet{child: child, n: n, at: now})
 	}
 }
 
 // dropOld drops the demands that no child repeated.
-func (sh *shelf) dropOld(now time.Time) {
-	sh.unmet = slices.DeleteFunc(sh.unmet, func(un unmet) bool { return now.Sub(un.at) >= repeatTime })
+func (it *item) dropOld(now time.Time) {
+	it.unmet = slices.DeleteFunc(it.unmet, func(un unmet) bool { return now.Sub(un.at) >= repeatTime })
 }
 
 // due reports whether the parent should be asked for a demand: it was not, or so long ago that
@@ -143,7 +143,7 @@
 // NewStock returns an empty stock. capOf returns the cap of a customer in the configuration in
 // force at the node.
 func NewStock(bo Bounds, capOf func(call.Customer) (Cap, bool)) *Stock {
-	return &Stock{bo: bo, capOf: capOf, shelves: make(map[call.Customer]*shelf)}
+	return &Stock{bo: bo, capOf: capOf, items: make(map[call.Customer]*item)}
 }
 
 // SetDomains sets the number of failure domains.
@@ -158,88 +158,88 @@
 	st.root, st.rootSeen = root, now
 }
 
-// shelf returns the shelf of a customer, or nil if there are too many.
-func (st *Stock) shelf(now time.Time, name call.Customer) *shelf {
-	sh := st.shelves[name]
-	if sh == nil {
-		if len(st.shelves) >= maxCustomers {
+// item returns the item of a customer, or nil if there are too many.
+func (st *Stock) item(now time.Time, name call.Customer) *item {
+	it := st.items[name]
+	if it == nil {
+		if len(st.items) >= maxCustomers {
 			return nil
 		}
-		sh = &shelf{customer: name}
-		st.shelves[name] = sh
+		it = &item{customer: name}
+		st.items[name] = it
 	}
-	sh.used = now
-	sh.lots.expire(now.Add(-st.bo.Lifetime()))
-	return sh
+	it.used = now
+	it.lots.expire(now.Add(-st.bo.Lifetime()))
+	return it
 }
 
 // Grant transfers tokens for the demands of a child and appends the answers to out. The child
 // must get each answer at most once.
 func (st *Stock) Grant(now time.Time, child string, demands []Demand, out []Grant) []Grant {
 	for _, de := range demands {
-		sh := st.shelf(now, de.Customer)
-		if sh == nil {
+		it := st.item(now, de.Customer)
+		if it == nil {
 			continue
 		}
 		had := len(out)
-		out = st.grant(now, sh, de, out)
+		out = st.grant(now, it, de, out)
 		var granted uint32
 		for _, gr := range out[had:] {
 			granted += gr.Requests
 		}
 		if child != ownWallet {
-			sh.granted.add(now, float64(granted))
+			it.granted.add(now, float64(granted))
 		}
 		left := de.Requests - granted
-		if now.Before(sh.retryAt) || sh.isUncapped(now, st.bo.Lifetime()) {
+		if now.Before(it.retryAt) || it.isUncapped(now, st.bo.Lifetime()) {
 			left = 0 // children ask again later, if their requests still wait
 		}
-		sh.setUnmet(now, child, left)
-		if left > 0 || child != ownWallet && sh.lots.held() <= sh.granted.target(now)/2 {
-			st.want(sh)
+		it.setUnmet(now, child, left)
+		if left > 0 || child != ownWallet && it.lots.held() <= it.granted.target(now)/2 {
+			st.want(it)
 		}
 	}
 	return out
 }
 
 // grant transfers tokens for one demand. Each time of issue has an answer of its own.
-func (st *Stock) grant(now time.Time, sh *shelf, de Demand, out []Grant) []Grant {
-	if sh.isUncapped(now, st.bo.Lifetime()) {
-		return append(out, Grant{Customer: de.Customer, Age: max(0, now.Sub(sh.uncapped)), Uncapped: true})
+func (st *Stock) grant(now time.Time, it *item, de Demand, out []Grant) []Grant {
+	if it.isUncapped(now, st.bo.Lifetime()) {
+		return append(out, Grant{Customer: de.Customer, Age: max(0, now.Sub(it.uncapped)), Uncapped: true})
 	}
 	left := de.Requests
-	sh.lots.expire(now.Add(minRemaining - st.bo.Lifetime()))
+	it.lots.expire(now.Add(minRemaining - st.bo.Lifetime()))
 	for left > 0 {
-		issued, n := sh.lots.take(left)
+		issued, n := it.lots.take(left)
 		if n == 0 {
 			break
 		}
 		left -= n
 		out = append(out, Grant{Customer: de.Customer, Requests: n, Age: max(0, now.Sub(issued))})
 	}
-	if n := st.takeReserve(now, sh, left); n > 0 {
+	if n := st.takeReserve(now, it, left); n > 0 {
 		left -= n
 		out = append(out, Grant{Customer: de.Customer, Requests: n})
 	}
 	if left > 0 {
 		// An entry without tokens tells when more is expected.
-		out = append(out, Grant{Customer: de.Customer, RetryAfter: max(0, sh.nextAt.Sub(now), sh.retryAt.Sub(now))})
+		out = append(out, Grant{Customer: de.Customer, RetryAfter: max(0, it.nextAt.Sub(now), it.retryAt.Sub(now))})
 	}
 	return out
 }
 
 // takeReserve takes requests from the reserve, if the node is a root without answers.
-func (st *Stock) takeReserve(now time.Time, sh *shelf, n uint32) uint32 {
+func (st *Stock) takeReserve(now time.Time, it *item, n uint32) uint32 {
 	if n == 0 || !st.reserveUsable(now) {
 		return 0
 	}
-	cp, ok := st.capOf(sh.customer)
+	cp, ok := st.capOf(it.customer)
 	if !ok {
 		return 0
 	}
 	// Tokens of the reserve are spent within a lifetime, which widens the window.
 	slot := (st.bo.Window + st.bo.Lifetime()) / reserveSlots
-	return sh.reserve.take(now.UnixNano()/int64(max(slot, 1)), n, st.bo.reserve(cp, st.domains))
+	return it.reserve.take(now.UnixNano()/int64(max(slot, 1)), n, st.bo.reserve(cp, st.domains))
 }
 
 // reserveUsable reports whether the node is a root whose queries were answered and no longer are.
@@ -250,34 +250,34 @@
 }
 
 // isUncapped reports whether the customer had no cap within a lifetime.
-func (sh *shelf) isUncapped(now time.Time, lifetime time.Duration) bool {
-	return !sh.uncapped.IsZero() && now.Sub(sh.uncapped) < lifetime
+func (it *item) isUncapped(now time.Time, lifetime time.Duration) bool {
+	return !it.uncapped.IsZero() && now.Sub(it.uncapped) < lifetime
 }
 
-// want adds a shelf to those with a demand.
-func (st *Stock) want(sh *shelf) {
-	if !sh.wanting {
-		sh.wanting = true
-		st.wanting = append(st.wanting, sh)
+// want adds an item to those with a demand.
+func (st *Stock) want(it *item) {
+	if !it.wanting {
+		it.wanting = true
+		st.wanting = append(st.wanting, it)
 	}
 }
 
 // Wants reports whether the parent should be queried now. Unmet demands of the wallet count only if
 // own is true: its waiting requests decide when to ask again.
 func (st *Stock) Wants(now time.Time, own bool) bool {
-	for _, sh := range st.wanting {
-		if st.need(now, sh, own) > 0 && !now.Before(sh.retryAt) {
+	for _, it := range st.wanting {
+		if st.need(now, it, own) > 0 && !now.Before(it.retryAt) {
 			return true
 		}
 	}
 	return false
 }
 
-// need returns the number of tokens that a shelf lacks, for the wallet only if own is true.
-func (st *Stock) need(now time.Time, sh *shelf, own bool) uint32 {
-	want, held := sh.granted.target(now), sh.lots.held()
-	for i := range sh.unmet {
-		if un := &sh.unmet[i]; un.due(now) && (own || un.child != ownWallet) {
+// need returns the number of tokens that an item lacks, for the wallet only if own is true.
+func (st *Stock) need(now time.Time, it *item, own bool) uint32 {
+	want, held := it.granted.target(now), it.lots.held()
+	for i := range it.unmet {
+		if un := &it.unmet[i]; un.due(now) && (own || un.child != ownWallet) {
 			want += un.n
 		}
 	}
@@ -290,19 +290,19 @@
 		st.unanswered = now
 	}
 	kept := st.wanting[:0]
-	for _, sh := range st.wanting {
-		sh.lots.expire(now.Add(-st.bo.Lifetime()))
-		sh.dropOld(now)
-		if need := st.need(now, sh, true); need > 0 && !now.Before(sh.retryAt) {
-			out = append(out, Demand{Customer: sh.customer, Requests: need})
-			for i := range sh.unmet {
-				if un := &sh.unmet[i]; un.due(now) {
+	for _, it := range st.wanting {
+		it.lots.expire(now.Add(-st.bo.Lifetime()))
+		it.dropOld(now)
+		if need := st.need(now, it, true); need > 0 && !now.Before(it.retryAt) {
+			out = append(out, Demand{Customer: it.customer, Requests: need})
+			for i := range it.unmet {
+				if un := &it.unmet[i]; un.due(now) {
 					un.asked = now
 				}
 			}
 		}
-		if sh.wanting = len(sh.unmet) > 0; sh.wanting {
-			kept = append(kept, sh)
+		if it.wanting = len(it.unmet) > 0; it.wanting {
+			kept = append(kept, it)
 		}
 	}
 	clear(st.wanting[len(kept):])
@@ -329,29 +329,29 @@
 		if now.Sub(issued) >= lifetime {
 			continue
 		}
-		sh := st.shelf(now, gr.Customer)
-		if sh == nil {
+		it := st.item(now, gr.Customer)
+		if it == nil {
 			continue
 		}
 		switch {
 		case gr.Uncapped:
-			sh.uncapped = issued
+			it.uncapped = issued
 		default:
-			sh.uncapped = time.Time{}
-			sh.lots.add(issued, gr.Requests)
+			it.uncapped = time.Time{}
+			it.lots.add(issued, gr.Requests)
 		}
 		if gr.Requests > 0 {
-			sh.nextAt, sh.retryAt = time.Time{}, time.Time{}
+			it.nextAt, it.retryAt = time.Time{}, time.Time{}
 		}
 		switch {
 		case gr.RetryAfter > 0:
-			sh.nextAt = now.Add(gr.RetryAfter)
-			sh.retryAt = now.Add(min(gr.RetryAfter, maxRetryWait)).Add(retryInterval - 2*time.Millisecond).Truncate(retryInterval)
-			sh.unmet = sh.unmet[:0]
+			it.nextAt = now.Add(gr.RetryAfter)
+			it.retryAt = now.Add(min(gr.RetryAfter, maxRetryWait)).Add(retryInterval - 2*time.Millisecond).Truncate(retryInterval)
+			it.unmet = it.unmet[:0]
 		case gr.Requests == 0 && !gr.Uncapped:
 			// The parent has none yet, and asks for them.
-			for i := range sh.unmet {
-				sh.unmet[i].asked = time.Time{}
+			for i := range it.unmet {
+				it.unmet[i].asked = time.Time{}
 			}
 		}
 	}
@@ -374,9 +374,9 @@
 		return
 	}
 	st.swept = now
-	for name, sh := range st.shelves {
-		if !sh.wanting && now.Sub(sh.used) > idleTime {
-			delete(st.shelves, name)
+	for name, it := range st.items {
+		if !it.wanting && now.Sub(it.used) > idleTime {
+			delete(st.items, name)
 		}
 	}
 }
--- a/internal/customers/allowance/wallet.go
+++ b/internal/customers/allowance/wallet.go
@@ -12,15 +12,15 @@
 
 // Wallet holds the tokens for the requests of callers at a node.
 type Wallet struct {
-	bo     Bounds
-	purses map[call.Customer]*purse
-	// wanting holds the purses that may lack tokens.
-	wanting []*purse
+	bo       Bounds
+	balances map[call.Customer]*balance
+	// wanting holds the balances that may lack tokens.
+	wanting []*balance
 	swept   time.Time
 }
 
-// purse holds the tokens of one customer.
-type purse struct {
+// balance holds the tokens of one customer.
+type balance struct {
 	customer call.Customer
 	lots     lots
 	// waiting is the number of requests that wait for a token.
@@ -38,28 +38,28 @@
 
 // NewWallet returns an empty wallet.
 func NewWallet(bo Bounds) *Wallet {
-	return &Wallet{bo: bo, purses: make(map[call.Customer]*purse)}
+	return &Wallet{bo: bo, balances: make(map[call.Customer]*balance)}
 }
 
-// purse returns the purse of a customer, without expired tokens, or nil if there are too many.
-func (wa *Wallet) purse(now time.Time, name call.Customer) *purse {
-	pu := wa.purses[name]
-	if pu == nil {
-		if len(wa.purses) >= maxCustomers {
+// balance returns the balance of a customer, without expired tokens, or nil if there are too many.
+func (wa *Wallet) balance(now time.Time, name call.Customer) *balance {
+	ba := wa.balances[name]
+	if ba == nil {
+		if len(wa.balances) >= maxCustomers {
 			return nil
 		}
-		pu = &purse{customer: name}
-		wa.purses[name] = pu
+		ba = &balance{customer: name}
+		wa.balances[name] = ba
 	}
-	pu.used = now
-	pu.lots.expire(now.Add(-wa.bo.Lifetime()))
-	return pu
+	ba.used = now
+	ba.lots.expire(now.Add(-wa.bo.Lifetime()))
+	return ba
 }
 
 // Arrive counts a request of a customer and takes a token for it.
 func (wa *Wallet) Arrive(now time.Time, name call.Customer) (issued time.Time, ok bool) {
-	if pu := wa.purse(now, name); pu != nil {
-		pu.asked.add(now, 1)
+	if ba := wa.balance(now, name); ba != nil {
+		ba.asked.add(now, 1)
 	}
 	return wa.Take(now, name)
 }
@@ -67,21 +67,21 @@
 // Take takes a token for a request that was counted. issued is a time at which, or before
 // which, it was issued.
 func (wa *Wallet) Take(now time.Time, name call.Customer) (issued time.Time, ok bool) {
-	pu := wa.purse(now, name)
-	if pu == nil {
+	ba := wa.balance(now, name)
+	if ba == nil {
 		return time.Time{}, false
 	}
-	if !pu.uncapped.IsZero() && now.Sub(pu.uncapped) < wa.bo.Lifetime() {
-		return pu.uncapped, true
+	if !ba.uncapped.IsZero() && now.Sub(ba.uncapped) < wa.bo.Lifetime() {
+		return ba.uncapped, true
 	}
-	issued, n := pu.lots.take(1)
+	issued, n := ba.lots.take(1)
 	if n == 0 {
-		wa.want(pu)
+		wa.want(ba)
 		return time.Time{}, false
 	}
-	pu.taken.add(now, 1)
-	if pu.lots.held() <= pu.asked.target(now)/2 {
-		wa.want(pu)
+	ba.taken.add(now, 1)
+	if ba.lots.held() <= ba.asked.target(now)/2 {
+		wa.want(ba)
 	}
 	return issued, true
 }
@@ -91,44 +91,44 @@
 	if now.Sub(issued) >= wa.bo.Lifetime() {
 		return
 	}
-	if pu := wa.purse(now, name); pu != nil && pu.uncapped.IsZero() {
-		pu.lots.add(issued, 1)
+	if ba := wa.balance(now, name); ba != nil && ba.uncapped.IsZero() {
+		ba.lots.add(issued, 1)
 	}
 }
 
 // Wait counts a request that waits for a token, and StopWaiting one that does so no longer.
 func (wa *Wallet) Wait(now time.Time, name call.Customer) {
-	if pu := wa.purse(now, name); pu != nil {
-		pu.waiting++
-		wa.want(pu)
+	if ba := wa.balance(now, name); ba != nil {
+		ba.waiting++
+		wa.want(ba)
 	}
 }
 
 // StopWaiting counts a request that waits no longer, with or without a token.
 func (wa *Wallet) StopWaiting(now time.Time, name call.Customer) {
-	if pu := wa.purse(now, name); pu != nil && pu.waiting > 0 {
-		pu.waiting--
+	if ba := wa.balance(now, name); ba != nil && ba.waiting > 0 {
+		ba.waiting--
 	}
 }
 
 // Refuse counts a refused request.
 func (wa *Wallet) Refuse(now time.Time, name call.Customer) {
-	if pu := wa.purse(now, name); pu != nil {
-		pu.refused.add(now, 1)
+	if ba := wa.balance(now, name); ba != nil {
+		ba.refused.add(now, 1)
 	}
 }
 
-// Hopeless reports whether a request that waits until a time is not expected to get a token: the
+// ExpectsNone reports whether a request that waits until a time is not expected to get a token: the
 // leader has none before. A token that comes too late would expire on its way.
-func (wa *Wallet) Hopeless(name call.Customer, until time.Time) bool {
-	pu := wa.purses[name]
-	return pu != nil && pu.nextAt.Add(travelTime).After(until)
+func (wa *Wallet) ExpectsNone(name call.Customer, until time.Time) bool {
+	ba := wa.balances[name]
+	return ba != nil && ba.nextAt.Add(travelTime).After(until)
 }
 
 // NextAt returns the time at which the leader expects more tokens, or zero if it is unknown.
 func (wa *Wallet) NextAt(name call.Customer) time.Time {
-	if pu := wa.purses[name]; pu != nil {
-		return pu.nextAt
+	if ba := wa.balances[name]; ba != nil {
+		return ba.nextAt
 	}
 	return time.Time{}
 }
@@ -136,11 +136,11 @@
 // Backlog returns the time in which the node gets tokens for as many requests as it refused
 // lately, at most the given time. The callers of these requests come again.
 func (wa *Wallet) Backlog(now time.Time, name call.Customer, most time.Duration) time.Duration {
-	pu := wa.purses[name]
-	if pu == nil {
+	ba := wa.balances[name]
+	if ba == nil {
 		return 0
 	}
-	refused, taken := pu.refused.perSecond(now), pu.taken.perSecond(now)
+	refused, taken := ba.refused.perSecond(now), ba.taken.perSecond(now)
 	if refused >= taken*most.Seconds() {
 		return most
 	}
@@ -150,35 +150,35 @@
 // Held returns the number of tokens of a customer, and the time since the latest were received.
 // It is for logs.
 func (wa *Wallet) Held(now time.Time, name call.Customer) (n uint32, age time.Duration) {
-	pu := wa.purses[name]
-	if pu == nil || pu.received.IsZero() {
+	ba := wa.balances[name]
+	if ba == nil || ba.received.IsZero() {
 		return 0, 0
 	}
-	pu.lots.expire(now.Add(-wa.bo.Lifetime()))
-	return pu.lots.held(), now.Sub(pu.received)
+	ba.lots.expire(now.Add(-wa.bo.Lifetime()))
+	return ba.lots.held(), now.Sub(ba.received)
 }
 
-// want adds a purse to those that may lack tokens.
-func (wa *Wallet) want(pu *purse) {
-	if !pu.wanting {
-		pu.wanting = true
-		wa.wanting = append(wa.wanting, pu)
+// want adds a balance to those that may lack tokens.
+func (wa *Wallet) want(ba *balance) {
+	if !ba.wanting {
+		ba.wanting = true
+		wa.wanting = append(wa.wanting, ba)
 	}
 }
 
 // Demands appends what the wallet lacks to out.
 func (wa *Wallet) Demands(now time.Time, out []Demand) []Demand {
 	kept := wa.wanting[:0]
-	for _, pu := range wa.wanting {
-		pu.lots.expire(now.Add(-wa.bo.Lifetime()))
-		want, held := pu.waiting+pu.asked.target(now), pu.lots.held()
+	for _, ba := range wa.wanting {
+		ba.lots.expire(now.Add(-wa.bo.Lifetime()))
+		want, held := ba.waiting+ba.asked.target(now), ba.lots.held()
 		if want > held {
-			out = append(out, Demand{Customer: pu.customer, Requests: want - held})
+			out = append(out, Demand{Customer: ba.customer, Requests: want - held})
 		}
-		if pu.waiting > 0 {
-			kept = append(kept, pu)
+		if ba.waiting > 0 {
+			kept = append(kept, ba)
 		} else {
-			pu.wanting = false
+			ba.wanting = false
 		}
 	}
 	clear(wa.wanting[len(kept):])
@@ -194,19 +194,19 @@
 		if now.Sub(issued) >= wa.bo.Lifetime() {
 			continue
 		}
-		pu := wa.purse(now, gr.Customer)
-		if pu == nil {
+		ba := wa.balance(now, gr.Customer)
+		if ba == nil {
 			continue
 		}
 		switch {
 		case gr.Uncapped:
-			pu.uncapped = issued
+			ba.uncapped = issued
 		case gr.Requests > 0:
-			pu.uncapped, pu.nextAt, pu.received = time.Time{}, time.Time{}, issued
-			pu.lots.add(issued, gr.Requests)
+			ba.uncapped, ba.nextAt, ba.received = time.Time{}, time.Time{}, issued
+			ba.lots.add(issued, gr.Requests)
 		}
 		if gr.RetryAfter > 0 {
-			pu.nextAt = now.Add(gr.RetryAfter)
+			ba.nextAt = now.Add(gr.RetryAfter)
 		}
 	}
 }
@@ -217,9 +217,9 @@
 		return
 	}
 	wa.swept = now
-	for name, pu := range wa.purses {
-		if !pu.wanting && now.Sub(pu.used) > idleTime {
-			delete(wa.purses, name)
+	for name, ba := range wa.balances {
+		if !ba.wanting && now.Sub(ba.used) > idleTime {
+			delete(wa.balances, name)
 		}
 	}
 }
--- a/internal/customers/freshness/freshness.go
+++ b/internal/customers/freshness/freshness.go
@@ -209,7 +209,7 @@
 func (ma *Machine) Used(now time.Time) (wasIdle bool) {
 	wasIdle = !ma.active(now)
 	ma.usedUntil = now.Add(activeTime)
-	ma.hurry(ActiveInterval)
+	ma.advance(ActiveInterval)
 	return wasIdle
 }
 
@@ -221,9 +221,9 @@
 	return now.Before(ma.usedUntil) || now.Before(ma.childUntil)
 }
 
-// hurry makes the next query due an interval after the last one at the latest. After a failure the
+// advance makes the next query due an interval after the last one at the latest. After a failure the
 // delay stays.
-func (ma *Machine) hurry(interval time.Duration) {
+func (ma *Machine) advance(interval time.Duration) {
 	if at := ma.lastSent.Add(interval); ma.failures == 0 && at.Before(ma.due) {
 		ma.due = at
 	}
@@ -374,7 +374,7 @@
 		ma.missing = an.Revision
 	}
 	if !an.Proved && now.Sub(ma.since) < startTime {
-		ma.hurry(startInterval)
+		ma.advance(startInterval)
 	}
 	return qu, true
 }
@@ -396,13 +396,13 @@
 func (ma *Machine) AnswerChild(now time.Time, active bool) Answer {
 	if active {
 		ma.childUntil = now.Add(activeTime)
-		ma.hurry(ActiveInterval)
+		ma.advance(ActiveInterval)
 	}
 	pf, ok := ma.proofs.newest()
 	if age := now.Sub(pf.At); ok && age < ma.limit() {
 		return Answer{Proved: true, Revision: pf.Revision, Age: age}
 	}
-	ma.hurry(firstDelay)
+	ma.advance(firstDelay)
 	return Answer{}
 }
 
--- a/internal/fleet/allowances/allowances.go
+++ b/internal/fleet/allowances/allowances.go
@@ -162,7 +162,7 @@
 		al.waiting--
 		al.usage.take(name)
 		answer, ended = entry.Allowance{Allowed: true, Issued: issued}, true
-	case !now.Before(until) || ctx.Err() != nil || al.node.Wallet.Hopeless(name, until):
+	case !now.Before(until) || ctx.Err() != nil || al.node.Wallet.ExpectsNone(name, until):
 		al.waiting--
 		al.node.Wallet.StopWaiting(now, name)
 		answer, ended = al.refuse(now, name), true
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -191,7 +191,7 @@
 		if cs.unreachable.active(now) {
 			return Decision{By: Unreachable, Share: share, RetryAfter: cs.retryAfter(rq, 1)}
 		}
-		if !cs.hopeless(now) {
+		if !cs.mostlyFails(now) {
 			cs.outcomes.requests++
 		}
 		return Decision{By: Failures, Share: share, RetryAfter: retryDelay(refusalRatio)}
@@ -496,15 +496,15 @@
 		multiplier = grantedMultiplier
 	}
 	ratio := cs.outcomes.refusalRatio(multiplier)
-	if cs.hopeless(now) {
+	if cs.mostlyFails(now) {
 		ratio = max(ratio, mostlyRefusedRatio)
 	}
 	return ratio
 }
 
-// hopeless reports whether nearly all requests of the class fail by a fault of upstreams with free
+// mostlyFails reports whether nearly all requests of the class fail by a fault of upstreams with free
 // slots. Refusing some makes no others succeed, but the slots of busy services are wasted on them.
-func (cs *classState) hopeless(now time.Time) bool {
+func (cs *classState) mostlyFails(now time.Time) bool {
 	cs.faulty.decay(now)
 	return cs.faulty.failing() && cs.faulty.accepts < minCarriedRatio*cs.faulty.requests
 }
