entry: header of customers in tests is not the platform's

Cause: four tests named the platform's header; wire names belong to platform/. Change: X-Customer in these tests, as in customer_test.go. No product code.

--- a/internal/traffic/entry/allowance_test.go
+++ b/internal/traffic/entry/allowance_test.go
@@ -67,7 +67,7 @@
 	} {
 		an := tn.ServeRequest(t.Context(), &Request{
 			ID: call.RequestID{byte(n + 1)}, Label: "r", Host: "h", URI: rq.uri, Method: http.MethodGet, Header: http.Header{},
-			Key: &rq.key, KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id",
+			Key: &rq.key, KeyHeader: "Authorization", CustomerHeader: "X-Customer",
 		})
 		if refused := an.Reason == ReasonCap; refused != rq.refused {
 			t.Errorf("%s of %s: refused %v (%q), want %v", rq.uri, rq.key, refused, an.Reason, rq.refused)
--- a/internal/traffic/entry/begin_test.go
+++ b/internal/traffic/entry/begin_test.go
@@ -89,7 +89,7 @@
 			newRequest := func() *Request {
 				return &Request{
 					ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: tt.uri, Header: http.Header{}, Key: tt.key,
-					KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+					KeyHeader: "Authorization", CustomerHeader: "X-Customer", Deadline: time.Now().Add(5 * time.Second),
 				}
 			}
 			an := tn.Begin(t.Context(), newRequest())
@@ -142,7 +142,7 @@
 			tn.opt.Allowances = allowances
 			rd := &Request{
 				ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: "/x/1", Header: http.Header{}, Key: &right,
-				KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+				KeyHeader: "Authorization", CustomerHeader: "X-Customer", Deadline: time.Now().Add(5 * time.Second),
 				Connection: "10.0.0.1:1",
 			}
 			if an := tn.Begin(t.Context(), rd); an != nil {
@@ -220,7 +220,7 @@
 			tn.opt.Allowances = allowances
 			rd := &Request{
 				ID: call.RequestID{1}, Method: http.MethodPost, Host: "h", URI: "/x/1", Header: http.Header{}, Key: &right,
-				KeyHeader: "Authorization", CustomerHeader: "X-Tenant-Id", Deadline: time.Now().Add(5 * time.Second),
+				KeyHeader: "Authorization", CustomerHeader: "X-Customer", Deadline: time.Now().Add(5 * time.Second),
 			}
 			if an := tn.Begin(t.Context(), rd); an != nil {
 				t.Fatalf("refused: %d %s", an.Status, an.Reason)
