--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -222,20 +222,21 @@
 	}
 }
 
-// residentMB returns the memory of the process, or 0.
-func (ma *machine) residentMB() int {
+// anonymousMB returns the private memory of the process without its files, in MB, or 0.
+func (ma *machine) anonymousMB() int {
 	ma.mu.Lock()
 	defer ma.mu.Unlock()
 	if ma.cmd == nil || ma.cmd.Process == nil {
 		return 0
 	}
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", ma.cmd.Process.Pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", ma.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
-	var size, resident int
-	fmt.Sscan(string(data), &size, &resident)
-	return resident * os.Getpagesize() >> 20
+	_, rest, _ := bytes.Cut(data, []byte("RssAnon:"))
+	kb := 0
+	_, _ = fmt.Sscan(string(rest), &kb)
+	return kb >> 10
 }
 
 // ready asks the readiness address once.
