--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -29,6 +29,7 @@
 
 	srv   *http.Server
 	seq   atomic.Int64
+	quiet atomic.Bool  // it sends no more reports
 	state atomic.Value // string
 
 	mu   sync.Mutex
@@ -96,15 +97,18 @@
 	}
 }
 
-// beat sends one report and returns the status of the answer, or 0.
-func (sv *server) beat() int {
+// nextReport returns the next report.
+func (sv *server) nextReport() []byte {
 	body, _ := json.Marshal(map[string]any{
 		"service": sv.ma.service, "address": sv.ma.addr(sv.ma.fl.pt.app), "zone": sv.ma.zone, "version": "v1", "slots": sv.slots,
 		"state": sv.state.Load(), "coldLeftMs": 0, "seq": sv.seq.Add(1), "born": sv.born,
 	})
-	return sv.sendReport("PUT", body)
+	return body
 }
 
+// beat sends one report and returns the status of the answer, or 0.
+func (sv *server) beat() int { return sv.sendReport("PUT", sv.nextReport()) }
+
 func (sv *server) sendReport(method string, body []byte) int {
 	rq, err := http.NewRequest(method, "http://"+sv.ma.addr(sv.ma.fl.pt.control)+"/camphortrail/instances/"+sv.id, bytes.NewReader(body))
 	if err != nil {
@@ -125,6 +129,9 @@
 func (sv *server) report(ctx context.Context) {
 	for {
 		pause := 1500 * time.Millisecond
+		if sv.quiet.Load() {
+			return
+		}
 		if status := sv.beat(); status != 200 {
 			pause = 300 * time.Millisecond
 		}
