announce, membership: departures that a node has acknowledged outlive its process

Cause: what a node had acknowledged was in the memory of its process alone. After a restart the first report was believed, also one from before the departure. Evidence: on the late report gets 200 from the node that started again (platform.TestDepartureOutlivesNode, real processes: 'report i-1 deep ready 1000 2: 200', want 400, after each of two restarts).

Change: departures are part of the membership record of a node. Other processes retain them over its incarnations, and the node acknowledges a departure when two of them hold it, of its own failure domain if that has any. After a start the node asks for them and answers reports with 503 until a process that was up before has told them. Where none can, an upstream is announced after two reports in a row that are a second apart.

A departure that came before the first report ended a later run under the same id, too; it ends those that started before it.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -83,7 +83,7 @@
 		RetryRatio: set.GuardRetryRatio(), PlaceByCost: set.Placement == platform.PlacementByCost,
 		Events: os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
 		MaxBufferedBytes: set.MemoryMB << 20 / answerMemoryDivisor, MaxHeapGrowthPercent: maxHeapGrowthPercent,
-		RevocationBound: set.RevocationBound(), UsageBounds: set.UsageBounds(), UpstreamDrainPeriod: set.UpstreamDrainPeriod(),
+		RevocationBound: set.RevocationBound(), UsageBounds: set.UsageBounds(), UpstreamDrainPeriod: set.UpstreamDrainPeriod(), FirstStart: set.FirstStart,
 		Endpoints: []node.Endpoint{
 			{Address: set.ReadinessAddress, Handler: set.NewReadinessHandler},
 			{Address: set.ControlAddress, Handler: set.NewReportHandler},
--- a/internal/fleet/announce/announce.go
+++ b/internal/fleet/announce/announce.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	leases  leases
 	reports reportHistory
+	recall  recallState
 	// expected is what newer settings say of the upstream, or nil.
 	expected *expectation
 }
--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -59,6 +59,11 @@
 	startTime time.Time
 }
 
+// incarnation returns the incarnation that makes the report.
+func (rp Report) incarnation() incarnation {
+	return incarnation{instance: rp.Upstream.Instance, startTime: rp.StartTime}
+}
+
 // reportHistory holds what earlier reports said. The zero value holds no report.
 type reportHistory struct {
 	current    incarnation
@@ -68,9 +73,38 @@
 	// has ended it.
 	leaving bool
 	// ended holds incarnations that have ended. endedInstances holds instances that ended
-	// before their first report. Both are ordered from oldest to newest.
-	ended          []incarnation
-	endedInstances []string
+	// before their first report, with the time of their end in place of the start. Both are
+	// ordered from oldest to newest.
+	ended, endedInstances []incarnation
+	// departures are those that the upstreams of this node have reported, the newest first,
+	// with those of earlier runs of the node. A restart of the node must not end their effect.
+	departures []membership.Departure
+}
+
+// departed reports whether an incarnation has left by one of the departures.
+func (rh *reportHistory) departed(inc incarnation) bool {
+	return slices.ContainsFunc(rh.departures, func(dp membership.Departure) bool { return dp.Covers(inc.instance, inc.startTime) })
+}
+
+// depart adds a departure that was reported at the time now.
+func (rh *reportHistory) depart(now time.Time, inc incarnation) {
+	rh.departures = membership.AddDeparture(rh.departures, membership.Departure{
+		Instance: membership.HashInstance(inc.instance), StartTime: inc.startTime, At: now.Truncate(time.Millisecond),
+	})
+}
+
+// restore adds departures that earlier runs of the node have acknowledged. It reports whether
+// the current incarnation has left by one of them.
+func (rh *reportHistory) restore(dps []membership.Departure) (ended bool) {
+	for _, dp := range dps {
+		rh.departures = membership.AddDeparture(rh.departures, dp)
+	}
+	if rh.current.instance == "" || rh.leaving || !rh.departed(rh.current) {
+		return false
+	}
+	rh.ended = appendBounded(rh.ended, rh.current)
+	rh.leaving = true
+	return true
 }
 
 // accept records a report, or returns an error unless it is the newest report of an
@@ -79,16 +113,20 @@
 // so that a delayed report does not restore an earlier incarnation. If the lease has ended
 // and the current incarnation did not say that it leaves, start time, number and service
 // are not compared with it, because its start time or number may have been wrong.
-func (rh *reportHistory) accept(rp Report, hasLease bool) error {
-	inc := incarnation{instance: rp.Upstream.Instance, startTime: rp.StartTime}
-	if at := slices.Index(rh.endedInstances, inc.instance); at >= 0 {
+func (rh *reportHistory) accept(now time.Time, rp Report, hasLease bool) error {
+	inc := rp.incarnation()
+	if at := slices.IndexFunc(rh.endedInstances, func(ended incarnation) bool { return ended.instance == inc.instance }); at >= 0 {
+		if !inc.startTime.After(rh.endedInstances[at].startTime) {
+			rh.ended = appendBounded(rh.ended, inc)
+		}
 		rh.endedInstances = slices.Delete(rh.endedInstances, at, at+1)
-		rh.ended = appendBounded(rh.ended, inc)
 	}
 	blocks := hasLease || rh.leaving
 	switch {
 	case slices.Contains(rh.ended, inc):
 		return ErrStaleReport
+	case inc != rh.current && !rp.Upstream.Draining && rh.departed(inc):
+		return ErrStaleReport
 	case !blocks:
 	case inc != rh.current:
 		if rp.StartTime.Before(rh.current.startTime) {
@@ -103,20 +141,26 @@
 	}
 	rh.current, rh.lastNumber, rh.service = inc, rp.Number, rp.Upstream.Service
 	rh.leaving = rp.Upstream.Draining
+	if rh.leaving {
+		rh.depart(now, inc)
+	}
 	return nil
 }
 
 // endInstance ends the current incarnation of an instance, and reports whether there is
 // one. If there is none, it remembers the instance: a node that has just started may
 // receive a delayed report of an instance that has ended already.
-func (rh *reportHistory) endInstance(instance string) bool {
+func (rh *reportHistory) endInstance(now time.Time, instance string) bool {
 	if rh.current.instance != instance {
 		if !slices.ContainsFunc(rh.ended, func(inc incarnation) bool { return inc.instance == instance }) {
-			rh.endedInstances = appendBounded(rh.endedInstances, instance)
+			end := incarnation{instance: instance, startTime: now}
+			rh.endedInstances = appendBounded(rh.endedInstances, end)
+			rh.depart(now, incarnation{instance: instance})
 		}
 		return false
 	}
 	rh.ended = appendBounded(rh.ended, rh.current)
+	rh.depart(now, rh.current)
 	rh.leaving = true
 	return true
 }
@@ -135,7 +179,7 @@
 
 // AddReport records a numbered announcement. It replaces the announcement of any earlier
 // incarnation, also of another instance. The error matches ErrStaleReport, ErrSuperseded,
-// ErrServiceChanged or ErrNumberOutOfRange.
+// ErrServiceChanged, ErrNumberOutOfRange or ErrRecallPending.
 func (rg *Registry) AddReport(rp Report) error {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
@@ -150,7 +194,10 @@
 	before := rg.leases.upstreams()
 	earlier := rg.reports.current
 	service := rg.reports.service
-	if err := rg.reports.accept(rp, rg.leases.find(service) != nil); err != nil {
+	if !rp.Upstream.Draining && !rg.recall.admits(rg.now(), rp.incarnation(), rp.Number) {
+		return errors.Wrapf(ErrRecallPending, "instance %q, number %d", rp.Upstream.Instance, rp.Number)
+	}
+	if err := rg.reports.accept(rg.now(), rp, rg.leases.find(service) != nil); err != nil {
 		return errors.Wrapf(err, "instance %q, number %d", rp.Upstream.Instance, rp.Number)
 	}
 	if earlier != rg.reports.current && service != "" {
@@ -181,7 +228,7 @@
 // receives no new work.
 func (rg *Registry) EndInstance(instance string) {
 	rg.update(func() bool {
-		if !rg.reports.endInstance(instance) {
+		if !rg.reports.endInstance(rg.now(), instance) {
 			return false
 		}
 		return rg.leases.remove(rg.reports.service)
--- a/internal/fleet/announce/report_test.go
+++ b/internal/fleet/announce/report_test.go
@@ -17,13 +17,20 @@
 
 // TestReports runs the commands in testdata/reports, one a line, and prints the upstreams
 // that the node announces after each. A command is a report (instance, start in seconds,
-// number, service, and "draining" if the upstream leaves), "depart" and an instance, or
-// "silence", which lasts until no lease is left.
+// number, service, and "draining" if the upstream leaves), "depart" and an instance,
+// "silence", which lasts until no lease is left, "restart" of the node, with what others hold of
+// its departures, "restart-alone", where they do not tell it in time, or "recall", where they do
+// later.
 func TestReports(t *testing.T) {
 	datadriven.RunTest(t, "testdata/reports", func(t *testing.T, td *datadriven.TestData) string {
 		var announced []membership.Upstream
 		now := time.Unix(1000, 0)
-		rg := New(func() time.Time { return now }, func(ups []membership.Upstream) { announced = ups })
+		start := func() *Registry {
+			announced = nil
+			return New(func() time.Time { return now }, func(ups []membership.Upstream) { announced = ups })
+		}
+		rg := start()
+		var held []membership.Departure
 		var out strings.Builder
 		for line := range strings.Lines(td.Input) {
 			now = now.Add(time.Second)
@@ -32,6 +39,17 @@
 			switch fields[0] {
 			case "depart":
 				rg.EndInstance(fields[1])
+			case "restart", "restart-alone":
+				held = append(rg.Departures(), held...)
+				rg = start()
+				rg.AwaitRecall()
+				if fields[0] == "restart" {
+					rg.Restore(held, true)
+				} else {
+					rg.Restore(nil, false)
+				}
+			case "recall":
+				rg.Restore(held, true)
 			case "silence":
 				now = now.Add(2 * LeaseDuration)
 				rg.Expire()
@@ -47,7 +65,7 @@
 // outcome returns the kind of an error as text.
 func outcome(t *testing.T, err error) string {
 	t.Helper()
-	for bad, text := range map[error]string{ErrStaleReport: " stale", ErrNumberOutOfRange: " number", ErrServiceChanged: " service"} {
+	for bad, text := range map[error]string{ErrStaleReport: " stale", ErrNumberOutOfRange: " number", ErrServiceChanged: " service", ErrRecallPending: " pending"} {
 		if errors.Is(err, bad) {
 			return text
 		}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -26,6 +26,9 @@
 	inboxCapacity  = 512
 	noticeCapacity = 1024
 	hintCapacity   = 64
+	// recallCapacity is the number of Recalled that can wait for the reader of Recalls. A
+	// process emits two at most.
+	recallCapacity = 2
 	// LeaveDuration is how long a process that leaves announces its departure.
 	LeaveDuration = 600 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 	// Incarnation is the start time of the process in Unix milliseconds. Zero stands for
 	// the time of New.
 	Incarnation membership.Incarnation
+	// FirstStart is set at the first start of the deployment; see membership.Settings.
+	FirstStart bool
 	// Metrics is the set in which the metrics are created. It may be nil.
 	Metrics *metrics.Set
 	// Log receives a message for each refused record. It may be nil.
@@ -56,6 +61,7 @@
 	log     log.Interface
 	inbox   *queue.Queue[*schema.Datagram]
 	hints   *queue.Queue[membership.RevisionHint]
+	recalls *queue.Queue[membership.Recalled]
 	encoder datagramEncoder
 
 	// wake signals runMachine that pending has changed.
@@ -68,6 +74,8 @@
 	machine *membership.Machine
 	pending pendingRequests
 	subs    []*subscription
+	// confirming are closed once other processes hold the announced departures.
+	confirming []chan struct{}
 
 	counters counters
 }
@@ -75,8 +83,12 @@
 // pendingRequests are requests of other goroutines that runMachine has not yet applied.
 type pendingRequests struct {
 	upstreams *[]membership.Upstream
-	revision  uint64
-	leave     bool
+	// departures are those of all calls of AnnounceDepartures, and confirmed are closed once
+	// other processes hold them.
+	departures []membership.Departure
+	confirmed  []chan struct{}
+	revision   uint64
+	leave      bool
 }
 
 // New returns a Gossip that uses conn. Run closes conn when it ends.
@@ -102,6 +114,7 @@
 		Role:          set.Role,
 		Incarnation:   set.Incarnation,
 		Contacts:      contacts,
+		FirstStart:    set.FirstStart,
 	}
 	if err := ms.Validate(); err != nil {
 		return nil, errors.Wrap(err, "gossip: settings")
@@ -111,6 +124,7 @@
 		log:     set.Log,
 		inbox:   queue.New[*schema.Datagram](inboxCapacity),
 		hints:   queue.New[membership.RevisionHint](hintCapacity),
+		recalls: queue.New[membership.Recalled](recallCapacity),
 		encoder: datagramEncoder{conn: conn},
 		wake:    make(chan struct{}, 1),
 		left:    make(chan struct{}),
@@ -171,6 +185,9 @@
 	if pr.upstreams != nil {
 		gs.step(membership.AnnounceUpstreams{Upstreams: *pr.upstreams})
 	}
+	if len(pr.confirmed) > 0 {
+		gs.announceDepartures(pr.departures, pr.confirmed)
+	}
 	if pr.revision > 0 {
 		gs.step(membership.SetRevision{Revision: pr.revision})
 	}
@@ -196,6 +213,8 @@
 			if gs.log != nil {
 				gs.log.WithError(ac.Err).Warn("record of the membership refused")
 			}
+		case membership.Recalled:
+			gs.recalls.Offer(ac)
 		case membership.RevisionHint:
 			if !gs.hints.Offer(ac) {
 				gs.counters.hintsDropped.Inc()
@@ -205,6 +224,27 @@
 	for _, sub := range gs.subs {
 		sub.offerResync()
 	}
+	if len(gs.confirming) > 0 && gs.machine.DeparturesConfirmed() {
+		for _, confirmed := range gs.confirming {
+			close(confirmed)
+		}
+		gs.confirming = nil
+	}
+}
+
+// announceDepartures passes departures to the state machine, and closes confirmed once other
+// processes hold them.
+func (gs *Gossip) announceDepartures(dps []membership.Departure, confirmed []chan struct{}) {
+	gs.step(membership.AnnounceDepartures{Departures: dps})
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	if !gs.machine.DeparturesConfirmed() {
+		gs.confirming = append(gs.confirming, confirmed...)
+		return
+	}
+	for _, ch := range confirmed {
+		close(ch)
+	}
 }
 
 // request changes the pending requests and wakes runMachine.
@@ -223,6 +263,26 @@
 	gs.request(func(pr *pendingRequests) { pr.upstreams = &ups })
 }
 
+// AnnounceDepartures adds departures to those that this process announces, and waits until
+// other processes hold all of them or ctx ends. A process that is alone does not wait.
+func (gs *Gossip) AnnounceDepartures(ctx context.Context, dps []membership.Departure) error {
+	confirmed := make(chan struct{})
+	gs.request(func(pr *pendingRequests) {
+		pr.departures = append(pr.departures, dps...)
+		pr.confirmed = append(pr.confirmed, confirmed)
+	})
+	select {
+	case <-confirmed:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "gossip: departures not confirmed")
+	}
+}
+
+// Recalls returns what earlier incarnations of this process have announced, as others know it.
+// Unless Settings.FirstStart is set, there is a Recalled within seconds after the start.
+func (gs *Gossip) Recalls() <-chan membership.Recalled { return gs.recalls.Out() }
+
 // SetRevision announces the revision of the configuration that is in force on this
 // process. A lower revision than before is ignored.
 func (gs *Gossip) SetRevision(revision uint64) {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -112,6 +112,10 @@
 	// UpstreamDrainPeriod is the time for which the upstream still serves requests after it has
 	// reported that it drains. 0 means that it gets no new work then.
 	UpstreamDrainPeriod time.Duration
+	// FirstStart is set at the first start of the deployment, when no earlier run of the node can
+	// have acknowledged the departure of an upstream. Otherwise the node asks others for those,
+	// and refuses the reports of upstreams meanwhile; see announce.Registry.
+	FirstStart bool
 	// RevocationBound is the time after which a withdrawn key of a customer is no longer accepted.
 	// 0 means that there is no bound: the keys of the configuration in force are always trusted.
 	RevocationBound time.Duration
@@ -251,6 +255,9 @@
 	nd.entry = entry.New(eopt)
 	nd.announcements = announce.New(time.Now, nd.upstreamsChanged)
 	nd.announcements.SetDrainPeriod(opt.UpstreamDrainPeriod)
+	if !opt.FirstStart {
+		nd.announcements.AwaitRecall()
+	}
 	nd.peerListener = opt.SocketWrappers.listener(nd.peerListener)
 	if err := nd.openMembership(controls, opt.SocketWrappers); err != nil {
 		nd.Close()
@@ -296,7 +303,7 @@
 	nd.gossip, err = gossip.New(gossip.Settings{
 		Deployment: call.Deployment(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
-		Address: nd.peerListener.Addr().String(), Contacts: nd.set.GetFirstContacts(),
+		Address: nd.peerListener.Addr().String(), Contacts: nd.set.GetFirstContacts(), FirstStart: nd.opt.FirstStart,
 		Metrics: nd.metrics, Log: nd.log,
 	}, sockets.packetConn(conn))
 	if err != nil {
@@ -378,6 +385,27 @@
 	nd.gossip.Announce(ups)
 }
 
+// followRecalls passes the departures that earlier runs of the node have acknowledged to the
+// registry until ctx ends.
+func (nd *Node) followRecalls(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case rc := <-nd.gossip.Recalls():
+			lg := nd.log.WithFields(log.Fields{"departures": len(rc.Departures), "complete": rc.Complete})
+			lg.Info("departures acknowledged before the start recalled")
+			nd.announcements.Restore(rc.Departures, rc.Complete)
+		}
+	}
+}
+
+// ConfirmDepartures waits until other processes hold all departures of upstreams that were
+// reported, so that the node can recall them after a restart, or until ctx ends.
+func (nd *Node) ConfirmDepartures(ctx context.Context) error {
+	return nd.gossip.AnnounceDepartures(ctx, nd.announcements.Departures())
+}
+
 // controlAddresses returns the addresses of the control replicas in the settings.
 func controlAddresses(set *schema.Settings) []string {
 	var addresses []string
--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -20,7 +20,7 @@
 	defer cancelTasks()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context) error{
-		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announcements.Run, nd.followMembers, nd.runClaims, nd.runEvents,
+		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announcements.Run, nd.followMembers, nd.followRecalls, nd.runClaims, nd.runEvents,
 		nd.runSummaries, nd.entry.RunDemandReports, nd.renewal.Run,
 	} {
 		group.Go(func() error { return ignoreAfterCancel(taskCtx, task(taskCtx)) })
--- a/internal/state/control/membership.go
+++ b/internal/state/control/membership.go
@@ -32,7 +32,9 @@
 		Deployment: call.Deployment(co.set.GetDeployment()), Name: call.VM(co.set.GetName()),
 		FailureDomain: call.FailureDomain(co.set.GetFailureDomain()), Role: membership.ControlRole,
 		Address: co.peerListener.Addr().String(), Contacts: co.contacts(),
-		Metrics: co.metrics.set, Log: co.log,
+		// The replicas of an elastic deployment are listed only at its first start.
+		FirstStart: co.opt.Elastic && len(co.set.GetControlReplicas()) > 0,
+		Metrics:    co.metrics.set, Log: co.log,
 	}, conn)
 	if err != nil {
 		conn.Close()
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -70,6 +70,7 @@
 	msg.FailureDomain = string(mb.FailureDomain)
 	msg.Role = string(mb.Role)
 	msg.Announcement = uint64(mb.Announcement)
+	msg.Departures = encodeDepartures(mb.Departures)
 	for _, up := range mb.Upstreams {
 		msg.Upstreams = append(msg.Upstreams, &schema.AnnouncedUpstream{
 			Service:     string(up.Service),
@@ -164,6 +165,7 @@
 		}
 		rr.Upstreams = append(rr.Upstreams, up)
 	}
+	rr.Departures = decodeDepartures(msg.GetDepartures())
 	return nil
 }
 
--- a/membership/event.go
+++ b/membership/event.go
@@ -6,7 +6,8 @@
 	"camphortrail/schema"
 )
 
-// Event is an input of a Machine: Receive, Tick, AnnounceUpstreams, SetRevision or Leave.
+// Event is an input of a Machine: Receive, Tick, AnnounceUpstreams, AnnounceDepartures,
+// SetRevision or Leave.
 type Event interface{ event() }
 
 // Receive is the arrival of a datagram.
@@ -18,6 +19,10 @@
 // AnnounceUpstreams replaces the upstreams that this process announces.
 type AnnounceUpstreams struct{ Upstreams []Upstream }
 
+// AnnounceDepartures adds departures to those that this process announces.
+// Machine.DeparturesConfirmed reports when other processes hold them.
+type AnnounceDepartures struct{ Departures []Departure }
+
 // SetRevision sets the revision of the configuration that is in force at this process. A
 // lower revision than before is ignored.
 type SetRevision struct{ Revision uint64 }
@@ -25,13 +30,15 @@
 // Leave announces that this process is about to stop.
 type Leave struct{}
 
-func (Receive) event()           {}
-func (Tick) event()              {}
-func (AnnounceUpstreams) event() {}
-func (SetRevision) event()       {}
-func (Leave) event()             {}
+func (Receive) event()            {}
+func (Tick) event()               {}
+func (AnnounceUpstreams) event()  {}
+func (AnnounceDepartures) event() {}
+func (SetRevision) event()        {}
+func (Leave) event()              {}
 
-// Action is an output of a Machine: SendDatagram, Changed, RevisionHint or RecordRefused.
+// Action is an output of a Machine: SendDatagram, Changed, Recalled, RevisionHint or
+// RecordRefused.
 type Action interface{ action() }
 
 // SendDatagram asks for a datagram to be sent to an address.
@@ -47,6 +54,14 @@
 	Member Member
 }
 
+// Recalled reports the departures that earlier incarnations of this process have announced.
+// Complete is not set if no process that knows them has answered in time. There is another
+// Recalled then if one answers later.
+type Recalled struct {
+	Departures []Departure
+	Complete   bool
+}
+
 // RevisionHint reports that another process has a higher revision of the configuration in
 // force than this one.
 type RevisionHint struct {
@@ -62,6 +77,7 @@
 
 func (SendDatagram) action()  {}
 func (Changed) action()       {}
+func (Recalled) action()      {}
 func (RevisionHint) action()  {}
 func (RecordRefused) action() {}
 
--- a/membership/invalid_test.go
+++ b/membership/invalid_test.go
@@ -250,3 +250,24 @@
 	}
 	return nil
 }
+
+// A departure out of range must hide neither the member that announces it nor its other
+// departures.
+func TestInvalidDepartureHidesNoOther(t *testing.T) {
+	nw := newNetwork(1)
+	pr := nw.start(vmName(0), address(0), "domain-0")
+	msg := memberOf(2, 1)
+	msg.Departures = []*schema.Departure{
+		{Instance: 1, StartMs: math.MaxUint64, AtMs: 5},
+		{Instance: uint64(membership.HashInstance("i-2")), StartMs: 20, AtMs: 5},
+		{Instance: 3, StartMs: 30, AtMs: 1 << 63},
+	}
+	for n := range 100 {
+		msg.Departures = append(msg.Departures, &schema.Departure{Instance: uint64(n), StartMs: 40, AtMs: 5})
+	}
+	deliverRecords(nw, pr, msg)
+	dps := knownMembers(pr)[vmName(2)].Departures
+	if len(dps) != 1 || !dps[0].Covers("i-2", time.UnixMilli(20)) || dps[0].Covers("i-2", time.UnixMilli(21)) {
+		t.Errorf("departures %+v, want only that of i-2", dps)
+	}
+}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -48,6 +48,9 @@
 	Incarnation Incarnation
 	// Contacts are the addresses of processes through which this one joins.
 	Contacts []netip.AddrPort
+	// FirstStart is set at the first start of the deployment, when no earlier incarnation can
+	// have announced anything.
+	FirstStart bool
 }
 
 // Validate returns an error that wraps ErrMalformed if other processes would refuse the
@@ -105,6 +108,9 @@
 	refuteAt  time.Time
 	restoring restoration
 
+	recall       recall
+	confirmation confirmation
+
 	revision uint64
 	// revisionCopies counts the update datagrams sent with the current revision, up to
 	// urgentCopies.
@@ -119,6 +125,7 @@
 		table:          newTable(set.member()),
 		joining:        true,
 		revisionCopies: urgentCopies,
+		recall:         recall{pending: !set.FirstStart, complete: set.FirstStart},
 	}
 }
 
@@ -133,6 +140,8 @@
 		mc.tick()
 	case AnnounceUpstreams:
 		mc.announce(ev.Upstreams)
+	case AnnounceDepartures:
+		mc.announceDepartures(ev.Departures)
 	case SetRevision:
 		mc.setRevision(ev.Revision)
 	case Leave:
@@ -178,7 +187,9 @@
 		mc.probeDomains()
 		mc.joinContacts()
 		mc.catchUp()
+		mc.continueRecall()
 	}
+	mc.continueConfirmation()
 	mc.flush()
 	mc.gossip()
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -105,6 +105,8 @@
 	Announcement  Announcement
 	// Upstreams is shared with the Machine and must not be changed.
 	Upstreams []Upstream
+	// Departures are those of all incarnations, the newest first. The slice is shared, too.
+	Departures []Departure
 }
 
 // Equal reports whether both records have the same content.
@@ -113,5 +115,5 @@
 		me.FailureDomain == other.FailureDomain && me.Role == other.Role &&
 		me.Incarnation == other.Incarnation && me.Refutation == other.Refutation &&
 		me.State == other.State && me.Announcement == other.Announcement &&
-		slices.Equal(me.Upstreams, other.Upstreams)
+		slices.Equal(me.Upstreams, other.Upstreams) && equalDepartures(me.Departures, other.Departures)
 }
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -92,6 +92,7 @@
 		return
 	}
 	was := rec.State
+	mb.Departures = mergeDepartures(mb.Departures, rec.Departures)
 	mc.update(rec, mb)
 	mc.spreadLearned(rec, true, src)
 	switch {
@@ -109,6 +110,7 @@
 	if full && mb.Announcement > was.Announcement {
 		next.Announcement = mb.Announcement
 		next.Upstreams = mb.Upstreams
+		next.Departures = mergeDepartures(mb.Departures, was.Departures)
 	}
 	next.State, next.Refutation = mc.mergeLiveness(rec, mb, src)
 	if next.State == was.State && next.Refutation == was.Refutation && next.Announcement == was.Announcement {
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -32,6 +32,8 @@
 	sentBytes     int
 	receivedBytes int
 	hints         []membership.RevisionHint
+	// recalled is the last Recalled, or nil.
+	recalled *membership.Recalled
 	// lastChange is the record of the last Changed about each member.
 	lastChange map[call.VM]membership.Member
 }
@@ -77,6 +79,8 @@
 	latency   func() time.Duration
 	// cut reports whether datagrams in this direction are lost.
 	cut func(from, to *process) bool
+	// firstStart is that of the processes that are started.
+	firstStart bool
 	// check is called for each change.
 	check func(pr *process, ch membership.Changed)
 }
@@ -111,6 +115,7 @@
 		Role:          membership.NodeRole,
 		Incarnation:   membership.Incarnation(nw.now.Add(-clockLag).UnixMilli()),
 		Contacts:      contacts,
+		FirstStart:    nw.firstStart,
 	}
 	pr := &process{set: set, lastChange: make(map[call.VM]membership.Member)}
 	pr.Machine = membership.New(set, rand.New(rand.NewPCG(nw.rng.Uint64(), 0)))
@@ -123,8 +128,11 @@
 	return pr
 }
 
-// cluster starts n processes, spread evenly over the given number of failure domains.
+// cluster starts n processes for the first time, spread evenly over the given number of failure
+// domains.
 func (nw *network) cluster(n, domains int) {
+	nw.firstStart = true
+	defer func() { nw.firstStart = false }()
 	for i := range n {
 		fd := call.FailureDomain(fmt.Sprintf("domain-%d", i%domains))
 		nw.start(vmName(i), address(i), fd, address(0), address(1%n), address(2%n))
@@ -154,6 +162,8 @@
 		case membership.Changed:
 			nw.check(pr, ac)
 			pr.lastChange[ac.Member.Name] = ac.Member
+		case membership.Recalled:
+			pr.recalled = &ac
 		case membership.RevisionHint:
 			pr.hints = append(pr.hints, ac)
 		}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -42,6 +42,8 @@
 	// the request.
 	requester         netip.AddrPort
 	requesterSequence uint64
+	// announcement is set for a probe that carries the own record with this announcement.
+	announcement Announcement
 }
 
 // probes holds the pending probes and the order of the next targets.
@@ -128,6 +130,9 @@
 	dg.Sequence = pp.sequence
 	dg.Target = string(rec.Name)
 	mc.remind(rec, dg)
+	if pp.announcement > 0 {
+		dg.Members = append(dg.Members, encodeMember(mc.table.self.Member, true))
+	}
 	mc.sendWithRumors(rec.Address, dg)
 }
 
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -34,7 +34,13 @@
 	}
 	wrong := mc.mergeAll(mc.sourceOf(dg, from), rrs)
 	mc.reportRevision(dg, from)
+	if dg.GetRecallAnswer() != nil {
+		mc.receiveRecall(dg)
+	}
 	mc.dispatch(dg, from, wrong)
+	if dg.GetRecall() {
+		mc.answerRecall(dg, from)
+	}
 	mc.checkSender(dg, from)
 }
 
@@ -159,6 +165,10 @@
 		return
 	}
 	mc.noteContact(pp.target.domain)
+	if pp.announcement > 0 {
+		mc.noteConfirmed(pp.target, pp.announcement)
+		return
+	}
 	if pp.requester.IsValid() {
 		ack := mc.datagram(schema.Datagram_KIND_ACKNOWLEDGE)
 		ack.Sequence = pp.requesterSequence
--- a/membership/scale_test.go
+++ b/membership/scale_test.go
@@ -13,6 +13,8 @@
 // newConvergedNetwork returns a network of n processes that know each other.
 func newConvergedNetwork(n, domains int) *network {
 	nw := newNetwork(1)
+	nw.firstStart = true
+	defer func() { nw.firstStart = false }()
 	dg := &schema.Datagram{
 		Deployment: "test", From: "vm-seed", FromAddress: "10.255.0.1:7000",
 		Kind: schema.Datagram_KIND_UPDATES, Reconcile: true,
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -31,8 +31,10 @@
 
 // command runs one command of a script and returns its output.
 func (sc *script) command(t *testing.T, td *datadriven.TestData) string {
-	var vm, domain, service, state string
-	var n, domains, from, loss int
+	var vm, domain, service, state, instance string
+	var n, domains, from, loss, born int
+	td.MaybeScanArgs(t, "instance", &instance)
+	td.MaybeScanArgs(t, "born", &born)
 	td.MaybeScanArgs(t, "vm", &vm)
 	td.MaybeScanArgs(t, "domain", &domain)
 	td.MaybeScanArgs(t, "service", &service)
@@ -72,6 +74,10 @@
 		sc.step(sc.process(t, vm), membership.AnnounceUpstreams{Upstreams: []membership.Upstream{{
 			Service: call.Service(service), Slots: 35, Draining: td.HasArg("draining"),
 		}}})
+	case "depart":
+		return sc.depart(t, vm, instance, born)
+	case "recalled":
+		return sc.reportRecalled(t, vm)
 	case "revision":
 		sc.step(sc.process(t, vm), membership.SetRevision{Revision: uint64(n)})
 	case "hints":
@@ -117,6 +123,51 @@
 	return nil
 }
 
+// depart announces a departure, and returns how long it took until others hold it, rounded up to
+// 100 ms, or that they do not after a second.
+func (sc *script) depart(t *testing.T, vm, instance string, born int) string {
+	pr := sc.process(t, vm)
+	dp := membership.Departure{Instance: membership.HashInstance(instance), At: sc.now}
+	if born > 0 {
+		dp.StartTime = time.UnixMilli(int64(born))
+	}
+	sc.step(pr, membership.AnnounceDepartures{Departures: []membership.Departure{dp}})
+	for waited := 0; waited <= 1000; waited += 100 {
+		if pr.DeparturesConfirmed() {
+			return fmt.Sprintf("confirmed within %d ms", waited)
+		}
+		sc.run(100 * time.Millisecond)
+	}
+	return "not confirmed"
+}
+
+// recallQuestions are the instances, with their starts, that reportRecalled asks for.
+var recallQuestions = []struct {
+	instance string
+	born     int64
+}{{"i-1", 10}, {"i-1", 20}, {"i-2", 10}, {"i-2", 20}, {"i-2", 30}}
+
+// reportRecalled returns which runs of upstreams have left by what a process has recalled.
+func (sc *script) reportRecalled(t *testing.T, vm string) string {
+	rc := sc.process(t, vm).recalled
+	if rc == nil {
+		return "pending"
+	}
+	text := "complete"
+	if !rc.Complete {
+		text = "no answer"
+	}
+	for _, qu := range recallQuestions {
+		for _, dp := range rc.Departures {
+			if dp.Covers(qu.instance, time.UnixMilli(qu.born)) {
+				text += fmt.Sprintf(", %s of %d left", qu.instance, qu.born)
+				break
+			}
+		}
+	}
+	return text
+}
+
 // reportSettled runs until all views are correct or the limit is over, and returns which.
 func (sc *script) reportSettled(limit time.Duration) string {
 	for end := sc.now.Add(limit); ; sc.run(100 * time.Millisecond) {
--- a/membership/send.go
+++ b/membership/send.go
@@ -73,6 +73,7 @@
 		FromAddress:     self.Address.String(),
 		FromIncarnation: uint64(self.Incarnation),
 		Revision:        mc.revision,
+		Recall:          mc.recall.pending,
 	}
 }
 
