announce: a departure that states the start of its run ends no later run

Callers saw: requests got 503 after a late departure of an upstream that had started again under the same id, until it started once more ('What remains' of docs/incidents/restart-under-same-id.md).

Cause: a departure was matched by the id alone, though what an upstream says of itself states its start. Evidence: the last script of platform.TestDepartureOutlivesNode fails before: 'report i-1 deep ready 2000 2: 400', want 200.

Change: the start in the body of a departure is read, and ends that run only. Without it the current run ends, as before.

--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -165,6 +165,16 @@
 	return true
 }
 
+// endOther ends an incarnation that is not the current one. A departure with a start later than
+// that of the current incarnation would end this one, too.
+func (rh *reportHistory) endOther(now time.Time, inc incarnation) {
+	rh.ended = appendBounded(rh.ended, inc)
+	if inc.startTime.After(rh.current.startTime) && rh.current.instance != "" {
+		inc.startTime = time.Time{}
+	}
+	rh.depart(now, inc)
+}
+
 // appendBounded appends item to list unless it is in it, and removes the oldest item if
 // there are more than maxEnded.
 func appendBounded[T comparable](list []T, item T) []T {
@@ -226,8 +236,16 @@
 
 // EndInstance ends the current incarnation of an instance and removes its upstream, which
 // receives no new work.
-func (rg *Registry) EndInstance(instance string) {
+func (rg *Registry) EndInstance(instance string) { rg.EndRun(instance, time.Time{}) }
+
+// EndRun is EndInstance for the incarnation that started at a time. A later one of the same
+// instance goes on.
+func (rg *Registry) EndRun(instance string, startTime time.Time) {
 	rg.update(func() bool {
+		if inc := (incarnation{instance, startTime}); !startTime.IsZero() && inc != rg.reports.current {
+			rg.reports.endOther(rg.now(), inc)
+			return false
+		}
 		if !rg.reports.endInstance(rg.now(), instance) {
 			return false
 		}
--- a/internal/fleet/announce/report_test.go
+++ b/internal/fleet/announce/report_test.go
@@ -17,7 +17,7 @@
 
 // TestReports runs the commands in testdata/reports, one a line, and prints the upstreams
 // that the node announces after each. A command is a report (instance, start in seconds,
-// number, service, and "draining" if the upstream leaves), "depart" and an instance,
+// number, service, and "draining" if the upstream leaves), "depart" and an instance, with its start if that is stated,
 // "silence", which lasts until no lease is left, "restart" of the node, with what others hold of
 // its departures, "restart-alone", where they do not tell it in time, or "recall", where they do
 // later.
@@ -38,7 +38,11 @@
 			note := ""
 			switch fields[0] {
 			case "depart":
-				rg.EndInstance(fields[1])
+				if len(fields) > 2 {
+					rg.EndRun(fields[1], parseStart(t, fields[2]))
+				} else {
+					rg.EndInstance(fields[1])
+				}
 			case "restart", "restart-alone":
 				held = append(rg.Departures(), held...)
 				rg = start()
@@ -79,17 +83,26 @@
 // parseReport returns the report with the given fields.
 func parseReport(t *testing.T, fields []string) Report {
 	t.Helper()
-	var start int64
 	rp := Report{Upstream: membership.Upstream{Instance: fields[0], Service: call.Service(fields[3]), Slots: 4, Address: "10.0.0.1:80"}}
-	if _, err := fmt.Sscan(fields[1]+" "+fields[2], &start, &rp.Number); err != nil {
+	if _, err := fmt.Sscan(fields[2], &rp.Number); err != nil {
 		t.Fatal(err)
 	}
-	rp.StartTime = time.Unix(start, 0)
+	rp.StartTime = parseStart(t, fields[1])
 	rp.Upstream.Draining = len(fields) > 4
 	rp.Upstream.WarmUp = time.Duration(10-rp.Number) * time.Second
 	return rp
 }
 
+// parseStart returns a start time in seconds.
+func parseStart(t *testing.T, text string) time.Time {
+	t.Helper()
+	var start int64
+	if _, err := fmt.Sscan(text, &start); err != nil {
+		t.Fatal(err)
+	}
+	return time.Unix(start, 0)
+}
+
 // describe returns the upstreams as text.
 func describe(ups []membership.Upstream) string {
 	var text strings.Builder
