config: names that the platform chooses may have any characters

Evidence: platform/testdata/configuration, 'Names have any characters', fails before with 'must be up to 63 lower-case letters'.

Change: where a configuration has routes, these names have 1 to 64 or 32 bytes, as in the membership, and any characters. Our own configurations are checked as before.

--- a/config/check.go
+++ b/config/check.go
@@ -120,9 +120,9 @@
 	fv := make(fieldByValue)
 	for i, fd := range list {
 		at := elementPath(fieldFailureDomains, i)
-		ck.checkName(joinPath(at, "name"), fd.GetName())
+		ck.checkSharedName(joinPath(at, "name"), fd.GetName(), maxFailureDomainLabelBytes)
 		ck.checkUnique(fv, joinPath(at, "name"), fd.GetName())
-		ck.checkName(joinPath(at, "region"), fd.GetRegion())
+		ck.checkSharedName(joinPath(at, "region"), fd.GetRegion(), maxFailureDomainLabelBytes)
 	}
 }
 
@@ -149,7 +149,7 @@
 	fv := make(fieldByValue)
 	for i, sv := range list {
 		at := elementPath(fieldServices, i)
-		ck.checkName(joinPath(at, "name"), sv.GetName())
+		ck.checkSharedName(joinPath(at, "name"), sv.GetName(), maxServiceLabelBytes)
 		ck.checkUnique(fv, joinPath(at, "name"), sv.GetName())
 		ck.services[sv.GetName()] = true
 		ck.checkService(at, sv)
--- a/config/check_customer.go
+++ b/config/check_customer.go
@@ -24,7 +24,7 @@
 	count := 0
 	for i, cu := range list {
 		at := elementPath(fieldCustomers, i)
-		ck.checkLabel(joinPath(at, "name"), cu.GetName())
+		ck.checkLabel(joinPath(at, "name"), cu.GetName(), maxLabelBytes)
 		ck.checkUnique(names, joinPath(at, "name"), cu.GetName())
 		if cu.GetImportance() > uint32(call.MaxImportance) {
 			ck.addNumber(joinPath(at, "importance"), uint64(cu.GetImportance()), "must be from 0 to 7")
--- a/config/check_route.go
+++ b/config/check_route.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"strconv"
 	"strings"
 
 	"camphortrail/schema"
@@ -10,7 +11,6 @@
 const (
 	maxRoutes      = 1 << 15
 	maxShares      = 64
-	maxLabelBytes  = 255
 	maxAttempts    = 20
 	maxShareWeight = 1 << 20
 	maxHeaderBytes = 1 << 20
@@ -25,9 +25,9 @@
 	prefixes, fv := make(fieldByValue), make(fieldByValue)
 	for i, rt := range list {
 		at := elementPath(fieldRoutes, i)
-		ck.checkLabel(joinPath(at, "name"), rt.GetName())
+		ck.checkLabel(joinPath(at, "name"), rt.GetName(), maxLabelBytes)
 		ck.checkUnique(fv, joinPath(at, "name"), rt.GetName())
-		ck.checkLabel(joinPath(at, "host"), rt.GetHost())
+		ck.checkLabel(joinPath(at, "host"), rt.GetHost(), maxLabelBytes)
 		ck.checkRoutePrefix(joinPath(at, "path-prefix"), rt.GetPathPrefix())
 		ck.checkUnique(prefixes, joinPath(at, "path-prefix"), strings.ToLower(rt.GetHost())+" "+rt.GetPathPrefix())
 		ck.checkRange(joinPath(at, "importance"), uint64(rt.GetImportance()), 7)
@@ -37,12 +37,30 @@
 	}
 }
 
-// checkLabel checks a name or host that other systems choose. It may have any characters,
-// but must not be empty or longer than maxLabelBytes.
-func (fs *findings) checkLabel(field, value string) {
-	if value == "" || len(value) > maxLabelBytes {
-		fs.addText(field, value, "must have from 1 to 255 bytes")
+// Longest labels. Those of services and failure domains are sent in datagrams of the membership,
+// which bounds them, too.
+const (
+	maxLabelBytes              = 255
+	maxServiceLabelBytes       = 64
+	maxFailureDomainLabelBytes = 32
+)
+
+// checkLabel checks a name or host that other systems choose. It may have any characters, but
+// must not be empty or longer than most bytes.
+func (fs *findings) checkLabel(field, value string, most int) {
+	if value == "" || len(value) > most {
+		fs.addText(field, value, "must have from 1 to "+strconv.Itoa(most)+" bytes")
+	}
+}
+
+// checkSharedName checks the name of a service, failure domain or region. Where the configuration
+// has routes, other systems choose it.
+func (ck *checker) checkSharedName(field, name string, most int) {
+	if ck.hasRoutes {
+		ck.checkLabel(field, name, most)
+		return
 	}
+	ck.checkName(field, name)
 }
 
 // checkRoutePrefix checks the path prefix of a route, which must end with a slash because
