header: control characters in values do not make a message invalid

Cause: only line breaks were replaced, and upstreams reject messages with other control characters. Evidence: header.TestWriteFields fails before with 'malformed MIME header line'.

Change: all control characters but the tab are replaced by spaces, and names that are no tokens are left out.

--- a/internal/traffic/header/fields.go
+++ b/internal/traffic/header/fields.go
@@ -6,26 +6,46 @@
 	"strings"
 )
 
-// newlineReplacer replaces the characters that would end a field, so that a value can't
-// inject another field.
-var newlineReplacer = strings.NewReplacer("\r", " ", "\n", " ")
-
 // WriteFields writes the fields of a header, except the excluded ones and those whose name is
-// invalid. The names are in no particular order, because the order of fields with different
-// names has no meaning (RFC 9110, section 5.3).
+// invalid. Control characters in values are replaced by spaces: a line break would end the field,
+// and receivers reject a message with the others. The names are in no particular order, because
+// the order of fields with different names has no meaning (RFC 9110, section 5.3).
 func WriteFields(buf *bytes.Buffer, hd http.Header, exclude map[string]bool) {
 	for name, values := range hd {
-		if exclude[name] || name == "" || strings.ContainsAny(name, "\r\n: ") {
+		if exclude[name] || !isToken(name) {
 			continue
 		}
 		for _, value := range values {
-			if strings.ContainsAny(value, "\r\n") {
-				value = newlineReplacer.Replace(value)
-			}
 			buf.WriteString(name)
 			buf.WriteString(": ")
-			buf.WriteString(value)
+			writeValue(buf, value)
 			buf.WriteString("\r\n")
 		}
 	}
 }
+
+// writeValue writes a field value with spaces in place of control characters (RFC 9110, section
+// 5.5). Other bytes need not be UTF-8.
+func writeValue(buf *bytes.Buffer, value string) {
+	const space, tab, del = ' ', '\t', 0x7f
+	done := 0
+	for i := range len(value) {
+		if ch := value[i]; ch < space && ch != tab || ch == del {
+			buf.WriteString(value[done:i])
+			buf.WriteByte(space)
+			done = i + 1
+		}
+	}
+	buf.WriteString(value[done:])
+}
+
+// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
+func isToken(name string) bool {
+	for i := range len(name) {
+		ch := name[i]
+		if !('a' <= ch && ch <= 'z' || 'A' <= ch && ch <= 'Z' || '0' <= ch && ch <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", ch) >= 0) {
+			return false
+		}
+	}
+	return name != ""
+}
