series: text from outside in labels of metrics ends no process

Cause: entry.histogram put the name of the route into the name of a time series as it is, and package metrics panics at a name that it cannot read. Evidence: platform.FuzzNames fails before at its first seed with 'panic: BUG: invalid metric name "camphortrail_request_duration_seconds{class="r-"late""'.

Change: names of series whose labels come from outside are built by series.Name, which escapes what the text format knows. Labels that were written with %q, whose other escapes readers reject, use it too.

Result: the seeds pass, and 20 s of fuzzing by hand found nothing but the end of the local ports of the test itself.

--- a/internal/fleet/allowances/usage.go
+++ b/internal/fleet/allowances/usage.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"camphortrail/call"
+	"camphortrail/internal/ops/series"
 )
 
 const (
@@ -151,7 +152,7 @@
 	}
 	for _, cu := range append(list[:min(len(list), maxMetricCustomers)], rest) {
 		for result, n := range map[string]uint64{"taken": cu.taken, "refused": cu.refused, "returned": cu.returned} {
-			fmt.Fprintf(w, "camphortrail_allowance_requests_total{customer=%q,result=%q} %d\n", cu.name, result, n)
+			fmt.Fprintln(w, series.Name("camphortrail_allowance_requests_total", "customer", string(cu.name), "result", result), n)
 		}
 	}
 }
--- a/internal/traffic/entry/customer_counters.go
+++ b/internal/traffic/entry/customer_counters.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"camphortrail/call"
+	"camphortrail/internal/ops/series"
 	"camphortrail/internal/traffic/attempt"
 )
 
@@ -109,7 +110,7 @@
 	for i, name := range names {
 		for rs, count := range ccs.counts[name] {
 			if i < maxNamedCustomers {
-				fmt.Fprintf(w, "camphortrail_customer_requests_total{customer=%q,result=%q} %d\n", name, customerResultNames[rs], count)
+				fmt.Fprintln(w, series.Name("camphortrail_customer_requests_total", "customer", string(name), "result", customerResultNames[rs]), count)
 			} else {
 				rest[rs] += count
 			}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -21,6 +21,7 @@
 	"camphortrail/cost"
 	"camphortrail/internal/customers/shares"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/ops/series"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/calltree"
 	"camphortrail/internal/traffic/guard"
@@ -418,8 +419,7 @@
 	defer en.mu.Unlock()
 	hg := en.histograms[ky]
 	if hg == nil {
-		name := `camphortrail_request_duration_seconds{class="` + string(class) + `",outcome="` + oc.String() + `"}`
-		hg = en.opt.Metrics.GetOrCreateHistogram(name)
+		hg = en.opt.Metrics.GetOrCreateHistogram(series.Name("camphortrail_request_duration_seconds", "class", string(class), "outcome", oc.String()))
 		en.histograms[ky] = hg
 	}
 	return hg
--- a/internal/traffic/entry/traffic.go
+++ b/internal/traffic/entry/traffic.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"math"
 	"net/http"
 	"slices"
@@ -13,6 +12,7 @@
 
 	"camphortrail/call"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/ops/series"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/pipeline"
 	"camphortrail/internal/traffic/throttle"
@@ -259,12 +259,12 @@
 		{"left", tf.CallerLeft},
 	} {
 		if ct.count > 0 {
-			name := fmt.Sprintf(`camphortrail_requests_total{class=%q,service=%q,result=%q}`, tf.Class, tf.Service, ct.result)
+			name := series.Name("camphortrail_requests_total", "class", tf.Class, "service", tf.Service, "result", ct.result)
 			en.opt.Metrics.GetOrCreateCounter(name).Add(ct.count)
 		}
 	}
 	if tf.Returning > 0 {
-		name := fmt.Sprintf(`camphortrail_requests_returning_total{class=%q,service=%q}`, tf.Class, tf.Service)
+		name := series.Name("camphortrail_requests_returning_total", "class", tf.Class, "service", tf.Service)
 		en.opt.Metrics.GetOrCreateCounter(name).Add(tf.Returning)
 	}
 }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -6,10 +6,10 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +19,7 @@
 	"camphortrail/admission"
 	"camphortrail/call"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/ops/series"
 	"camphortrail/internal/traffic/allocation"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
@@ -268,7 +269,7 @@
 	if gd.metrics == nil || an.Outcome != call.NotRun {
 		return
 	}
-	name := fmt.Sprintf(`camphortrail_guard_refusals_total{reason=%q,importance="%d"}`, an.Reason, at.Importance)
+	name := series.Name("camphortrail_guard_refusals_total", "reason", an.Reason, "importance", strconv.Itoa(int(at.Importance)))
 	gd.metrics.GetOrCreateCounter(name).Inc()
 }
 
