attempt: text of other nodes is written to upstreams only if it fits the first line

Callers saw: nothing yet.

Cause: these texts were written as another node sent them; only those of callers were checked, by their entry. Evidence: attempt.TestTextOfFrames fails before in all 15 cases.

Change: frames with such texts are malformed, as those with other invalid fields.

--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -161,3 +161,24 @@
 		}
 	}
 }
+
+// TestTextOfFrames guards against a request that another node smuggles to the upstream within the
+// method, host or path of an attempt.
+func TestTextOfFrames(t *testing.T) {
+	id := make([]byte, 16)
+	now := time.UnixMilli(1_700_000_000_000)
+	frame := func(method, host, uri string) error {
+		_, err := FromFrame(&schema.Attempt{AttemptId: id, RequestId: id, Stamp: withdrawal.Stamp{}.String(), Method: method, Host: host, Uri: uri}, now)
+		return err
+	}
+	if err := frame("GET", "h.example", "/caf\xe9?q=%20"); err != nil {
+		t.Error(err)
+	}
+	for _, text := range []string{"x\r\ny", "x y", "x\x00", "\x7f", "x\ty"} {
+		for field, err := range map[string]error{"method": frame(text, "h", "/"), "host": frame("GET", text, "/"), "uri": frame("GET", "h", "/"+text)} {
+			if !errors.Is(err, ErrBadFrame) {
+				t.Errorf("%s %q: error %v", field, text, err)
+			}
+		}
+	}
+}
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -86,6 +86,13 @@
 		return nil, errors.Wrap(ErrBadFrame, "calls_done")
 	case msg.GetMaxAnswerBytes() < 0:
 		return nil, errors.Wrap(ErrBadFrame, "max_answer_bytes")
+	// These are written to the upstream as they are.
+	case !header.IsToken(at.Method):
+		return nil, errors.Wrap(ErrBadFrame, "method")
+	case at.URI == "" || !header.IsTarget(at.URI):
+		return nil, errors.Wrap(ErrBadFrame, "uri")
+	case !header.IsTarget(at.Host):
+		return nil, errors.Wrap(ErrBadFrame, "host")
 	}
 	copy(at.ID[:], msg.GetAttemptId())
 	copy(at.Request[:], msg.GetRequestId())
--- a/internal/traffic/header/fields.go
+++ b/internal/traffic/header/fields.go
@@ -12,7 +12,7 @@
 // the order of fields with different names has no meaning (RFC 9110, section 5.3).
 func WriteFields(buf *bytes.Buffer, hd http.Header, exclude map[string]bool) {
 	for name, values := range hd {
-		if exclude[name] || !isToken(name) {
+		if exclude[name] || !IsToken(name) {
 			continue
 		}
 		for _, value := range values {
@@ -39,8 +39,9 @@
 	buf.WriteString(value[done:])
 }
 
-// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
-func isToken(name string) bool {
+// IsToken reports whether a name is a token (RFC 9110, section 5.6.2), as methods and the names of
+// fields are.
+func IsToken(name string) bool {
 	for i := range len(name) {
 		ch := name[i]
 		if !('a' <= ch && ch <= 'z' || 'A' <= ch && ch <= 'Z' || '0' <= ch && ch <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", ch) >= 0) {
@@ -49,3 +50,15 @@
 	}
 	return name != ""
 }
+
+// IsTarget reports whether text can be a part of the first line of a request, or a host: it has
+// neither control characters nor spaces.
+func IsTarget(text string) bool {
+	const space, del = ' ', 0x7f
+	for i := range len(text) {
+		if text[i] <= space || text[i] == del {
+			return false
+		}
+	}
+	return true
+}
