upstream: an answer whose status is none of HTTP is no interim answer

Cause: every status below 200 was taken for that of an interim answer, behind which the final one is read, also 000, 001, 099 and +20.

Change: a status below 100 is an error, after which the connection is not used any more. Answers in records, of idempotency keys and of questions between nodes, are checked for their status, too (attempt.TestStatusOfRecords).

--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -182,3 +182,13 @@
 		}
 	}
 }
+
+// TestStatusOfRecords guards against a recorded answer without a status of HTTP being sent to a
+// caller.
+func TestStatusOfRecords(t *testing.T) {
+	for status, valid := range map[uint32]bool{0: false, 99: false, 100: true, 200: true, 999: true, 1000: false, 1<<32 - 1: false} {
+		if _, err := FromRecord(&schema.RecordedAnswer{Status: status}); valid != (err == nil) || err != nil && !errors.Is(err, ErrBadFrame) {
+			t.Errorf("status %d: error %v", status, err)
+		}
+	}
+}
--- a/internal/traffic/attempt/record.go
+++ b/internal/traffic/attempt/record.go
@@ -1,6 +1,8 @@
 package attempt
 
 import (
+	"net/http"
+
 	"github.com/pkg/errors"
 
 	"camphortrail/call"
@@ -49,6 +51,9 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrBadFrame, "answer.header_block")
 	}
+	if rec.GetStatus() < http.StatusContinue || rec.GetStatus() > maxStatus {
+		return nil, errors.Wrap(ErrBadFrame, "answer.status")
+	}
 	return &Answer{
 		Outcome: call.ParseOutcome(rec.GetOutcome()),
 		Status:  int(rec.GetStatus()),
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -34,6 +34,10 @@
 // protocol.
 var ErrProtocolSwitch = errors.New("upstream: answer switches to another protocol")
 
+// ErrStatus is returned for an answer whose status is none of HTTP. It is not an interim answer,
+// and nothing follows it.
+var ErrStatus = errors.New("upstream: status of the answer is below 100")
+
 // ErrHeadTooLarge is returned for an answer whose head is larger than maxAnswerHeadBytes.
 var ErrHeadTooLarge = errors.New("upstream: head of the answer is too large")
 
@@ -149,6 +153,8 @@
 		switch {
 		case err != nil || res.StatusCode >= http.StatusOK:
 			return res, err
+		case res.StatusCode < http.StatusContinue:
+			return nil, ErrStatus
 		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrProtocolSwitch
 		}
