membership: after a start of all, the recall of departures ends with the first answers

Cause: the recall waited for 1.5 s for an answer of a process that was up before, though all had answered that they had just started, and then two reports had to be a second apart.

Change: it ends 300 ms after the first answer if none is complete, and any two reports in a row show that an upstream runs: behind the first one is the answer 503, after which an upstream reports again soon.

--- a/internal/fleet/announce/recall.go
+++ b/internal/fleet/announce/recall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,10 +12,6 @@
 // known which departures earlier runs of the node have acknowledged.
 var ErrRecallPending = errors.New("announce: earlier departures are not known yet")
 
-// livenessInterval is the minimum time between two reports of an upstream that show that it
-// runs, where no other process knows the earlier departures.
-const livenessInterval = time.Second
-
 // recallState says what is known of the departures that earlier runs of the node have
 // acknowledged.
 type recallState struct {
@@ -25,11 +20,9 @@
 	pending, unanswered bool
 	// ended is closed at the first answer, or when none came in time.
 	ended chan struct{}
-	// probation is the first report of an incarnation while it is pending, and since the time
-	// at which it arrived.
+	// probation and number are those of the first report of an upstream while it is pending.
 	probation incarnation
 	number    uint64
-	since     time.Time
 }
 
 // AwaitRecall makes the Registry refuse the reports of upstreams that do not leave until Restore
@@ -76,14 +69,15 @@
 	return rg.reports.departures
 }
 
-// admits reports whether an upstream may be announced that sends a report at the time now.
-func (rc *recallState) admits(now time.Time, inc incarnation, number uint64) bool {
+// admits reports whether an upstream may be announced that sends a report. Where no other process
+// knows the earlier departures, two reports in a row show that it runs.
+func (rc *recallState) admits(inc incarnation, number uint64) bool {
 	switch {
 	case !rc.pending:
 		return true
 	case rc.probation != inc || number < rc.number:
-		rc.probation, rc.number, rc.since = inc, number, now
+		rc.probation, rc.number = inc, number
 		return false
 	}
-	return rc.unanswered && number > rc.number && now.Sub(rc.since) >= livenessInterval
+	return rc.unanswered && number > rc.number
 }
--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -204,7 +204,7 @@
 	before := rg.leases.upstreams()
 	earlier := rg.reports.current
 	service := rg.reports.service
-	if !rp.Upstream.Draining && !rg.recall.admits(rg.now(), rp.incarnation(), rp.Number) {
+	if !rp.Upstream.Draining && !rg.recall.admits(rp.incarnation(), rp.Number) {
 		return errors.Wrapf(ErrRecallPending, "instance %q, number %d", rp.Upstream.Instance, rp.Number)
 	}
 	if err := rg.reports.accept(rg.now(), rp, rg.leases.find(service) != nil); err != nil {
--- a/membership/recall.go
+++ b/membership/recall.go
@@ -14,16 +14,18 @@
 
 const (
 	// recallInterval is the interval at which a process asks, and recallTargets the number of
-	// members of its failure domain that it asks at a time, with one other member.
+	// members of its failure domain that it asks at a time, and of any others.
 	recallInterval = 100 * time.Millisecond
-	recallTargets  = 3
+	recallTargets  = 2
 	// recallGrace is the time from the first complete answer until the end of the recall, and
 	// recallDomainGrace that time if no process of the own failure domain has answered.
 	recallGrace       = 150 * time.Millisecond
 	recallDomainGrace = 500 * time.Millisecond
-	// recallTimeout is the time after which a recall without a complete answer is reported.
-	// The process goes on asking at the slower recallRetryInterval for joinTime.
-	recallTimeout       = 1500 * time.Millisecond
+	// recallTimeout is the time after which a recall without an answer is reported, and
+	// recallUnknownTimeout that from the first answer if none is complete: all may have started
+	// together. The process goes on asking at the slower recallRetryInterval for joinTime.
+	recallTimeout        = 1500 * time.Millisecond
+	recallUnknownTimeout = 300 * time.Millisecond
 	recallRetryInterval = time.Second
 )
 
@@ -33,9 +35,10 @@
 	// knowledge of the others, or if there was nothing to recall.
 	pending, complete bool
 	next              time.Time
-	// answered is the time of the first complete answer, or zero. domainAnswered is set once
-	// a process of the own failure domain has given one.
-	answered       time.Time
+	// heard is the time of the first answer, and answered that of the first complete one, or
+	// zero. domainAnswered is set once a process of the own failure domain has given a complete
+	// one.
+	heard, answered time.Time
 	domainAnswered bool
 	timedOut       bool
 }
@@ -58,7 +61,8 @@
 	case age > joinTime:
 		rl.pending = false
 		return
-	case age >= recallTimeout && rl.answered.IsZero() && !rl.timedOut:
+	case rl.answered.IsZero() && !rl.timedOut &&
+		(age >= recallTimeout || !rl.heard.IsZero() && mc.now.Sub(rl.heard) >= recallUnknownTimeout):
 		rl.timedOut = true
 		mc.reportRecall()
 	}
@@ -70,7 +74,7 @@
 		rl.next = mc.now.Add(recallRetryInterval)
 	}
 	question := mc.datagram(schema.Datagram_KIND_UPDATES)
-	for _, rec := range append(mc.pickAlive(mc.table.self.domain, recallTargets), mc.pickMembers(1, nil)...) {
+	for _, rec := range append(mc.pickAlive(mc.table.self.domain, recallTargets), mc.pickMembers(recallTargets, nil)...) {
 		mc.send(rec.Address, question)
 	}
 }
@@ -109,6 +113,9 @@
 	}
 	self := mc.table.self
 	self.Departures = mergeDepartures(self.Departures, decodeDepartures(dg.GetRecallAnswer().GetDepartures()))
+	if rl.heard.IsZero() {
+		rl.heard = mc.now
+	}
 	if !dg.GetRecallAnswer().GetComplete() {
 		return
 	}
