quorum: a replica that was away is brought up to date, whatever was compacted meanwhile

If the log was compacted again meanwhile, it never did, and the last part was repeated for ever.

The number of retained entries is a setting, so that tests reach it. The leader exports and logs which replicas do not follow the log.

--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -128,11 +128,13 @@
 	writes      *queue.Queue[quorum.Persist]
 	written     *queue.Queue[quorum.Event]
 	applies     *queue.Queue[quorum.Action]
-	// ticks, leaderAbsence, leaseTerm and backlog are used by the goroutine of the log only.
+	// ticks, leaderAbsence, followers, leaseTerm and backlog are used by the goroutine of the log
+	// only.
 	// leaseTerm is the latest term whose lease was reported to Options.Lead. overloaded is set
 	// while the backlog has reached overloadBacklog.
 	ticks         uint
 	leaderAbsence leaderAbsence
+	followers     followers
 	leaseTerm     quorum.Term
 	backlog       []quorum.Action
 	overloaded    atomic.Bool
--- a/internal/state/control/log.go
+++ b/internal/state/control/log.go
@@ -26,6 +26,11 @@
 	// state must be applied to be current.
 	leaseEnd      time.Time
 	requiredIndex quorum.Index
+	// behindEntries is the largest number of committed entries that another replica has not
+	// stored, and notFollowing the number of replicas that are down or behind. Both are 0 unless
+	// the replica leads.
+	behindEntries quorum.Index
+	notFollowing  int
 }
 
 // runLog drives the quorum machine until ctx ends. When stop is closed it transfers the
@@ -63,6 +68,9 @@
 // membershipCheckTicks-th call returns the replicas that are alive instead.
 func (co *Control) tick() quorum.Event {
 	co.ticks++
+	if co.ticks%membershipCheckTicks == 1 {
+		co.reportFollowers()
+	}
 	if !co.opt.Elastic || co.ticks%membershipCheckTicks != 0 {
 		return quorum.Tick{}
 	}
@@ -75,6 +83,18 @@
 	return lr
 }
 
+// reportFollowers logs which replicas do not follow the log of this one any more, and which do again.
+func (co *Control) reportFollowers() {
+	for _, tn := range co.followers.update(boottime.Now(), co.machine.Status().Commit, co.machine.Progress()) {
+		lg := co.log.WithFields(log.Fields{"replica": string(tn.replica), "state": tn.to.String(), "entries": uint64(tn.entries)})
+		if tn.to == following {
+			lg.Info("replica follows the log again")
+		} else {
+			lg.Warn("replica does not follow the log")
+		}
+	}
+}
+
 // step applies an event to the machine, performs the resulting actions and publishes the new
 // view.
 func (co *Control) step(ctx context.Context, ev quorum.Event) error {
@@ -85,6 +105,7 @@
 	}
 	mv := &machineView{status: co.machine.Status()}
 	mv.leaseEnd, mv.requiredIndex = co.machine.Lease()
+	mv.behindEntries, mv.notFollowing = co.followers.worst()
 	co.view.Store(mv)
 	co.reportLease(mv)
 	if co.leaderAbsence.due(time.Now(), mv.status.Leader) {
--- a/internal/state/control/serve.go
+++ b/internal/state/control/serve.go
@@ -51,6 +51,8 @@
 	set.NewGauge("camphortrail_control_revision", func() float64 {
 		return float64(co.state.current.Load().revision)
 	})
+	set.NewGauge("camphortrail_control_behind_entries", func() float64 { return float64(co.view.Load().behindEntries) })
+	set.NewGauge("camphortrail_control_replicas_not_following", func() float64 { return float64(co.view.Load().notFollowing) })
 	set.NewGauge("camphortrail_control_current", func() float64 {
 		if co.isCurrent(co.state.current.Load().applied) {
 			return 1
--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -124,7 +124,7 @@
 		Voters: ma.votersAt(co.Index),
 		Data:   co.Data,
 	}
-	ma.log.compact(sn, retainedEntries)
+	ma.log.compact(sn, Index(ma.set.RetainedEntries))
 	ma.disk.dirty, ma.disk.snapshotChanged = true, true
 }
 
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -263,3 +263,27 @@
 		ma.emit(Send{&StartElection{ma.headerTo(best)}})
 	}
 }
+
+// Progress is how far a replica follows the log, as the leader knows it.
+type Progress struct {
+	Replica Replica
+	// Match is the last index known to be on the disk of the replica.
+	Match Index
+	// LastContact is the time of its last answer, or of the begin of the term if it has not
+	// answered.
+	LastContact time.Time
+}
+
+// Progress returns the progress of all other replicas, or nil unless this one leads.
+func (ma *Machine) Progress() []Progress {
+	if ma.role != Leader {
+		return nil
+	}
+	list := make([]Progress, 0, len(ma.peers))
+	for _, id := range ma.peers {
+		if pe := ma.lead.peers[id]; pe != nil {
+			list = append(list, Progress{Replica: id, Match: pe.match, LastContact: pe.lastContact})
+		}
+	}
+	return list
+}
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// retainedEntries is the number of entries that stay in memory after a snapshot covers
-// them, so that replicas that are slightly behind need no snapshot.
-const retainedEntries = 256
-
 // Machine is the state of one replica of the log.
 type Machine struct {
 	set Settings
--- a/quorum/network_test.go
+++ b/quorum/network_test.go
@@ -85,6 +85,8 @@
 	// answered is the last index whose proposal was answered by Apply.
 	answered quorum.Index
 	rejected int
+	// sent counts the messages.
+	sent int
 }
 
 // newNetwork starts replicas with empty disks, with small messages so that entries and
@@ -189,6 +191,7 @@
 
 // send puts a message in transit, subject to loss, duplication and delay.
 func (nw *network) send(msg quorum.Message) {
+	nw.sent++
 	for range 1 + nw.chance(nw.duplicate) {
 		if nw.chance(nw.loss) == 1 {
 			continue
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -156,6 +156,9 @@
 	// MaxInFlight bounds the number of unacknowledged messages with entries to one
 	// replica.
 	MaxInFlight int
+	// RetainedEntries is the number of entries that stay in memory after a snapshot covers
+	// them, so that replicas that are slightly behind need no snapshot.
+	RetainedEntries int
 	// MaxUncommittedBytes bounds the total size of uncommitted proposals.
 	MaxUncommittedBytes int
 	// Seed seeds the random part of election timeouts.
@@ -173,6 +176,7 @@
 		ReplaceAfter:        2 * time.Second,
 		MaxMessageBytes:     256 << 10,
 		MaxInFlight:         8,
+		RetainedEntries:     256,
 		MaxUncommittedBytes: 64 << 20,
 	}
 }
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -94,7 +94,7 @@
 // sendSnapshot sends the next part of the snapshot, or repeats the last part if it was
 // not answered within the election timeout.
 func (ma *Machine) sendSnapshot(id Replica, pe *peer) {
-	if pe.outgoing == nil {
+	if og := pe.outgoing; og == nil || og.offset == 0 && og.snap.Index < ma.log.snap.Index {
 		pe.outgoing = &outgoingSnapshot{snap: ma.log.snap}
 	}
 	og := pe.outgoing
@@ -132,7 +132,8 @@
 		pe.next = max(an.Match, pe.match) + 1
 		pe.probing = false
 	}
-	if pe.next > ma.log.base {
+	if og := pe.outgoing; og != nil && (pe.next > ma.log.base || an.Match >= og.snap.Index) {
+		// If the log was compacted again meanwhile, the replica needs the later snapshot.
 		pe.outgoing = nil
 	}
 	for len(pe.inFlight) > 0 && pe.inFlight[0] <= an.Match {
