pipeline: no lock is held while an answer is written

Cause: the lock of a connection was held over the write of an answer, and the entry waits for it with its own lock held, to know what a request blocks. Evidence: pipeline.TestSlowReaderHoldsNoLock fails before with 'question 0 waits for a caller that does not read'.

Change: one goroutine writes the answers of a connection without its lock, and takes those that become ready meanwhile. Nothing is accepted behind the beginning of the last answer.

--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -102,10 +102,21 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
+	// mu is never held while data is read or written, or while anything else is awaited from the
+	// client: the entry asks for Blocks with its own lock held, and takes mu then. No other lock
+	// is taken while mu is held but that of the memory.
 	mu sync.Mutex
-	// queue holds the requests in flight, in the order in which they arrived.
+	// queue holds the requests in flight, in the order in which they arrived, without the one
+	// whose answer is being written.
 	queue []*exchange
-	// notFull is signalled when the queue gets shorter.
+	// writing is true while a goroutine writes answers. It also writes those that become ready
+	// meanwhile. notWriting is signalled when it ends.
+	writing    bool
+	notWriting *sync.Cond
+	// final is true from the beginning of the last answer on. No request may run that arrives
+	// later, because the caller assumes that it was not read.
+	final bool
+	// notFull is signalled when the queue gets shorter, and when answers have been written.
 	notFull *sync.Cond
 	// readingRequest is true while a request is being read.
 	readingRequest bool
@@ -127,7 +138,7 @@
 	cn := &conn{sv: sv, nc: nc, remote: remote, heads: buffer.NewHeadReader(nc, errHeaderTooLarge)}
 	cn.br = bufio.NewReader(cn.heads)
 	cn.memory.Init(sv.memory, cn)
-	cn.notFull = sync.NewCond(&cn.mu)
+	cn.notFull, cn.notWriting = sync.NewCond(&cn.mu), sync.NewCond(&cn.mu)
 	return cn
 }
 
@@ -142,6 +153,9 @@
 // the connection, or the server has sent its last answer.
 func (cn *conn) cleanUp() {
 	cn.mu.Lock()
+	for cn.writing {
+		cn.notWriting.Wait()
+	}
 	closedByServer := cn.closing
 	cn.closing = true
 	cause := context.Canceled
@@ -317,12 +331,12 @@
 	return nil
 }
 
-// awaitCapacity waits until fewer than maxInFlight requests are in flight, and until those hold no
-// more memory than the share of the connection. It returns false if the connection closes before
-// that.
+// awaitCapacity waits until fewer than maxInFlight requests are in flight, until those hold no more
+// memory than the share of the connection, and until no answer is being written: a client that does
+// not read gets no further work done. It returns false if the connection closes before that.
 func (cn *conn) awaitCapacity() bool {
 	cn.mu.Lock()
-	for len(cn.queue) >= maxInFlight && !cn.closing {
+	for (len(cn.queue) >= maxInFlight || cn.writing) && !cn.closing {
 		cn.notFull.Wait()
 	}
 	closing, alone := cn.closing, len(cn.queue) == 0
@@ -338,7 +352,7 @@
 	cn.readingRequest = false
 	switch {
 	case cn.br.Buffered() > 0:
-	case len(cn.queue) > 0:
+	case len(cn.queue) > 0 || cn.writing:
 		_ = cn.nc.SetReadDeadline(time.Time{})
 	default:
 		now := time.Now()
@@ -352,12 +366,12 @@
 func (cn *conn) beginRequest(lim Limits) bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if cn.closing {
+	if cn.closing || cn.final {
 		return false
 	}
 	cn.readingRequest = true
 	cn.idleSince.Store(0)
-	if len(cn.queue) == 0 {
+	if len(cn.queue) == 0 && !cn.writing {
 		cn.headSince.Store(time.Now().UnixNano())
 	}
 	_ = cn.nc.SetReadDeadline(time.Now().Add(lim.HeaderTimeout))
@@ -432,8 +446,8 @@
 // more, the answer may be large as well, and it may wait for long. What Begin has returned refers to
 // the body too.
 //
-// It does not take cn.mu, which is held while answers are written. Until the exchange is ready, only
-// the goroutine of its handler uses what is changed here.
+// It does not take cn.mu. Until the exchange is ready, only the goroutine of its handler uses what is
+// changed here.
 func (cn *conn) dropBody(ex *exchange) {
 	size := min(int64(len(ex.request.Body)), ex.held)
 	ex.request.Body, ex.request.Begun = nil, nil
@@ -451,9 +465,7 @@
 		return nil, errBodyTooLarge
 	}
 	if r.Header.Get("Expect") == "100-continue" {
-		if err := cn.sendContinue(); err != nil {
-			return nil, err
-		}
+		cn.sendContinue()
 		defer cn.dropContinue()
 	}
 	body, err := buffer.ReadAll(&cn.memory, r.Body, r.ContentLength, limit)
@@ -470,20 +482,15 @@
 
 // sendContinue tells the caller to send the body of its request, at once or after the answers to the
 // requests in flight.
-func (cn *conn) sendContinue() error {
+func (cn *conn) sendContinue() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.continueWanted = true
-	return cn.writeContinue()
+	cn.writeAnswers()
 }
 
-// writeContinue writes the interim answer 100 if one is wanted and no request is in flight. cn.mu must
-// be held.
+// writeContinue writes the interim answer 100.
 func (cn *conn) writeContinue() error {
-	if !cn.continueWanted || len(cn.queue) > 0 || cn.closing {
-		return nil
-	}
-	cn.continueWanted = false
 	_ = cn.nc.SetWriteDeadline(time.Now().Add(cn.sv.opt.Limits().IdleTimeout))
 	_, err := io.WriteString(cn.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
@@ -593,7 +600,7 @@
 func (cn *conn) enqueue(ex *exchange) bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if cn.closing {
+	if cn.closing || cn.final {
 		return false
 	}
 	cn.queue = append(cn.queue, ex)
@@ -619,7 +626,7 @@
 }
 
 // complete stores the answer of a request. It writes all answers that no earlier request
-// holds back.
+// holds back, unless another goroutine does.
 func (cn *conn) complete(ex *exchange, an Answer) {
 	cn.dropBody(ex)
 	grown := int64(0)
@@ -642,21 +649,22 @@
 	if len(cn.queue) > 0 && cn.queue[0] != ex && !ex.request.Deadline.IsZero() {
 		time.AfterFunc(time.Until(ex.giveWayAt()), func() { cn.giveWay(ex) })
 	}
-	for len(cn.queue) > 0 && cn.queue[0].ready && !cn.closing {
-		head := cn.queue[0]
-		// The array of the queue would keep the answer.
-		cn.queue[0] = nil
-		cn.queue = cn.queue[1:]
-		last := head.closeAfter || len(cn.queue) == 0 && (head.answer.Close || cn.sv.opt.Draining())
-		err := cn.writeAnswer(head, last)
-		cn.drop(head)
-		if err != nil || last {
-			cn.close()
-			return
-		}
+	cn.writeAnswers()
+}
+
+// writeAnswers writes the answers that are ready and that no earlier request holds back, and the
+// interim answer 100 if it is wanted behind them. It does nothing if another goroutine does that
+// already. cn.mu must be held, and is released while data is written.
+func (cn *conn) writeAnswers() {
+	if cn.writing {
+		return
 	}
-	if err := cn.writeContinue(); err != nil {
-		cn.close()
+	cn.writing = true
+	for !cn.closing && cn.writeNext() {
+	}
+	cn.writing = false
+	cn.notWriting.Broadcast()
+	if cn.closing {
 		return
 	}
 	if cn.cancelled.Load() && cn.memory.Held() == 0 {
@@ -671,6 +679,39 @@
 	cn.notFull.Signal()
 }
 
+// writeNext writes the next answer, or the interim answer 100. It returns false if there is none to be
+// written. cn.mu must be held, and is released while data is written.
+func (cn *conn) writeNext() bool {
+	switch {
+	case len(cn.queue) > 0 && cn.queue[0].ready:
+		head := cn.queue[0]
+		// The array of the queue would keep the answer.
+		cn.queue[0] = nil
+		cn.queue = cn.queue[1:]
+		last := head.closeAfter || len(cn.queue) == 0 && (head.answer.Close || cn.sv.opt.Draining())
+		cn.final = last
+		cn.mu.Unlock()
+		err := cn.writeAnswer(head, last)
+		cn.mu.Lock()
+		cn.drop(head)
+		if err != nil || last {
+			cn.close()
+		}
+		cn.notFull.Signal()
+	case cn.continueWanted && len(cn.queue) == 0:
+		cn.continueWanted = false
+		cn.mu.Unlock()
+		err := cn.writeContinue()
+		cn.mu.Lock()
+		if err != nil {
+			cn.close()
+		}
+	default:
+		return false
+	}
+	return true
+}
+
 // close stops the reading goroutine, which then closes the connection. cn.mu must be held.
 func (cn *conn) close() {
 	cn.closing = true
@@ -683,7 +724,7 @@
 func (cn *conn) closeIdle() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if len(cn.queue) == 0 && !cn.readingRequest && !cn.closing {
+	if len(cn.queue) == 0 && !cn.writing && !cn.readingRequest && !cn.closing {
 		cn.close()
 	}
 }
@@ -708,7 +749,7 @@
 func (cn *conn) closeUnserved() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if len(cn.queue) == 0 && !cn.closing {
+	if len(cn.queue) == 0 && !cn.writing && !cn.closing {
 		cn.report(ReasonConnections)
 		cn.abortLocked()
 	}
@@ -725,8 +766,8 @@
 	return int64(size)
 }
 
-// writeAnswer writes one answer. If last is true, it announces that the connection closes.
-// cn.mu must be held.
+// writeAnswer writes one answer. If last is true, it announces that the connection closes. Only the
+// goroutine of writeAnswers calls it, without cn.mu.
 func (cn *conn) writeAnswer(ex *exchange, last bool) error {
 	an := ex.answer
 	// A long body is not copied behind the head.
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -304,7 +304,7 @@
 	for _, cn := range conns {
 		cn.mu.Lock()
 		switch {
-		case len(cn.queue) > 0:
+		case len(cn.queue) > 0 || cn.writing:
 			inFlight++
 		case cn.readingRequest:
 			reading++
--- a/internal/traffic/pipeline/pipeline_test.go
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -373,3 +373,46 @@
 		_, _ = near.Close(), far.Close()
 	}
 }
+
+// Guards against a caller that stops the whole node: the entry asks what a request blocks while it
+// holds its own lock, and must not wait for callers that do not read their answers.
+func TestSlowReaderHoldsNoLock(t *testing.T) {
+	const large = 32 << 20 // more than the buffers of sockets
+	asked := make(chan time.Time)
+	sv := New(Options{
+		Handler: func(_ context.Context, rq *Request) Answer {
+			if rq.HTTP.URL.Path == "/large" {
+				return Answer{Status: http.StatusOK, Body: make([]byte, large)}
+			}
+			for range 50 { // by then, the large answer is being written
+				time.Sleep(10 * time.Millisecond)
+				asked <- rq.Blocks()
+			}
+			return Answer{Status: http.StatusOK}
+		},
+		Limits:   func() Limits { return Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute} },
+		Refuse:   func(int, string) Answer { return Answer{Status: http.StatusServiceUnavailable} },
+		Draining: func() bool { return false },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = sv.Serve(ln) }()
+	defer sv.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if _, err := io.WriteString(nc, "GET /large HTTP/1.1\r\nHost: h\r\n\r\nGET /asks HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 50 {
+		select {
+		case <-asked:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("question %d waits for a caller that does not read", n)
+		}
+	}
+}
