--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -660,7 +660,8 @@
 		return
 	}
 	cn.writing = true
-	for !cn.closing && cn.writeNext() {
+	for more := true; more && !cn.closing; {
+		more = cn.writeNext()
 	}
 	cn.writing = false
 	cn.notWriting.Broadcast()
--- a/internal/traffic/pipeline/pipeline_test.go
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -390,7 +390,9 @@
 			}
 			return Answer{Status: http.StatusOK}
 		},
-		Limits:   func() Limits { return Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute} },
+		Limits: func() Limits {
+			return Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+		},
 		Refuse:   func(int, string) Answer { return Answer{Status: http.StatusServiceUnavailable} },
 		Draining: func() bool { return false },
 	})
--- a/membership/confirm.go
+++ b/membership/confirm.go
@@ -27,8 +27,8 @@
 	own, others []*record
 }
 
-// announceDepartures replaces the departures that this process announces, and begins to
-// confirm them. Departures that were recalled remain.
+// announceDepartures adds departures to those that this process announces, and begins to
+// confirm them.
 func (mc *Machine) announceDepartures(dps []Departure) {
 	next := mc.table.self.Member
 	dps = mergeDepartures(next.Departures, dps)
--- a/membership/departure.go
+++ b/membership/departure.go
@@ -31,11 +31,14 @@
 }
 
 // Covers reports whether a run of an upstream has ended by the departure. Runs that started
-// before have ended, too. If the start of the upstream that left is not known, its runs before
-// the departure have ended.
+// before have ended, too, unless their start is not known. If the start of the upstream that left
+// is not known, its runs before the departure have ended.
 func (dp Departure) Covers(instance string, startTime time.Time) bool {
 	same := dp.Instance == HashInstance(instance)
-	if dp.StartTime.IsZero() {
+	switch {
+	case startTime.IsZero():
+		return same
+	case dp.StartTime.IsZero():
 		return same && !startTime.After(dp.At)
 	}
 	return startTime.Before(dp.StartTime) || same && startTime.Equal(dp.StartTime)
--- a/membership/event.go
+++ b/membership/event.go
@@ -56,7 +56,7 @@
 
 // Recalled reports the departures that earlier incarnations of this process have announced.
 // Complete is not set if no process that knows them has answered in time. There is another
-// Recalled then if one answers later.
+// Recalled then, when one answers or after a minute, in which what was sent before has arrived.
 type Recalled struct {
 	Departures []Departure
 	Complete   bool
--- a/membership/recall.go
+++ b/membership/recall.go
@@ -26,21 +26,21 @@
 	// together. The process goes on asking at the slower recallRetryInterval for joinTime.
 	recallTimeout        = 1500 * time.Millisecond
 	recallUnknownTimeout = 300 * time.Millisecond
-	recallRetryInterval = time.Second
+	recallRetryInterval  = time.Second
 )
 
 // recall is the state of a process that asks for its earlier departures.
 type recall struct {
-	// pending is set until the recall has ended. complete is set if it has ended with the
-	// knowledge of the others, or if there was nothing to recall.
+	// pending is set until the recall has ended. complete is set then, and at the first start of
+	// the deployment, when there is nothing to recall.
 	pending, complete bool
 	next              time.Time
 	// heard is the time of the first answer, and answered that of the first complete one, or
 	// zero. domainAnswered is set once a process of the own failure domain has given a complete
 	// one.
 	heard, answered time.Time
-	domainAnswered bool
-	timedOut       bool
+	domainAnswered  bool
+	timedOut        bool
 }
 
 // continueRecall asks the other processes when it is time, and ends the recall.
@@ -54,13 +54,10 @@
 		grace = recallGrace
 	}
 	switch age := mc.now.Sub(mc.started); {
-	case !rl.answered.IsZero() && mc.now.Sub(rl.answered) >= grace:
+	case !rl.answered.IsZero() && mc.now.Sub(rl.answered) >= grace, age > joinTime:
 		rl.pending, rl.complete = false, true
 		mc.reportRecall()
 		return
-	case age > joinTime:
-		rl.pending = false
-		return
 	case rl.answered.IsZero() && !rl.timedOut &&
 		(age >= recallTimeout || !rl.heard.IsZero() && mc.now.Sub(rl.heard) >= recallUnknownTimeout):
 		rl.timedOut = true
@@ -97,7 +94,7 @@
 	answer := mc.datagram(schema.Datagram_KIND_UPDATES)
 	answer.Recall = false
 	answer.RecallAnswer = &schema.RecallAnswer{
-		Complete: mc.recall.complete && !mc.joining || mc.now.Sub(mc.started) > joinTime,
+		Complete: mc.recall.complete && !mc.joining,
 	}
 	if rec := mc.table.records[call.VM(dg.GetFrom())]; rec != nil {
 		answer.RecallAnswer.Departures = encodeDepartures(rec.Departures)
