--- /dev/null
+++ b/internal/lab/soak/routes.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"maps"
+	"slices"
+
+	"camphortrail/call"
+)
+
+// routeHost is the host of all routes.
+const routeHost = "tag.example"
+
+// firstRoutes are the routes of the first configuration, by name.
+var firstRoutes = map[string]Route{
+	"tag-lookup":      newRoute(Safe, Sportello, 2),
+	"tag-issue":       newRoute(Unsafe, Emissione, 0),
+	"plan-upload":     newRoute(Download, Planimetrie, 2),
+	"tag-cancel":      newRoute(Safe, Cassa, 1),
+	"bay-ledger-read": newRoute(Safe, Emissione, 2),
+	"plan-index-read": newRoute(Safe, Planimetrie, 2),
+	"tariff-read":     newRoute(Safe, Cassa, 1),
+}
+
+// newRoute returns a route without a prefix.
+func newRoute(kind Kind, service call.Service, priority int) Route {
+	return Route{Host: routeHost, Kind: kind, TimeoutMS: 6000, TargetMS: 1500, Priority: priority, Service: service, Attempts: 2}
+}
+
+// FirstConfiguration returns the configuration with which a fleet begins, as version 1. The prefix
+// of each route is its name between slashes.
+func (fl *Fleet) FirstConfiguration() Configuration {
+	co := Configuration{Version: 1, Resources: []Resource{newLimits()}}
+	for _, sz := range fl.opt.Services {
+		co.Resources = append(co.Resources, newService(sz.Name, sz.MaxConns))
+	}
+	for _, name := range slices.Sorted(maps.Keys(firstRoutes)) {
+		ro := firstRoutes[name]
+		ro.Prefix = "/" + name + "/"
+		co.Resources = append(co.Resources, NewRoute(name, ro))
+	}
+	return co
+}
--- /dev/null
+++ b/internal/lab/soak/upstream.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// upstreamIdleTimeout is the time after which an upstream closes an idle connection.
+	upstreamIdleTimeout = 10 * time.Second
+	// queuePerSlot is the number of requests that wait for a slot, as a share of the slots.
+	queuePerSlot = 0.25
+)
+
+// Upstream is a sound upstream beside a node. What a request costs stands in its query: `work` is
+// the time of the work in milliseconds, `bytes` the length of the answer, and each `call` the path
+// and query of a call that it makes before the work.
+type Upstream struct {
+	ma       *Machine
+	instance string
+	born     time.Time
+	srv      *http.Server
+	slots    chan struct{}
+	// waiting counts the requests that wait for a slot.
+	waiting atomic.Int64
+	seq     atomic.Uint64
+	calls   atomic.Uint64
+	// draining is set once the upstream reports that it drains.
+	draining atomic.Bool
+}
+
+// NewUpstream starts the upstream beside a node, with a new instance id. It ends with ctx.
+func NewUpstream(ctx context.Context, ma *Machine) (*Upstream, error) {
+	ln, err := net.Listen("tcp", ma.UpstreamAddress())
+	if err != nil {
+		return nil, err
+	}
+	born := time.Now()
+	up := &Upstream{
+		ma: ma, instance: fmt.Sprintf("i-%s-%d", ma.Name, born.UnixMilli()), born: born,
+		slots: make(chan struct{}, ma.size.Slots),
+	}
+	up.srv = &http.Server{Handler: up, IdleTimeout: upstreamIdleTimeout}
+	go func() { _ = up.srv.Serve(ln) }()
+	context.AfterFunc(ctx, func() { _ = up.srv.Close() })
+	go up.report(ctx)
+	return up, nil
+}
+
+// Instance returns the id of the upstream.
+func (up *Upstream) Instance() string { return up.instance }
+
+// ServeHTTP runs a request.
+func (up *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	hd := w.Header()
+	hd.Set("Keep-Alive", "timeout="+strconv.Itoa(int(upstreamIdleTimeout.Seconds())))
+	if r.URL.Path == healthPath {
+		hd.Set(upstreamHeader, up.instance)
+		if up.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	rc, id := up.ma.fl.Recorder, RequestID(r.Header.Get(requestIDHeader))
+	hd.Set(requestIDHeader, string(id))
+	refuse := func(status int) {
+		rc.Add(Arrived{ID: id, At: rc.Now(), Upstream: up.ma.Name, NotRun: true, Path: r.RequestURI})
+		hd.Set(notRunHeader, "1")
+		w.WriteHeader(status)
+	}
+	if want := r.Header.Get(instanceHeader); want != "" && want != up.instance {
+		refuse(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		refuse(http.StatusBadRequest)
+		return
+	}
+	ctx := r.Context()
+	if ms, err := strconv.ParseFloat(r.Header.Get(deadlineHeader), 64); err == nil {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, time.Duration(ms*float64(time.Millisecond)))
+		defer stop()
+	}
+	if !up.takeSlot(ctx) {
+		refuse(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-up.slots }()
+	rc.Add(Arrived{ID: id, At: rc.Now(), Upstream: up.ma.Name, Path: r.RequestURI})
+	status := up.work(ctx, r)
+	ran := Ran{ID: id, Upstream: up.ma.Name, Status: status, Dropped: r.Context().Err() != nil}
+	if !ran.Dropped {
+		length, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+		if status != http.StatusOK {
+			length = 0
+		}
+		hd.Set(signatureHeader, string(id)+"."+strconv.Itoa(status))
+		hd.Set("Content-Length", strconv.Itoa(length))
+		w.WriteHeader(status)
+		_, _ = w.Write(bytes.Repeat([]byte("x"), length))
+	}
+	ran.At = rc.Now()
+	rc.Add(ran)
+}
+
+// takeSlot waits for a slot, unless too many requests wait already.
+func (up *Upstream) takeSlot(ctx context.Context) bool {
+	defer up.waiting.Add(-1)
+	full := up.waiting.Add(1) > int64(queuePerSlot*float64(cap(up.slots)))
+	if full {
+		select {
+		case up.slots <- struct{}{}:
+			return true
+		default:
+			return false
+		}
+	}
+	select {
+	case up.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// work reads the body, makes the calls, works, and returns the status of the answer.
+func (up *Upstream) work(ctx context.Context, r *http.Request) int {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return http.StatusInternalServerError
+	}
+	query := r.URL.Query()
+	for _, path := range query["call"] {
+		if !up.call(ctx, path) {
+			return failureStatus(ctx)
+		}
+	}
+	ms, _ := strconv.Atoi(query.Get("work"))
+	if pause(ctx, time.Duration(ms)*time.Millisecond) != nil {
+		return failureStatus(ctx)
+	}
+	return http.StatusOK
+}
+
+// failureStatus returns the status of a request that failed: 504 at its deadline, otherwise 500.
+func failureStatus(ctx context.Context) int {
+	if ctx.Err() != nil {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusInternalServerError
+}
+
+// call makes a call through the node beside the upstream and reports whether it succeeded.
+func (up *Upstream) call(ctx context.Context, path string) bool {
+	rc := up.ma.fl.Recorder
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+up.ma.CallerAddress()+path, nil)
+	if err != nil {
+		return false
+	}
+	id := RequestID(fmt.Sprintf("%s-call-%d", up.instance, up.calls.Add(1)))
+	rq.Host = routeHost
+	rq.Header.Set(requestIDHeader, string(id))
+	sent := Sent{ID: id, At: rc.Now(), Node: up.ma.Name, Kind: Safe, Path: path, Call: true}
+	if end, ok := ctx.Deadline(); ok {
+		sent.Deadline = time.Until(end)
+		rq.Header.Set(deadlineHeader, strconv.FormatInt(sent.Deadline.Milliseconds(), 10))
+	}
+	rc.Add(sent)
+	res, err := client.Do(rq)
+	if err == nil {
+		defer res.Body.Close()
+		_, err = io.Copy(io.Discard, res.Body)
+	}
+	switch {
+	case err == nil:
+		rc.Add(Answered{
+			ID: id, At: rc.Now(), Status: res.StatusCode, Signed: res.Header.Get(signatureHeader) != "", Close: res.Close,
+		})
+	case ctx.Err() != nil:
+		rc.Add(GaveUp{id, rc.Now()})
+	default:
+		rc.Add(Cut{id, rc.Now(), err.Error()})
+	}
+	return err == nil && res.StatusCode/100 == 2
+}
+
+// report sends a report in each heartbeat period, and sooner until one is acknowledged.
+func (up *Upstream) report(ctx context.Context) {
+	for {
+		period := HeartbeatPeriod
+		if up.SendReport(ctx) != http.StatusOK {
+			period /= 5
+		}
+		if pause(ctx, period) != nil {
+			return
+		}
+	}
+}
+
+// SendReport sends a report once and returns the status of the answer, or 0 if there is none.
+func (up *Upstream) SendReport(ctx context.Context) int {
+	state := stateReady
+	if up.draining.Load() {
+		state = stateDraining
+	}
+	ma := up.ma
+	return up.send(ctx, http.MethodPut, encode(reportMessage{
+		Service: ma.Service, Address: ma.UpstreamAddress(), Zone: ma.Zone, Version: "v1", Slots: ma.size.Slots,
+		State: state, Seq: up.seq.Add(1), Born: up.born.UnixMilli(),
+	}))
+}
+
+// Drain reports that the upstream drains and returns the status of the answer, or 0.
+func (up *Upstream) Drain(ctx context.Context) int {
+	up.draining.Store(true)
+	return up.SendReport(ctx)
+}
+
+func (up *Upstream) send(ctx context.Context, method string, body []byte) int {
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+up.ma.ControlAddress()+reportPath+up.instance, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	res, err := client.Do(rq)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
