--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -44,14 +44,16 @@
 type (
 	// Sent is a request that a caller or an upstream has sent whole.
 	Sent struct {
-		ID   RequestID
-		At   Moment // of the last byte
-		Node call.VM
-		Conn ConnID
-		// Behind says that an earlier request of the connection had no whole answer yet.
-		Behind bool
-		Kind   Kind
-		// Deadline and Timeout are the time for which the sender waits, and the timeout of the route.
+		ID RequestID
+		// Begun and At are the moments of the first and the last byte.
+		Begun, At Moment
+		Node      call.VM
+		Conn      ConnID
+		// Kept says that the connection is kept for many requests, and Behind that an earlier request
+		// on it had no whole answer yet.
+		Kept, Behind bool
+		Kind         Kind
+		// Deadline is the time for which the sender waits, 0 if it does not say so, and Timeout that of the route.
 		Deadline, Timeout time.Duration
 		Path              string
 		// Call says that an upstream sent the request.
@@ -64,13 +66,13 @@
 		Status int
 		// Signed says that an upstream wrote the answer.
 		Signed bool
-		// Close says that the answer ends the connection.
-		Close bool
 	}
-	// Cut is a connection that ended before the whole answer to a request.
+	// Cut is a connection that ended before the whole answer to a request. Reset says that it was
+	// reset, as a process does that has not read all that was sent.
 	Cut struct {
 		ID    RequestID
 		At    Moment
+		Reset bool
 		Cause string
 	}
 	// GaveUp is a caller that waits no more.
@@ -84,18 +86,35 @@
 		At       Moment
 		Upstream call.VM
 		NotRun   bool
-		// Path is the path with its query.
-		Path string
+		Path     string
 	}
 	// Ran is the end of the work of an upstream on a request.
 	Ran struct {
 		ID       RequestID
 		At       Moment
 		Upstream call.VM
-		// Dropped says that its connection ended first.
-		Dropped bool
+		// Dropped says that its connection ended first, and BrokeOff that the upstream ended it.
+		Dropped, BrokeOff bool
+		Status            int
+	}
+	// ConfigSent is a configuration that an operator begins to send.
+	ConfigSent struct {
+		Version Version
+		At      Moment
+	}
+	// ConfigAnswered is the clear answer to a configuration: 200 acknowledges it.
+	ConfigAnswered struct {
+		Version Version
+		At      Moment
 		Status  int
 	}
+	// Impaired is the start of an unplanned impairment other than a signal, or its end.
+	Impaired struct {
+		VM    call.VM
+		At    Moment
+		Cause string
+		Over  bool
+	}
 	// Signalled is a signal that the rig sent to a process.
 	Signalled struct {
 		VM     call.VM
@@ -116,15 +135,18 @@
 	}
 )
 
-func (Sent) event()      {}
-func (Answered) event()  {}
-func (Cut) event()       {}
-func (GaveUp) event()    {}
-func (Arrived) event()   {}
-func (Ran) event()       {}
-func (Signalled) event() {}
-func (Started) event()   {}
-func (Ended) event()     {}
+func (Sent) event()           {}
+func (Answered) event()       {}
+func (Cut) event()            {}
+func (GaveUp) event()         {}
+func (Arrived) event()        {}
+func (Ran) event()            {}
+func (Signalled) event()      {}
+func (ConfigSent) event()     {}
+func (ConfigAnswered) event() {}
+func (Impaired) event()       {}
+func (Started) event()        {}
+func (Ended) event()          {}
 
 // Finding is a rule that was broken.
 type Finding struct {
--- a/internal/lab/soak/routes.go
+++ b/internal/lab/soak/routes.go
@@ -3,12 +3,17 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"camphortrail/call"
 )
 
-// routeHost is the host of all routes.
-const routeHost = "tag.example"
+const (
+	// routeHost is the host of all routes.
+	routeHost = "tag.example"
+	// routeTimeout is the timeout of all routes.
+	routeTimeout = 6 * time.Second
+)
 
 // firstRoutes are the routes of the first configuration, by name.
 var firstRoutes = map[string]Route{
@@ -23,7 +28,7 @@
 
 // newRoute returns a route without a prefix.
 func newRoute(kind Kind, service call.Service, priority int) Route {
-	return Route{Host: routeHost, Kind: kind, TimeoutMS: 6000, TargetMS: 1500, Priority: priority, Service: service, Attempts: 2}
+	return Route{Host: routeHost, Kind: kind, TimeoutMS: routeTimeout.Milliseconds(), TargetMS: 1500, Priority: priority, Service: service, Attempts: 2}
 }
 
 // FirstConfiguration returns the configuration with which a fleet begins, as version 1. The prefix
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -102,7 +105,7 @@
 		if status != http.StatusOK {
 			length = 0
 		}
-		hd.Set(signatureHeader, string(id)+"."+strconv.Itoa(status))
+		hd.Set(signatureHeader, signature(id, status, length))
 		hd.Set("Content-Length", strconv.Itoa(length))
 		w.WriteHeader(status)
 		_, _ = w.Write(bytes.Repeat([]byte("x"), length))
@@ -111,6 +114,11 @@
 	rc.Add(ran)
 }
 
+// signature returns the signature of an answer, which names all that a caller checks.
+func signature(id RequestID, status, length int) string {
+	return fmt.Sprintf("%s.%d.%d", id, status, length)
+}
+
 // takeSlot waits for a slot, unless too many requests wait already.
 func (up *Upstream) takeSlot(ctx context.Context) bool {
 	defer up.waiting.Add(-1)
@@ -167,7 +175,7 @@
 	id := RequestID(fmt.Sprintf("%s-call-%d", up.instance, up.calls.Add(1)))
 	rq.Host = routeHost
 	rq.Header.Set(requestIDHeader, string(id))
-	sent := Sent{ID: id, At: rc.Now(), Node: up.ma.Name, Kind: Safe, Path: path, Call: true}
+	sent := Sent{ID: id, Begun: rc.Now(), At: rc.Now(), Node: up.ma.Name, Kind: Safe, Timeout: routeTimeout, Path: path, Call: true}
 	if end, ok := ctx.Deadline(); ok {
 		sent.Deadline = time.Until(end)
 		rq.Header.Set(deadlineHeader, strconv.FormatInt(sent.Deadline.Milliseconds(), 10))
@@ -180,13 +188,11 @@
 	}
 	switch {
 	case err == nil:
-		rc.Add(Answered{
-			ID: id, At: rc.Now(), Status: res.StatusCode, Signed: res.Header.Get(signatureHeader) != "", Close: res.Close,
-		})
+		rc.Add(Answered{ID: id, At: rc.Now(), Status: res.StatusCode, Signed: res.Header.Get(signatureHeader) != ""})
 	case ctx.Err() != nil:
 		rc.Add(GaveUp{id, rc.Now()})
 	default:
-		rc.Add(Cut{id, rc.Now(), err.Error()})
+		rc.Add(Cut{id, rc.Now(), errors.Is(err, syscall.ECONNRESET), err.Error()})
 	}
 	return err == nil && res.StatusCode/100 == 2
 }
