--- a/cmd/camphortrail/main.go
+++ b/cmd/camphortrail/main.go
@@ -44,6 +44,7 @@
 		{"explain", "Explain a request", "Prints what the logs of processes say of a request and of the calls made for it, in causal order.", &explainCommand{}},
 		{"demo", "Run an example deployment", "Runs an example deployment on loopback with real requests, within 30 s.", &demoCommand{}},
 		{"measure", "Measure a scenario", "Runs a scenario with both arms and prints a JSON object for each.", &measureCommand{}},
+		{"soak", "Soak a deployment", "Runs a deployment of real processes on loopback with signals and changes, and checks the rules of the users.", &soakCommand{}},
 	} {
 		if _, err := parser.AddCommand(cm.name, cm.short, cm.long, cm.data); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/camphortrail/soak.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/internal/lab/soak"
+)
+
+// errFindings is returned if a soak has broken rules.
+var errFindings = errors.New("rules were broken")
+
+// soakCommand is the command soak.
+type soakCommand struct {
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the plan of events"`
+	For      time.Duration `long:"for" default:"2m" description:"length of the run after all nodes are ready"`
+	Scenario string        `long:"scenario" default:"lost" description:"what happens: see --list"`
+	List     bool          `long:"list" description:"print the names of the scenarios and end"`
+	Report   string        `long:"report" description:"file for the report, as JSON (default: standard output)"`
+	Keep     string        `long:"keep" description:"folder in which settings, logs and disks stay (default: a temporary folder)"`
+}
+
+// Execute runs a scenario on real processes and reports the rules that were broken.
+func (cm *soakCommand) Execute([]string) error {
+	if cm.List {
+		for _, name := range soak.Scenarios() {
+			fmt.Println(name)
+		}
+		return nil
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	folder := cm.Keep
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "camphortrail-soak-"); err != nil {
+			return err
+		}
+		defer func() { _ = os.RemoveAll(folder) }()
+	}
+	re, err := soak.Run(ctx, cm.Scenario, cm.For, soak.Options{Seed: soak.Seed(cm.Seed), Program: program, Folder: folder}, os.Stderr)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(re, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := writeReport(cm.Report, append(text, '\n')); err != nil {
+		return err
+	}
+	if len(re.Findings) > 0 {
+		return errors.Wrapf(errFindings, "%d findings", len(re.Findings))
+	}
+	return nil
+}
+
+// writeReport writes a report to a file, or to standard output if the path is empty.
+func writeReport(path string, text []byte) error {
+	if path == "" {
+		_, err := os.Stdout.Write(text)
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -35,6 +35,7 @@
 	Lost   Rule = "LOST"
 	Config Rule = "CONFIG"
 	Drain  Rule = "DRAIN"
+	Mixed  Rule = "MIXED"
 	Fault  Rule = "Fault"
 )
 
--- /dev/null
+++ b/internal/lab/soak/scenario.go
@@ -0,0 +1,203 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphortrail/call"
+)
+
+// ErrScenario is returned for a scenario that is not known.
+var ErrScenario = errors.New("soak: unknown scenario")
+
+// Scenario is what happens to a fleet in a run.
+type Scenario struct {
+	// Play acts on a fleet whose nodes are ready and whose first configuration is in force, until
+	// ctx ends, and returns when all that it began is over.
+	Play func(ctx context.Context, fl *Fleet) error
+	// Check judges the record.
+	Check func(fl *Fleet) []Finding
+}
+
+// scenarios holds all scenarios by name. Each file of a scenario adds its own.
+var scenarios = make(map[string]Scenario)
+
+// Scenarios returns the names of all scenarios.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+// Report is the result of a run.
+type Report struct {
+	Scenario string  `json:"scenario"`
+	Seed     Seed    `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Requests int     `json:"requests"`
+	Answered int     `json:"answered"`
+	Cut      int     `json:"cut"`
+	GaveUp   int     `json:"gave-up"`
+	Stops    int     `json:"stops"`
+	// OwnEnds are the processes that ended by themselves.
+	OwnEnds  []string  `json:"own-ends"`
+	Findings []Finding `json:"findings"`
+}
+
+// startLimit bounds the time until all nodes are ready.
+const startLimit = time.Minute
+
+// Run plays a scenario on a new fleet for a time and returns the report. It writes a line of
+// progress each second to progress. The errors match ErrScenario, or those of a fleet.
+func Run(ctx context.Context, name string, length time.Duration, opt Options, progress io.Writer) (*Report, error) {
+	sc, ok := scenarios[name]
+	if !ok {
+		return nil, errors.Wrap(ErrScenario, name)
+	}
+	fl, err := New(opt)
+	if err != nil {
+		return nil, err
+	}
+	if err := fl.checkLimits(); err != nil {
+		return nil, err
+	}
+	fleetCtx, stopFleet := context.WithCancel(ctx)
+	defer stopFleet()
+	defer fl.Close()
+	if err := fl.startServing(fleetCtx); err != nil {
+		return nil, err
+	}
+	playCtx, stopPlay := context.WithTimeout(fleetCtx, length)
+	defer stopPlay()
+	var group sync.WaitGroup
+	group.Go(func() { fl.printProgress(playCtx, progress) })
+	begun := time.Now()
+	err = sc.Play(playCtx, fl)
+	stopPlay()
+	group.Wait()
+	if err != nil {
+		return nil, err
+	}
+	re := fl.report()
+	re.Scenario, re.Seed, re.Seconds = name, opt.Seed, time.Since(begun).Seconds()
+	re.Findings = slices.Concat(fl.Recorder.Findings(), sc.Check(fl), fl.checkOwnEnds())
+	return re, nil
+}
+
+// maxProcesses bounds the processes of a fleet.
+const maxProcesses = 300
+
+// ErrLimits is returned for a fleet that is too large for this computer.
+var ErrLimits = errors.New("soak: the fleet is too large")
+
+// checkLimits checks that the processes together may not take half of the memory of this computer.
+func (fl *Fleet) checkLimits() error {
+	data, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return errors.Wrap(ErrLimits, err.Error())
+	}
+	var totalKB, needMB int64
+	if _, err := fmt.Sscanf(string(data), "MemTotal: %d", &totalKB); err != nil {
+		return errors.Wrap(ErrLimits, err.Error())
+	}
+	for _, ma := range fl.Machines() {
+		needMB += ma.settings().MemoryMB
+	}
+	if count := len(fl.Machines()); count > maxProcesses || needMB > totalKB>>10/2 {
+		return errors.Wrapf(ErrLimits, "%d processes, %d MB of %d MB", count, needMB, totalKB>>10)
+	}
+	return nil
+}
+
+// startServing starts the fleet, whose upstreams end with ctx, applies the first configuration and
+// waits until all nodes are ready.
+func (fl *Fleet) startServing(ctx context.Context) error {
+	if err := fl.Start(ctx); err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, startLimit)
+	defer stop()
+	if err := fl.Apply(ctx, fl.FirstConfiguration()); err != nil {
+		return err
+	}
+	return fl.WaitReady(ctx)
+}
+
+// printProgress writes a line each second until ctx ends.
+func (fl *Fleet) printProgress(ctx context.Context, progress io.Writer) {
+	begun := time.Now()
+	for pause(ctx, time.Second) == nil {
+		re := fl.report()
+		fmt.Fprintf(progress, "\r%4.0f s: %d requests, %d answered, %d cut, %d given up, %d stops ",
+			time.Since(begun).Seconds(), re.Requests, re.Answered, re.Cut, re.GaveUp, re.Stops)
+	}
+	fmt.Fprintln(progress)
+}
+
+// checkOwnEnds checks the rule Fault: processes that end by themselves three times, on a tenth of
+// the machines (two at least) or on half of the control replicas.
+func (fl *Fleet) checkOwnEnds() []Finding {
+	ends := make(map[call.VM]int)
+	for _, ev := range fl.Recorder.Events() {
+		if en, ok := ev.(Ended); ok && en.Own {
+			ends[en.VM]++
+		}
+	}
+	machines, controls := 0, 0
+	for _, ma := range fl.Machines() {
+		if ends[ma.Name] < 3 {
+			continue
+		}
+		machines++
+		if ma.Kind == ControlMachine {
+			controls++
+		}
+	}
+	if 10*machines < len(fl.Machines()) || machines < 2 {
+		if controls == 0 || 2*controls < len(fl.Controls) {
+			return nil
+		}
+	}
+	return []Finding{{Fault, strings.Join(fl.report().OwnEnds, "; ")}}
+}
+
+// controlNames returns the names of the control replicas.
+func (fl *Fleet) controlNames() []call.VM {
+	var names []call.VM
+	for _, ma := range fl.Controls {
+		names = append(names, ma.Name)
+	}
+	return names
+}
+
+// report counts what the record holds.
+func (fl *Fleet) report() *Report {
+	re := new(Report)
+	for _, ev := range fl.Recorder.Events() {
+		switch ev := ev.(type) {
+		case Sent:
+			re.Requests++
+		case Answered:
+			re.Answered++
+		case Cut:
+			re.Cut++
+		case GaveUp:
+			re.GaveUp++
+		case Signalled:
+			if ev.Signal == syscall.SIGTERM {
+				re.Stops++
+			}
+		case Ended:
+			if ev.Own {
+				re.OwnEnds = append(re.OwnEnds, fmt.Sprintf("%s at %s: %s", ev.VM, ev.At, ev.Cause))
+			}
+		}
+	}
+	return re
+}
--- /dev/null
+++ b/internal/lab/soak/stops.go
@@ -0,0 +1,203 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"camphortrail/call"
+)
+
+// StopPlan is a scenario of planned stops of nodes.
+type StopPlan struct {
+	Mix Mix
+	// NoCallersAtStops lets only nodes stop at which there are no callers, so that what is lost
+	// was lost by the guard beside the upstream.
+	NoCallersAtStops bool
+	// Hangups lets SIGHUPs come during stops.
+	Hangups bool
+	// Rounds is the number of times that nodes are stopped, or 0 until the end of the run.
+	Rounds int
+	// Together is the number of nodes that each round stops at once, or 0 for 1 to 5 nodes at once
+	// or one after the other.
+	Together int
+}
+
+const (
+	// firstStop is the time from the first request to the first stop.
+	firstStop = 3400 * time.Millisecond
+	// maxStops is the largest number of nodes that are stopped in one round.
+	maxStops = 5
+	// maxStagger bounds the time between the stops of a round that does not stop all at once.
+	maxStagger = 1500 * time.Millisecond
+	// minRound and maxRound bound the time between the beginnings of two rounds. A stop may last
+	// longer, so that rounds overlap.
+	minRound, maxRound = 4 * time.Second, 10 * time.Second
+	// maxRestart bounds the time from the end of a process to its next start.
+	maxRestart = time.Second
+	// callerServiceShare is the share of nodes that have callers under NoCallersAtStops.
+	callerServiceShare = 0.6
+)
+
+// longShare is the share of long requests in all scenarios of stops.
+const longShare = 0.2
+
+func init() {
+	for name, sp := range map[string]StopPlan{
+		"lost":        {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true},
+		"lost-late":   {Mix: Mix{Long: longShare}, Rounds: 1, Together: maxStops},
+		"lost-series": {Mix: Mix{Long: longShare}},
+		"lost-guard":  {Mix: Mix{Long: longShare}, NoCallersAtStops: true},
+		"lost-ahead":  {Mix: Mix{Long: longShare, Ahead: 1}},
+		"lost-calls":  {Mix: Mix{Long: longShare, Calls: 1}},
+		"lost-bodies": {Mix: Mix{Long: longShare, SlowBodies: 1}},
+		"lost-hangup": {Mix: Mix{Long: longShare}, Hangups: true},
+	} {
+		scenarios[name] = Scenario{Play: sp.play, Check: checkLost}
+	}
+}
+
+// checkLost checks the rule LOST.
+func checkLost(fl *Fleet) []Finding {
+	return CheckLost(fl.Recorder.Events(), fl.controlNames())
+}
+
+// play sends requests to all nodes and stops nodes round by round. A plan with a number of rounds
+// ends with the last of them.
+func (sp StopPlan) play(ctx context.Context, fl *Fleet) error {
+	rnd := fl.opt.Seed.Rand("stops")
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	targets := fl.Nodes
+	var group sync.WaitGroup
+	if sp.NoCallersAtStops {
+		targets = sp.chooseTargets(rnd, fl)
+	}
+	for _, ma := range fl.Nodes {
+		if sp.NoCallersAtStops && slices.Contains(targets, ma) {
+			continue
+		}
+		for i := range callersPerNode {
+			group.Go(func() { newCaller(ma, i, sp.Mix).run(ctx) })
+		}
+	}
+	st := &stopper{StopPlan: sp, fl: fl, rnd: rnd, targets: targets, busy: make(map[call.VM]bool)}
+	err := st.run(ctx)
+	stop()
+	group.Wait()
+	return err
+}
+
+// chooseTargets returns the nodes without callers: some of each service.
+func (StopPlan) chooseTargets(rnd *rand.Rand, fl *Fleet) []*Machine {
+	var targets []*Machine
+	for _, sz := range fl.opt.Services {
+		var nodes []*Machine
+		for _, ma := range fl.Nodes {
+			if ma.Service == sz.Name {
+				nodes = append(nodes, ma)
+			}
+		}
+		rnd.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+		targets = append(targets, nodes[int(callerServiceShare*float64(len(nodes))):]...)
+	}
+	return targets
+}
+
+// stopper stops nodes as a plan says.
+type stopper struct {
+	StopPlan
+	fl      *Fleet
+	rnd     *rand.Rand
+	targets []*Machine
+
+	mu sync.Mutex
+	// busy are the nodes that are being stopped and started again.
+	busy map[call.VM]bool
+}
+
+// plannedStop is the stop of one node, chosen from the seed.
+type plannedStop struct {
+	ma *Machine
+	// after is the time from the beginning of the round to the SIGTERM, hangup that from the SIGTERM to
+	// a SIGHUP (0 for none), and restart that from the end of the process to the next start.
+	after, hangup, restart time.Duration
+}
+
+// run stops nodes until ctx ends or all rounds are over, and then waits until all nodes run again.
+func (st *stopper) run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	wait := firstStop
+	for round := 0; st.Rounds == 0 || round < st.Rounds; round++ {
+		if pause(ctx, wait) != nil {
+			return nil
+		}
+		for _, ps := range st.chooseRound() {
+			group.Go(func() { st.stop(ctx, ps) })
+		}
+		wait = minRound + rand64(st.rnd, maxRound-minRound)
+	}
+	group.Wait()
+	return nil
+}
+
+// chooseRound chooses the nodes of a round. It makes the same number of choices whatever the state
+// of the nodes is, and leaves out those that are still being stopped.
+func (st *stopper) chooseRound() []plannedStop {
+	order := st.rnd.Perm(len(st.targets))
+	number := 1 + st.rnd.IntN(maxStops)
+	together := st.rnd.IntN(2) == 0
+	if st.Together > 0 {
+		number, together = st.Together, true
+	}
+	var round []plannedStop
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, i := range order[:min(number, len(order))] {
+		ps := plannedStop{ma: st.targets[i], after: rand64(st.rnd, maxStagger), restart: rand64(st.rnd, maxRestart)}
+		hangup := time.Millisecond + rand64(st.rnd, Grace)
+		if st.Hangups && st.rnd.IntN(3) == 0 {
+			ps.hangup = hangup
+		}
+		if together {
+			ps.after = 0
+		}
+		if !st.busy[ps.ma.Name] {
+			st.busy[ps.ma.Name] = true
+			round = append(round, ps)
+		}
+	}
+	return round
+}
+
+// stop stops a node and starts it again. A stop that has begun goes on when ctx ends.
+func (st *stopper) stop(ctx context.Context, ps plannedStop) {
+	defer func() {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		delete(st.busy, ps.ma.Name)
+	}()
+	if pause(ctx, ps.after) != nil {
+		return
+	}
+	stopping, stopped := context.WithCancel(context.WithoutCancel(ctx))
+	if ps.hangup > 0 {
+		go func() {
+			if pause(stopping, ps.hangup) == nil {
+				ps.ma.Signal(syscall.SIGHUP)
+			}
+		}()
+	}
+	ps.ma.Stop(stopping)
+	stopped()
+	if pause(ctx, ps.restart) != nil {
+		return
+	}
+	if err := ps.ma.Restart(); err != nil {
+		st.fl.Recorder.Find(Fault, "%s does not start: %v", ps.ma.Name, err)
+	}
+}
