soak: a second way of LOST: finished answers that wait behind another are cut

Cause: a stopping node passes on requests that were sent ahead on a connection behind a long one. Their upstreams finish; the answers wait for the long one and are cut with it at the end of the stop.

Change: the description of a loss says whether the request was sent behind another and when its upstream had finished; deadlines are recorded in whole milliseconds, as they are sent.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -262,7 +262,7 @@
 	}
 	sent := Sent{
 		ID: ou.id, Begun: ou.begun, Node: ca.ma.Name, Conn: cn.id, Kept: cn.kept, Kind: rq.kind,
-		Deadline: min(rq.deadline, wait), Timeout: routeTimeout, Path: rq.path,
+		Deadline: min(rq.deadline, wait).Truncate(time.Millisecond), Timeout: routeTimeout, Path: rq.path,
 	}
 	cn.mu.Lock()
 	sent.Behind = len(cn.waiting) > 0
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -159,7 +159,10 @@
 
 // describe says what was seen of a request that lost its answer.
 func (hi *history) describe(fa *fate, end Moment) string {
-	text := fmt.Sprintf("%s (%s) at %s, sent at %s", fa.ID, fa.Kind, fa.Node, fa.At)
+	text := fmt.Sprintf("%s (%s, %s) at %s, sent at %s", fa.ID, fa.Kind, fa.time(), fa.Node, fa.At)
+	if fa.Behind {
+		text += " behind another"
+	}
 	since := func(name call.VM) string {
 		if te, ok := hi.vm(name).lastTerm(end); ok && end.Sub(te) <= termEnd {
 			return fmt.Sprintf(", %s after the SIGTERM of %s", fa.At-te, name)
@@ -172,6 +175,12 @@
 		if ar.Upstream != fa.Node {
 			text += since(ar.Upstream)
 		}
+		for _, ru := range fa.runs {
+			if ru.Upstream == ar.Upstream && ru.At >= ar.At && !ru.Dropped {
+				text += fmt.Sprintf(", run by %s", ru.At)
+				break
+			}
+		}
 	}
 	if fa.cut != nil {
 		return text + fmt.Sprintf(", cut at %s, %.3f s after it was sent: %s", end, end.Sub(fa.At).Seconds(), fa.cut.Cause)
