--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -159,7 +159,7 @@
 
 // describe says what was seen of a request that lost its answer.
 func (hi *history) describe(fa *fate, end Moment) string {
-	text := fmt.Sprintf("%s (%s, %s) at %s, sent at %s", fa.ID, fa.Kind, fa.time(), fa.Node, fa.At)
+	text := fmt.Sprintf("%s (%s, due at %s) at %s, sent at %s", fa.ID, fa.Kind, fa.Begun.Add(fa.time()), fa.Node, fa.At)
 	if fa.Behind {
 		text += " behind another"
 	}
