entry: requests that are let in while the node stops are logged

What callers saw: requests that a stopping node took late were cut without an answer. The log had a line for those that it refused, and none for those that it let in, so that a wrong guess of what is a call could not be told from a request that came earlier and waited.

--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -42,6 +42,9 @@
 	Resent Kind = "resent"
 	// Served is a request that an upstream answered. Only a sample of these is logged.
 	Served Kind = "served"
+	// Accepted is a request that the entry lets in although its node stops. TookMS is the time since
+	// the entry stopped.
+	Accepted Kind = "accepted"
 	// Failed is a request that the upstream answered with a status of 500 or more, an attempt
 	// that may have run without a usable answer, or a recorded answer that is unreadable.
 	Failed Kind = "failed"
--- a/internal/ops/events/schema_test.go
+++ b/internal/ops/events/schema_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	names := []string{string(Refused), string(GaveUp), string(Resent), string(Served), string(Failed), string(RequestSummary), string(SlotSummary), string(ProcessSummary)}
+	names := []string{string(Refused), string(GaveUp), string(Resent), string(Served), string(Failed), string(Accepted), string(RequestSummary), string(SlotSummary), string(ProcessSummary)}
 	for _, of := range []reflect.Type{reflect.TypeFor[Line](), reflect.TypeFor[Event](), reflect.TypeFor[Traffic](), reflect.TypeFor[SlotUsage](), reflect.TypeFor[KindUsage](), reflect.TypeFor[ProcessUsage]()} {
 		for i := range of.NumField() {
 			if name, _, _ := strings.Cut(of.Field(i).Tag.Get("json"), ","); name != "" {
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -103,6 +103,8 @@
 	started  time.Time
 	config   atomic.Pointer[config.Compiled]
 	stopping atomic.Bool
+	// stoppedAt is when the entry stopped. It is set before stopping.
+	stoppedAt time.Time
 	// active counts all requests that are being served, and callers those of callers.
 	active  inflight.Counter
 	callers inflight.Counter
@@ -292,7 +294,14 @@
 
 // Stop makes the entry refuse new requests of callers. It still serves calls of the
 // upstream on its VM, which belong to attempts that run.
-func (en *Entry) Stop() { en.stopping.Store(true) }
+func (en *Entry) Stop() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if !en.stopping.Load() {
+		en.stoppedAt = time.Now()
+		en.stopping.Store(true)
+	}
+}
 
 // RefusalReason returns the reason why all requests of callers are refused, or an empty
 // string if they are accepted.
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -148,9 +148,24 @@
 	if ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
+	if en.stopping.Load() {
+		en.logAccepted(rq, now)
+	}
 	return rq, nil
 }
 
+// logAccepted logs that a request is let in as a call while the node stops.
+func (en *Entry) logAccepted(rq *request, now time.Time) {
+	ev := events.Event{
+		Kind: events.Accepted, Request: rq.label, Reason: ReasonStopping, Class: string(rq.kind.Class), Service: string(rq.kind.Service),
+		Importance: int(rq.importance), TookMS: now.Sub(en.stoppedAt).Milliseconds(), LeftMS: rq.deadline.Sub(now).Milliseconds(),
+	}
+	if rq.parent != nil {
+		ev.Parent = rq.parent.Label
+	}
+	en.opt.Events.Add(now, ev)
+}
+
 // isCall reports whether a request is a call of the upstream on the VM. Where the configuration
 // names customers, a key tells requests of callers from calls.
 func (en *Entry) isCall(cd *config.Compiled, rt *config.Route, rq *request, og calltree.OutgoingCall) bool {
