entry: a stopping node lets in only what is over by the end of its stop

Cause: from 2.5 s on an entry refuses requests of callers and lets calls of its upstream in. What is a call is learned, and each class counts as calls until 16 requests of it were seen at the node, and as long as fewer than one in eight outlast all attempts that run. With long work on the upstream and few requests so far all callers were taken for calls, whatever their deadlines.

Change: Stop takes the time at which the process breaks off what is in flight. What is taken for a call is let in only if its deadline is no later, as guards do with attempts since 1.5 s. A wrong guess does no harm then. The same holds for requests whose bodies arrive after the entry has stopped, and for calls on the project's own interface.

--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -22,16 +22,16 @@
 	nd.log.Info("node stopping")
 	plan := nd.opt.Stop
 	nd.stopping.Store(true)
+	end := time.Now().Add(plan.NoticePeriod + plan.FinishTimeout)
 	if !plan.AcceptCallers {
-		nd.entry.Stop()
+		nd.entry.Stop(end)
 	}
-	end := time.Now().Add(plan.NoticePeriod + plan.FinishTimeout)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	nd.serveDuringNotice(ctx, end)
 	// The entry still admits the calls that the upstream itself makes, because its work
 	// in flight needs them.
-	nd.entry.Stop()
+	nd.entry.Stop(end)
 	if plan.DrainPeriod > 0 {
 		nd.drainLate(ctx, end)
 	}
--- a/internal/traffic/entry/begin.go
+++ b/internal/traffic/entry/begin.go
@@ -67,9 +67,10 @@
 // take longer to arrive than a withdrawal to be in force.
 func (en *Entry) checkBegun(rd *Request) *attempt.Answer {
 	rq, cd := rd.begun.rq, en.config.Load()
+	if an := en.refuseWhileStopping(rq, time.Now()); an != nil {
+		return an
+	}
 	switch {
-	case !rq.isCall && en.stopping.Load():
-		return attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
 	case rq.customer == nil || rq.public || !cd.HasCustomers():
 		return nil
 	case !en.keysFresh(cd):
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -99,12 +99,11 @@
 
 // Entry serves requests. Its methods are safe for concurrent use.
 type Entry struct {
-	opt      Options
-	started  time.Time
-	config   atomic.Pointer[config.Compiled]
-	stopping atomic.Bool
-	// stoppedAt is when the entry stopped. It is set before stopping.
-	stoppedAt time.Time
+	opt     Options
+	started time.Time
+	config  atomic.Pointer[config.Compiled]
+	// stop is set when the entry stops.
+	stop atomic.Pointer[stopTimes]
 	// active counts all requests that are being served, and callers those of callers.
 	active  inflight.Counter
 	callers inflight.Counter
@@ -292,22 +291,11 @@
 	return all
 }
 
-// Stop makes the entry refuse new requests of callers. It still serves calls of the
-// upstream on its VM, which belong to attempts that run.
-func (en *Entry) Stop() {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	if !en.stopping.Load() {
-		en.stoppedAt = time.Now()
-		en.stopping.Store(true)
-	}
-}
-
 // RefusalReason returns the reason why all requests of callers are refused, or an empty
 // string if they are accepted.
 func (en *Entry) RefusalReason() string {
 	switch {
-	case en.stopping.Load():
+	case en.stopping():
 		return ReasonStopping
 	case en.config.Load() == nil:
 		return ReasonNoConfiguration
@@ -339,7 +327,7 @@
 		an = en.serveCounted(r.Context(), rq, en.serveUnthrottled)
 	}
 	en.customers.add(rq, an)
-	if en.stopping.Load() {
+	if en.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	en.writeAnswer(w, rq, an)
@@ -374,10 +362,14 @@
 	if cd == nil {
 		return nil, attempt.Refusal(ReasonNoConfiguration, time.Second)
 	}
-	if en.stopping.Load() && r.Header.Get(header.Attempt) == "" {
+	if en.stopping() && r.Header.Get(header.Attempt) == "" {
 		return nil, attempt.Refusal(ReasonStopping, time.Second)
 	}
-	return en.newRequest(r, cd, now)
+	rq, an := en.newRequest(r, cd, now)
+	if an == nil {
+		an = en.refuseWhileStopping(rq, now)
+	}
+	return rq, an
 }
 
 // writeAnswer writes the answer with the headers that report its outcome. rq may be nil.
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -102,10 +102,6 @@
 	return serve(ctx, rq)
 }
 
-// stopRetryAfter is the mean time after which a caller of a stopping node may retry. The
-// node is back after a few seconds, and callers may use another one meanwhile.
-const stopRetryAfter = time.Second
-
 // newRoutedRequest builds the request from its route, and finds the attempt that it is a
 // call of. If the answer is not nil, the request is refused, and may be nil.
 func (en *Entry) newRoutedRequest(rd *Request, now time.Time) (*request, *attempt.Answer) {
@@ -137,10 +133,7 @@
 	rq.isCall = en.isCall(cd, rt, rq, og)
 	if !rq.isCall {
 		en.opt.Trees.TrackRequest(now, og)
-		if en.stopping.Load() {
-			return rq, attempt.Refusal(ReasonStopping, en.jitter(stopRetryAfter))
-		}
-		return rq, nil
+		return rq, en.refuseWhileStopping(rq, now)
 	}
 	rq.depth = 1
 	in, callsDone, ok := en.opt.Trees.FindParent(now, og)
@@ -148,22 +141,7 @@
 	if ok {
 		rq.parent, rq.id, rq.importance, rq.depth = in, in.Request, in.Importance, in.Depth+1
 	}
-	if en.stopping.Load() {
-		en.logAccepted(rq, now)
-	}
-	return rq, nil
-}
-
-// logAccepted logs that a request is let in as a call while the node stops.
-func (en *Entry) logAccepted(rq *request, now time.Time) {
-	ev := events.Event{
-		Kind: events.Accepted, Request: rq.label, Reason: ReasonStopping, Class: string(rq.kind.Class), Service: string(rq.kind.Service),
-		Importance: int(rq.importance), TookMS: now.Sub(en.stoppedAt).Milliseconds(), LeftMS: rq.deadline.Sub(now).Milliseconds(),
-	}
-	if rq.parent != nil {
-		ev.Parent = rq.parent.Label
-	}
-	en.opt.Events.Add(now, ev)
+	return rq, en.refuseWhileStopping(rq, now)
 }
 
 // isCall reports whether a request is a call of the upstream on the VM. Where the configuration
