pipeline: requests in flight at the end of a shutdown are answered

What callers saw: at the end of a planned stop the connection closed, and the caller could not tell whether its request had run. That includes requests that were read and still waited, for a guard or the throttle, which no server had seen.

Cause: Shutdown returned when its time was over, and the process ended with the requests in flight.

Change: Shutdown cancels them with ErrShutdown, as is done when memory runs out, and waits up to 200 ms for their answers: 503 for what has not run, 504 for what may have.

--- a/internal/traffic/entry/traffic.go
+++ b/internal/traffic/entry/traffic.go
@@ -169,6 +169,8 @@
 		return reasonGaveWay
 	case errors.Is(cause, pipeline.ErrBlockedExpired):
 		return reasonBlockedExpired
+	case errors.Is(cause, pipeline.ErrShutdown):
+		return ReasonStopping
 	}
 	return events.CallerLeft
 }
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -418,15 +418,18 @@
 		cn.givenUp.Store(true)
 		_ = cn.nc.SetWriteDeadline(time.Unix(1, 0))
 	}
-	go func() {
-		cn.mu.Lock()
-		defer cn.mu.Unlock()
-		for _, ex := range cn.queue {
-			if ex.cancel != nil && !ex.ready {
-				ex.cancel(ErrNoMemory)
-			}
+	go cn.cancelRequests(ErrNoMemory)
+}
+
+// cancelRequests cancels the requests in flight whose handlers have not returned.
+func (cn *conn) cancelRequests(cause error) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	for _, ex := range cn.queue {
+		if ex.cancel != nil && !ex.ready {
+			ex.cancel(cause)
 		}
-	}()
+	}
 }
 
 // report tells Options.Refused that a request was refused or the connection closed.
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -30,6 +30,9 @@
 	// pollInterval is the time between two checks of the open connections during a
 	// shutdown, and the delay before a failed Accept is repeated.
 	pollInterval = 20 * time.Millisecond
+	// answerTimeout bounds the time in which the requests that a shutdown has cancelled are
+	// answered.
+	answerTimeout = 200 * time.Millisecond
 )
 
 // Limits bounds the size of requests and the time that a caller may take to send them and to
@@ -76,6 +79,10 @@
 // connection at the deadline of a request that could not be answered before an earlier one.
 var ErrBlockedExpired = errors.New("pipeline: deadline of a blocked request has passed")
 
+// ErrShutdown is the cause of the cancellation of a request that is still in flight at the end of
+// Shutdown.
+var ErrShutdown = errors.New("pipeline: server has shut down")
+
 // ErrGaveWay is the cause of the cancellation of a request that may be repeated, whose answer is
 // held up for so long that a finished request behind it would expire. Its handler returns a
 // failure, so that the other answer still reaches the caller. Otherwise the caller would close
@@ -277,7 +284,8 @@
 }
 
 // Shutdown stops accepting connections, closes the idle ones, and waits until the requests
-// in flight are answered. If ctx ends before that, it returns the error of ctx.
+// in flight are answered. If ctx ends before that, it cancels those that are left with ErrShutdown,
+// waits up to answerTimeout for their answers, and returns the error of ctx.
 func (sv *Server) Shutdown(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -292,12 +300,29 @@
 		}
 		select {
 		case <-ctx.Done():
-			return describeOpen(left, ctx.Err())
+			err := describeOpen(left, ctx.Err())
+			sv.breakOff(ticker)
+			return err
 		case <-ticker.C:
 		}
 	}
 }
 
+// breakOff cancels the requests in flight, so that their callers learn what is known of them, and
+// waits up to answerTimeout until the answers are written.
+func (sv *Server) breakOff(ticker *time.Ticker) {
+	for end := time.Now().Add(answerTimeout); time.Now().Before(end); <-ticker.C {
+		left := sv.stopAccepting()
+		if len(left) == 0 {
+			return
+		}
+		for _, cn := range left {
+			cn.closeIdle()
+			cn.cancelRequests(ErrShutdown)
+		}
+	}
+}
+
 // describeOpen adds to an error how many connections are open, and why.
 func describeOpen(conns []*conn, err error) error {
 	inFlight, reading := 0, 0
--- a/internal/traffic/pipeline/pipeline_test.go
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -250,6 +251,31 @@
 	}
 }
 
+// TestEndOfShutdownAnswersRequests guards against requests that were read, and that a process which
+// ends closes without an answer: their callers then cannot tell whether they have run.
+func TestEndOfShutdownAnswersRequests(t *testing.T) {
+	ts := newTestServer(t, testLimits(), "/slow", "/slower")
+	cl := ts.dial(t)
+	cl.send("/slow", "/slower")
+	for range 2 {
+		<-ts.started
+	}
+	ts.draining.Store(true)
+	ctx, end := context.WithCancel(t.Context())
+	end()
+	done := make(chan error, 1)
+	go func() {
+		done <- ts.Shutdown(ctx)
+		_ = ts.Close()
+	}()
+	cl.want(200, "/slow ", false)
+	cl.want(200, "/slower ", true)
+	_ = cl.Close()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Errorf("Shutdown: %v, want %v", err, context.Canceled)
+	}
+}
+
 // A new connection above MaxConns closes the one that has been idle longest, and not one
 // with a request in flight.
 func TestNewConnectionClosesLongestIdle(t *testing.T) {
