rollout: a hint that comes during a fetch from its source is kept

Cause: the answer to a fetch dropped the hint of its source if it was older than the newest hint. In a series of changes a source hints at the next revision while the fetch of the one before is under way. The node then forgot that, and asked a process chosen at random up to a second later, which might not have it either.

Change: a hint that has come since the fetch began stays, and is acted on with the next tick.

Evidence: TestHintDuringFetchIsKept, red before.

--- a/internal/fleet/rollout/follower.go
+++ b/internal/fleet/rollout/follower.go
@@ -122,6 +122,13 @@
 func (Fetch) action() {}
 func (Adopt) action() {}
 
+// pendingFetch is a fetch in progress. hinted is the revision that its source had hinted at when it
+// began, or 0.
+type pendingFetch struct {
+	source Source
+	hinted uint64
+}
+
 // Follower decides from which source a node fetches the configuration, and when it puts
 // one into force. The revision in force never decreases. A starting node waits for the
 // highest revision among control replicas and peers. It uses its local copy only if a
@@ -157,10 +164,10 @@
 	lastHint       time.Time
 	hints          []Hinted
 
-	// fetching lists the sources from which a fetch is in progress. nextRound is the
+	// fetching lists the fetches in progress. nextRound is the
 	// earliest time of the next fetches during the start or after a hint, lastRound the time of the
 	// last ones during the start, and nextCheck that of the next fetch without a hint.
-	fetching  []Source
+	fetching  []pendingFetch
 	nextRound time.Time
 	lastRound time.Time
 	nextCheck time.Time
@@ -194,6 +201,7 @@
 	case FetchFailed:
 		fo.endFetch(ev.Source)
 		fo.dropHint(ev.Source)
+		fo.hurry()
 	case Adopted:
 		fo.inForce = max(fo.inForce, ev.Revision)
 	case Rejected:
@@ -259,7 +267,7 @@
 // handleFetched records the answer of a source. A control replica without a higher
 // revision confirms the best configuration.
 func (fo *Follower) handleFetched(fe Fetched) {
-	fo.endFetch(fe.Source)
+	hinted := fo.endFetch(fe.Source)
 	fo.recordConfiguration(fe.Revision, fe.Configuration)
 	if fe.Source.Kind == ControlSource && fe.Revision <= fo.haveRevision() {
 		fo.confirmed = true
@@ -268,19 +276,46 @@
 		fo.agreeing = append(fo.agreeing, fe.Source)
 	}
 	if fe.Revision < fo.hintedRevision {
-		fo.dropHint(fe.Source)
+		if fo.hintOf(fe.Source) <= max(hinted, fe.Revision) {
+			fo.dropHint(fe.Source)
+		}
+		fo.hurry()
 	}
 }
 
-// endFetch records that no fetch from a source is in progress any more.
-func (fo *Follower) endFetch(so Source) {
-	fo.fetching = slices.DeleteFunc(fo.fetching, func(other Source) bool { return other == so })
+// endFetch records that no fetch from a source is in progress any more. It returns the revision that
+// the source had hinted at before the fetch.
+func (fo *Follower) endFetch(so Source) (hinted uint64) {
+	fo.fetching = slices.DeleteFunc(fo.fetching, func(pf pendingFetch) bool {
+		if pf.source == so {
+			hinted = pf.hinted
+		}
+		return pf.source == so
+	})
+	return hinted
+}
+
+// isFetching reports whether a fetch from a source is in progress.
+func (fo *Follower) isFetching(so Source) bool {
+	return slices.ContainsFunc(fo.fetching, func(pf pendingFetch) bool { return pf.source == so })
 }
 
-// dropHint drops the hint of a source that did not deliver the revision of its hint. If
-// there are other hints, the next tick fetches from one of them.
+// hintOf returns the revision that a source has hinted at last, or 0.
+func (fo *Follower) hintOf(so Source) uint64 {
+	at := slices.IndexFunc(fo.hints, func(hi Hinted) bool { return hi.Source == so })
+	if at < 0 {
+		return 0
+	}
+	return fo.hints[at].Revision
+}
+
+// dropHint drops the hint of a source that did not deliver the revision of its hint.
 func (fo *Follower) dropHint(so Source) {
 	fo.hints = slices.DeleteFunc(fo.hints, func(hi Hinted) bool { return hi.Source == so })
+}
+
+// hurry makes the next tick fetch if a source has hinted at a higher revision.
+func (fo *Follower) hurry() {
 	if fo.isBehind() && len(fo.hints) > 0 {
 		fo.nextRound = fo.now
 	}
@@ -289,10 +324,10 @@
 // fetch starts a fetch from a source, unless one from it or limit fetches in all are in
 // progress.
 func (fo *Follower) fetch(so Source, limit int) {
-	if so.Address == "" || len(fo.fetching) >= limit || slices.Contains(fo.fetching, so) {
+	if so.Address == "" || len(fo.fetching) >= limit || fo.isFetching(so) {
 		return
 	}
-	fo.fetching = append(fo.fetching, so)
+	fo.fetching = append(fo.fetching, pendingFetch{so, fo.hintOf(so)})
 	fo.actions = append(fo.actions, Fetch{Source: so, Have: fo.haveRevision()})
 }
 
@@ -346,7 +381,7 @@
 // It reports whether there is one.
 func (fo *Follower) fetchFromHint(limit int) bool {
 	for _, hi := range slices.Backward(fo.hints) {
-		if !slices.Contains(fo.fetching, hi.Source) {
+		if !fo.isFetching(hi.Source) {
 			fo.fetch(hi.Source, limit)
 			return true
 		}
--- a/internal/fleet/rollout/follower_test.go
+++ b/internal/fleet/rollout/follower_test.go
@@ -350,3 +350,44 @@
 		}
 	}
 }
+
+// runningFollower returns a follower with revision 1 in force, and the time of its last step.
+func runningFollower() (*Follower, time.Time) {
+	fo := NewFollower([]string{controlName}, time.Minute, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	fo.Step(now, Loaded{Revision: 1, Configuration: &schema.Configuration{}})
+	fo.Step(now, Fetched{Source: Source{Kind: ControlSource, Address: controlName}, Revision: 1})
+	fo.Step(now, Adopted{Revision: 1})
+	return fo, now
+}
+
+// fetchedFrom lets time pass until the follower fetches from a source, for a second at most, and
+// returns how long that took. Other fetches have no answer.
+func fetchedFrom(fo *Follower, now time.Time, so Source) (time.Duration, bool) {
+	for passed := time.Duration(0); passed <= time.Second; passed += tickInterval {
+		for _, ac := range fo.Step(now.Add(passed), Tick{}) {
+			if fe, ok := ac.(Fetch); ok && fe.Source == so {
+				return passed, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// TestHintDuringFetchIsKept guards against a node that forgets that a source has a newer revision when
+// the answer to an earlier fetch from it arrives, as in a series of changes, and asks some other
+// process up to a second later.
+func TestHintDuringFetchIsKept(t *testing.T) {
+	fo, now := runningFollower()
+	so := Source{Kind: PeerSource, Address: "peer"}
+	fo.Step(now, Hinted{Revision: 2, Source: so})
+	if _, ok := fetchedFrom(fo, now, so); !ok {
+		t.Fatal("no fetch after a hint")
+	}
+	fo.Step(now, Hinted{Revision: 3, Source: so})
+	fo.Step(now, Fetched{Source: so, Revision: 2, Configuration: &schema.Configuration{}})
+	fo.Step(now, Adopted{Revision: 2})
+	if took, ok := fetchedFrom(fo, now, so); !ok || took > 100*time.Millisecond {
+		t.Errorf("fetch of the revision that was hinted meanwhile: %t, after %v", ok, took)
+	}
+}
