rollout: two silent sources do not delay a configuration

What callers saw: changes that were in force late at nodes which were in touch themselves.

Processes that are frozen or cut off just after they hinted do not answer, and a series of stops makes two of them likely.

Change: while other sources have hinted, the next one is asked after 0.25 to 0.5 s, up to three at once.

Evidence: TestSilentSourcesDoNotDelayRevision, red before.

--- a/internal/fleet/rollout/follower.go
+++ b/internal/fleet/rollout/follower.go
@@ -29,6 +29,9 @@
 	// hintJitter is the maximum random delay of the first fetch after a hint. It spreads
 	// the fetches of all nodes that receive the hint at the same time.
 	hintJitter = 50 * time.Millisecond
+	// hedgeInterval is the minimum time after which a node asks another source that has hinted at a
+	// revision, if the one before has not answered.
+	hedgeInterval = 250 * time.Millisecond
 
 	// maxControlsAtStart is the number of control replicas that a starting node asks at
 	// once. It covers the usual three or four replicas, because only the leader answers,
@@ -37,7 +40,7 @@
 	// maxPeersAtStart is the number of peers that a starting node asks at once.
 	maxPeersAtStart = 3
 	// maxFetches is the number of sources that a node asks at once after its start.
-	maxFetches = 2
+	maxFetches = 3
 	// maxHints is the number of sources whose last hint is retained.
 	maxHints = 8
 )
@@ -371,10 +374,13 @@
 // fetchHigher fetches from the source of the last hint, or from any source if no hint is
 // left.
 func (fo *Follower) fetchHigher(peers []string) {
-	fo.nextRound = fo.now.Add(retryInterval + fo.jitter(retryInterval))
-	if !fo.fetchFromHint(maxFetches) {
+	interval := retryInterval
+	if fo.fetchFromHint(maxFetches) {
+		interval = hedgeInterval
+	} else {
 		fo.fetch(fo.nextSource(peers), maxFetches)
 	}
+	fo.nextRound = fo.now.Add(interval + fo.jitter(interval))
 }
 
 // fetchFromHint fetches from the source of the last hint from which no fetch is in progress.
--- a/internal/fleet/rollout/follower_test.go
+++ b/internal/fleet/rollout/follower_test.go
@@ -391,3 +391,16 @@
 		t.Errorf("fetch of the revision that was hinted meanwhile: %t, after %v", ok, took)
 	}
 }
+
+// TestSilentSourcesDoNotDelayRevision guards against a node that gets a configuration late as the first
+// two processes that said that they have it are frozen or cut off.
+func TestSilentSourcesDoNotDelayRevision(t *testing.T) {
+	fo, now := runningFollower()
+	so := Source{Kind: PeerSource, Address: "sound"}
+	for _, address := range []string{so.Address, "frozen", "cut off"} {
+		fo.Step(now, Hinted{Revision: 2, Source: Source{Kind: PeerSource, Address: address}})
+	}
+	if _, ok := fetchedFrom(fo, now, so); !ok {
+		t.Error("no fetch from the process that answers within a second")
+	}
+}
