hangup: SIGHUP does not end a process that starts

Cause: SIGHUP was handled from watchReload on, which a process reaches after it has read its settings and opened its addresses. Before that the default action ended it, and whoever replaced a machine and signalled all at once lost the new one.

Change: package hangup registers SIGHUP when the program is initialized. Commands that users run in a terminal get the default action back, and a signal that came before it is repeated.

--- a/cmd/camphortrail/main.go
+++ b/cmd/camphortrail/main.go
@@ -12,6 +12,8 @@
 	jsonlog "github.com/apex/log/handlers/json"
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"camphortrail/internal/ops/hangup"
 )
 
 // ctx is the context of all commands. It ends with SIGINT or SIGTERM.
@@ -28,6 +30,7 @@
 	defer stop()
 	log.SetHandler(jsonlog.New(os.Stderr))
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	parser.CommandHandler = execute
 	for _, cm := range []struct {
 		name, short, long string
 		data              any
@@ -54,6 +57,16 @@
 	return exitStatus(err)
 }
 
+// execute runs a command. SIGHUP ends it, unless it is one that runs until it is told to stop.
+func execute(command flags.Commander, args []string) error {
+	switch command.(type) {
+	case *nodeCommand, *controlCommand, *platformNodeCommand, *platformControlCommand:
+	default:
+		hangup.Restore()
+	}
+	return command.Execute(args)
+}
+
 // exitStatus prints the error and returns the exit status: 0 without an error and for help,
 // 2 for wrong arguments, 1 otherwise.
 func exitStatus(err error) int {
