store: a seam for faults of the disk, and a disk that loses what was not synced

Cause: tests with real processes kill them, which loses no write; loss of power was tested in memory only, where all names or none are lost.

--- a/cmd/camphortrail/main.go
+++ b/cmd/camphortrail/main.go
@@ -31,24 +31,28 @@
 	for _, cm := range []struct {
 		name, short, long string
 		data              any
+		hidden            bool
 	}{
-		{"node", "Run the node beside an upstream", "Runs the node beside an upstream until SIGTERM.", &nodeCommand{}},
-		{"control", "Run a control replica", "Runs a control replica until SIGTERM.", &controlCommand{}},
-		{"platform-node", "Run a node on the platform", "Runs a node with the settings that the platform lays out, until SIGTERM.", &platformNodeCommand{}},
-		{"platform-control", "Run a control replica on the platform", "Runs a control replica with the settings that the platform lays out, until SIGTERM.", &platformControlCommand{}},
-		{"check", "Check a folder of files", "Checks a configuration, and the settings beside it, without applying it.", &checkCommand{}},
-		{"apply", "Apply a configuration", "Applies all files of a folder as one configuration.", &applyCommand{}},
-		{"show", "Show what is in force", "Shows revisions in force, upstreams by service and state, and control replicas.", &showCommand{}},
-		{"drain", "Drain the upstream beside a node", "Makes the upstream beside a node take no new work.", &drainCommand{}},
-		{"account", "Account for unserved requests", "Prints from logs, by second, how many requests of callers had no room and how many were lost beside room, by cause.", &accountCommand{}},
-		{"explain", "Explain a request", "Prints what the logs of processes say of a request and of the calls made for it, in causal order.", &explainCommand{}},
-		{"demo", "Run an example deployment", "Runs an example deployment on loopback with real requests, within 30 s.", &demoCommand{}},
-		{"measure", "Measure a scenario", "Runs a scenario with both arms and prints a JSON object for each.", &measureCommand{}},
+		{"node", "Run the node beside an upstream", "Runs the node beside an upstream until SIGTERM.", &nodeCommand{}, false},
+		{"control", "Run a control replica", "Runs a control replica until SIGTERM.", &controlCommand{}, false},
+		{"platform-node", "Run a node on the platform", "Runs a node with the settings that the platform lays out, until SIGTERM.", &platformNodeCommand{}, false},
+		{"platform-control", "Run a control replica on the platform", "Runs a control replica with the settings that the platform lays out, until SIGTERM.", &platformControlCommand{}, false},
+		{"platform-control-faults", "Run a control replica with disk faults", "Runs platform-control on a disk whose faults a test of processes switches, and which can lose what was not synced.", &platformControlFaultsCommand{}, true},
+		{"check", "Check a folder of files", "Checks a configuration, and the settings beside it, without applying it.", &checkCommand{}, false},
+		{"apply", "Apply a configuration", "Applies all files of a folder as one configuration.", &applyCommand{}, false},
+		{"show", "Show what is in force", "Shows revisions in force, upstreams by service and state, and control replicas.", &showCommand{}, false},
+		{"drain", "Drain the upstream beside a node", "Makes the upstream beside a node take no new work.", &drainCommand{}, false},
+		{"account", "Account for unserved requests", "Prints from logs, by second, how many requests of callers had no room and how many were lost beside room, by cause.", &accountCommand{}, false},
+		{"explain", "Explain a request", "Prints what the logs of processes say of a request and of the calls made for it, in causal order.", &explainCommand{}, false},
+		{"demo", "Run an example deployment", "Runs an example deployment on loopback with real requests, within 30 s.", &demoCommand{}, false},
+		{"measure", "Measure a scenario", "Runs a scenario with both arms and prints a JSON object for each.", &measureCommand{}, false},
 	} {
-		if _, err := parser.AddCommand(cm.name, cm.short, cm.long, cm.data); err != nil {
+		command, err := parser.AddCommand(cm.name, cm.short, cm.long, cm.data)
+		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 2
 		}
+		command.Hidden = cm.hidden
 	}
 	_, err := parser.Parse()
 	return exitStatus(err)
--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -12,8 +12,10 @@
 	"camphortrail/config"
 	"camphortrail/internal/fleet/allowances"
 	"camphortrail/internal/fleet/node"
+	"camphortrail/internal/lab/soak/faultdisk"
 	"camphortrail/internal/state/control"
 	"camphortrail/platform"
+	"camphortrail/store"
 )
 
 const (
@@ -101,7 +103,19 @@
 type platformControlCommand struct{}
 
 // Execute runs a control replica with the settings of the platform.
-func (cm *platformControlCommand) Execute([]string) error {
+func (cm *platformControlCommand) Execute([]string) error { return runPlatformControl(nil) }
+
+// platformControlFaultsCommand is the command platform-control-faults, which only tests of
+// processes start.
+type platformControlFaultsCommand struct{}
+
+// Execute runs a control replica on a disk with faults; see package faultdisk.
+func (cm *platformControlFaultsCommand) Execute([]string) error {
+	return runPlatformControl(faultdisk.Wrap)
+}
+
+// runPlatformControl runs a control replica whose data folder is wrapped, unless wrap is nil.
+func runPlatformControl(wrap store.WrapFolder) error {
 	set, err := loadPlatformSettings()
 	if err != nil {
 		return err
@@ -109,7 +123,7 @@
 	buckets := allowances.NewBuckets(set.UsageBounds())
 	co, err := control.New(set.ControlSettings(), control.Options{
 		Log: log.Log, Validate: config.Check, Elastic: true,
-		Lead: buckets.Lead, Grant: buckets.Grant,
+		Lead: buckets.Lead, Grant: buckets.Grant, WrapFolder: wrap,
 		Endpoints: []control.Endpoint{{Address: set.ControlAddress, Handler: set.NewOperatorHandler}},
 	})
 	if err != nil {
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -77,6 +77,9 @@
 	// cfg is the configuration in force, and now is of the boot clock. Only a replica that leads
 	// calls it.
 	Grant func(now time.Time, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance
+	// WrapFolder, if set, wraps the data folder, so that a test of processes can inject faults of
+	// the disk.
+	WrapFolder store.WrapFolder
 
 	// wrapTransport wraps the transport to another replica, dial makes its connections, and
 	// wrapDisk wraps the disk. Tests set them.
@@ -227,7 +230,7 @@
 func (co *Control) open() error {
 	begin := time.Now()
 	incarnation := quorum.Incarnation(begin.UnixMilli())
-	st, recovered, re, err := store.Open(co.set.GetDataFolder(), incarnation)
+	st, recovered, re, err := store.OpenWrapped(co.set.GetDataFolder(), incarnation, co.opt.WrapFolder)
 	if err != nil {
 		return err
 	}
--- a/store/files.go
+++ b/store/files.go
@@ -12,29 +12,38 @@
 
 const lockName = "lock"
 
-// file is an open file of a data folder.
-type file interface {
+// File is an open file of a data folder.
+type File interface {
 	io.WriteCloser
+	// Truncate sets the size in bytes.
 	Truncate(size int64) error
+	// Sync makes the content durable, and the name of a new file.
 	Sync() error
 }
 
-// dataFolder is the folder that holds the files of a Store. Tests replace the disk by
-// memory.
-type dataFolder interface {
+// Folder is the folder that holds the files of a Store. Tests replace the disk by
+// memory, or wrap it to inject faults.
+type Folder interface {
+	// List returns the names of the files.
 	List() ([]string, error)
+	// Read returns the content of a file. The error wraps fs.ErrNotExist if there is none.
 	Read(name string) ([]byte, error)
 	// Create opens an empty file for writing; Append opens an existing file for appending.
-	Create(name string) (file, error)
-	Append(name string) (file, error)
+	Create(name string) (File, error)
+	Append(name string) (File, error)
+	// Rename replaces the file at to, if there is one.
 	Rename(from, to string) error
 	Remove(name string) error
 	// SyncFolder makes earlier renames and removals durable.
 	SyncFolder() error
+	// Close releases the folder.
 	Close() error
 }
 
-// diskFolder is a dataFolder on a disk, locked by this process.
+// WrapFolder returns a Folder that stands in front of the one at path.
+type WrapFolder func(path string, fo Folder) (Folder, error)
+
+// diskFolder is a Folder on a disk, locked by this process.
 type diskFolder struct {
 	root *os.Root
 	lock *os.File
@@ -96,11 +105,11 @@
 
 func (df *diskFolder) Read(name string) ([]byte, error) { return df.root.ReadFile(name) }
 
-func (df *diskFolder) Create(name string) (file, error) {
+func (df *diskFolder) Create(name string) (File, error) {
 	return df.root.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 }
 
-func (df *diskFolder) Append(name string) (file, error) {
+func (df *diskFolder) Append(name string) (File, error) {
 	return df.root.OpenFile(name, os.O_APPEND|os.O_WRONLY, 0o600)
 }
 
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 )
 
-// memory is a dataFolder in memory that simulates crashes and write faults.
+// memory is a Folder in memory that simulates crashes and write faults.
 type memory struct {
 	rng *rand.Rand
 	// now holds the files as the process sees them. disk holds the files whose names
@@ -81,13 +81,13 @@
 	return slices.Clone(mf.data), nil
 }
 
-func (me *memory) Create(name string) (file, error) {
+func (me *memory) Create(name string) (File, error) {
 	mf := &memoryFile{me: me}
 	me.now[name] = mf
 	return mf, nil
 }
 
-func (me *memory) Append(name string) (file, error) { return me.now[name], nil }
+func (me *memory) Append(name string) (File, error) { return me.now[name], nil }
 
 func (me *memory) Rename(from, to string) error {
 	mf, ok := me.now[from]
--- a/store/store.go
+++ b/store/store.go
@@ -48,9 +48,9 @@
 // Store owns a data folder. Only one goroutine may use it, except that PrepareSnapshot may
 // run concurrently.
 type Store struct {
-	folder        dataFolder
+	folder        Folder
 	incarnation   quorum.Incarnation
-	logFile       file
+	logFile       File
 	logNumber     uint64
 	recordCount   uint64 // in logFile
 	snapshotIndex quorum.Index
@@ -70,16 +70,29 @@
 // empty and its incarnation is at least inc. The error wraps ErrInUse if another process uses
 // the folder.
 func Open(path string, inc quorum.Incarnation) (*Store, quorum.State, OpenReport, error) {
+	return OpenWrapped(path, inc, nil)
+}
+
+// OpenWrapped is Open with a wrapper for the folder, or nil.
+func OpenWrapped(path string, inc quorum.Incarnation, wrap WrapFolder) (*Store, quorum.State, OpenReport, error) {
 	df, err := openFolder(path)
 	if err != nil {
 		return nil, quorum.State{}, OpenReport{}, err
 	}
-	return open(df, inc)
+	if wrap == nil {
+		return open(df, inc)
+	}
+	fo, err := wrap(path, df)
+	if err != nil {
+		_ = df.Close()
+		return nil, quorum.State{}, OpenReport{}, errors.Wrap(err, "store: data folder")
+	}
+	return open(fo, inc)
 }
 
 // open is Open for a folder that is already locked.
-func open(df dataFolder, inc quorum.Incarnation) (*Store, quorum.State, OpenReport, error) {
-	st := &Store{folder: df}
+func open(fo Folder, inc quorum.Incarnation) (*Store, quorum.State, OpenReport, error) {
+	st := &Store{folder: fo}
 	state, re, err := st.open(inc)
 	if err != nil {
 		_ = st.Close()
@@ -261,7 +274,7 @@
 // writeFile atomically creates a file with one record: it writes and syncs a temporary file,
 // renames it and syncs the folder. It returns the file open for writing. If the write fails, it
 // removes the temporary file, because the disk may be full.
-func (st *Store) writeFile(name string, msg proto.Message) (file, error) {
+func (st *Store) writeFile(name string, msg proto.Message) (File, error) {
 	fi, err := st.folder.Create(name + temporarySuffix)
 	if err != nil {
 		return nil, err
@@ -283,7 +296,7 @@
 }
 
 // writeRecord writes and syncs one record.
-func writeRecord(fi file, msg proto.Message) error {
+func writeRecord(fi File, msg proto.Message) error {
 	data, err := encodeRecord(msg)
 	if err != nil {
 		return err
