faultdisk: tests of each promise, and of the store at each operation of the disk

Cause: a disk for tests must itself be shown to lose what it may and nothing else. Found by them and mended here: a synced new file gave way to an unsynced earlier one of its name.

--- a/internal/lab/soak/faultdisk/image.go
+++ b/internal/lab/soak/faultdisk/image.go
@@ -90,15 +90,26 @@
 	}
 }
 
-// syncCreation makes the creation of a file durable.
+// syncCreation makes the creation of a file durable, and with it the end of earlier files of that
+// name.
 func (im *image) syncCreation(id fileID) {
-	im.names = slices.DeleteFunc(im.names, func(op op) bool {
-		if op.Kind != opCreate || op.File != id {
-			return false
+	i := slices.IndexFunc(im.names, func(op op) bool { return op.Kind == opCreate && op.File == id })
+	if i < 0 {
+		return
+	}
+	created := im.names[i]
+	created.changeNames(im.durable)
+	var names []op
+	for _, op := range im.names[:i] {
+		switch {
+		case op.Kind == opCreate && op.Name == created.Name:
+			continue
+		case op.Kind == opRename && op.To == created.Name:
+			op.Kind, op.To = opRemove, ""
 		}
-		op.changeNames(im.durable)
-		return true
-	})
+		names = append(names, op)
+	}
+	im.names = append(names, im.names[i+1:]...)
 }
 
 // contents returns the files by name as the process sees them.
--- /dev/null
+++ b/internal/lab/soak/faultdisk/image_test.go
@@ -0,0 +1,271 @@
+package faultdisk
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"camphortrail/internal/lab/fuzzing"
+)
+
+func init() {
+	fuzzing.SetFlags(0, 0)
+}
+
+// seeds is the number of losses of power that a test plays of the same folder.
+const seeds = 400
+
+// losses returns the files after a loss of power by each seed.
+func losses(list []op) []map[string][]byte {
+	var all []map[string][]byte
+	for seed := range uint64(seeds) {
+		files, _ := replay(list).losePower(rand.New(rand.NewPCG(seed, 0)))
+		all = append(all, files)
+	}
+	return all
+}
+
+func create(id fileID, name string) op { return op{Kind: opCreate, File: id, Name: name} }
+
+func write(id fileID, at int64, data []byte) op {
+	return op{Kind: opWrite, File: id, At: at, data: data}
+}
+
+func fsync(id fileID) op { return op{Kind: opSync, File: id} }
+
+func rename(id fileID, from, to string) op {
+	return op{Kind: opRename, File: id, Name: from, To: to}
+}
+
+func remove(id fileID, name string) op { return op{Kind: opRemove, File: id, Name: name} }
+
+var syncFolder = op{Kind: opSyncFolder}
+
+// TestSyncedContentSurvives loses later writes of a synced file: it must contain what its sync
+// covered, under its name, and of the later write all, nothing or a part.
+func TestSyncedContentSurvives(t *testing.T) {
+	first, later := bytes.Repeat([]byte("a"), 700), bytes.Repeat([]byte("b"), 3000)
+	var present, missing, prefix, holes int
+	for seed, files := range losses([]op{create(1, "x"), write(1, 0, first), fsync(1), write(1, 700, later)}) {
+		data, ok := files["x"]
+		if !ok || !bytes.HasPrefix(data, first) {
+			t.Fatalf("seed %d: file is there: %v; its synced part is lost", seed, ok)
+		}
+		rest := data[len(first):]
+		switch {
+		case bytes.Equal(rest, later):
+			present++
+		case len(rest) == 0:
+			missing++
+		case bytes.HasPrefix(later, rest):
+			prefix++
+		case len(bytes.Trim(rest, "b\x00")) == 0:
+			holes++
+		default:
+			t.Fatalf("seed %d: the file has bytes that were not written", seed)
+		}
+	}
+	if min(present, missing, prefix, holes) < seeds/40 {
+		t.Fatalf("write present %d times, missing %d, torn at the end %d, torn elsewhere %d", present, missing, prefix, holes)
+	}
+}
+
+// TestAllLaterWritesAreGoneAtSomeLosses plays eight writes without a sync.
+func TestAllLaterWritesAreGoneAtSomeLosses(t *testing.T) {
+	list := []op{create(1, "x"), fsync(1)}
+	for i := range 8 {
+		list = append(list, write(1, int64(i), []byte("a")))
+	}
+	all, none := 0, 0
+	for _, files := range losses(list) {
+		switch len(bytes.Trim(files["x"], "\x00")) {
+		case 0:
+			none++
+		case 8:
+			all++
+		}
+	}
+	if none < seeds/8 || none > seeds/2 || all < seeds/8 {
+		t.Fatalf("all writes gone at %d of %d losses, all there at %d", none, seeds, all)
+	}
+}
+
+// TestNamesAreKeptOrLost plays operations on names. Each outcome in want must be seen, and no
+// other.
+func TestNamesAreKeptOrLost(t *testing.T) {
+	for _, tc := range []struct {
+		title string
+		list  []op
+		want  []string
+	}{
+		{"new file", []op{create(1, "x")}, []string{"", "x"}},
+		{"synced new file", []op{create(1, "x"), fsync(1)}, []string{"x"}},
+		{"new file in a synced folder", []op{create(1, "x"), syncFolder}, []string{"x"}},
+		{"rename", []op{create(1, "x"), fsync(1), rename(1, "x", "y")}, []string{"x", "y"}},
+		{"synced rename", []op{create(1, "x"), fsync(1), rename(1, "x", "y"), syncFolder}, []string{"y"}},
+		{"rename of an unsynced file", []op{create(1, "x"), rename(1, "x", "y")}, []string{"", "x", "y"}},
+		{"removal", []op{create(1, "x"), fsync(1), remove(1, "x")}, []string{"", "x"}},
+		{"synced removal", []op{create(1, "x"), fsync(1), remove(1, "x"), syncFolder}, []string{""}},
+		{
+			"two renames", []op{create(1, "a"), fsync(1), create(2, "b"), fsync(2), rename(1, "a", "c"), rename(2, "b", "d")},
+			[]string{"ab", "ad", "bc", "cd"},
+		},
+		{
+			"new file after a removal of its name",
+			[]op{create(1, "x"), fsync(1), remove(1, "x"), create(2, "x"), fsync(2)},
+			[]string{"x"},
+		},
+		{
+			"synced new file after an unsynced one of its name",
+			[]op{create(1, "x"), remove(1, "x"), create(2, "x"), fsync(2)},
+			[]string{"x"},
+		},
+	} {
+		seen := make(map[string]bool)
+		for _, files := range losses(tc.list) {
+			names := ""
+			for _, name := range []string{"a", "b", "c", "d", "x", "y"} {
+				if _, ok := files[name]; ok {
+					names += name
+				}
+			}
+			seen[names] = true
+		}
+		for _, names := range tc.want {
+			if !seen[names] {
+				t.Errorf("%s: never left %q", tc.title, names)
+			}
+		}
+		if len(seen) != len(tc.want) {
+			t.Errorf("%s: left %v, want %q", tc.title, seen, tc.want)
+		}
+	}
+}
+
+// TestReplacedFileIsThereUntilTheFolderIsSynced renames a file to the name of another.
+func TestReplacedFileIsThereUntilTheFolderIsSynced(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, files := range losses([]op{
+		create(1, "x"), write(1, 0, []byte("old")), fsync(1), create(2, "new"), write(2, 0, []byte("new")), fsync(2),
+		rename(2, "new", "x"),
+	}) {
+		seen[string(files["x"])] = true
+	}
+	if !seen["old"] || !seen["new"] || len(seen) != 2 {
+		t.Fatalf("x is %v, want old or new", seen)
+	}
+}
+
+// TestTruncationIsKeptOrLost truncates a synced file.
+func TestTruncationIsKeptOrLost(t *testing.T) {
+	list := []op{create(1, "x"), write(1, 0, []byte("abc")), fsync(1), {Kind: opTruncate, File: 1, At: 1}}
+	seen := make(map[string]bool)
+	for _, files := range losses(list) {
+		seen[string(files["x"])] = true
+	}
+	if !seen["abc"] || !seen["a"] || len(seen) != 2 {
+		t.Fatalf("x is %v, want abc or a", seen)
+	}
+}
+
+// drawOps draws operations on a few names.
+func drawOps(t *rapid.T) []op {
+	im, last := newImage(), fileID(0)
+	var list []op
+	for range rapid.IntRange(0, 40).Draw(t, "count") {
+		name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+		id, exists := im.now[name]
+		var next op
+		switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
+		case kind == 0:
+			next = syncFolder
+		case !exists:
+			last++
+			next = create(last, name)
+		case kind < 5:
+			data := bytes.Repeat([]byte{byte(len(list) + 1)}, rapid.IntRange(1, 1500).Draw(t, "bytes"))
+			next = write(id, int64(len(im.files[id].whole())), data)
+		case kind == 5:
+			next = op{Kind: opTruncate, File: id, At: int64(len(im.files[id].whole()) / 2)}
+		case kind == 6:
+			next = rename(id, name, rapid.SampledFrom([]string{"d", "e"}).Draw(t, "to"))
+		case kind == 7:
+			next = remove(id, name)
+		default:
+			next = fsync(id)
+		}
+		im.apply(next)
+		list = append(list, next)
+	}
+	return list
+}
+
+// TestHistoryLeadsToTheImage writes the history of a folder as a journal and reads it. The folder
+// must be the same, and lose the same by each seed.
+func TestHistoryLeadsToTheImage(t *testing.T) {
+	folder := t.TempDir()
+	rapid.Check(t, func(t *rapid.T) {
+		im := replay(drawOps(t))
+		path := filepath.Join(folder, journalName)
+		if _, err := writeJournal(path, im.history()); err != nil {
+			t.Fatal(err)
+		}
+		list, err := readJournal(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := replay(list)
+		if want, got := fmt.Sprint(im.contents()), fmt.Sprint(again.contents()); got != want {
+			t.Fatalf("folder %s, want %s", got, want)
+		}
+		for seed := range uint64(8) {
+			want, wantLoss := im.losePower(rand.New(rand.NewPCG(seed, 0)))
+			got, gotLoss := again.losePower(rand.New(rand.NewPCG(seed, 0)))
+			if gotLoss != wantLoss || fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("lost %+v, want %+v", gotLoss, wantLoss)
+			}
+		}
+	})
+}
+
+// TestCutJournalIsReadToItsLastWholeOperation cuts a journal at each byte.
+func TestCutJournalIsReadToItsLastWholeOperation(t *testing.T) {
+	list := []op{create(1, "x"), write(1, 0, []byte("a\nb")), fsync(1), write(1, 3, []byte("c"))}
+	path := filepath.Join(t.TempDir(), journalName)
+	if _, err := writeJournal(path, list); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := 0
+	for size := range len(data) + 1 {
+		if err := os.WriteFile(path, data[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := readJournal(path)
+		if err != nil {
+			t.Fatalf("%d bytes: %v", size, err)
+		}
+		for i := range got {
+			got[i].Bytes = 0
+		}
+		if len(got) < whole || !slices.EqualFunc(got, list[:len(got)], func(a, b op) bool {
+			return a.Kind == b.Kind && a.At == b.At && reflect.DeepEqual(append([]byte{}, a.data...), append([]byte{}, b.data...))
+		}) {
+			t.Fatalf("%d bytes: read %v", size, got)
+		}
+		whole = len(got)
+	}
+	if whole != len(list) {
+		t.Fatalf("read %d operations, want %d", whole, len(list))
+	}
+}
