--- /dev/null
+++ b/internal/lab/soak/disk_test.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"camphortrail/internal/lab/soak/faultdisk"
+)
+
+var (
+	powerSeeds = flag.Int("power-seeds", 2, "number of seeds of TestAcknowledgedChangesSurviveLossOfPower")
+	powerFirst = flag.Uint64("power-first", 1, "first seed of TestAcknowledgedChangesSurviveLossOfPower")
+)
+
+// buildProgram builds the command camphortrail once.
+var buildProgram = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "soak-program-")
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(folder, "camphortrail")
+	out, err := exec.Command("go", "build", "-o", program, "camphortrail/cmd/camphortrail").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return program, nil
+})
+
+// powerTest is one seed of TestAcknowledgedChangesSurviveLossOfPower: the operator of four control
+// replicas.
+type powerTest struct {
+	*testing.T
+	fl   *Fleet
+	rng  *rand.Rand
+	seed Seed
+	// sent holds the newest configuration sent under each version, acked is the newest version that
+	// was acknowledged or read.
+	sent  map[Version]Configuration
+	acked Version
+	loss  faultdisk.Loss
+}
+
+// TestAcknowledgedChangesSurviveLossOfPower cuts the power of all control replicas right after an
+// ack, sometimes while a disk is stalled, slow or full, or with another change under way. At the
+// last loss one disk is emptied as well. Started again, each replica must answer with what was
+// acknowledged, or with the change that was under way, and take another change.
+func TestAcknowledgedChangesSurviveLossOfPower(t *testing.T) {
+	program, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var total faultdisk.Loss
+	for i := range *powerSeeds {
+		seed := Seed(*powerFirst) + Seed(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			folder, err := os.MkdirTemp("", "soak-power-")
+			if err != nil {
+				t.Fatal(err)
+			}
+			opt := Options{Seed: seed, Program: program, Folder: folder, Services: Services()}
+			for i := range opt.Services {
+				opt.Services[i].Upstreams = 0
+			}
+			fl, err := New(opt.WithDiskFaults())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() {
+				fl.Close()
+				if t.Failed() {
+					t.Logf("logs and disks are in %s", folder)
+				} else if err := fl.RemoveFolder(); err != nil {
+					t.Error(err)
+				}
+			}()
+			pt := &powerTest{T: t, fl: fl, rng: seed.Rand("power"), seed: seed, sent: make(map[Version]Configuration)}
+			pt.run()
+			total.Add(pt.loss)
+		})
+	}
+	t.Logf("%d seeds: %+v", *powerSeeds, total)
+}
+
+// run plays three losses of power, the last one with the loss of a disk.
+func (pt *powerTest) run() {
+	if err := pt.fl.Start(pt.Context()); err != nil {
+		pt.Fatal(err)
+	}
+	pt.change()
+	for round := range 3 {
+		for range pt.rng.IntN(8) {
+			pt.change()
+		}
+		pt.impair()
+		pt.change()
+		if pt.rng.IntN(2) == 0 {
+			pt.send()
+		}
+		ls, err := pt.fl.LosePower(pt.seed*3+Seed(round), pt.fl.Controls...)
+		if err != nil {
+			pt.Fatal(err)
+		}
+		pt.loss.Add(ls)
+		if round == 2 {
+			if err := pt.fl.Controls[pt.rng.IntN(len(pt.fl.Controls))].WipeDisk(); err != nil {
+				pt.Fatal(err)
+			}
+		}
+		for _, i := range pt.rng.Perm(len(pt.fl.Controls)) {
+			if err := pt.fl.Controls[i].Restart(); err != nil {
+				pt.Fatal(err)
+			}
+			time.Sleep(time.Duration(pt.rng.IntN(200)) * time.Millisecond)
+		}
+		pt.readBack(round)
+		pt.change()
+	}
+	for _, ev := range pt.fl.Recorder.Events() {
+		if en, ok := ev.(Ended); ok && en.Own {
+			pt.Errorf("process of %s ended by itself: %s", en.VM, en.Cause)
+		}
+	}
+}
+
+// impair sometimes makes one disk stalled, slow or full.
+func (pt *powerTest) impair() {
+	modes := []faultdisk.Mode{faultdisk.Sound, faultdisk.Stalled, faultdisk.Full, faultdisk.Failing, "20ms"}
+	ma := pt.fl.Controls[pt.rng.IntN(len(pt.fl.Controls))]
+	if err := ma.SetDiskMode(modes[pt.rng.IntN(len(modes))]); err != nil {
+		pt.Fatal(err)
+	}
+}
+
+// next returns the next configuration, with some routes more.
+func (pt *powerTest) next() Configuration {
+	co := pt.fl.FirstConfiguration()
+	co.Version, co.BaseVersion = pt.acked+1, pt.acked
+	for i := range pt.rng.IntN(60) {
+		name := fmt.Sprintf("more-%d-%d", pt.rng.IntN(1e6), i)
+		ro := newRoute(Safe, Sportello, 2)
+		ro.Prefix = "/" + name + "/"
+		co.Resources = append(co.Resources, NewRoute(name, ro))
+	}
+	pt.sent[co.Version] = co
+	return co
+}
+
+// change sends the next configuration until it is acknowledged.
+func (pt *powerTest) change() {
+	co := pt.next()
+	ctx, stop := context.WithTimeout(pt.Context(), RecoveryTime)
+	defer stop()
+	if err := pt.fl.Apply(ctx, co); err != nil {
+		pt.Fatal(err)
+	}
+	pt.acked = co.Version
+}
+
+// send sends the next configuration and returns soon, whatever becomes of it.
+func (pt *powerTest) send() {
+	co := pt.next()
+	limit := time.Duration(pt.rng.IntN(8000)) * time.Microsecond
+	ctx, stop := context.WithTimeout(pt.Context(), limit)
+	defer stop()
+	status, err := pt.fl.Put(ctx, pt.fl.Controls[pt.rng.IntN(len(pt.fl.Controls))], encode(co))
+	if err == nil && status == http.StatusOK {
+		pt.acked = co.Version
+	}
+}
+
+// readBack reads the configuration from each replica until it answers.
+func (pt *powerTest) readBack(round int) {
+	ctx, stop := context.WithTimeout(pt.Context(), RecoveryTime)
+	defer stop()
+	for _, ma := range pt.fl.Controls {
+		for {
+			got, err := pt.read(ctx, ma)
+			if err == nil {
+				pt.check(round, ma, got)
+				break
+			}
+			if pause(ctx, 20*time.Millisecond) != nil {
+				pt.Fatalf("round %d: %s has no configuration within %v: %v", round, ma.Name, RecoveryTime, err)
+			}
+		}
+	}
+}
+
+// check compares a configuration that a replica answered with what was acknowledged.
+func (pt *powerTest) check(round int, ma *Machine, body []byte) {
+	var got struct {
+		Version Version `json:"version"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		pt.Fatal(err)
+	}
+	if got.Version < pt.acked {
+		pt.Fatalf("round %d: %s answers version %d, %d was acknowledged", round, ma.Name, got.Version, pt.acked)
+	}
+	if want := string(encode(pt.sent[got.Version])); string(body) != want {
+		pt.Fatalf("round %d: %s answers version %d with %.200s, want %.200s", round, ma.Name, got.Version, body, want)
+	}
+	pt.acked = got.Version
+}
+
+// read reads the configuration in force from a replica once.
+func (pt *powerTest) read(ctx context.Context, ma *Machine) ([]byte, error) {
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ma.ControlAddress()+configurationPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := client.Do(rq)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", res.StatusCode, body)
+	}
+	return body, err
+}
--- a/internal/lab/soak/faultdisk/folder.go
+++ b/internal/lab/soak/faultdisk/folder.go
@@ -1,9 +1,9 @@
 // Package faultdisk is a disk that loses what was not synced when its machine loses power, and
 // that can be full, slow, stalled or refuse to sync.
 //
-// The files of the data folder are as a process sees them. Beside it, in a folder with the suffix
-// .faults, a journal holds the order of all changes and syncs. After the death of the process the
-// files remain as they were. LosePower then turns them into what the disk holds after a loss of
+// The files of the data folder are as a process sees them. In its folder .faults, which the process
+// does not see, a journal holds the order of all changes and syncs. After the death of the process
+// the files remain as they were. LosePower then turns them into what the disk holds after a loss of
 // power.
 package faultdisk
 
@@ -26,9 +26,9 @@
 )
 
 const (
-	faultsSuffix = ".faults"
-	journalName  = "journal"
-	modeName     = "mode"
+	faultsName  = ".faults"
+	journalName = "journal"
+	modeName    = "mode"
 	// lockName is the file with which a process locks the folder. It is not part of the data.
 	lockName = "lock"
 	// minCompactBytes is the size from which a journal is rewritten without what is obsolete.
@@ -54,7 +54,7 @@
 
 // SetMode sets the mode of the disk with the given data folder, at once.
 func SetMode(path string, mode Mode) error {
-	faults := path + faultsSuffix
+	faults := filepath.Join(path, faultsName)
 	if err := os.MkdirAll(faults, 0o700); err != nil {
 		return err
 	}
@@ -68,7 +68,7 @@
 // LosePower changes the data folder of a process that has died into what the disk holds after a
 // loss of power. The seed decides over all that was not synced.
 func LosePower(path string, seed uint64) (Loss, error) {
-	journal := filepath.Join(path+faultsSuffix, journalName)
+	journal := filepath.Join(path, faultsName, journalName)
 	list, err := readJournal(journal)
 	if err != nil || len(list) == 0 {
 		return Loss{}, err
@@ -94,16 +94,19 @@
 	if err := clearFolder(path); err != nil {
 		return err
 	}
-	return os.RemoveAll(path + faultsSuffix)
+	return os.RemoveAll(filepath.Join(path, faultsName))
 }
 
-// clearFolder removes all files of a folder.
+// clearFolder removes all files of a folder, but not its folders.
 func clearFolder(path string) error {
 	entries, err := os.ReadDir(path)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
 	for _, en := range entries {
+		if en.IsDir() {
+			continue
+		}
 		if err := os.Remove(filepath.Join(path, en.Name())); err != nil {
 			return err
 		}
@@ -128,7 +131,7 @@
 // Wrap implements store.WrapFolder. The error wraps ErrMismatch if the folder is not as the
 // journal beside it says.
 func Wrap(path string, fo store.Folder) (store.Folder, error) {
-	fa := &folder{Folder: fo, faults: path + faultsSuffix}
+	fa := &folder{Folder: fo, faults: filepath.Join(path, faultsName)}
 	if err := os.MkdirAll(fa.faults, 0o700); err != nil {
 		return nil, err
 	}
@@ -298,6 +301,12 @@
 	})
 }
 
+// List implements store.Folder.
+func (fa *folder) List() ([]string, error) {
+	names, err := fa.Folder.List()
+	return slices.DeleteFunc(names, func(name string) bool { return name == faultsName }), err
+}
+
 // idOf returns the file with a name. The error wraps fs.ErrNotExist.
 func (fa *folder) idOf(name string) (fileID, error) {
 	fa.mu.Lock()
--- a/internal/lab/soak/faultdisk/folder_test.go
+++ b/internal/lab/soak/faultdisk/folder_test.go
@@ -47,7 +47,7 @@
 	}{{"synced", true}, {"without syncs", false}} {
 		path := filepath.Join(t.TempDir(), "data")
 		st, _ := openStore(t, path)
-		journal := filepath.Join(path+faultsSuffix, journalName)
+		journal := filepath.Join(path, faultsName, journalName)
 		rng := rand.New(rand.NewPCG(7, 0))
 		// saved maps the length of the journal to the last index saved by then.
 		saved := make(map[int]quorum.Index)
@@ -144,7 +144,7 @@
 	if err := st.Close(); err != nil {
 		t.Fatal(err)
 	}
-	journal, err := os.OpenFile(filepath.Join(path+faultsSuffix, journalName), os.O_APPEND|os.O_WRONLY, 0)
+	journal, err := os.OpenFile(filepath.Join(path, faultsName, journalName), os.O_APPEND|os.O_WRONLY, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/soak/faultdisk/image.go
+++ b/internal/lab/soak/faultdisk/image.go
@@ -128,6 +128,15 @@
 	KeptNames, LostNames               int
 }
 
+// Add adds the counts of other.
+func (ls *Loss) Add(other Loss) {
+	ls.KeptWrites += other.KeptWrites
+	ls.TornWrites += other.TornWrites
+	ls.LostWrites += other.LostWrites
+	ls.KeptNames += other.KeptNames
+	ls.LostNames += other.LostNames
+}
+
 // losePower returns the files that are on the disk after a loss of power. Of what was not
 // synced, all is lost in one case of four, all is kept in one, and otherwise each operation has
 // its own fate.
