--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -81,7 +81,7 @@
 	}
 	nd, err := node.New(set.NodeSettings(), node.Options{
 		Log: log.Log, ClientMemory: set.ClientMemory(), MaxQueuedBytes: set.MemoryMB << 20 / linkMemoryDivisor,
-		NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
+		BindIP: set.PeerBindIP(), NewCallerServer: set.NewCallerServer, UpstreamProtocol: platform.UpstreamProtocol{}, RetrySlack: set.RetrySlack,
 		RetryRatio: set.GuardRetryRatio(), PlaceByCost: set.Placement == platform.PlacementByCost,
 		Events: os.Stdout, Admission: admission.Settings{FreeSlotDivisor: freeSlotDivisor},
 		MaxBufferedBytes: set.MemoryMB << 20 / answerMemoryDivisor, MaxHeapGrowthPercent: maxHeapGrowthPercent,
@@ -123,7 +123,7 @@
 	buckets := allowances.NewBuckets(set.UsageBounds())
 	co, err := control.New(set.ControlSettings(), control.Options{
 		Log: log.Log, Validate: config.Check, Elastic: true,
-		Lead: buckets.Lead, Grant: buckets.Grant, WrapFolder: wrap,
+		Lead: buckets.Lead, Grant: buckets.Grant, BindIP: set.PeerBindIP(), WrapFolder: wrap,
 		Endpoints: []control.Endpoint{{Address: set.ControlAddress, Handler: set.NewOperatorHandler}},
 	})
 	if err != nil {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -73,6 +73,8 @@
 	Log  log.Interface
 	// Dial opens the connections to other processes; see peer.Options.
 	Dial peer.DialFunc
+	// BindIP is the IP of the traffic with other processes, if that is not the announced one.
+	BindIP peer.BindIP
 	// SocketWrappers wraps the sockets that the node uses for control.
 	SocketWrappers SocketWrappers
 	// Events receives the decisions on requests. If it is nil, none are written.
@@ -198,6 +200,9 @@
 
 // New listens on the addresses of the settings and returns a node that is ready to run.
 func New(set *schema.Settings, opt Options) (*Node, error) {
+	if opt.Dial == nil {
+		opt.Dial = opt.BindIP.DialFunc()
+	}
 	opt.ClientMemory = cmp.Or(opt.ClientMemory, buffer.NewBudget(math.MaxInt64))
 	if opt.Stop == (StopPlan{}) {
 		opt.Stop = DefaultStop
@@ -274,7 +279,7 @@
 		address  string
 	}{
 		{&nd.callerListener, nd.set.GetCallerAddress()},
-		{&nd.peerListener, nd.set.GetPeerAddress()},
+		{&nd.peerListener, nd.opt.BindIP.Address(nd.set.GetPeerAddress())},
 		{&nd.localListener, nd.set.GetLocalAddress()},
 	} {
 		ln, err := net.Listen("tcp", open.address)
@@ -303,7 +308,7 @@
 	nd.gossip, err = gossip.New(gossip.Settings{
 		Deployment: call.Deployment(nd.set.GetDeployment()), Name: call.VM(nd.set.GetName()),
 		FailureDomain: call.FailureDomain(nd.set.GetFailureDomain()), Role: membership.NodeRole,
-		Address: nd.peerListener.Addr().String(), Contacts: nd.set.GetFirstContacts(), FirstStart: nd.opt.FirstStart,
+		Address: nd.opt.BindIP.Announced(nd.set.GetPeerAddress(), nd.peerListener), Contacts: nd.set.GetFirstContacts(), FirstStart: nd.opt.FirstStart,
 		Metrics: nd.metrics, Log: nd.log,
 	}, sockets.packetConn(conn))
 	if err != nil {
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -20,6 +20,7 @@
 
 	"camphortrail/claim"
 	"camphortrail/internal/fleet/gossip"
+	"camphortrail/internal/traffic/peer"
 	"camphortrail/queue"
 	"camphortrail/quorum"
 	"camphortrail/schema"
@@ -77,6 +78,8 @@
 	// cfg is the configuration in force, and now is of the boot clock. Only a replica that leads
 	// calls it.
 	Grant func(now time.Time, child string, cfg *schema.Configuration, list []*schema.CustomerDemand) []*schema.CustomerAllowance
+	// BindIP is the IP of the traffic with other processes, if that is not the announced one.
+	BindIP peer.BindIP
 	// WrapFolder, if set, wraps the data folder, so that a test of processes can inject faults of
 	// the disk.
 	WrapFolder store.WrapFolder
@@ -156,7 +159,7 @@
 		opt.Claims = claim.DefaultLimits()
 	}
 	if opt.dial == nil {
-		opt.dial = (&net.Dialer{Timeout: exchangeTimeout}).DialContext
+		opt.dial = opt.BindIP.Dialer(exchangeTimeout).DialContext
 	}
 	co := &Control{
 		set: set, opt: opt, id: quorum.Replica(set.GetName()),
@@ -256,7 +259,7 @@
 		co.opt.Timing(&set)
 	}
 	co.machine = quorum.New(set, recovered)
-	if co.peerListener, err = net.Listen("tcp", co.set.GetPeerAddress()); err != nil {
+	if co.peerListener, err = net.Listen("tcp", co.opt.BindIP.Address(co.set.GetPeerAddress())); err != nil {
 		return errors.Wrap(err, "control: peer address")
 	}
 	if address := co.set.GetLocalAddress(); address != "" {
--- a/internal/state/control/membership.go
+++ b/internal/state/control/membership.go
@@ -31,7 +31,7 @@
 	co.gossip, err = gossip.New(gossip.Settings{
 		Deployment: call.Deployment(co.set.GetDeployment()), Name: call.VM(co.set.GetName()),
 		FailureDomain: call.FailureDomain(co.set.GetFailureDomain()), Role: membership.ControlRole,
-		Address: co.peerListener.Addr().String(), Contacts: co.contacts(),
+		Address: co.opt.BindIP.Announced(co.set.GetPeerAddress(), co.peerListener), Contacts: co.contacts(),
 		// The replicas of an elastic deployment are listed only at its first start.
 		FirstStart: co.opt.Elastic && len(co.set.GetControlReplicas()) > 0,
 		Metrics:    co.metrics.set, Log: co.log,
