--- a/internal/fleet/rollout/follower.go
+++ b/internal/fleet/rollout/follower.go
@@ -29,6 +29,9 @@
 	// hintJitter is the maximum random delay of the first fetch after a hint. It spreads
 	// the fetches of all nodes that receive the hint at the same time.
 	hintJitter = 50 * time.Millisecond
+	// hedgeInterval is the minimum time after which a node asks another source that has hinted at a
+	// revision, if the one before has not answered.
+	hedgeInterval = 250 * time.Millisecond
 
 	// maxControlsAtStart is the number of control replicas that a starting node asks at
 	// once. It covers the usual three or four replicas, because only the leader answers,
@@ -37,7 +40,7 @@
 	// maxPeersAtStart is the number of peers that a starting node asks at once.
 	maxPeersAtStart = 3
 	// maxFetches is the number of sources that a node asks at once after its start.
-	maxFetches = 2
+	maxFetches = 3
 	// maxHints is the number of sources whose last hint is retained.
 	maxHints = 8
 )
@@ -122,6 +125,13 @@
 func (Fetch) action() {}
 func (Adopt) action() {}
 
+// pendingFetch is a fetch in progress. hinted is the revision that its source had hinted at when it
+// began, or 0.
+type pendingFetch struct {
+	source Source
+	hinted uint64
+}
+
 // Follower decides from which source a node fetches the configuration, and when it puts
 // one into force. The revision in force never decreases. A starting node waits for the
 // highest revision among control replicas and peers. It uses its local copy only if a
@@ -157,10 +167,10 @@
 	lastHint       time.Time
 	hints          []Hinted
 
-	// fetching lists the sources from which a fetch is in progress. nextRound is the
+	// fetching lists the fetches in progress. nextRound is the
 	// earliest time of the next fetches during the start or after a hint, lastRound the time of the
 	// last ones during the start, and nextCheck that of the next fetch without a hint.
-	fetching  []Source
+	fetching  []pendingFetch
 	nextRound time.Time
 	lastRound time.Time
 	nextCheck time.Time
@@ -194,6 +204,7 @@
 	case FetchFailed:
 		fo.endFetch(ev.Source)
 		fo.dropHint(ev.Source)
+		fo.hurry()
 	case Adopted:
 		fo.inForce = max(fo.inForce, ev.Revision)
 	case Rejected:
@@ -259,7 +270,7 @@
 // handleFetched records the answer of a source. A control replica without a higher
 // revision confirms the best configuration.
 func (fo *Follower) handleFetched(fe Fetched) {
-	fo.endFetch(fe.Source)
+	hinted := fo.endFetch(fe.Source)
 	fo.recordConfiguration(fe.Revision, fe.Configuration)
 	if fe.Source.Kind == ControlSource && fe.Revision <= fo.haveRevision() {
 		fo.confirmed = true
@@ -268,19 +279,46 @@
 		fo.agreeing = append(fo.agreeing, fe.Source)
 	}
 	if fe.Revision < fo.hintedRevision {
-		fo.dropHint(fe.Source)
+		if fo.hintOf(fe.Source) <= max(hinted, fe.Revision) {
+			fo.dropHint(fe.Source)
+		}
+		fo.hurry()
 	}
 }
 
-// endFetch records that no fetch from a source is in progress any more.
-func (fo *Follower) endFetch(so Source) {
-	fo.fetching = slices.DeleteFunc(fo.fetching, func(other Source) bool { return other == so })
+// endFetch records that no fetch from a source is in progress any more. It returns the revision that
+// the source had hinted at before the fetch.
+func (fo *Follower) endFetch(so Source) (hinted uint64) {
+	fo.fetching = slices.DeleteFunc(fo.fetching, func(pf pendingFetch) bool {
+		if pf.source == so {
+			hinted = pf.hinted
+		}
+		return pf.source == so
+	})
+	return hinted
+}
+
+// isFetching reports whether a fetch from a source is in progress.
+func (fo *Follower) isFetching(so Source) bool {
+	return slices.ContainsFunc(fo.fetching, func(pf pendingFetch) bool { return pf.source == so })
 }
 
-// dropHint drops the hint of a source that did not deliver the revision of its hint. If
-// there are other hints, the next tick fetches from one of them.
+// hintOf returns the revision that a source has hinted at last, or 0.
+func (fo *Follower) hintOf(so Source) uint64 {
+	at := slices.IndexFunc(fo.hints, func(hi Hinted) bool { return hi.Source == so })
+	if at < 0 {
+		return 0
+	}
+	return fo.hints[at].Revision
+}
+
+// dropHint drops the hint of a source that did not deliver the revision of its hint.
 func (fo *Follower) dropHint(so Source) {
 	fo.hints = slices.DeleteFunc(fo.hints, func(hi Hinted) bool { return hi.Source == so })
+}
+
+// hurry makes the next tick fetch if a source has hinted at a higher revision.
+func (fo *Follower) hurry() {
 	if fo.isBehind() && len(fo.hints) > 0 {
 		fo.nextRound = fo.now
 	}
@@ -289,10 +327,10 @@
 // fetch starts a fetch from a source, unless one from it or limit fetches in all are in
 // progress.
 func (fo *Follower) fetch(so Source, limit int) {
-	if so.Address == "" || len(fo.fetching) >= limit || slices.Contains(fo.fetching, so) {
+	if so.Address == "" || len(fo.fetching) >= limit || fo.isFetching(so) {
 		return
 	}
-	fo.fetching = append(fo.fetching, so)
+	fo.fetching = append(fo.fetching, pendingFetch{so, fo.hintOf(so)})
 	fo.actions = append(fo.actions, Fetch{Source: so, Have: fo.haveRevision()})
 }
 
@@ -336,17 +374,20 @@
 // fetchHigher fetches from the source of the last hint, or from any source if no hint is
 // left.
 func (fo *Follower) fetchHigher(peers []string) {
-	fo.nextRound = fo.now.Add(retryInterval + fo.jitter(retryInterval))
-	if !fo.fetchFromHint(maxFetches) {
+	interval := retryInterval
+	if fo.fetchFromHint(maxFetches) {
+		interval = hedgeInterval
+	} else {
 		fo.fetch(fo.nextSource(peers), maxFetches)
 	}
+	fo.nextRound = fo.now.Add(interval + fo.jitter(interval))
 }
 
 // fetchFromHint fetches from the source of the last hint from which no fetch is in progress.
 // It reports whether there is one.
 func (fo *Follower) fetchFromHint(limit int) bool {
 	for _, hi := range slices.Backward(fo.hints) {
-		if !slices.Contains(fo.fetching, hi.Source) {
+		if !fo.isFetching(hi.Source) {
 			fo.fetch(hi.Source, limit)
 			return true
 		}
