--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -319,16 +320,17 @@
 func (cn *callerConn) read() {
 	defer close(cn.ended)
 	defer cn.nc.Close()
-	br := bufio.NewReader(cn.nc)
+	er := &errorReader{Reader: cn.nc}
+	br := bufio.NewReader(er)
 	for {
 		res, err := http.ReadResponse(br, nil)
 		if err != nil {
-			cn.end(err)
+			cn.end(cmp.Or(er.err, err))
 			return
 		}
 		length, err := io.Copy(io.Discard, res.Body)
 		if err != nil {
-			cn.end(err)
+			cn.end(cmp.Or(er.err, err))
 			return
 		}
 		if !cn.answered(res, int(length)) {
@@ -337,6 +339,21 @@
 	}
 }
 
+// errorReader keeps the error of its reader. Readers of heads return errors of their own where a line
+// is not whole, whatever the reason.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+func (er *errorReader) Read(data []byte) (int, error) {
+	n, err := er.Reader.Read(data)
+	if err != nil {
+		er.err = err
+	}
+	return n, err
+}
+
 // errClosedByAnswer ends the requests that were sent behind an answer with `Connection: close`.
 var errClosedByAnswer = errors.New("an earlier answer closes the connection")
 
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -177,7 +177,7 @@
 	rq.Header.Set(requestIDHeader, string(id))
 	sent := Sent{ID: id, Begun: rc.Now(), At: rc.Now(), Node: up.ma.Name, Kind: Safe, Timeout: routeTimeout, Path: path, Call: true}
 	if end, ok := ctx.Deadline(); ok {
-		sent.Deadline = time.Until(end)
+		sent.Deadline = time.Until(end).Truncate(time.Millisecond)
 		rq.Header.Set(deadlineHeader, strconv.FormatInt(sent.Deadline.Milliseconds(), 10))
 	}
 	rc.Add(sent)
