quorum: voters are in different failure domains

Cause: which replica takes the place of a silent voter was decided by the order of names alone.

Change: LiveReplicas carries the failure domains that the membership knows. The leader prefers a replica by which fewer voters share one, and replaces a voter that shares its failure domain once a replica of another one holds the log.

--- a/internal/state/control/log.go
+++ b/internal/state/control/log.go
@@ -74,9 +74,13 @@
 	if !co.opt.Elastic || co.ticks%membershipCheckTicks != 0 {
 		return quorum.Tick{}
 	}
-	var lr quorum.LiveReplicas
+	lr := quorum.LiveReplicas{Domains: make(map[quorum.Replica]quorum.FailureDomain)}
 	for _, me := range co.gossip.Members() {
-		if me.Role == membership.ControlRole && me.State.Present() {
+		if me.Role != membership.ControlRole {
+			continue
+		}
+		lr.Domains[quorum.Replica(me.Name)] = quorum.FailureDomain(me.FailureDomain)
+		if me.State.Present() {
 			lr.Replicas = append(lr.Replicas, quorum.Replica(me.Name))
 		}
 	}
--- a/quorum/event.go
+++ b/quorum/event.go
@@ -36,8 +36,12 @@
 type Transfer struct{}
 
 // LiveReplicas lists the replicas that the owner of the machine believes to be alive. A
-// leader sends them the log, and may make voters of them.
-type LiveReplicas struct{ Replicas []Replica }
+// leader sends them the log, and may make voters of them. Domains holds the failure domains of
+// live and other replicas, as far as they are known.
+type LiveReplicas struct {
+	Replicas []Replica
+	Domains  map[Replica]FailureDomain
+}
 
 // Tick reports that time has passed. It should come several times per Settings.Heartbeat.
 type Tick struct{}
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -15,6 +15,8 @@
 	// this one exchanges messages with: voters, bootstrap replicas and live ones.
 	live  []Replica
 	peers []Replica
+	// domains holds the known failure domains.
+	domains map[Replica]FailureDomain
 
 	now     time.Time
 	started bool
@@ -87,6 +89,7 @@
 		ma.beginTransfer()
 	case LiveReplicas:
 		ma.live = slices.Clone(ev.Replicas)
+		ma.noteDomains(ev.Domains)
 	case Tick:
 		ma.tick()
 	}
--- a/quorum/network_test.go
+++ b/quorum/network_test.go
@@ -68,6 +68,8 @@
 	ids     []quorum.Replica
 	hosts   map[quorum.Replica]*host
 	packets []packet
+	// domains holds the failure domains of the replicas, if they have any.
+	domains map[quorum.Replica]quorum.FailureDomain
 	// cut holds the replicas on one side of a partition.
 	cut map[quorum.Replica]bool
 	// brokenLinks holds the links, each in one direction, that deliver nothing.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -17,6 +17,10 @@
 // Replica is the name of one of the processes that hold the log.
 type Replica string
 
+// FailureDomain names the failure domain of a replica. The empty name stands for one that is
+// unknown.
+type FailureDomain string
+
 // Term numbers elections. Each term has at most one leader.
 type Term uint64
 
@@ -135,8 +139,8 @@
 	// voters.
 	Replicas []Replica
 	// VoterCount is the number of voters that a leader maintains by adding or
-	// substituting live replicas, see LiveReplicas. Zero leaves the voters as they were
-	// at bootstrap.
+	// substituting live replicas, see LiveReplicas, if possible with each in a failure domain
+	// of its own. Zero leaves the voters as they were at bootstrap.
 	VoterCount int
 	// ReplaceAfter is the time without an answer from a voter after which a live replica
 	// replaces it.
--- a/quorum/replace_test.go
+++ b/quorum/replace_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 	}
 	for _, id := range nw.ids {
 		if ho := nw.hosts[id]; ho.up && !ho.paused {
-			nw.step(id, quorum.LiveReplicas{Replicas: alive})
+			nw.step(id, quorum.LiveReplicas{Replicas: alive, Domains: nw.domains})
 		}
 	}
 }
@@ -99,3 +100,75 @@
 		t.Error("no voter was replaced")
 	}
 }
+
+// voters returns the replicas that are no learners.
+func (nw *network) voters() []quorum.Replica {
+	return slices.DeleteFunc(slices.Clone(nw.ids), nw.isLearner)
+}
+
+// TestReplacedVoterSharesNoFailureDomain replaces a voter by a replica of the failure domain of
+// another voter, as there is no other. Once the first is back, the loss of all disks of that
+// failure domain, while the others restart, must not end the log.
+func TestReplacedVoterSharesNoFailureDomain(t *testing.T) {
+	nw := newReplacementNetwork(t, 1)
+	nw.domains = map[quorum.Replica]quorum.FailureDomain{"a": "1", "b": "2", "c": "3", "d": "1"}
+	nw.announceLive()
+	nw.run(3 * time.Second)
+	nw.stop("c")
+	nw.announceLive()
+	nw.run(5 * time.Second)
+	if nw.isLearner("d") {
+		t.Fatal("d has not taken the place of c")
+	}
+	nw.start("c")
+	nw.announceLive()
+	nw.run(5 * time.Second)
+	leader, ok := nw.leader()
+	if !ok {
+		t.Fatal("no leader once c is back")
+	}
+	nw.propose(leader)
+	nw.run(time.Second)
+	before := nw.voters()
+	for _, id := range nw.ids {
+		nw.stop(id)
+	}
+	nw.loseDisk("a")
+	nw.loseDisk("d")
+	for _, id := range nw.ids {
+		nw.start(id)
+	}
+	nw.announceLive()
+	nw.run(10 * time.Second)
+	if _, ok := nw.leader(); !ok {
+		t.Fatalf("voters were %v, and no leader after the loss of the disks of a and d", before)
+	}
+	nw.checkAccepts(t)
+}
+
+// TestVotersSpreadOverFailureDomains begins with voters of one failure domain. The leader must
+// spread them, and keep those that are spread.
+func TestVotersSpreadOverFailureDomains(t *testing.T) {
+	nw := newNetwork(t, 6, 1)
+	nw.domains = map[quorum.Replica]quorum.FailureDomain{"a": "1", "b": "1", "c": "1", "d": "2", "e": "2", "f": "3"}
+	for _, id := range nw.ids {
+		ho := nw.hosts[id]
+		ho.up = false
+		ho.set.Replicas, ho.set.VoterCount = nw.ids[:3], 3
+		nw.start(id)
+	}
+	nw.announceLive()
+	nw.run(5 * time.Second)
+	spread := nw.voters()
+	domains := map[quorum.FailureDomain]bool{}
+	for _, id := range spread {
+		domains[nw.domains[id]] = true
+	}
+	if len(spread) != 3 || len(domains) != 3 {
+		t.Fatalf("voters are %v", spread)
+	}
+	nw.run(5 * time.Second)
+	if after := nw.voters(); !slices.Equal(after, spread) {
+		t.Errorf("voters were %v and are %v", spread, after)
+	}
+}
