--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -108,7 +108,7 @@
 	}
 	buckets := allowances.NewBuckets(set.UsageBounds())
 	co, err := control.New(set.ControlSettings(), control.Options{
-		Log: log.Log, Validate: config.Check, Elastic: true,
+		Log: log.Log, Validate: config.Check, Elastic: true, Voters: set.Voters(),
 		Lead: buckets.Lead, Grant: buckets.Grant,
 		Endpoints: []control.Endpoint{{Address: set.ControlAddress, Handler: set.NewOperatorHandler}},
 	})
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -6,6 +6,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -39,9 +40,8 @@
 	overloadBacklog = 1 << 14
 	// tickInterval is the interval of the ticks of the quorum machine.
 	tickInterval = 20 * time.Millisecond
-	// elasticVoters is the number of voters if the control replicas are elastic. Three
-	// tolerate the loss of one.
-	elasticVoters = 3
+	// defaultVoters is the default of Options.Voters. Three tolerate the loss of one.
+	defaultVoters = 3
 	// shutdownTimeout bounds the time in which requests in flight are answered at a stop.
 	shutdownTimeout = 3 * time.Second
 )
@@ -68,6 +68,9 @@
 	// only those that create the log, if any. The others are discovered through the
 	// membership, and their names are their addresses.
 	Elastic bool
+	// Voters is the number of voters that elastic control replicas maintain, as far as there are
+	// replicas (default 3). What was acknowledged outlasts the loss of fewer than half of them.
+	Voters int
 	// Endpoints are additional addresses that the replica serves.
 	Endpoints []Endpoint
 	// Lead, if set, is called with the term in which the replica leads: when it first holds the lease
@@ -246,7 +249,7 @@
 		set.Replicas = append(set.Replicas, id)
 	}
 	if co.opt.Elastic {
-		set.VoterCount = elasticVoters
+		set.VoterCount = cmp.Or(co.opt.Voters, defaultVoters)
 	}
 	set.Seed = electionSeed(begin, co.id)
 	if co.opt.Timing != nil {
--- a/internal/state/control/voters_test.go
+++ b/internal/state/control/voters_test.go
@@ -77,3 +77,10 @@
 		return len(list) == 3 && len(seen) == 3
 	})
 }
+
+// Guards against fewer voters than two losses at the same time need, though there are replicas for
+// more: an acknowledged configuration would be on two disks only.
+func TestVotersOutlastTwoLosses(t *testing.T) {
+	fl := newElasticFleet(t, Options{Voters: 5}, "d1", "d2", "d3", "d4", "d5", "d6")
+	fl.until("five voters", func() bool { return len(fl.voters()) == 5 })
+}
--- a/quorum/replace_test.go
+++ b/quorum/replace_test.go
@@ -172,3 +172,46 @@
 		t.Errorf("voters were %v and are %v", spread, after)
 	}
 }
+
+// TestFiveVotersOutlastTwoDisks loses the disks of each pair of replicas right after an entry was
+// accepted, while all others restart.
+func TestFiveVotersOutlastTwoDisks(t *testing.T) {
+	for first := range 6 {
+		for second := range first {
+			nw := newNetwork(t, 6, uint64(6*first+second))
+			for _, id := range nw.ids {
+				ho := nw.hosts[id]
+				ho.up = false
+				ho.set.Replicas, ho.set.VoterCount = nw.ids[:3], 5
+				nw.start(id)
+			}
+			nw.announceLive()
+			nw.run(5 * time.Second)
+			leader, ok := nw.leader()
+			if !ok || nw.learnerCount() != 1 {
+				t.Fatalf("leader %q, voters %v", leader, nw.voters())
+			}
+			nw.propose(leader)
+			for nw.answered == 0 {
+				nw.run(tick)
+			}
+			for _, id := range nw.ids {
+				nw.stop(id)
+			}
+			lost := []quorum.Replica{nw.ids[second], nw.ids[first]}
+			for _, id := range lost {
+				nw.loseDisk(id)
+			}
+			for _, id := range nw.ids {
+				nw.start(id)
+			}
+			nw.announceLive()
+			nw.run(5 * time.Second)
+			if leader, ok := nw.leader(); !ok {
+				t.Errorf("no leader after the loss of the disks of %v", lost)
+			} else if nw.hosts[leader].ma.Status().Commit < nw.answered {
+				t.Errorf("what was accepted is gone after the loss of the disks of %v", lost)
+			}
+		}
+	}
+}
