quorum: an election lasts as long as the disks need

Cause: a candidate began anew 0.1 to 0.3 s after it had asked for votes, with a higher term, whatever its own vote took to be saved, and ignored the answers to the vote before. Where two syncs take longer, no election ends. The pause was a guess of how long disks take.

Change: no election is begun anew while the candidate's own vote is being saved, and the others get twice the time that took in addition. A disk that hangs holds up its own replica only.

--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -103,6 +103,7 @@
 		}
 	}
 	di.held = rest
+	ma.voteSaved(number)
 	if ma.role == Leader {
 		ma.advanceCommit()
 	}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -1,29 +1,48 @@
 package quorum
 
+import "time"
+
 // ballot holds the votes for a candidate.
 type ballot struct {
 	pre      bool
 	transfer bool
 	// granted maps each replica that granted its vote to its incarnation.
 	granted map[Replica]Incarnation
+	// begun is when the election began. saving is the number of the Persist with the candidate's own
+	// vote until that is done, and then 0.
+	begun  time.Time
+	saving uint64
+}
+
+// voteSaved gives the others time to save their votes, of which nothing is known but how long the
+// candidate's own took. Without it an election on slow disks would be repeated before it ends.
+func (ma *Machine) voteSaved(number uint64) {
+	ba := &ma.ballot
+	if ma.role != Candidate || ba.saving == 0 || number < ba.saving {
+		return
+	}
+	ba.saving = 0
+	ma.electionAt = ma.now.Add(2*ma.now.Sub(ba.begun) + ma.set.ElectionTimeout/4 + ma.randomBelow(ma.set.ElectionTimeout/2))
 }
 
 // campaign starts an election for this replica. If pre is set it starts a pre-vote, so
 // that a replica that was cut off does not raise the term of the others when it cannot
 // win. transfer is set if the leader asked for the election. A failed election is
-// repeated after a quarter to three quarters of the election timeout.
+// repeated after a quarter to three quarters of the election timeout, and not while the replica's
+// own vote is being saved.
 func (ma *Machine) campaign(pre, transfer bool) {
 	ma.electionAt = ma.now.Add(ma.set.ElectionTimeout/4 + ma.randomBelow(ma.set.ElectionTimeout/2))
 	if ma.resigned || ma.disk.failed || !ma.voter() {
 		return
 	}
 	ma.role, ma.leader = Candidate, ""
-	ma.ballot = ballot{pre: pre, transfer: transfer, granted: map[Replica]Incarnation{ma.set.ID: ma.inc}}
+	ma.ballot = ballot{pre: pre, transfer: transfer, granted: map[Replica]Incarnation{ma.set.ID: ma.inc}, begun: ma.now}
 	if !pre {
 		ma.term++
 		ma.vote = ma.set.ID
 		ma.disk.dirty = true
 		ma.disk.held = ma.disk.held[:0]
+		ma.ballot.saving = ma.disk.number + 1
 	}
 	if ma.countVotes() {
 		return
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -142,6 +142,7 @@
 		ma.checkQuorum()
 	case ma.blank():
 		ma.queryBlank()
+	case ma.role == Candidate && ma.ballot.saving != 0:
 	case !ma.now.Before(ma.electionAt):
 		ma.campaign(true, false)
 	}
