announce: a departure after a step of the clock is not dropped as old

Cause: a node and the processes that hold its departures retain the three newest by the wall clock of the node. After the clock was set back, a new departure was the oldest of four, dropped at once, and acknowledged without a holder.

Change: a departure is at least 1 ms later than those that the node knows.

Result: TestDepartureAfterClockStepIsNotOld got no error for the late report, and gets ErrStaleReport now. go test -race ./internal/fleet/announce passes.

--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -86,10 +86,15 @@
 	return slices.ContainsFunc(rh.departures, func(dp membership.Departure) bool { return dp.Covers(inc.instance, inc.startTime) })
 }
 
-// depart adds a departure that was reported at the time now.
+// depart adds a departure that was reported at the time now. It is the newest one also if the
+// clock was set back, since only the newest are retained.
 func (rh *reportHistory) depart(now time.Time, inc incarnation) {
+	at := now.Truncate(time.Millisecond)
+	if len(rh.departures) > 0 && !at.After(rh.departures[0].At) {
+		at = rh.departures[0].At.Add(time.Millisecond)
+	}
 	rh.departures = membership.AddDeparture(rh.departures, membership.Departure{
-		Instance: membership.HashInstance(inc.instance), StartTime: inc.startTime, At: now.Truncate(time.Millisecond),
+		Instance: membership.HashInstance(inc.instance), StartTime: inc.startTime, At: at,
 	})
 }
 
--- a/internal/fleet/announce/report_test.go
+++ b/internal/fleet/announce/report_test.go
@@ -232,3 +232,41 @@
 		}
 	})
 }
+
+// Guards against a departure that is dropped as the oldest because the wall clock was set back: a
+// node that starts again would believe late reports from before it.
+func TestDepartureAfterClockStepIsNotOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rg := New(func() time.Time { return now }, func([]membership.Upstream) {})
+	report := func(instance string, started time.Time, number uint64) Report {
+		return Report{Upstream: membership.Upstream{Service: "s", Instance: instance, Address: "127.0.0.1:1"}, StartTime: started, Number: number}
+	}
+	run := func(instance string) Report {
+		t.Helper()
+		rp := report(instance, now, 1)
+		if err := rg.AddReport(rp); err != nil {
+			t.Fatalf("%s: %v", instance, err)
+		}
+		now = now.Add(time.Second)
+		rg.EndInstance(instance)
+		return rp
+	}
+	for n := range membership.MaxDepartures {
+		run(fmt.Sprint("before-", n))
+	}
+	// The upstream that comes next has started after the others, before the step.
+	late := report("after", now, 1)
+	if err := rg.AddReport(late); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(-time.Minute)
+	rg.EndInstance("after")
+
+	held := rg.Departures()
+	rg = New(func() time.Time { return now }, func([]membership.Upstream) {})
+	rg.AwaitRecall()
+	rg.Restore(held, true)
+	if err := rg.AddReport(late); !errors.Is(err, ErrStaleReport) {
+		t.Errorf("late report after a restart: %v, want ErrStaleReport", err)
+	}
+}
