membership: a repeated departure pushes out no other

Cause: an upstream repeats its departure until it is acknowledged. Where its start is not known (a DELETE without a start, to a node that has had no report of it), each repeat counted as a departure of its own, and three of them pushed out all that the node and others held. After a restart, a late report of one of those was believed (rule DRAIN).

Change: a departure without a start replaces earlier ones of the same instance, which cover less.

--- a/membership/departure.go
+++ b/membership/departure.go
@@ -45,14 +45,18 @@
 }
 
 // AddDeparture returns the departures with another one, the newest first, and at most
-// MaxDepartures of them. A second departure of the same run changes nothing.
+// MaxDepartures of them. A second departure of the same run changes nothing. One of an upstream
+// whose start is not known replaces earlier ones, which cover less.
 func AddDeparture(dps []Departure, dp Departure) []Departure {
 	if slices.ContainsFunc(dps, func(known Departure) bool {
 		return known.Instance == dp.Instance && known.StartTime.Equal(dp.StartTime) && (!dp.StartTime.IsZero() || !known.At.Before(dp.At))
 	}) {
 		return dps
 	}
-	dps = append(slices.Clone(dps), dp)
+	dps = slices.DeleteFunc(slices.Clone(dps), func(known Departure) bool {
+		return dp.StartTime.IsZero() && known.StartTime.IsZero() && known.Instance == dp.Instance
+	})
+	dps = append(dps, dp)
 	slices.SortStableFunc(dps, func(a, b Departure) int { return cmp.Or(b.At.Compare(a.At), b.StartTime.Compare(a.StartTime)) })
 	return dps[:min(len(dps), MaxDepartures)]
 }
