--- a/internal/lab/soak/faultdisk/image_test.go
+++ b/internal/lab/soak/faultdisk/image_test.go
@@ -114,7 +114,8 @@
 		{"removal", []op{create(1, "x"), fsync(1), remove(1, "x")}, []string{"", "x"}},
 		{"synced removal", []op{create(1, "x"), fsync(1), remove(1, "x"), syncFolder}, []string{""}},
 		{
-			"two renames", []op{create(1, "a"), fsync(1), create(2, "b"), fsync(2), rename(1, "a", "c"), rename(2, "b", "d")},
+			"two renames",
+			[]op{create(1, "a"), fsync(1), create(2, "b"), fsync(2), rename(1, "a", "c"), rename(2, "b", "d")},
 			[]string{"ab", "ad", "bc", "cd"},
 		},
 		{
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -28,83 +28,134 @@
 	usedShare = 0.7
 )
 
+// LossVerdict says what a request that had no whole answer of an upstream counts as under the rule LOST.
+type LossVerdict string
+
+// The verdicts. The first two break the rule. The third breaks it beside a configuration, if the
+// machine cuts more often then. The others are excuses, in the order in which they are tried.
+const (
+	LostAtTerm   LossVerdict = "lost-around-sigterm"
+	LostAtHangup LossVerdict = "lost-around-sighup"
+	CutByRate    LossVerdict = "cut-by-rate"
+
+	ExcusedNotPassedOn LossVerdict = "behind-another-and-not-passed-on"
+	ExcusedNotRead     LossVerdict = "reset-and-not-passed-on"
+	ExcusedSlack       LossVerdict = "within-the-loss-slack"
+	ExcusedBrokeOff    LossVerdict = "upstream-broke-off"
+	ExcusedTimeOver    LossVerdict = "deadline-or-timeout-reached"
+	ExcusedImpairment  LossVerdict = "unplanned-impairment"
+	ExcusedLongWork    LossVerdict = "at-work-in-the-last-sixth"
+	ExcusedTimeUsed    LossVerdict = "seven-tenths-of-its-time-used"
+	ExcusedOwnAnswer   LossVerdict = "own-answer-without-sigterm"
+)
+
 // CheckLost checks the rule LOST: requests from kept connections at machines in touch, and all
-// requests around planned work. The events need not be in order.
-func CheckLost(events []Event, controls []call.VM) []Finding {
+// requests around planned work. The events need not be in order. It also counts the verdicts.
+func CheckLost(events []Event, controls []call.VM) ([]Finding, map[LossVerdict]int) {
 	hi := newHistory(events, controls)
 	var findings []Finding
 	var inTouch []string
-	besideConfigs := make(map[call.VM][]*fate)
+	byRate := make(map[call.VM][]*fate)
+	verdicts := make(map[LossVerdict]int)
 	for _, fa := range hi.fates {
-		end, ok := hi.lossAt(fa)
-		if !ok {
-			continue
+		if hi.lostInTouch(fa) {
+			inTouch = append(inTouch, hi.describe(fa))
 		}
-		if fa.cut != nil && fa.Kept && fa.passedOn(end) && !fa.upstreamBrokeOff() && hi.inTouchThrough(fa, end) {
-			inTouch = append(inTouch, hi.describe(fa, end))
-		}
-		if fa.excused(end) || anyMeets(hi.unplanned, span{fa.Begun.Add(-ContactWindow), end}) {
+		lv := hi.verdict(fa)
+		if lv == "" {
 			continue
 		}
-		term, planned := hi.vm(fa.Node).lastTerm(end)
-		switch {
-		case planned && end.Sub(term) <= termEnd:
-			if !fa.workMayBeCut(term) {
-				findings = append(findings, Finding{Lost, "around a SIGTERM: " + hi.describe(fa, end)})
-			}
-		case fa.cut == nil:
-		case hi.besideHangup(fa, end):
-			findings = append(findings, Finding{Lost, "around a SIGHUP: " + hi.describe(fa, end)})
-		case end.Sub(fa.Begun) < time.Duration(usedShare*float64(fa.time())):
-			besideConfigs[fa.Node] = append(besideConfigs[fa.Node], fa)
+		verdicts[lv]++
+		switch lv {
+		case LostAtTerm, LostAtHangup:
+			findings = append(findings, Finding{Lost, string(lv) + ": " + hi.describe(fa)})
+		case CutByRate:
+			byRate[fa.Node] = append(byRate[fa.Node], fa)
 		}
 	}
 	if len(inTouch) > maxLostInTouch {
 		findings = append(findings, Finding{Lost, fmt.Sprintf("%d requests from kept connections at machines in touch: %s", len(inTouch), strings.Join(inTouch, "; "))})
 	}
-	return append(findings, hi.checkConfigs(besideConfigs)...)
+	return append(findings, hi.checkConfigs(byRate)...), verdicts
+}
+
+// lostInTouch reports whether a machine in touch passed a request from a kept connection on to a
+// sound upstream, and closed that connection without an answer.
+func (hi *history) lostInTouch(fa *fate) bool {
+	return fa.cut != nil && fa.Kept && fa.passedOn(fa.cut.At) && !fa.upstreamBrokeOff() &&
+		hi.inTouch(fa.Node, fa.arrivals[0].At) && hi.inTouch(fa.Node, fa.cut.At)
+}
+
+// verdict returns what a request counts as around planned work, or "" if it kept its answer.
+func (hi *history) verdict(fa *fate) LossVerdict {
+	end, ok := fa.end()
+	if !ok {
+		return ""
+	}
+	if fa.cut != nil && !fa.passedOn(end) {
+		switch {
+		case fa.Behind:
+			return ExcusedNotPassedOn
+		case fa.cut.Reset:
+			return ExcusedNotRead
+		case end.Sub(fa.At) <= LossSlack:
+			return ExcusedSlack
+		}
+	}
+	switch {
+	case fa.upstreamBrokeOff():
+		return ExcusedBrokeOff
+	case end.Sub(fa.Begun) >= fa.time():
+		return ExcusedTimeOver
+	case anyMeets(hi.unplanned, span{fa.Begun.Add(-ContactWindow), end}):
+		return ExcusedImpairment
+	}
+	if term, ok := hi.vm(fa.Node).lastTerm(end); ok && end.Sub(term) <= termEnd {
+		if fa.workMayBeCut(term, end) {
+			return ExcusedLongWork
+		}
+		return LostAtTerm
+	}
+	switch {
+	case fa.cut == nil:
+		return ExcusedOwnAnswer
+	case hi.besideHangup(fa):
+		return LostAtHangup
+	case end.Sub(fa.Begun) >= time.Duration(usedShare*float64(fa.time())):
+		return ExcusedTimeUsed
+	}
+	return CutByRate
 }
 
-// lossAt returns the moment at which a request lost its answer: its connection ended after it had
-// been passed on, or later than the loss slack after its last byte; or an answer of the system's own
-// took the place of that of an upstream at work. A process that resets a connection has not read
-// what was sent last.
-func (hi *history) lossAt(fa *fate) (Moment, bool) {
+// end returns when a request lost its answer: its connection ended, or an answer of the system's own
+// took the place of that of an upstream at work.
+func (fa *fate) end() (Moment, bool) {
 	switch {
-	case fa.cut != nil && fa.passedOn(fa.cut.At):
-		return fa.cut.At, true
 	case fa.cut != nil:
-		return fa.cut.At, !fa.Behind && !fa.cut.Reset && fa.cut.At.Sub(fa.At) > LossSlack
+		return fa.cut.At, true
 	case fa.brokenOff():
 		return fa.answer.At, true
 	}
 	return 0, false
 }
 
-// excused reports whether the upstream broke off or the request had used up its time.
-func (fa *fate) excused(end Moment) bool {
-	return fa.upstreamBrokeOff() || end.Sub(fa.Begun) >= fa.time()
-}
-
 func (fa *fate) upstreamBrokeOff() bool {
 	return slices.ContainsFunc(fa.runs, func(ru Ran) bool { return ru.BrokeOff })
 }
 
 // workMayBeCut reports whether an upstream was at work on the request in the last part of the grace
-// time after a SIGTERM, and it was sent soon enough after that.
-func (fa *fate) workMayBeCut(term Moment) bool {
-	return fa.At.Sub(term) <= excusedSend && fa.atWork(span{term.Add(Grace - lastPart), term.Add(Grace)})
-}
-
-// inTouchThrough reports whether the machine was in touch from when it passed the request on.
-func (hi *history) inTouchThrough(fa *fate, end Moment) bool {
-	return hi.inTouch(fa.Node, fa.arrivals[0].At) && hi.inTouch(fa.Node, end)
+// time after a SIGTERM, up to when it was cut, and it was sent soon enough after that.
+func (fa *fate) workMayBeCut(term, end Moment) bool {
+	last := span{term.Add(Grace - lastPart), min(end, term.Add(Grace))}
+	return fa.At.Sub(term) <= excusedSend && last.begin <= last.end && fa.atWork(last)
 }
 
 // besideHangup reports whether a request was sent up to the apply time after a SIGHUP of its machine,
 // and cut after that.
-func (hi *history) besideHangup(fa *fate, end Moment) bool {
-	return slices.ContainsFunc(hi.vm(fa.Node).hangups, func(hu Moment) bool { return fa.At <= hu.Add(ConfigApply) && end > hu })
+func (hi *history) besideHangup(fa *fate) bool {
+	return slices.ContainsFunc(hi.vm(fa.Node).hangups, func(hu Moment) bool {
+		return fa.At <= hu.Add(ConfigApply) && fa.cut.At > hu
+	})
 }
 
 // checkConfigs returns findings for the machines that cut requests more often beside configurations
@@ -120,7 +171,7 @@
 		var beside []string
 		for _, fa := range fates {
 			if anyMeets(windows, span{fa.cut.At, fa.cut.At}) {
-				beside = append(beside, hi.describe(fa, fa.cut.At))
+				beside = append(beside, hi.describe(fa))
 			}
 		}
 		others := float64(len(fates) - len(beside))
@@ -158,7 +209,8 @@
 }
 
 // describe says what was seen of a request that lost its answer.
-func (hi *history) describe(fa *fate, end Moment) string {
+func (hi *history) describe(fa *fate) string {
+	end, _ := fa.end()
 	text := fmt.Sprintf("%s (%s, due at %s) at %s, sent at %s", fa.ID, fa.Kind, fa.Begun.Add(fa.time()), fa.Node, fa.At)
 	if fa.Behind {
 		text += " behind another"
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -45,6 +45,8 @@
 	Cut      int     `json:"cut"`
 	GaveUp   int     `json:"gave-up"`
 	Stops    int     `json:"stops"`
+	// Losses counts the requests that had no whole answer of an upstream.
+	Losses map[LossVerdict]int `json:"losses"`
 	// OwnEnds are the processes that ended by themselves.
 	OwnEnds  []string  `json:"own-ends"`
 	Findings []Finding `json:"findings"`
@@ -86,6 +88,7 @@
 	}
 	re := fl.report()
 	re.Scenario, re.Seed, re.Seconds = name, opt.Seed, time.Since(begun).Seconds()
+	_, re.Losses = CheckLost(fl.Recorder.Events(), fl.controlNames())
 	re.Findings = slices.Concat(fl.Recorder.Findings(), sc.Check(fl), fl.checkOwnEnds())
 	return re, nil
 }
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -62,7 +62,8 @@
 
 // checkLost checks the rule LOST.
 func checkLost(fl *Fleet) []Finding {
-	return CheckLost(fl.Recorder.Events(), fl.controlNames())
+	findings, _ := CheckLost(fl.Recorder.Events(), fl.controlNames())
+	return findings
 }
 
 // play sends requests to all nodes and stops nodes round by round. A plan with a number of rounds
