--- a/internal/lab/soak/disk_test.go
+++ b/internal/lab/soak/disk_test.go
@@ -9,9 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,20 +21,6 @@
 	powerFirst = flag.Uint64("power-first", 1, "first seed of TestAcknowledgedChangesSurviveLossOfPower")
 )
 
-// buildProgram builds the command camphortrail once.
-var buildProgram = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "soak-program-")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(folder, "camphortrail")
-	out, err := exec.Command("go", "build", "-o", program, "camphortrail/cmd/camphortrail").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return program, nil
-})
-
 // powerTest is one seed of TestAcknowledgedChangesSurviveLossOfPower: the operator of four control
 // replicas.
 type powerTest struct {
--- a/internal/lab/soak/stops_test.go
+++ b/internal/lab/soak/stops_test.go
@@ -1,34 +1,23 @@
-package soak_test
+package soak
 
 import (
 	"io"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
-
-	"camphortrail/internal/lab/soak"
 )
 
-// buildProgram builds the command camphortrail and returns its path.
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "camphortrail")
-	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "camphortrail/cmd/camphortrail").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return program
-}
-
 // TestStoppingNodeCutsNoLateRequests stops five nodes at once, 3.4 s after the first request, while
 // callers go on sending to them, one request in five with long work.
 func TestStoppingNodeCutsNoLateRequests(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts real processes")
 	}
-	re, err := soak.Run(t.Context(), "lost-late", 30*time.Second, soak.Options{
-		Seed: 1, Program: buildProgram(t), Folder: t.TempDir(),
+	program, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	re, err := Run(t.Context(), "lost-late", 30*time.Second, Options{
+		Seed: 1, Program: program, Folder: t.TempDir(),
 	}, io.Discard)
 	if err != nil {
 		t.Fatal(err)
