--- a/internal/lab/soak/disk_test.go
+++ b/internal/lab/soak/disk_test.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
