--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -17,8 +17,10 @@
 	// NoCallersAtStops lets only nodes stop at which there are no callers, so that what is lost
 	// was lost by the guard beside the upstream.
 	NoCallersAtStops bool
-	// Hangups lets SIGHUPs come during stops.
+	// Hangups lets SIGHUPs come during stops, and at nodes that run.
 	Hangups bool
+	// Controls lets control replicas stop too, one at a time.
+	Controls bool
 	// Rounds is the number of times that nodes are stopped, or 0 until the end of the run.
 	Rounds int
 	// Together is the number of nodes that each round stops at once, or 0 for 1 to 5 nodes at once
@@ -36,6 +38,8 @@
 	// minRound and maxRound bound the time between the beginnings of two rounds. A stop may last
 	// longer, so that rounds overlap.
 	minRound, maxRound = 4 * time.Second, 10 * time.Second
+	// maxHangups is the number of running nodes that get a SIGHUP in a round.
+	maxHangups = 2
 	// maxRestart bounds the time from the end of a process to its next start.
 	maxRestart = time.Second
 	// callerServiceShare is the share of nodes that have callers under NoCallersAtStops.
@@ -47,7 +51,7 @@
 
 func init() {
 	for name, sp := range map[string]StopPlan{
-		"lost":        {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true},
+		"lost":        {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true, Controls: true},
 		"lost-late":   {Mix: Mix{Long: longShare}, Rounds: 1, Together: maxStops},
 		"lost-series": {Mix: Mix{Long: longShare}},
 		"lost-guard":  {Mix: Mix{Long: longShare}, NoCallersAtStops: true},
@@ -69,13 +73,12 @@
 // play sends requests to all nodes and stops nodes round by round. A plan with a number of rounds
 // ends with the last of them.
 func (sp StopPlan) play(ctx context.Context, fl *Fleet) error {
-	rnd := fl.opt.Seed.Rand("stops")
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	targets := fl.Nodes
 	var group sync.WaitGroup
 	if sp.NoCallersAtStops {
-		targets = sp.chooseTargets(rnd, fl)
+		targets = sp.chooseTargets(fl)
 	}
 	for _, ma := range fl.Nodes {
 		if sp.NoCallersAtStops && slices.Contains(targets, ma) {
@@ -85,15 +88,26 @@
 			group.Go(func() { newCaller(ma, i, sp.Mix).run(ctx) })
 		}
 	}
-	st := &stopper{StopPlan: sp, fl: fl, rnd: rnd, targets: targets, busy: make(map[call.VM]bool)}
-	err := st.run(ctx)
+	err := newStopper(sp, fl, targets).run(ctx)
 	stop()
 	group.Wait()
 	return err
 }
 
+// hangUp rewrites the settings of a node that runs and sends it a SIGHUP.
+func (st *stopper) hangUp(ctx context.Context, ps plannedStop) {
+	if pause(ctx, ps.after) != nil {
+		return
+	}
+	if err := ps.ma.SetSettings(nil); err != nil {
+		st.fl.Recorder.Find(Fault, "%s: settings not written: %v", ps.ma.Name, err)
+	}
+	ps.ma.Signal(syscall.SIGHUP)
+}
+
 // chooseTargets returns the nodes without callers: some of each service.
-func (StopPlan) chooseTargets(rnd *rand.Rand, fl *Fleet) []*Machine {
+func (StopPlan) chooseTargets(fl *Fleet) []*Machine {
+	rnd := fl.opt.Seed.Rand("targets")
 	var targets []*Machine
 	for _, sz := range fl.opt.Services {
 		var nodes []*Machine
@@ -120,12 +134,18 @@
 	busy map[call.VM]bool
 }
 
-// plannedStop is the stop of one node, chosen from the seed.
+// newStopper returns a stopper of the targets.
+func newStopper(sp StopPlan, fl *Fleet, targets []*Machine) *stopper {
+	return &stopper{StopPlan: sp, fl: fl, rnd: fl.opt.Seed.Rand("stops"), targets: targets, busy: make(map[call.VM]bool)}
+}
+
+// plannedStop is the stop of one machine, chosen from the seed, or its SIGHUP if hangupOnly is set.
 type plannedStop struct {
 	ma *Machine
 	// after is the time from the beginning of the round to the SIGTERM, hangup that from the SIGTERM to
 	// a SIGHUP (0 for none), and restart that from the end of the process to the next start.
 	after, hangup, restart time.Duration
+	hangupOnly             bool
 }
 
 // run stops nodes until ctx ends or all rounds are over, and then waits until all nodes run again.
@@ -138,6 +158,10 @@
 			return nil
 		}
 		for _, ps := range st.chooseRound() {
+			if ps.hangupOnly {
+				group.Go(func() { st.hangUp(ctx, ps) })
+				continue
+			}
 			group.Go(func() { st.stop(ctx, ps) })
 		}
 		wait = minRound + rand64(st.rnd, maxRound-minRound)
@@ -150,31 +174,51 @@
 // of the nodes is, and leaves out those that are still being stopped.
 func (st *stopper) chooseRound() []plannedStop {
 	order := st.rnd.Perm(len(st.targets))
-	number := 1 + st.rnd.IntN(maxStops)
+	number := min(1+st.rnd.IntN(maxStops), len(order))
 	together := st.rnd.IntN(2) == 0
 	if st.Together > 0 {
 		number, together = st.Together, true
 	}
+	hangups := st.Hangups && st.rnd.IntN(2) == 0
+	control := st.rnd.IntN(3 * len(st.fl.Controls)) // no replica stops if there is none with the index
 	var round []plannedStop
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for _, i := range order[:min(number, len(order))] {
-		ps := plannedStop{ma: st.targets[i], after: rand64(st.rnd, maxStagger), restart: rand64(st.rnd, maxRestart)}
-		hangup := time.Millisecond + rand64(st.rnd, Grace)
-		if st.Hangups && st.rnd.IntN(3) == 0 {
+	for i, target := range order {
+		ps := plannedStop{ma: st.targets[target], after: rand64(st.rnd, maxStagger), restart: rand64(st.rnd, maxRestart)}
+		if hangup := rand64(st.rnd, Grace); st.Hangups && st.rnd.IntN(3) == 0 {
 			ps.hangup = hangup
 		}
 		if together {
 			ps.after = 0
 		}
-		if !st.busy[ps.ma.Name] {
-			st.busy[ps.ma.Name] = true
-			round = append(round, ps)
+		if i >= number {
+			ps.hangupOnly = hangups && i < number+maxHangups
+			if !ps.hangupOnly {
+				continue
+			}
 		}
+		round = st.appendFree(round, ps)
+	}
+	if st.Controls && control < len(st.fl.Controls) && !st.anyBusy(st.fl.Controls) {
+		round = st.appendFree(round, plannedStop{ma: st.fl.Controls[control], restart: maxRestart})
 	}
 	return round
 }
 
+// appendFree appends a stop to the round unless its machine is still being stopped.
+func (st *stopper) appendFree(round []plannedStop, ps plannedStop) []plannedStop {
+	if st.busy[ps.ma.Name] {
+		return round
+	}
+	st.busy[ps.ma.Name] = !ps.hangupOnly
+	return append(round, ps)
+}
+
+func (st *stopper) anyBusy(machines []*Machine) bool {
+	return slices.ContainsFunc(machines, func(ma *Machine) bool { return st.busy[ma.Name] })
+}
+
 // stop stops a node and starts it again. A stop that has begun goes on when ctx ends.
 func (st *stopper) stop(ctx context.Context, ps plannedStop) {
 	defer func() {
