soak: checks of TWICE and REFUSED

Cause: what a stopping node answers in place of a cut must be true. Change: an unsafe request runs once at most, and not at all if its answer promises that; scripted tests in both directions.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -416,15 +416,12 @@
 // retry sends a request once more, on a new connection, where its failure allows it. Status 0 is a
 // connection that ended.
 func (ca *caller) retry(ou *outstanding, status int, after string) {
-	promise := false
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		promise = true
 	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
 		return
 	}
 	left := time.Until(ou.giveUp)
-	if status/100 == 2 || ou.resent || ou.kind == Unsafe && !promise || left <= 0 {
+	if status/100 == 2 || ou.resent || ou.kind == Unsafe && !promisesNotRun(status) || left <= 0 {
 		return
 	}
 	seconds, _ := strconv.ParseFloat(after, 64)
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -208,9 +208,14 @@
 	return apart
 }
 
-// describe says what was seen of a request that lost its answer.
+// describe says what was seen of a request.
 func (hi *history) describe(fa *fate) string {
-	end, _ := fa.end()
+	end := hi.end
+	if fa.cut != nil {
+		end = fa.cut.At
+	} else if fa.answer != nil {
+		end = fa.answer.At
+	}
 	text := fmt.Sprintf("%s (%s, due at %s) at %s, sent at %s", fa.ID, fa.Kind, fa.Begun.Add(fa.time()), fa.Node, fa.At)
 	if fa.Behind {
 		text += " behind another"
@@ -237,5 +242,8 @@
 	if fa.cut != nil {
 		return text + fmt.Sprintf(", cut at %s, %.3f s after it was sent: %s", end, end.Sub(fa.At).Seconds(), fa.cut.Cause)
 	}
-	return text + fmt.Sprintf(", answered %d by the system at %s, %.3f s after it was sent", fa.answer.Status, end, end.Sub(fa.At).Seconds())
+	if fa.answer != nil {
+		text += fmt.Sprintf(", answered %d at %s, %.3f s after it was sent", fa.answer.Status, fa.answer.At, fa.answer.At.Sub(fa.At).Seconds())
+	}
+	return text
 }
--- a/internal/lab/soak/lost_test.go
+++ b/internal/lab/soak/lost_test.go
@@ -32,17 +32,18 @@
 			}
 		}
 		findings, _ := CheckLost(events, controls)
-		for _, fi := range findings {
-			kind, _, _ := strings.Cut(fi.Text, ": ")
-			fmt.Fprintf(&out, "%s %s\n", fi.Rule, kind)
+		for _, fi := range append(findings, CheckPromises(events)...) {
+			text, _, _ := strings.Cut(fi.Text, ": ")
+			text, _, _ = strings.Cut(text, " (")
+			fmt.Fprintf(&out, "%s %s\n", fi.Rule, text)
 		}
 		return out.String()
 	})
 }
 
 // parseEvent reads a line of a record. Names of signals are those of package syscall. Requests have
-// a deadline and a timeout of 6 s, and come on a connection that is kept, unless the line says
-// otherwise.
+// a deadline and a timeout of 6 s, are safe, and come on a connection that is kept, unless the line
+// says otherwise.
 func parseEvent(t *testing.T, line string) Event {
 	t.Helper()
 	words := strings.Fields(line)
@@ -50,7 +51,7 @@
 		t.Fatalf("%q: too short", line)
 	}
 	at, subject := parseMoment(t, words[0]), words[2]
-	flags, values := make(map[string]bool), map[string]string{"deadline": "6s", "timeout": "6s"}
+	flags, values := make(map[string]bool), map[string]string{"deadline": "6s", "timeout": "6s", "kind": string(Safe)}
 	for _, word := range words[3:] {
 		if key, value, ok := strings.Cut(word, "="); ok {
 			values[key] = value
@@ -71,7 +72,7 @@
 	case "sent":
 		se := Sent{
 			ID: id, Begun: at, At: at, Node: call.VM(values["node"]), Kept: !flags["new"], Behind: flags["behind"],
-			Deadline: length("deadline"), Timeout: length("timeout"),
+			Deadline: length("deadline"), Timeout: length("timeout"), Kind: Kind(values["kind"]),
 		}
 		if begun := values["begun"]; begun != "" {
 			se.Begun = parseMoment(t, begun)
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -32,11 +32,13 @@
 
 // The rules that are checked.
 const (
-	Lost   Rule = "LOST"
-	Config Rule = "CONFIG"
-	Drain  Rule = "DRAIN"
-	Mixed  Rule = "MIXED"
-	Fault  Rule = "Fault"
+	Lost    Rule = "LOST"
+	Config  Rule = "CONFIG"
+	Drain   Rule = "DRAIN"
+	Mixed   Rule = "MIXED"
+	Twice   Rule = "TWICE"
+	Refused Rule = "REFUSED"
+	Fault   Rule = "Fault"
 )
 
 // Event is what an actor did or saw.
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -60,14 +60,15 @@
 		"lost-bodies": {Mix: Mix{Long: longShare, SlowBodies: 1}},
 		"lost-hangup": {Mix: Mix{Long: longShare}, Hangups: true},
 	} {
-		scenarios[name] = Scenario{Play: sp.play, Check: checkLost}
+		scenarios[name] = Scenario{Play: sp.play, Check: checkStops}
 	}
 }
 
-// checkLost checks the rule LOST.
-func checkLost(fl *Fleet) []Finding {
-	findings, _ := CheckLost(fl.Recorder.Events(), fl.controlNames())
-	return findings
+// checkStops checks the rules LOST, TWICE and REFUSED.
+func checkStops(fl *Fleet) []Finding {
+	events := fl.Recorder.Events()
+	findings, _ := CheckLost(events, fl.controlNames())
+	return append(findings, CheckPromises(events)...)
 }
 
 // play sends requests to all nodes and stops nodes round by round. A plan with a number of rounds
