--- a/internal/lab/soak/stops_test.go
+++ b/internal/lab/soak/stops_test.go
@@ -1,24 +1,40 @@
-package soak_test
+package soak
 
 import (
+	"fmt"
 	"io"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
-
-	"camphortrail/internal/lab/soak"
 )
 
-// buildProgram builds the command camphortrail and returns its path.
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "camphortrail")
-	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "camphortrail/cmd/camphortrail").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+// TestSeedGivesPlan compares what the actors of two fleets with the same seed choose, and those of
+// another seed.
+func TestSeedGivesPlan(t *testing.T) {
+	plan := func(seed Seed) string {
+		fl, err := New(Options{Seed: seed, Folder: t.TempDir()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sp := StopPlan{Hangups: true, Controls: true}
+		st := newStopper(sp, fl, fl.Nodes)
+		mx := Mix{Long: 0.2, Ahead: 0.5, Calls: 0.5, SlowBodies: 0.5}
+		ca := newCaller(fl.Nodes[3], 2, mx)
+		text := fmt.Sprint(ca.ahead)
+		for range 20 {
+			text += fmt.Sprintf(" %+v", *mx.chooseRequest(ca.rnd, false))
+			for _, ps := range st.chooseRound() {
+				text += fmt.Sprintf(" %s %s %s %s %t", ps.ma.Name, ps.after, ps.hangup, ps.restart, ps.hangupOnly)
+			}
+			clear(st.busy)
+		}
+		return text
+	}
+	if one, other := plan(7), plan(7); one != other {
+		t.Errorf("a seed gives two plans:\n%s\n%s", one, other)
+	}
+	if plan(7) == plan(8) {
+		t.Error("two seeds give the same plan")
 	}
-	return program
 }
 
 // TestStoppingNodeCutsNoLateRequests stops five nodes at once, 3.4 s after the first request, while
@@ -27,8 +43,12 @@
 	if testing.Short() {
 		t.Skip("starts real processes")
 	}
-	re, err := soak.Run(t.Context(), "lost-late", 30*time.Second, soak.Options{
-		Seed: 1, Program: buildProgram(t), Folder: t.TempDir(),
+	program, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	re, err := Run(t.Context(), "lost-late", 30*time.Second, Options{
+		Seed: 1, Program: program, Folder: t.TempDir(),
 	}, io.Discard)
 	if err != nil {
 		t.Fatal(err)
