--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -100,6 +100,8 @@
 	// EditSettings, if not nil, changes the settings that a process is told, addresses included,
 	// each time before they are written.
 	EditSettings func(ma *Machine, set *platform.Settings)
+
+	proxied bool // see WithProxy
 }
 
 // ports are the ports of all machines.
@@ -110,6 +112,8 @@
 	Recorder *Recorder
 	Controls []*Machine
 	Nodes    []*Machine
+	// Proxy carries the traffic between machines from Start on, if the options are those of WithProxy.
+	Proxy *Proxy
 
 	opt   Options
 	ports ports
@@ -199,6 +203,13 @@
 // Start starts all processes for the first time, and an upstream beside each node. The upstreams
 // end with ctx; Close ends the processes.
 func (fl *Fleet) Start(ctx context.Context) error {
+	if fl.opt.proxied {
+		px, err := NewProxy(ctx, fl)
+		if err != nil {
+			return err
+		}
+		fl.Proxy = px
+	}
 	for _, ma := range fl.Machines() {
 		if err := ma.Start(true); err != nil {
 			return err
@@ -219,6 +230,9 @@
 	for _, ma := range fl.Machines() {
 		ma.Kill()
 	}
+	if fl.Proxy != nil {
+		fl.Proxy.Close()
+	}
 }
 
 // WaitReady waits until all nodes answer that they are ready. The error matches ErrNotReady.
