--- a/internal/lab/soak/config_check.go
+++ b/internal/lab/soak/config_check.go
@@ -76,17 +76,11 @@
 // causeRemoved is the cause of the Impaired of a machine that is removed for good.
 const causeRemoved = "removed"
 
-// never is a moment after all others.
-const never = Moment(math.MaxInt64)
-
-// span is a time from a moment to another.
-type span struct{ from, to Moment }
-
 // change is what is known of a change.
 type change struct {
 	ChangeSent
 	// acked is the moment of its first acknowledgement, and accepted the same with those that were
-	// lost. They are never if there is none.
+	// lost. They are forever if there is none.
 	acked, accepted Moment
 	refused         bool
 	routes          map[string]Resource // by prefix
@@ -144,7 +138,7 @@
 		switch ev := ev.(type) {
 		case ChangeSent:
 			if changes[ev.ID] == nil {
-				ch := &change{ChangeSent: ev, acked: never, accepted: never, routes: routesOf(ev.Configuration)}
+				ch := &change{ChangeSent: ev, acked: forever, accepted: forever, routes: routesOf(ev.Configuration)}
 				changes[ev.ID] = ch
 				cc.changes = append(cc.changes, ch)
 			}
@@ -157,7 +151,7 @@
 			if ev.Status == http.StatusOK && !ev.Lost {
 				ch.acked = min(ch.acked, ev.At)
 			}
-			ch.refused = ch.refused || isRefusal(ev.Status) && !ev.Lost && ch.accepted == never
+			ch.refused = ch.refused || isRefusal(ev.Status) && !ev.Lost && ch.accepted == forever
 		case ConfigRead:
 			cc.reads = append(cc.reads, ev)
 		case Sent:
@@ -213,12 +207,12 @@
 }
 
 func (cc *ConfigCheck) begin(vm call.VM, at Moment) {
-	cc.impaired[vm] = append(cc.impaired[vm], span{at, never})
+	cc.impaired[vm] = append(cc.impaired[vm], span{at, forever})
 }
 
 func (cc *ConfigCheck) finish(vm call.VM, at Moment) {
 	for i := range cc.impaired[vm] {
-		cc.impaired[vm][i].to = min(cc.impaired[vm][i].to, at)
+		cc.impaired[vm][i].end = min(cc.impaired[vm][i].end, at)
 	}
 }
 
@@ -341,7 +335,7 @@
 
 // clear reports whether nothing was done to a machine in a span.
 func (cc *ConfigCheck) clear(vm call.VM, sp span) bool {
-	return !slices.ContainsFunc(cc.impaired[vm], func(im span) bool { return im.from <= sp.to && im.to >= sp.from })
+	return !slices.ContainsFunc(cc.impaired[vm], func(im span) bool { return im.meets(sp) })
 }
 
 // clearControls returns the number of control replicas that are there in a span, and of those to
@@ -349,7 +343,7 @@
 func (cc *ConfigCheck) clearControls(sp span) (all, clear int) {
 	for _, vm := range cc.Controls {
 		starts, at := cc.starts[vm], cc.removed[vm]
-		if len(starts) == 0 || starts[0] > sp.to || at != 0 && at < sp.from {
+		if len(starts) == 0 || starts[0] > sp.end || at != 0 && at < sp.begin {
 			continue
 		}
 		all++
@@ -384,7 +378,7 @@
 	byBase := make(map[Version]*change)
 	for _, ch := range cc.changes {
 		switch other := byBase[ch.Configuration.BaseVersion]; {
-		case ch.acked == never:
+		case ch.acked == forever:
 			cc.checkAckTime(ch)
 			continue
 		case ch.Fault != "":
@@ -425,14 +419,14 @@
 			continue
 		}
 		for _, sp := range cc.impaired[vm] {
-			if sp.from <= to && sp.to >= ch.At.Add(-ContactWindow) {
-				calm = max(calm, sp.to)
+			if sp.begin <= to && sp.end >= ch.At.Add(-ContactWindow) {
+				calm = max(calm, sp.end)
 			}
 		}
 	}
 	if calm > ch.At {
 		// The stretch begins when the last impairment is over and the window has passed.
-		if calm == never {
+		if calm == forever {
 			return
 		}
 		calm = calm.Add(ContactWindow)
@@ -655,7 +649,7 @@
 		}
 		timeout := time.Duration(ro.TimeoutMS) * time.Millisecond
 		limit := rq.At.Add(timeout + answerSlack)
-		answered := never
+		answered := forever
 		if rq.answered != nil {
 			answered = rq.answered.At
 		}
--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -39,7 +39,6 @@
 
 // ConfigPlan says what is done in a run of the scenario for rule CONFIG.
 type ConfigPlan struct {
-	Length time.Duration
 	// Faults lets signals, lost disks and replaced machines come in series and overlap, KillAll kills
 	// all processes after acknowledgements, and Starve takes the processors away for seconds, which the
 	// record does not count as an impairment.
@@ -72,73 +71,86 @@
 	replaced []*Machine // those that replaced others
 }
 
-// RunConfig starts a fleet, changes its configuration, and returns what broke the rule CONFIG.
-func RunConfig(ctx context.Context, opt Options, plan ConfigPlan) (*Fleet, []Finding, error) {
-	fl, err := New(opt)
-	if err != nil {
-		return nil, nil, err
+func init() {
+	for name, plan := range map[string]ConfigPlan{
+		"config":        {Faults: true, KillAll: true, Final: true},
+		"config-calm":   {},
+		"config-disks":  {Faults: true, KillAll: true, Disks: true, Final: true},
+		"config-kills":  {KillAll: true, Final: true},
+		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
+	} {
+		sc := Scenario{Play: plan.play, Check: checkConfig}
+		if plan.Disks {
+			sc.Options = Options.WithDiskFaults
+		}
+		scenarios[name] = sc
+	}
+}
+
+// checkConfig checks the rule CONFIG.
+func checkConfig(fl *Fleet) []Finding {
+	check := ConfigCheck{Controls: fl.controlNames(), Services: make(map[call.VM]call.Service)}
+	for _, ma := range fl.Nodes {
+		check.Services[ma.Name] = ma.Service
+	}
+	events := fl.Recorder.Events()
+	for _, ev := range events {
+		// A control replica that replaced another is no machine of the fleet.
+		if st, ok := ev.(Started); ok && fl.Machine(st.VM) == nil && !slices.Contains(check.Controls, st.VM) {
+			check.Controls = append(check.Controls, st.VM)
+		}
 	}
+	return check.Check(events)
+}
+
+// play changes the configuration of a fleet until ctx ends, and then ends it by the plan.
+func (plan ConfigPlan) play(ctx context.Context, fl *Fleet) error {
+	seed := fl.opt.Seed
 	cr := &configRun{
-		fl: fl, op: NewOperator(fl, opt.Seed), plan: plan, seed: opt.Seed, rnd: opt.Seed.Rand("faults"),
+		fl: fl, op: NewOperator(fl, seed), plan: plan, seed: seed, rnd: seed.Rand("faults"),
 		lost: make(chan struct{}, 1), hit: make(chan struct{}, 1), held: make(map[*Machine]bool),
 		controls: slices.Clone(fl.Controls),
 	}
 	cr.op.AfterAck = cr.afterAck
-	ctx, stop := context.WithCancel(ctx)
+	whole, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
 	defer func() {
 		stop()
 		background.Wait()
-		for _, ma := range cr.machines() {
+		for _, ma := range cr.replaced {
 			ma.Kill()
 		}
-		fl.Close()
 	}()
-	if err := fl.Start(ctx); err != nil {
-		return fl, nil, err
-	}
 	if err := cr.op.Begin(ctx); err != nil {
-		return fl, nil, err
+		return err
 	}
 	if err := pause(ctx, warmUp); err != nil {
-		return fl, nil, err
+		return err
 	}
-	background.Go(func() { cr.supervise(ctx) })
-	background.Go(func() { cr.op.ReadAll(ctx, cr.seed) })
+	background.Go(func() { cr.supervise(whole) })
+	background.Go(func() { cr.op.ReadAll(whole, seed) })
 	for _, ma := range fl.Nodes {
 		for i := range configCallersPerNode {
-			background.Go(func() { cr.callNode(ctx, ma, fmt.Sprintf("%s-%d", ma.Name, i)) })
+			background.Go(func() { cr.callNode(whole, ma, fmt.Sprintf("%s-%d", ma.Name, i)) })
 		}
 	}
-	err = cr.run(ctx)
-	check := ConfigCheck{Services: make(map[call.VM]call.Service)}
-	for _, ma := range fl.Nodes {
-		check.Services[ma.Name] = ma.Service
-	}
-	for _, ma := range append(slices.Clone(fl.Controls), cr.replaced...) {
-		check.Controls = append(check.Controls, ma.Name)
-	}
-	return fl, check.Check(fl.Recorder.Events()), err
+	return cr.run(ctx, whole)
 }
 
-// run changes the configuration for the length of the plan, with faults beside, and ends with the
-// final fault and the reads.
-func (cr *configRun) run(ctx context.Context) error {
-	changing, stopChanges := context.WithCancel(ctx)
+// run changes the configuration until limited ends, with faults beside, and then ends with the final
+// fault and the reads until whole ends.
+func (cr *configRun) run(limited, whole context.Context) error {
+	changing, stopChanges := context.WithCancel(whole)
 	defer stopChanges()
-	limited, stopFaults := context.WithTimeout(ctx, cr.plan.Length)
-	defer stopFaults()
 	var changes sync.WaitGroup
 	changes.Go(func() { cr.op.Run(changing) })
 	cr.faults(limited)
-	if err := pause(ctx, time.Until(deadlineOf(limited))); err != nil {
-		return err
-	}
+	<-limited.Done()
 	if cr.plan.Final {
 		cr.whole.Lock()
-		cr.killAfterAck(ctx)
+		cr.killAfterAck(whole)
 		stopChanges()
-		err := cr.finalFault(ctx)
+		err := cr.finalFault(whole)
 		cr.whole.Unlock()
 		if err != nil {
 			return err
@@ -146,12 +158,7 @@
 	}
 	stopChanges()
 	changes.Wait()
-	return cr.readBack(ctx)
-}
-
-func deadlineOf(ctx context.Context) time.Time {
-	end, _ := ctx.Deadline()
-	return end
+	return cr.readBack(whole)
 }
 
 // readBack reads the configuration at the end, at all replicas for ContactWindow at least, and then
