--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -134,7 +137,23 @@
 			background.Go(func() { cr.callNode(whole, ma, fmt.Sprintf("%s-%d", ma.Name, i)) })
 		}
 	}
-	return cr.run(ctx, whole)
+	if err := cr.run(ctx, whole); err != nil {
+		return err
+	}
+	return writeRecord(filepath.Join(fl.opt.Folder, "record.txt"), fl.Recorder.Events())
+}
+
+// writeRecord writes a line for each event to a file, without the resources of configurations.
+func writeRecord(path string, events []Event) error {
+	var out bytes.Buffer
+	for _, ev := range events {
+		if ch, ok := ev.(ChangeSent); ok {
+			ch.Configuration.Resources = nil
+			ev = ch
+		}
+		fmt.Fprintf(&out, "%T %+v\n", ev, ev)
+	}
+	return os.WriteFile(path, out.Bytes(), 0o644)
 }
 
 // run changes the configuration until limited ends, with faults beside, and then ends with the final
