--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -30,6 +30,8 @@
 	configGap                    = 300 * time.Millisecond
 	configDeadline               = 5 * time.Second
 	shortWork, beyondTimeoutWork = 40, 4700 // milliseconds
+	loadCallers, loadWork        = 80, 1000 // callers for each node, and milliseconds
+	refusedPause                 = 500 * time.Millisecond
 	minFaultGap, maxFaultGap     = 1500 * time.Millisecond, 5 * time.Second
 	restartDelay                 = 200 * time.Millisecond
 	firstHUP                     = 6 * time.Millisecond
@@ -49,6 +51,10 @@
 	// Disks lets disks be full, slow and stalled, and lets losses of power take what was not synced.
 	// The options need Options.WithDiskFaults.
 	Disks bool
+	// Load is the number of callers of first routes at each node that fill all slots of the upstreams.
+	Load int
+	// Cuts cuts links between machines. The options need Options.WithProxy.
+	Cuts bool
 	// Final loses the disk of one control replica while all other machines lose power.
 	Final bool
 }
@@ -64,6 +70,7 @@
 	// fault of a machine and for writing during one of all.
 	lost  chan struct{}
 	whole sync.RWMutex
+	proxy *Proxy
 	armed atomic.Bool
 	hit   chan struct{}
 
@@ -79,17 +86,28 @@
 		"config":        {Faults: true, KillAll: true, Final: true},
 		"config-calm":   {},
 		"config-disks":  {Faults: true, KillAll: true, Disks: true, Final: true},
+		"config-load":   {Load: loadCallers},
+		"config-cuts":   {Faults: true, Cuts: true},
 		"config-kills":  {KillAll: true, Final: true},
 		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
 	} {
 		sc := Scenario{Play: plan.play, Check: checkConfig}
-		if plan.Disks {
+		switch {
+		case plan.Disks:
 			sc.Options = Options.WithDiskFaults
+		case plan.Cuts:
+			sc.Options, sc.Prepare = Options.WithProxy, startProxy
 		}
 		scenarios[name] = sc
 	}
 }
 
+// startProxy puts a proxy between the machines of a fleet.
+func startProxy(ctx context.Context, fl *Fleet) (err error) {
+	fl.proxy, err = NewProxy(ctx, fl)
+	return err
+}
+
 // checkConfig checks the rule CONFIG.
 func checkConfig(fl *Fleet) []Finding {
 	check := ConfigCheck{Controls: fl.controlNames(), Services: make(map[call.VM]call.Service)}
@@ -115,6 +133,7 @@
 		controls: slices.Clone(fl.Controls),
 	}
 	cr.op.AfterAck = cr.afterAck
+	cr.proxy = fl.proxy
 	whole, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
 	defer func() {
@@ -136,6 +155,9 @@
 		for i := range configCallersPerNode {
 			background.Go(func() { cr.callNode(whole, ma, fmt.Sprintf("%s-%d", ma.Name, i)) })
 		}
+		for i := range plan.Load {
+			background.Go(func() { cr.loadNode(whole, ma, fmt.Sprintf("%s-load-%d", ma.Name, i)) })
+		}
 	}
 	if err := cr.run(ctx, whole); err != nil {
 		return err
@@ -313,6 +335,8 @@
 			cr.killAll(ctx)
 		case choice == 1 && cr.plan.Starve:
 			wg.Go(func() { cr.starve(ctx, rnd) })
+		case choice < 3 && cr.plan.Cuts:
+			wg.Go(func() { cr.cut(ctx, rnd) })
 		case choice < 6 && cr.plan.Faults:
 			for range 1 + rnd.IntN(4) {
 				one := rand.New(rand.NewPCG(rnd.Uint64(), 0))
@@ -352,6 +376,45 @@
 	}
 }
 
+// cut cuts a machine or a failure domain off, resets the connections of a machine, or lets them go
+// silent. A failure domain has a control replica, which counts as lost.
+func (cr *configRun) cut(ctx context.Context, rnd *rand.Rand) {
+	select {
+	case cr.lost <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-cr.lost }()
+	all := cr.fl.Machines()
+	inside := []*Machine{all[rnd.IntN(len(all))]}
+	links := LinksBetween(inside, slices.DeleteFunc(slices.Clone(all), func(ma *Machine) bool { return ma == inside[0] }), true)
+	choice := rnd.IntN(4)
+	if choice == 0 {
+		var outside []*Machine
+		inside, outside = cr.fl.Zone(failureDomains[rnd.IntN(len(failureDomains))])
+		links = LinksBetween(inside, outside, true)
+	}
+	rc := cr.fl.Recorder
+	mark := func(over bool) {
+		for _, ma := range inside {
+			rc.Add(Impaired{VM: ma.Name, At: rc.Now(), Cause: "cut", Over: over})
+		}
+	}
+	mark(false)
+	switch choice {
+	case 0, 1:
+		cr.proxy.Set(Condition{Cut: true}, links...)
+		_ = pause(ctx, time.Duration(500+rnd.IntN(5000))*time.Millisecond)
+		cr.proxy.Set(Condition{}, links...)
+	case 2:
+		cr.proxy.Reset(inside[0].Name)
+	default:
+		cr.proxy.Silence(inside[0].Name)
+	}
+	mark(true)
+	_ = pause(ctx, SyncTime)
+}
+
 // starve runs busy processes for some seconds.
 func (cr *configRun) starve(ctx context.Context, rnd *rand.Rand) {
 	ctx, stop := context.WithTimeout(ctx, 2*time.Second+time.Duration(rnd.Int64N(int64(3*time.Second))))
@@ -530,14 +593,27 @@
 	}
 }
 
-// call sends a request on a connection of its own.
-func (cr *configRun) call(ctx context.Context, ma *Machine, id RequestID, path string) {
+// loadNode sends requests for first routes with long work to a node until ctx ends.
+func (cr *configRun) loadNode(ctx context.Context, ma *Machine, name string) {
+	rnd := cr.seed.Rand(name)
+	first := cr.fl.FirstConfiguration().Prefixes()
+	gap := func() time.Duration { return time.Duration(rnd.Int64N(int64(configGap))) }
+	for n := 0; pause(ctx, gap()) == nil; n++ {
+		path := fmt.Sprintf("%sx?work=%d", first[rnd.IntN(len(first))], loadWork)
+		if !cr.call(ctx, ma, RequestID(fmt.Sprintf("%s-%d", name, n)), path) {
+			_ = pause(ctx, refusedPause+gap()) // the loop ends with ctx
+		}
+	}
+}
+
+// call sends a request on a connection of its own and reports whether it was served.
+func (cr *configRun) call(ctx context.Context, ma *Machine, id RequestID, path string) bool {
 	rc := cr.fl.Recorder
 	waiting, stop := context.WithTimeout(ctx, configDeadline)
 	defer stop()
 	rq, err := http.NewRequestWithContext(waiting, http.MethodGet, "http://"+ma.CallerAddress()+path, nil)
 	if err != nil {
-		return
+		return false
 	}
 	rq.Host = routeHost
 	rq.Header.Set(requestIDHeader, string(id))
@@ -556,4 +632,5 @@
 	default:
 		rc.Add(Cut{ID: id, At: rc.Now(), Cause: err.Error()})
 	}
+	return err == nil && res.StatusCode/100 == 2
 }
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -113,6 +113,7 @@
 
 	opt   Options
 	ports ports
+	proxy *Proxy // between the machines, or nil
 }
 
 // New prepares a fleet. It starts nothing.
