quorum: test that shows that no leader is elected while syncs are slow

Cause: a candidate asks for votes after a sync of its own vote, and each voter answers after another one. It begins anew after 100 to 300 ms, with a higher term, and then ignores the answers to the vote before. Where two syncs take longer, no election ends.

--- a/quorum/network_test.go
+++ b/quorum/network_test.go
@@ -75,6 +75,8 @@
 	// loss, duplicate and slow are in percent of the messages, and slowDisk in percent of
 	// the ticks of a write.
 	loss, duplicate, slow, slowDisk int
+	// syncTime is the least time that a write takes.
+	syncTime time.Duration
 
 	incarnations quorum.Incarnation
 	proposals    quorum.Proposal
@@ -319,7 +321,7 @@
 // leaves, or makes one fail.
 func (nw *network) finishWrites(id quorum.Replica) {
 	ho := nw.hosts[id]
-	for ho.up && ho.write != nil && nw.chance(nw.slowDisk) == 0 {
+	for ho.up && ho.write != nil && nw.now.Sub(ho.writeStarted) >= nw.syncTime && nw.chance(nw.slowDisk) == 0 {
 		pe := *ho.write
 		ho.write = nil
 		if ho.failing {
