rollout: test that shows that silent peers delay a configuration beyond 2 s; soak: config-freeze

Cause: a node that hears of a revision fetches it from the source of the last hint, and 0.5 to 1 s later from the one before. A fetch from a machine that went silent takes 2 s, and two of them end all further fetches until the first fails.

--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -32,7 +32,9 @@
 	shortWork, beyondTimeoutWork = 40, 4700 // milliseconds
 	loadCallers, loadWork        = 80, 1000 // callers for each node, and milliseconds
 	refusedPause                 = 500 * time.Millisecond
-	minFaultGap, maxFaultGap     = 1500 * time.Millisecond, 5 * time.Second
+	minFaultGap, maxFaultGap     = 500 * time.Millisecond, 3 * time.Second
+	frozenNodes                  = 6
+	maxFreezeDelay, freezePause  = 250 * time.Millisecond, 2 * time.Second
 	restartDelay                 = 200 * time.Millisecond
 	firstHUP                     = 6 * time.Millisecond
 	busyProcesses                = 8
@@ -53,6 +55,8 @@
 	Disks bool
 	// Load is the number of callers of first routes at each node that fill all slots of the upstreams.
 	Load int
+	// Freeze suspends nodes shortly after acknowledgements.
+	Freeze bool
 	// Cuts cuts links between machines. The options need Options.WithProxy.
 	Cuts bool
 	// Final loses the disk of one control replica while all other machines lose power.
@@ -71,8 +75,13 @@
 	lost  chan struct{}
 	whole sync.RWMutex
 	proxy *Proxy
-	armed atomic.Bool
-	hit   chan struct{}
+	// frozen holds a token while nodes are suspended after an acknowledgement, and its holder uses
+	// freezes. tasks are those that do it.
+	frozen  chan struct{}
+	freezes *rand.Rand
+	tasks   sync.WaitGroup
+	armed  atomic.Bool
+	hit    chan struct{}
 
 	mu sync.Mutex
 	// held are machines whose processes the scenario starts again itself.
@@ -88,6 +97,7 @@
 		"config-disks":  {Faults: true, KillAll: true, Disks: true, Final: true},
 		"config-load":   {Load: loadCallers},
 		"config-cuts":   {Faults: true, Cuts: true},
+		"config-freeze": {Freeze: true},
 		"config-kills":  {KillAll: true, Final: true},
 		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
 	} {
@@ -133,12 +143,14 @@
 		controls: slices.Clone(fl.Controls),
 	}
 	cr.op.AfterAck = cr.afterAck
+	cr.frozen, cr.freezes = make(chan struct{}, 1), seed.Rand("freezes")
 	cr.proxy = fl.proxy
 	whole, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
 	defer func() {
 		stop()
 		background.Wait()
+		cr.tasks.Wait()
 		for _, ma := range cr.replaced {
 			ma.Kill()
 		}
@@ -266,6 +278,9 @@
 
 // afterAck kills all processes if that is armed.
 func (cr *configRun) afterAck() {
+	if cr.plan.Freeze {
+		cr.tasks.Go(cr.freezeSome)
+	}
 	if !cr.armed.CompareAndSwap(true, false) {
 		return
 	}
@@ -427,6 +442,27 @@
 	wg.Wait()
 }
 
+// freezeSome suspends some nodes, unless others are.
+func (cr *configRun) freezeSome() {
+	select {
+	case cr.frozen <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-cr.frozen }()
+	after, length := time.Duration(cr.freezes.Int64N(int64(maxFreezeDelay))), time.Duration(2000+cr.freezes.IntN(2000))*time.Millisecond
+	order := cr.freezes.Perm(len(cr.fl.Nodes))[:frozenNodes]
+	time.Sleep(after)
+	for _, i := range order {
+		cr.fl.Nodes[i].Signal(syscall.SIGSTOP)
+	}
+	time.Sleep(length)
+	for _, i := range order {
+		cr.fl.Nodes[i].Signal(syscall.SIGCONT)
+	}
+	time.Sleep(freezePause)
+}
+
 // freezeAll suspends all processes for a second.
 func (cr *configRun) freezeAll(ctx context.Context) {
 	for _, sig := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
