--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -33,7 +33,7 @@
 	loadCallers, loadWork        = 80, 1000 // callers for each node, and milliseconds
 	refusedPause                 = 500 * time.Millisecond
 	minFaultGap, maxFaultGap     = 500 * time.Millisecond, 3 * time.Second
-	frozenNodes                  = 6
+	frozenNodes                  = 9
 	maxFreezeDelay, freezePause  = 250 * time.Millisecond, 2 * time.Second
 	restartDelay                 = 200 * time.Millisecond
 	firstHUP                     = 6 * time.Millisecond
@@ -607,7 +607,7 @@
 func (cr *configRun) callNode(ctx context.Context, ma *Machine, name string) {
 	rnd := cr.seed.Rand(name)
 	for n := 0; pause(ctx, time.Duration(rnd.Int64N(int64(configGap)))) == nil; n++ {
-		co, dropped := cr.op.Current()
+		co, dropped, changed := cr.op.Current()
 		prefixes := co.Prefixes()
 		isFirst := func(prefix string) bool { return firstRoutes[strings.Trim(prefix, "/")].Host != "" }
 		added := slices.DeleteFunc(slices.Clone(prefixes), isFirst)
@@ -615,7 +615,9 @@
 		choice, work := rnd.IntN(20), 1+rnd.IntN(shortWork)
 		prefix := fmt.Sprintf("/never-%d/", n)
 		switch {
-		case choice < 9:
+		case choice < 7 && len(changed) > 0:
+			prefix = changed[rnd.IntN(len(changed))]
+		case choice < 11:
 			prefix = first[rnd.IntN(len(first))]
 		case choice < 16 && len(added) > 0:
 			prefix = added[rnd.IntN(len(added))]
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -47,9 +48,10 @@
 	current  Configuration // the newest that is known to be accepted
 	contents map[string]ChangeID
 	sent     map[ChangeID]Configuration
-	// dropped are prefixes of routes that were dropped, and added the number of those added.
-	dropped []string
-	added   int
+	// dropped are prefixes of routes that were dropped, changed those that the last accepted
+	// configuration changed, and added is the number of those added.
+	dropped, changed []string
+	added            int
 }
 
 // NewOperator returns an operator that begins with a configuration that was not sent yet.
@@ -81,12 +83,12 @@
 	}
 }
 
-// Current returns the newest configuration that is known to be accepted, and the prefixes of routes
-// that were dropped.
-func (op *Operator) Current() (co Configuration, dropped []string) {
+// Current returns the newest configuration that is known to be accepted, the prefixes of routes
+// that were dropped, and those of routes that it changed.
+func (op *Operator) Current() (co Configuration, dropped, changed []string) {
 	op.mu.Lock()
 	defer op.mu.Unlock()
-	return op.current, slices.Clone(op.dropped)
+	return op.current, slices.Clone(op.dropped), op.changed
 }
 
 // Run changes the configuration until ctx ends.
@@ -344,6 +346,7 @@
 func (op *Operator) accept(co Configuration) {
 	op.mu.Lock()
 	if co.Version > op.current.Version {
+		op.changed = changedPrefixes(op.current, co)
 		op.current = co
 	}
 	op.mu.Unlock()
@@ -352,6 +355,18 @@
 	}
 }
 
+// changedPrefixes returns the prefixes of the routes that differ between two configurations.
+func changedPrefixes(from, to Configuration) []string {
+	old, changed := routesOf(from), []string(nil)
+	for prefix, rs := range routesOf(to) {
+		if before, ok := old[prefix]; !ok || !reflect.DeepEqual(before, rs) {
+			changed = append(changed, prefix)
+		}
+		delete(old, prefix)
+	}
+	return append(changed, slices.Collect(maps.Keys(old))...)
+}
+
 // put sends a body to a random replica, follows redirects and returns the replica that answered.
 func (op *Operator) put(ctx context.Context, body []byte) (call.VM, int) {
 	op.mu.Lock()
