--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -80,8 +80,8 @@
 	frozen  chan struct{}
 	freezes *rand.Rand
 	tasks   sync.WaitGroup
-	armed  atomic.Bool
-	hit    chan struct{}
+	armed   atomic.Bool
+	hit     chan struct{}
 
 	mu sync.Mutex
 	// held are machines whose processes the scenario starts again itself.
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -364,7 +364,7 @@
 		}
 		delete(old, prefix)
 	}
-	return append(changed, slices.Collect(maps.Keys(old))...)
+	return slices.Sorted(slices.Values(append(changed, slices.Collect(maps.Keys(old))...)))
 }
 
 // put sends a body to a random replica, follows redirects and returns the replica that answered.
