--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
@@ -295,3 +296,6 @@
 		return ctx.Err()
 	}
 }
+
+// RemoveFolder removes the folder of the fleet with all logs and disks.
+func (fl *Fleet) RemoveFolder() error { return os.RemoveAll(fl.opt.Folder) }
