--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -55,6 +55,9 @@
 	Disks bool
 	// Load is the number of callers of first routes at each node that fill all slots of the upstreams.
 	Load int
+	// Wipes loses the disk of one control replica after the other, each SyncTime after the return of the
+	// one before, by turns alone and while all other machines lose power.
+	Wipes bool
 	// Freeze suspends nodes shortly after acknowledgements.
 	Freeze bool
 	// Cuts cuts links between machines. The options need Options.WithProxy.
@@ -98,6 +101,7 @@
 		"config-load":   {Load: loadCallers},
 		"config-cuts":   {Faults: true, Cuts: true},
 		"config-freeze": {Freeze: true},
+		"config-wipes":  {Disks: true, Wipes: true, Final: true},
 		"config-kills":  {KillAll: true, Final: true},
 		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
 	} {
@@ -197,6 +201,9 @@
 	defer stopChanges()
 	var changes sync.WaitGroup
 	changes.Go(func() { cr.op.Run(changing) })
+	if cr.plan.Wipes {
+		cr.wipes(limited)
+	}
 	cr.faults(limited)
 	<-limited.Done()
 	if cr.plan.Final {
@@ -365,6 +372,45 @@
 	}
 }
 
+// wipes loses disks until ctx ends. The last one is back for SyncTime when it returns.
+func (cr *configRun) wipes(ctx context.Context) {
+	for ctx.Err() == nil {
+		if cr.rnd.IntN(2) == 0 {
+			ma := cr.controls[cr.rnd.IntN(len(cr.controls))]
+			cr.hold(ma)
+			ma.Kill()
+			if err := ma.WipeDisk(); err != nil {
+				cr.fl.Recorder.Find(Fault, "disk of %s: %v", ma.Name, err)
+			}
+			_ = pause(ctx, time.Duration(cr.rnd.IntN(1500))*time.Millisecond)
+			_ = ma.Restart() // otherwise by supervise
+			cr.release(ma)
+		} else {
+			cr.killAfterAck(ctx)
+			if err := cr.finalFault(context.WithoutCancel(ctx)); err != nil {
+				cr.fl.Recorder.Find(Fault, "loss of power: %v", err)
+			}
+			cr.awaitRead(context.WithoutCancel(ctx))
+		}
+		time.Sleep(SyncTime)
+	}
+}
+
+// awaitRead waits until the configuration can be read again after a start of all. Reads beside check
+// what it is.
+func (cr *configRun) awaitRead(ctx context.Context) {
+	end := time.Now().Add(RecoveryTime)
+	for cr.op.Read(ctx, cr.presentControls()[0], false).Status != http.StatusOK {
+		if time.Now().After(end) {
+			cr.fl.Recorder.Find(Config, "not read within %v after a start of all", RecoveryTime)
+			return
+		}
+		if pause(ctx, maxReadGap) != nil {
+			return
+		}
+	}
+}
+
 // killAll kills all processes right after an acknowledgement and starts them again.
 func (cr *configRun) killAll(ctx context.Context) {
 	cr.whole.Lock()
@@ -378,17 +424,7 @@
 	if err := cr.startAll(context.WithoutCancel(ctx)); err != nil {
 		cr.fl.Recorder.Find(Fault, "start of all: %v", err)
 	}
-	// A readable configuration ends the fault. Reads beside check what it is.
-	end := time.Now().Add(RecoveryTime)
-	for cr.op.Read(ctx, cr.presentControls()[0], false).Status != http.StatusOK {
-		if time.Now().After(end) {
-			cr.fl.Recorder.Find(Config, "not read within %v after a start of all", RecoveryTime)
-			return
-		}
-		if pause(ctx, maxReadGap) != nil {
-			return
-		}
-	}
+	cr.awaitRead(ctx)
 }
 
 // cut cuts a machine or a failure domain off, resets the connections of a machine, or lets them go
