--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -357,9 +357,9 @@
 			cr.killAll(ctx)
 		case choice == 1 && cr.plan.Starve:
 			wg.Go(func() { cr.starve(ctx, rnd) })
-		case choice < 3 && cr.plan.Cuts:
+		case choice < 6 && cr.plan.Cuts:
 			wg.Go(func() { cr.cut(ctx, rnd) })
-		case choice < 6 && cr.plan.Faults:
+		case choice < 8 && cr.plan.Faults:
 			for range 1 + rnd.IntN(4) {
 				one := rand.New(rand.NewPCG(rnd.Uint64(), 0))
 				wg.Go(func() { cr.nodeFault(ctx, one) })
@@ -427,8 +427,8 @@
 	cr.awaitRead(ctx)
 }
 
-// cut cuts a machine or a failure domain off, resets the connections of a machine, or lets them go
-// silent. A failure domain has a control replica, which counts as lost.
+// cut cuts a machine or a failure domain off, splits the control replicas, resets the connections of a
+// machine, or lets them go silent. A failure domain has a control replica, which counts as lost.
 func (cr *configRun) cut(ctx context.Context, rnd *rand.Rand) {
 	select {
 	case cr.lost <- struct{}{}:
@@ -439,11 +439,16 @@
 	all := cr.fl.Machines()
 	inside := []*Machine{all[rnd.IntN(len(all))]}
 	links := LinksBetween(inside, slices.DeleteFunc(slices.Clone(all), func(ma *Machine) bool { return ma == inside[0] }), true)
-	choice := rnd.IntN(4)
-	if choice == 0 {
+	choice := rnd.IntN(5)
+	switch choice {
+	case 0:
 		var outside []*Machine
 		inside, outside = cr.fl.Zone(failureDomains[rnd.IntN(len(failureDomains))])
 		links = LinksBetween(inside, outside, true)
+	case 1: // the control replicas are split in two halves, and all nodes reach both
+		inside = slices.Clone(cr.fl.Controls)
+		rnd.Shuffle(len(inside), func(i, j int) { inside[i], inside[j] = inside[j], inside[i] })
+		links = LinksBetween(inside[:len(inside)/2], inside[len(inside)/2:], true)
 	}
 	rc := cr.fl.Recorder
 	mark := func(over bool) {
@@ -453,11 +458,11 @@
 	}
 	mark(false)
 	switch choice {
-	case 0, 1:
+	case 0, 1, 2:
 		cr.proxy.Set(Condition{Cut: true}, links...)
 		_ = pause(ctx, time.Duration(500+rnd.IntN(5000))*time.Millisecond)
 		cr.proxy.Set(Condition{}, links...)
-	case 2:
+	case 3:
 		cr.proxy.Reset(inside[0].Name)
 	default:
 		cr.proxy.Silence(inside[0].Name)
