rollout: a configuration is fetched on a connection of its own

Kept connections were trusted until a fetch had waited for 2 s, which is all the time in which a change has to apply, and each source has a connection of its own, so that a fetch from the next one waited as well.

Change: a fetch opens a connection. There are one or two for each change at a node.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -196,6 +196,8 @@
 	// summarizeProcess, or 0 before the first change.
 	gcPercent int
 	rpc       *http.Client
+	// fetchClient fetches configurations.
+	fetchClient *http.Client
 }
 
 // New listens on the addresses of the settings and returns a node that is ready to run.
@@ -224,7 +226,9 @@
 	if opt.Events != nil {
 		nd.events = events.New(set.GetName())
 	}
-	nd.rpc = &http.Client{Transport: opt.SocketWrappers.newTransport(opt.Dial)}
+	dial := opt.SocketWrappers.dialFunc(opt.Dial)
+	nd.rpc = &http.Client{Transport: peer.NewReconnectingTransport(dial)}
+	nd.fetchClient = &http.Client{Transport: peer.NewSingleUseTransport(dial)}
 	var quota *link.Quota
 	if opt.MaxQueuedBytes > 0 {
 		quota = link.NewQuota(opt.MaxQueuedBytes)
@@ -319,10 +323,10 @@
 	nd.rollout, err = rollout.New(rollout.Settings{
 		Deployment: call.Deployment(nd.set.GetDeployment()), DataFolder: nd.set.GetDataFolder(), Controls: controls,
 		ControlClient: func(address string) rollout.Fetcher {
-			return schemaconnect.NewControlClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
+			return schemaconnect.NewControlClient(nd.fetchClient, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
 		},
 		PeerClient: func(address string) rollout.Fetcher {
-			return schemaconnect.NewPeerClient(nd.rpc, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
+			return schemaconnect.NewPeerClient(nd.fetchClient, "http://"+address, connect.WithReadMaxBytes(maxConfigurationBytes))
 		},
 		Hints: nd.gossip.Hints(), PresentPeers: nd.presentPeers, PresentControls: nd.presentControls, OnChange: nd.configure,
 		Log: nd.log, Metrics: nd.metrics,
--- a/internal/fleet/node/sockets.go
+++ b/internal/fleet/node/sockets.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 
 	"camphortrail/internal/traffic/peer"
 )
@@ -33,22 +32,22 @@
 	return &wrappingListener{Listener: ln, wrap: sw.WrapStream}
 }
 
-// newTransport returns the HTTP transport for the node's own control calls. It opens
-// connections with dial, or with a net.Dialer if dial is nil.
-func (sw SocketWrappers) newTransport(dial peer.DialFunc) http.RoundTripper {
+// dialFunc returns dial, or that of a net.Dialer if dial is nil, and wraps the connections if
+// WrapStream is set. It returns nil if both are nil.
+func (sw SocketWrappers) dialFunc(dial peer.DialFunc) peer.DialFunc {
 	if sw.WrapStream == nil {
-		return peer.NewReconnectingTransport(dial)
+		return dial
 	}
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	return peer.NewReconnectingTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return sw.WrapStream(conn), nil
-	})
+	}
 }
 
 // wrappingListener wraps each connection that it accepts.
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -67,6 +67,16 @@
 	return newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
 }
 
+// NewSingleUseTransport returns a transport that opens a connection for each request, with dial or
+// with a net.Dialer if dial is nil. A connection that was kept may have stopped delivering data,
+// which only a timeout tells.
+func NewSingleUseTransport(dial DialFunc) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+}
+
 func newTransport(dial DialFunc) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
--- a/internal/traffic/peer/reconnecting_test.go
+++ b/internal/traffic/peer/reconnecting_test.go
@@ -38,3 +38,26 @@
 		t.Fatalf("call after it: %v", err)
 	}
 }
+
+// TestSilentConnectionsDelayNoFetch guards against a configuration that comes late as the fetch waits on
+// a connection that was kept, and that went silent in a partition.
+func TestSilentConnectionsDelayNoFetch(t *testing.T) {
+	ts := newTestSetup(t)
+	client := &http.Client{Transport: NewSingleUseTransport(ts.wires.Dial)}
+	for range 3 {
+		ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+		defer stop()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ts.address+"/else", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := res.Body.Close(); err != nil {
+			t.Fatal(err)
+		}
+		ts.wires.Silence(true, true)
+	}
+}
