--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -38,6 +38,7 @@
 	restartDelay                 = 200 * time.Millisecond
 	firstHUP                     = 6 * time.Millisecond
 	busyProcesses                = 8
+	silenceGap                   = 10 * time.Second
 	warmUp                       = 4 * time.Second
 )
 
@@ -60,8 +61,9 @@
 	Wipes bool
 	// Freeze suspends nodes shortly after acknowledgements.
 	Freeze bool
-	// Cuts cuts links between machines. The options need Options.WithProxy.
-	Cuts bool
+	// Cuts cuts links between machines, and Silence lets all open connections between them go silent
+	// again and again. The options need Options.WithProxy.
+	Cuts, Silence bool
 	// Final loses the disk of one control replica while all other machines lose power.
 	Final bool
 }
@@ -102,6 +104,7 @@
 		"config-cuts":   {Faults: true, Cuts: true},
 		"config-freeze": {Freeze: true},
 		"config-wipes":  {Disks: true, Wipes: true, Final: true},
+		"config-silent": {Silence: true},
 		"config-kills":  {KillAll: true, Final: true},
 		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
 	} {
@@ -109,7 +112,7 @@
 		switch {
 		case plan.Disks:
 			sc.Options = Options.WithDiskFaults
-		case plan.Cuts:
+		case plan.Cuts, plan.Silence:
 			sc.Options, sc.Prepare = Options.WithProxy, startProxy
 		}
 		scenarios[name] = sc
@@ -204,6 +207,11 @@
 	if cr.plan.Wipes {
 		cr.wipes(limited)
 	}
+	for cr.plan.Silence && pause(limited, silenceGap) == nil {
+		for _, ma := range cr.machines() {
+			cr.proxy.Silence(ma.Name)
+		}
+	}
 	cr.faults(limited)
 	<-limited.Done()
 	if cr.plan.Final {
