--- a/cmd/camphortrail/soak.go
+++ b/cmd/camphortrail/soak.go
@@ -19,6 +19,7 @@
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the plan of events"`
 	For      time.Duration `long:"for" default:"2m" description:"length of the run after all nodes are ready"`
 	Scenario string        `long:"scenario" default:"lost" description:"what happens: see --list"`
+	Scale    int           `long:"scale" default:"1" description:"number of times that each service has its upstreams"`
 	List     bool          `long:"list" description:"print the names of the scenarios and end"`
 	Report   string        `long:"report" description:"file for the report, as JSON (default: standard output)"`
 	Keep     string        `long:"keep" description:"folder in which settings, logs and disks stay (default: a temporary folder)"`
@@ -43,7 +44,13 @@
 		}
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	re, err := soak.Run(ctx, cm.Scenario, cm.For, soak.Options{Seed: soak.Seed(cm.Seed), Program: program, Folder: folder}, os.Stderr)
+	services := soak.Services()
+	for i := range services {
+		services[i].Upstreams *= cm.Scale
+	}
+	re, err := soak.Run(ctx, cm.Scenario, cm.For, soak.Options{
+		Seed: soak.Seed(cm.Seed), Program: program, Folder: folder, Services: services,
+	}, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -243,7 +243,7 @@
 		return text + fmt.Sprintf(", cut at %s, %.3f s after it was sent: %s", end, end.Sub(fa.At).Seconds(), fa.cut.Cause)
 	}
 	if fa.answer != nil {
-		text += fmt.Sprintf(", answered %d at %s, %.3f s after it was sent", fa.answer.Status, fa.answer.At, fa.answer.At.Sub(fa.At).Seconds())
+		text += fmt.Sprintf(", answered %d at %s, %s before it was due", fa.answer.Status, fa.answer.At, fa.Begun.Add(fa.time()).Sub(fa.answer.At))
 	}
 	return text
 }
