--- a/cmd/camphortrail/soak.go
+++ b/cmd/camphortrail/soak.go
@@ -21,6 +21,7 @@
 	Scenario string        `long:"scenario" default:"lost" description:"what happens: see --list"`
 	Scale    int           `long:"scale" default:"1" description:"number of times that each service has its upstreams"`
 	List     bool          `long:"list" description:"print the names of the scenarios and end"`
+	Program  string        `long:"program" description:"command camphortrail of the fleet (default: this one)"`
 	Report   string        `long:"report" description:"file for the report, as JSON (default: standard output)"`
 	Keep     string        `long:"keep" description:"folder in which settings, logs and disks stay (default: a temporary folder)"`
 }
@@ -37,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if cm.Program != "" {
+		program = cm.Program
+	}
 	folder := cm.Keep
 	if folder == "" {
 		if folder, err = os.MkdirTemp("", "camphortrail-soak-"); err != nil {
