--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -363,7 +363,9 @@
 	cn.mu.Lock()
 	if len(cn.waiting) == 0 {
 		cn.mu.Unlock()
-		rc.Find(Mixed, "connection %d at %s: an answer %d with no request waiting", cn.id, cn.ca.ma.Name, res.StatusCode)
+		if res.StatusCode/100 == 2 {
+			rc.Find(Mixed, "connection %d at %s: an answer %d with no request waiting", cn.id, cn.ca.ma.Name, res.StatusCode)
+		}
 		return false
 	}
 	ou := cn.waiting[0]
