--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -122,7 +122,7 @@
 	}
 	buckets := allowances.NewBuckets(set.UsageBounds())
 	co, err := control.New(set.ControlSettings(), control.Options{
-		Log: log.Log, Validate: config.Check, Elastic: true,
+		Log: log.Log, Validate: config.Check, Elastic: true, Voters: set.Voters(),
 		Lead: buckets.Lead, Grant: buckets.Grant, BindIP: set.PeerBindIP(), WrapFolder: wrap,
 		Endpoints: []control.Endpoint{{Address: set.ControlAddress, Handler: set.NewOperatorHandler}},
 	})
