--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -79,7 +79,6 @@
 	// fault of a machine and for writing during one of all.
 	lost  chan struct{}
 	whole sync.RWMutex
-	proxy *Proxy
 	// frozen holds a token while nodes are suspended after an acknowledgement, and its holder uses
 	// freezes. tasks are those that do it.
 	frozen  chan struct{}
@@ -113,18 +112,12 @@
 		case plan.Disks:
 			sc.Options = Options.WithDiskFaults
 		case plan.Cuts, plan.Silence:
-			sc.Options, sc.Prepare = Options.WithProxy, startProxy
+			sc.Options = Options.WithProxy
 		}
 		scenarios[name] = sc
 	}
 }
 
-// startProxy puts a proxy between the machines of a fleet.
-func startProxy(ctx context.Context, fl *Fleet) (err error) {
-	fl.proxy, err = NewProxy(ctx, fl)
-	return err
-}
-
 // checkConfig checks the rule CONFIG.
 func checkConfig(fl *Fleet) []Finding {
 	check := ConfigCheck{Controls: fl.controlNames(), Services: make(map[call.VM]call.Service)}
@@ -151,7 +144,6 @@
 	}
 	cr.op.AfterAck = cr.afterAck
 	cr.frozen, cr.freezes = make(chan struct{}, 1), seed.Rand("freezes")
-	cr.proxy = fl.proxy
 	whole, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
 	defer func() {
@@ -209,7 +201,7 @@
 	}
 	for cr.plan.Silence && pause(limited, silenceGap) == nil {
 		for _, ma := range cr.machines() {
-			cr.proxy.Silence(ma.Name)
+			cr.fl.Proxy.Silence(ma.Name)
 		}
 	}
 	cr.faults(limited)
@@ -467,13 +459,13 @@
 	mark(false)
 	switch choice {
 	case 0, 1, 2:
-		cr.proxy.Set(Condition{Cut: true}, links...)
+		cr.fl.Proxy.Set(Condition{Cut: true}, links...)
 		_ = pause(ctx, time.Duration(500+rnd.IntN(5000))*time.Millisecond)
-		cr.proxy.Set(Condition{}, links...)
+		cr.fl.Proxy.Set(Condition{}, links...)
 	case 3:
-		cr.proxy.Reset(inside[0].Name)
+		cr.fl.Proxy.Reset(inside[0].Name)
 	default:
-		cr.proxy.Silence(inside[0].Name)
+		cr.fl.Proxy.Silence(inside[0].Name)
 	}
 	mark(true)
 	_ = pause(ctx, SyncTime)
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -117,7 +117,6 @@
 
 	opt   Options
 	ports ports
-	proxy *Proxy // between the machines, or nil
 }
 
 // New prepares a fleet. It starts nothing.
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -24,8 +24,6 @@
 type Scenario struct {
 	// Options changes the options of the fleet, if it is not nil.
 	Options func(Options) Options
-	// Prepare is called before the processes start, if it is not nil. What it begins ends with ctx.
-	Prepare func(ctx context.Context, fl *Fleet) error
 	// Play acts on a fleet whose nodes are ready and whose first configuration is in force, until
 	// ctx ends, and returns when all that it began is over.
 	Play func(ctx context.Context, fl *Fleet) error
@@ -79,11 +77,6 @@
 	fleetCtx, stopFleet := context.WithCancel(ctx)
 	defer stopFleet()
 	defer fl.Close()
-	if sc.Prepare != nil {
-		if err := sc.Prepare(fleetCtx, fl); err != nil {
-			return nil, err
-		}
-	}
 	if err := fl.startServing(fleetCtx); err != nil {
 		return nil, err
 	}
