--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -38,6 +38,7 @@
 	restartDelay                 = 200 * time.Millisecond
 	firstHUP                     = 6 * time.Millisecond
 	busyProcesses                = 8
+	silenceGap                   = 10 * time.Second
 	warmUp                       = 4 * time.Second
 )
 
@@ -60,8 +61,9 @@
 	Wipes bool
 	// Freeze suspends nodes shortly after acknowledgements.
 	Freeze bool
-	// Cuts cuts links between machines. The options need Options.WithProxy.
-	Cuts bool
+	// Cuts cuts links between machines, and Silence lets all open connections between them go silent
+	// again and again. The options need Options.WithProxy.
+	Cuts, Silence bool
 	// Final loses the disk of one control replica while all other machines lose power.
 	Final bool
 }
@@ -77,7 +79,6 @@
 	// fault of a machine and for writing during one of all.
 	lost  chan struct{}
 	whole sync.RWMutex
-	proxy *Proxy
 	// frozen holds a token while nodes are suspended after an acknowledgement, and its holder uses
 	// freezes. tasks are those that do it.
 	frozen  chan struct{}
@@ -102,6 +103,7 @@
 		"config-cuts":   {Faults: true, Cuts: true},
 		"config-freeze": {Freeze: true},
 		"config-wipes":  {Disks: true, Wipes: true, Final: true},
+		"config-silent": {Silence: true},
 		"config-kills":  {KillAll: true, Final: true},
 		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
 	} {
@@ -109,19 +111,13 @@
 		switch {
 		case plan.Disks:
 			sc.Options = Options.WithDiskFaults
-		case plan.Cuts:
-			sc.Options, sc.Prepare = Options.WithProxy, startProxy
+		case plan.Cuts, plan.Silence:
+			sc.Options = Options.WithProxy
 		}
 		scenarios[name] = sc
 	}
 }
 
-// startProxy puts a proxy between the machines of a fleet.
-func startProxy(ctx context.Context, fl *Fleet) (err error) {
-	fl.proxy, err = NewProxy(ctx, fl)
-	return err
-}
-
 // checkConfig checks the rule CONFIG.
 func checkConfig(fl *Fleet) []Finding {
 	check := ConfigCheck{Controls: fl.controlNames(), Services: make(map[call.VM]call.Service)}
@@ -148,7 +144,6 @@
 	}
 	cr.op.AfterAck = cr.afterAck
 	cr.frozen, cr.freezes = make(chan struct{}, 1), seed.Rand("freezes")
-	cr.proxy = fl.proxy
 	whole, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
 	defer func() {
@@ -204,6 +199,11 @@
 	if cr.plan.Wipes {
 		cr.wipes(limited)
 	}
+	for cr.plan.Silence && pause(limited, silenceGap) == nil {
+		for _, ma := range cr.machines() {
+			cr.fl.Proxy.Silence(ma.Name)
+		}
+	}
 	cr.faults(limited)
 	<-limited.Done()
 	if cr.plan.Final {
@@ -459,13 +459,13 @@
 	mark(false)
 	switch choice {
 	case 0, 1, 2:
-		cr.proxy.Set(Condition{Cut: true}, links...)
+		cr.fl.Proxy.Set(Condition{Cut: true}, links...)
 		_ = pause(ctx, time.Duration(500+rnd.IntN(5000))*time.Millisecond)
-		cr.proxy.Set(Condition{}, links...)
+		cr.fl.Proxy.Set(Condition{}, links...)
 	case 3:
-		cr.proxy.Reset(inside[0].Name)
+		cr.fl.Proxy.Reset(inside[0].Name)
 	default:
-		cr.proxy.Silence(inside[0].Name)
+		cr.fl.Proxy.Silence(inside[0].Name)
 	}
 	mark(true)
 	_ = pause(ctx, SyncTime)
