entry, guard: the notice of a stop ends by the clock, not by a timer

Cause: the entry refused requests of callers from the moment at which a goroutine woke up after 2.5 s. In a process that waits for the processor another goroutine may read a request first. That the process did wait is not shown; the arrival and the cut leave no other way in.

Change: entry and guard get the times at the SIGTERM and compare them with the clock for each request.

Result: TestNoticeEndsWithoutTimer; the behaviour of a process that gets its time is the same.

--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -22,16 +22,19 @@
 	nd.log.Info("node stopping")
 	plan := nd.opt.Stop
 	nd.stopping.Store(true)
-	end := time.Now().Add(plan.NoticePeriod + plan.FinishTimeout)
-	if !plan.AcceptCallers {
-		nd.entry.Stop(end)
-	}
+	now := time.Now()
+	noticeEnd := now.Add(plan.NoticePeriod)
+	end := noticeEnd.Add(plan.FinishTimeout)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	nd.serveDuringNotice(ctx, end)
 	// The entry still admits the calls that the upstream itself makes, because its work
 	// in flight needs them.
-	nd.entry.Stop(end)
+	if plan.AcceptCallers {
+		nd.entry.Stop(noticeEnd, end)
+	} else {
+		nd.entry.Stop(now, end)
+	}
+	nd.serveDuringNotice(ctx, noticeEnd, end)
 	if plan.DrainPeriod > 0 {
 		nd.drainLate(ctx, end)
 	}
@@ -63,17 +66,14 @@
 // serveDuringNotice waits for the notice period. Without a drain period the upstream drains during
 // all of it. Otherwise it goes on serving, and what it begins from the last part of the notice on
 // must be over by the end of the stop.
-func (nd *Node) serveDuringNotice(ctx context.Context, end time.Time) {
+func (nd *Node) serveDuringNotice(ctx context.Context, noticeEnd, end time.Time) {
 	plan := nd.opt.Stop
 	if plan.DrainPeriod == 0 {
 		nd.announcements.Drain()
-		pause(ctx, plan.NoticePeriod)
-		return
+	} else {
+		nd.guard.FinishBy(noticeEnd.Add(-min(plan.DrainPeriod, plan.NoticePeriod)), end)
 	}
-	last := min(plan.DrainPeriod, plan.NoticePeriod)
-	pause(ctx, plan.NoticePeriod-last)
-	nd.guard.FinishBy(end)
-	pause(ctx, last)
+	pause(ctx, time.Until(noticeEnd))
 }
 
 // drainLate waits for the requests of callers, but not beyond the time that the rest of the stop
--- a/internal/traffic/entry/begin_test.go
+++ b/internal/traffic/entry/begin_test.go
@@ -84,7 +84,7 @@
 				tn.started = time.Now().Add(-2 * learnTime)
 			}
 			if tt.stopping {
-				tn.Stop(time.Now().Add(time.Minute))
+				tn.Stop(time.Now(), time.Now().Add(time.Minute))
 			}
 			newRequest := func() *Request {
 				return &Request{
@@ -160,7 +160,7 @@
 				tn.Abandon(rd)
 				tn.Abandon(rd)
 			case "stopped":
-				tn.Stop(time.Now().Add(time.Minute))
+				tn.Stop(time.Now(), time.Now().Add(time.Minute))
 				if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.NotRun || an.Reason != ReasonStopping {
 					t.Errorf("answer %+v", an)
 				}
--- a/internal/traffic/entry/entry_test.go
+++ b/internal/traffic/entry/entry_test.go
@@ -281,7 +281,7 @@
 	var inner *http.Response
 	tn = newTestNode(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/cassa/charges" {
-			tn.Stop(time.Now().Add(time.Minute))
+			tn.Stop(time.Now(), time.Now().Add(time.Minute))
 			inner = tn.do("GET", "/cassa/payments", "", header.Attempt, r.Header.Get(header.Attempt))
 		}
 		answerOK(w, r)
@@ -360,7 +360,7 @@
 	if reason := tn.RefusalReason(); reason != "" {
 		t.Errorf("RefusalReason = %q before the stop", reason)
 	}
-	tn.Stop(time.Now().Add(time.Minute))
+	tn.Stop(time.Now(), time.Now().Add(time.Minute))
 	if reason := tn.RefusalReason(); reason != ReasonStopping {
 		t.Errorf("RefusalReason = %q after the stop", reason)
 	}
--- a/internal/traffic/entry/routed_test.go
+++ b/internal/traffic/entry/routed_test.go
@@ -66,7 +66,7 @@
 			t.Fatalf("request %d: %v %s", n, outcome, reason)
 		}
 	}
-	tn.Stop(time.Now().Add(time.Minute))
+	tn.Stop(time.Now(), time.Now().Add(time.Minute))
 	if outcome, reason := tn.lookUp(t, 20); outcome != call.NotRun || reason != ReasonStopping {
 		t.Errorf("request after the stop: %v %q, want not-run %q", outcome, reason, ReasonStopping)
 	}
--- a/internal/traffic/entry/stop.go
+++ b/internal/traffic/entry/stop.go
@@ -11,25 +11,27 @@
 // node is back after a few seconds, and callers may use another one meanwhile.
 const stopRetryAfter = time.Second
 
-// stopTimes says when the entry stopped, and when the process breaks off what is in flight.
-type stopTimes struct{ begun, end time.Time }
+// stopTimes says from when on the entry is stopped, and when the process breaks off what is in flight.
+type stopTimes struct{ from, end time.Time }
 
-// Stop makes the entry refuse new requests of callers. It still serves calls of the upstream on its
-// VM, which belong to attempts that run, if their deadlines are no later than end. Only the first
-// call has an effect.
-func (en *Entry) Stop(end time.Time) {
-	en.stop.CompareAndSwap(nil, &stopTimes{time.Now(), end})
-}
+// Stop makes the entry refuse new requests of callers from a time on. It still serves calls of the
+// upstream on its VM, which belong to attempts that run, if their deadlines are no later than end.
+// Both times are set at once, since a process without processor time may let requests in before it
+// acts on a timer. Only the first call has an effect.
+func (en *Entry) Stop(from, end time.Time) { en.stop.CompareAndSwap(nil, &stopTimes{from, end}) }
 
 // stopping reports whether the entry has stopped.
-func (en *Entry) stopping() bool { return en.stop.Load() != nil }
+func (en *Entry) stopping() bool {
+	st := en.stop.Load()
+	return st != nil && !time.Now().Before(st.from)
+}
 
 // refuseWhileStopping refuses a request if the entry has stopped, unless it is a call and over by
 // the end of the stop. Which requests are calls is learned. A request of a caller that is taken for
 // one is not broken off either.
 func (en *Entry) refuseWhileStopping(rq *request, now time.Time) *attempt.Answer {
 	st := en.stop.Load()
-	if st == nil {
+	if st == nil || now.Before(st.from) {
 		return nil
 	}
 	isCall := rq.isCall || rq.parent != nil || rq.parentUnknown
@@ -38,7 +40,7 @@
 	}
 	ev := events.Event{
 		Kind: events.Accepted, Request: rq.label, Reason: ReasonStopping, Class: string(rq.kind.Class), Service: string(rq.kind.Service),
-		Importance: int(rq.importance), TookMS: now.Sub(st.begun).Milliseconds(), LeftMS: rq.deadline.Sub(now).Milliseconds(),
+		Importance: int(rq.importance), TookMS: now.Sub(st.from).Milliseconds(), LeftMS: rq.deadline.Sub(now).Milliseconds(),
 	}
 	if rq.parent != nil {
 		ev.Parent = rq.parent.Label
--- a/internal/traffic/entry/stop_test.go
+++ b/internal/traffic/entry/stop_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/config"
 	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/calltree"
 )
@@ -37,7 +39,7 @@
 			for range tt.seen {
 				tn.opt.Trees.IsCall(calltree.OutgoingCall{Class: "look-up", Deadline: now.Add(5 * time.Second)})
 			}
-			tn.Stop(now.Add(time.Second))
+			tn.Stop(now, now.Add(time.Second))
 			an := tn.ServeRequest(t.Context(), &Request{
 				ID: call.RequestID{1}, Method: "GET", Host: "h", URI: "/x/1", Header: http.Header{}, Deadline: time.Now().Add(tt.deadline),
 			})
@@ -55,7 +57,7 @@
 	if an := tn.Begin(t.Context(), rd); an != nil {
 		t.Fatalf("before the stop: %v %q", an.Outcome, an.Reason)
 	}
-	tn.Stop(time.Now().Add(time.Second))
+	tn.Stop(time.Now(), time.Now().Add(time.Second))
 	if an := tn.ServeRequest(t.Context(), rd); an.Outcome != call.NotRun || an.Reason != ReasonStopping {
 		t.Errorf("%v %q, want not-run %q", an.Outcome, an.Reason, ReasonStopping)
 	}
@@ -65,7 +67,7 @@
 func TestAcceptedWhileStoppingIsLogged(t *testing.T) {
 	tn := newRoutedTestNode(t, answerOK)
 	tn.opt.Events = events.New("a")
-	tn.Stop(time.Now().Add(time.Minute))
+	tn.Stop(time.Now(), time.Now().Add(time.Minute))
 	if outcome, reason := tn.lookUp(t, 0); outcome != call.Done {
 		t.Fatalf("first request of a class: %v %q, want done", outcome, reason)
 	}
@@ -79,3 +81,21 @@
 		t.Errorf("no line for a request that was let in: %q", log)
 	}
 }
+
+// TestNoticeEndsWithoutTimer guards against requests that a stopping node without processor time lets in
+// after its notice, as it has not yet acted on the timer that ends it.
+func TestNoticeEndsWithoutTimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		en := New(Options{})
+		now := time.Now()
+		rq := &request{kind: &config.Kind{}, deadline: now.Add(5 * time.Second)}
+		en.Stop(now.Add(2500*time.Millisecond), now.Add(5200*time.Millisecond))
+		if an := en.refuseWhileStopping(rq, time.Now()); an != nil || en.RefusalReason() == ReasonStopping {
+			t.Errorf("%v in the notice", an)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if an := en.refuseWhileStopping(rq, time.Now()); an == nil || en.RefusalReason() != ReasonStopping {
+			t.Errorf("%v after the notice, want a refusal", an)
+		}
+	})
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -114,8 +114,8 @@
 	protocol Protocol
 	events   *events.Log
 	target   atomic.Pointer[target]
-	// finishBy is the time by which attempts must be over to be accepted, or nil.
-	finishBy atomic.Pointer[time.Time]
+	// stop is set when the process stops.
+	stop atomic.Pointer[stopTimes]
 	fifo     bool
 	metrics  *metrics.Set
 	active   inflight.Counter
@@ -203,14 +203,18 @@
 
 func (gd *Guard) level() call.Level { return call.Level(gd.loop.level.Load()) }
 
-// FinishBy makes the guard refuse the attempts whose deadline is after the end, when the process
-// stops. Others may still begin, as they are over by then.
-func (gd *Guard) FinishBy(end time.Time) { gd.finishBy.Store(&end) }
+// stopTimes says from when on attempts must be over by the end of the process to be accepted, and
+// when that is.
+type stopTimes struct{ from, end time.Time }
+
+// FinishBy makes the guard refuse, from a time on, the attempts whose deadline is after the end, when
+// the process stops. Others may still begin, as they are over by then.
+func (gd *Guard) FinishBy(from, end time.Time) { gd.stop.Store(&stopTimes{from, end}) }
 
 // outlastsStop reports whether the process or the upstream stops and the attempt may still run then.
 func (gd *Guard) outlastsStop(at *attempt.Attempt) bool {
-	end := gd.finishBy.Load()
-	return end != nil && at.Deadline.After(*end) || gd.outlastsUpstream(time.Now(), at)
+	st, now := gd.stop.Load(), time.Now()
+	return st != nil && !now.Before(st.from) && at.Deadline.After(st.end) || gd.outlastsUpstream(now, at)
 }
 
 // Wait waits until no attempt is being handled, or until ctx ends.
