soak: requests that were sent after the node had closed its side cross the close

The log of the node: its shutdown half-closed the idle connections at 15:58:06.697; the requests were sent at 06.944, all in one millisecond, and the rig's readers saw the EOF at 07.171 (load average 30).

--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -39,6 +39,7 @@
 	CutByRate    LossVerdict = "cut-by-rate"
 
 	ExcusedNotPassedOn LossVerdict = "behind-another-and-not-passed-on"
+	ExcusedCrossed     LossVerdict = "crossed-the-close-and-not-passed-on"
 	ExcusedNotRead     LossVerdict = "reset-and-not-passed-on"
 	ExcusedSlack       LossVerdict = "within-the-loss-slack"
 	ExcusedBrokeOff    LossVerdict = "upstream-broke-off"
@@ -96,6 +97,8 @@
 		switch {
 		case fa.Behind:
 			return ExcusedNotPassedOn
+		case fa.Crossed:
+			return ExcusedCrossed
 		case fa.cut.Reset:
 			return ExcusedNotRead
 		case end.Sub(fa.At) <= LossSlack:
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -61,6 +61,8 @@
 		Path              string
 		// Call says that an upstream sent the request.
 		Call bool
+		// Crossed says that the node had ended its side of the connection before the last byte.
+		Crossed bool
 	}
 	// Answered is a whole answer that a caller received.
 	Answered struct {
