--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -200,9 +200,7 @@
 		cr.wipes(limited)
 	}
 	for cr.plan.Silence && pause(limited, silenceGap) == nil {
-		for _, ma := range cr.machines() {
-			cr.fl.Proxy.Silence(ma.Name)
-		}
+		cr.silence(limited)
 	}
 	cr.faults(limited)
 	<-limited.Done()
@@ -471,6 +469,17 @@
 	_ = pause(ctx, SyncTime)
 }
 
+// silence lets all open connections between machines go silent, while there are no changes until the
+// machines are nearly in touch again.
+func (cr *configRun) silence(ctx context.Context) {
+	cr.op.Pause.Lock()
+	defer cr.op.Pause.Unlock()
+	for _, ma := range cr.machines() {
+		cr.fl.Proxy.Silence(ma.Name)
+	}
+	_ = pause(ctx, time.Duration(1000+cr.rnd.IntN(2000))*time.Millisecond)
+}
+
 // starve runs busy processes for some seconds.
 func (cr *configRun) starve(ctx context.Context, rnd *rand.Rand) {
 	ctx, stop := context.WithTimeout(ctx, 2*time.Second+time.Duration(rnd.Int64N(int64(3*time.Second))))
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -39,6 +39,8 @@
 	rnd *rand.Rand // of the goroutine of Run
 	// AfterAck is called after each acknowledgement, if it is not nil.
 	AfterAck func()
+	// Pause is locked while the operator begins no changes.
+	Pause sync.Mutex
 
 	mu       sync.Mutex
 	picks    *rand.Rand
@@ -94,6 +96,8 @@
 // Run changes the configuration until ctx ends.
 func (op *Operator) Run(ctx context.Context) {
 	for pause(ctx, op.between(minChangeGap, maxChangeGap)) == nil {
+		op.Pause.Lock() // waits for the end of a pause
+		op.Pause.Unlock()
 		switch op.rnd.IntN(10) {
 		case 0:
 			op.storm(ctx)
