faultdisk: count the writes that are there

Cause: the test counted a file with a hole as whole, so that it passed without losses that keep all writes. Change: it counts the bytes. Result: go test ./internal/lab/soak/faultdisk passes, and fails with that mechanism off.

--- a/internal/lab/soak/faultdisk/image_test.go
+++ b/internal/lab/soak/faultdisk/image_test.go
@@ -79,7 +79,7 @@
 	}
 	all, none := 0, 0
 	for _, files := range losses(list) {
-		switch len(bytes.Trim(files["x"], "\x00")) {
+		switch bytes.Count(files["x"], []byte("a")) {
 		case 0:
 			none++
 		case 20:
