--- a/internal/lab/soak/faultdisk/folder_test.go
+++ b/internal/lab/soak/faultdisk/folder_test.go
@@ -163,11 +163,21 @@
 		t.Fatalf("last index %d after a change that only the journal has, want 2", lastIndex(state))
 	}
 	_ = st.Close()
-	if err := os.WriteFile(filepath.Join(path, "log-1"), nil, 0o600); err != nil {
-		t.Fatal(err)
+	logs, err := filepath.Glob(filepath.Join(path, "log-*"))
+	if err != nil || len(logs) != 1 {
+		t.Fatalf("logs %v, %v", logs, err)
 	}
-	if _, _, _, err := store.OpenWrapped(path, 1, Wrap); !errors.Is(err, ErrMismatch) {
-		t.Fatalf("open error = %v, want ErrMismatch", err)
+	for _, name := range []string{logs[0], filepath.Join(path, "log-1")} {
+		before, _ := os.ReadFile(name) // the second file does not exist yet
+		if err := os.WriteFile(name, append(before, 1), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := store.OpenWrapped(path, 1, Wrap); !errors.Is(err, ErrMismatch) {
+			t.Fatalf("open error = %v after a change of %s, want ErrMismatch", err, name)
+		}
+		if err := os.WriteFile(name, before, 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
 
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -237,6 +237,17 @@
 	pt.expect(otherFar, "other")
 }
 
+// TestProxyResetWhileOpening resets connections at once after they were accepted.
+func TestProxyResetWhileOpening(t *testing.T) {
+	pt := newProxyTest(t)
+	for range 300 {
+		near, far := pt.open(0, 1)
+		pt.px.Reset(pt.fl.Controls[0].Name)
+		pt.expectEnd(near, syscall.ECONNRESET)
+		pt.expectEnd(far, syscall.ECONNRESET)
+	}
+}
+
 // TestProxyResetsAConnectToNoListener connects to a machine whose process does not run, and from an
 // address that is no machine's.
 func TestProxyResetsAConnectToNoListener(t *testing.T) {
