--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -22,6 +22,10 @@
 
 // Scenario is what happens to a fleet in a run.
 type Scenario struct {
+	// Options changes the options of the fleet, if it is not nil.
+	Options func(Options) Options
+	// Prepare is called before the processes start, if it is not nil. What it begins ends with ctx.
+	Prepare func(ctx context.Context, fl *Fleet) error
 	// Play acts on a fleet whose nodes are ready and whose first configuration is in force, until
 	// ctx ends, and returns when all that it began is over.
 	Play func(ctx context.Context, fl *Fleet) error
@@ -45,6 +49,8 @@
 	Cut      int     `json:"cut"`
 	GaveUp   int     `json:"gave-up"`
 	Stops    int     `json:"stops"`
+	// Losses counts the requests that had no whole answer of an upstream.
+	Losses map[LossVerdict]int `json:"losses"`
 	// OwnEnds are the processes that ended by themselves.
 	OwnEnds  []string  `json:"own-ends"`
 	Findings []Finding `json:"findings"`
@@ -60,6 +66,9 @@
 	if !ok {
 		return nil, errors.Wrap(ErrScenario, name)
 	}
+	if sc.Options != nil {
+		opt = sc.Options(opt)
+	}
 	fl, err := New(opt)
 	if err != nil {
 		return nil, err
@@ -70,6 +79,11 @@
 	fleetCtx, stopFleet := context.WithCancel(ctx)
 	defer stopFleet()
 	defer fl.Close()
+	if sc.Prepare != nil {
+		if err := sc.Prepare(fleetCtx, fl); err != nil {
+			return nil, err
+		}
+	}
 	if err := fl.startServing(fleetCtx); err != nil {
 		return nil, err
 	}
@@ -86,6 +100,7 @@
 	}
 	re := fl.report()
 	re.Scenario, re.Seed, re.Seconds = name, opt.Seed, time.Since(begun).Seconds()
+	_, re.Losses = CheckLost(fl.Recorder.Events(), fl.controlNames())
 	re.Findings = slices.Concat(fl.Recorder.Findings(), sc.Check(fl), fl.checkOwnEnds())
 	return re, nil
 }
