--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -115,10 +115,10 @@
 	events   *events.Log
 	target   atomic.Pointer[target]
 	// stop is set when the process stops.
-	stop atomic.Pointer[stopTimes]
-	fifo     bool
-	metrics  *metrics.Set
-	active   inflight.Counter
+	stop    atomic.Pointer[stopTimes]
+	fifo    bool
+	metrics *metrics.Set
+	active  inflight.Counter
 
 	usage usage
 
