guard: what has waited since before a stop does not begin if it outlasts it

What callers see: an attempt of another node that waits at a guard when its process stops begins late in the stop, is cut off at the end, and its request ends with 502, though it could have been sent to another VM.

Cause: the end of the stop was compared with deadlines at the arrival only (from 1.5 s after the SIGTERM on).

Change: the comparison is made again when the attempt gets its slot.

Result: TestWaitingAttemptDoesNotOutlastStop, with both policies: begun and done before, refused as not-run now.

--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -213,8 +213,14 @@
 
 // outlastsStop reports whether the process or the upstream stops and the attempt may still run then.
 func (gd *Guard) outlastsStop(at *attempt.Attempt) bool {
-	st, now := gd.stop.Load(), time.Now()
-	return st != nil && !now.Before(st.from) && at.Deadline.After(st.end) || gd.outlastsUpstream(now, at)
+	now := time.Now()
+	return gd.outlastsProcess(now, at) || gd.outlastsUpstream(now, at)
+}
+
+// outlastsProcess reports whether the process stops and the attempt may still run then.
+func (gd *Guard) outlastsProcess(now time.Time, at *attempt.Attempt) bool {
+	st := gd.stop.Load()
+	return st != nil && !now.Before(st.from) && at.Deadline.After(st.end)
 }
 
 // Wait waits until no attempt is being handled, or until ctx ends.
@@ -390,6 +396,10 @@
 	ended := now
 	defer func() { _ = gd.loop.inputs.Put(context.Background(), input{event: fin, ended: ended}) }()
 	tg, refusal := gd.targetFor(at)
+	if refusal == nil && gd.outlastsProcess(now, at) {
+		// It has waited since before the stop.
+		refusal = attempt.Refusal(ReasonStopping, 0)
+	}
 	if refusal != nil {
 		return gd.refuse(at, refusal)
 	}
--- a/internal/traffic/guard/target_test.go
+++ b/internal/traffic/guard/target_test.go
@@ -78,3 +78,33 @@
 		}
 	}
 }
+
+// TestWaitingAttemptDoesNotOutlastStop guards against an attempt that has waited since before a stop and
+// begins although it may not be over by the end: the process ends with it, and its outcome is unknown.
+func TestWaitingAttemptDoesNotOutlastStop(t *testing.T) {
+	bothPolicies(t, func(t *testing.T, fifo bool) {
+		release := make(chan struct{})
+		address, started := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
+			<-release
+			answerOK(conn, rq)
+		})
+		gd := startGuard(t, fifo, address)
+		first, waiting := make(chan *attempt.Answer, 4), make(chan *attempt.Answer, 1)
+		for range cap(first) {
+			go func() { first <- gd.Handle(t.Context(), newAttempt(gd, false, 20*time.Second)) }()
+		}
+		waitUntil(t, "all slots are taken", func() bool { return started.Load() == 4 })
+		go func() { waiting <- gd.Handle(t.Context(), newAttempt(gd, false, 20*time.Second)) }()
+		waitUntil(t, "an attempt waits", func() bool { return gd.Load().Waiting == 1 })
+		gd.FinishBy(time.Now(), time.Now().Add(10*time.Second))
+		close(release)
+		for range cap(first) {
+			if an := <-first; an.Outcome != call.Done {
+				t.Errorf("attempt that ran: outcome %v, want done", an.Outcome)
+			}
+		}
+		if an := <-waiting; an.Outcome != call.NotRun || an.Reason != ReasonStopping || started.Load() != 4 {
+			t.Errorf("attempt that waited: outcome %v, reason %q, %d runs; want not-run %q", an.Outcome, an.Reason, started.Load(), ReasonStopping)
+		}
+	})
+}
