quorum: a fourth voter does not end that failure domains may be lost

Change: while a majority outlasts the loss of any failure domain, voters are added only if it still does: one, or else two by the same change. Where neither does, as with five replicas of which three share one, three voters stay, which outlast one machine only.

Result: TestFourthVoterKeepsFailureDomainReplaceable had voters a, b, c, d, with a and d in one failure domain, and no leader in 10 s after its loss; now there is one.

--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -12,6 +12,7 @@
 		return
 	}
 	var next Voters
+	var added []Replica
 	shared := ma.sharedDomains(latest)
 	for _, id := range ma.peers {
 		pe := ma.lead.peers[id]
@@ -23,24 +24,76 @@
 			next = latest.with(id, pe.inc)
 			break
 		}
-		changed := ma.addVoter(latest, shared, id, pe.inc)
+		if len(latest) < ma.set.VoterCount {
+			added = append(added, id)
+			continue
+		}
+		changed := ma.replaceVoter(latest, shared, id, pe.inc)
 		if changed != nil && (next == nil || ma.sharedDomains(changed) < ma.sharedDomains(next)) {
 			next = changed
 		}
 	}
+	if next == nil {
+		next = ma.addVoters(latest, added)
+	}
 	if next != nil {
 		ma.appendEntry(Entry{Kind: VotersEntry, Voters: next})
 	}
 }
 
-// addVoter returns the voters with a replica added that is none. If there are enough voters, it
-// replaces one that has not answered for ReplaceAfter, or else one that shares a failure domain
-// with another voter, if the replica does not. shared is the number of shared domains. addVoter
-// returns nil if the replica is not needed.
-func (ma *Machine) addVoter(latest Voters, shared int, id Replica, inc Incarnation) Voters {
-	if len(latest) < ma.set.VoterCount {
-		return latest.with(id, inc)
+// addVoters returns the voters with one of the replicas added, or with two where one alone would end
+// that a majority outlasts the loss of any failure domain: of three voters it does if they are in
+// different ones, and of four only if all are. It prefers those by which fewest voters share one, and
+// returns nil if there is no such addition.
+func (ma *Machine) addVoters(latest Voters, ids []Replica) Voters {
+	outlasts := ma.outlastsDomains(latest)
+	for count := 1; count <= min(2, ma.set.VoterCount-len(latest)); count++ {
+		var next Voters
+		for i, id := range ids {
+			one := latest.with(id, ma.lead.peers[id].inc)
+			changes := []Voters{one}
+			if count == 2 {
+				changes = changes[:0]
+				for _, other := range ids[i+1:] {
+					changes = append(changes, one.with(other, ma.lead.peers[other].inc))
+				}
+			}
+			for _, changed := range changes {
+				if outlasts && !ma.outlastsDomains(changed) {
+					continue
+				}
+				if next == nil || ma.sharedDomains(changed) < ma.sharedDomains(next) {
+					next = changed
+				}
+			}
+		}
+		if next != nil {
+			return next
+		}
+	}
+	return nil
+}
+
+// outlastsDomains reports whether a majority of the voters is left after the loss of any failure
+// domain. Voters whose failure domain is unknown count as if each had its own.
+func (ma *Machine) outlastsDomains(vo Voters) bool {
+	lost := make(map[FailureDomain]int)
+	for id := range vo {
+		fd := ma.domains[id]
+		if fd != "" {
+			lost[fd]++
+		}
+		if len(vo)-max(lost[fd], 1) < vo.majority() {
+			return false
+		}
 	}
+	return true
+}
+
+// replaceVoter returns the voters with a replica in the place of one that has not answered for
+// ReplaceAfter, or else of one that shares a failure domain with another voter, if the replica does
+// not. shared is the number of shared domains. replaceVoter returns nil if the replica is not needed.
+func (ma *Machine) replaceVoter(latest Voters, shared int, id Replica, inc Incarnation) Voters {
 	if ma.set.VoterCount == 0 {
 		return nil
 	}
