quorum: a request for a vote that was lost is repeated during a long election

Cause: since an election lasts twice as long as the candidate's own vote took to save, and more, without a bound. Requests for votes are sent once. If the disk of the replica with the newest log hung for 8 s, and the message behind was lost, no other could lead, and it asked again 16 s later.

Change: while it waits, a candidate asks those again that have not granted their votes, every election timeout. A vote that was granted is granted again, so that nothing else changes.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -12,6 +12,8 @@
 	// vote until that is done, and then 0.
 	begun  time.Time
 	saving uint64
+	// askAt is when those that have not granted their votes are asked again.
+	askAt time.Time
 }
 
 // voteSaved gives the others time to save their votes, of which nothing is known but how long the
@@ -21,10 +23,22 @@
 	if ma.role != Candidate || ba.saving == 0 || number < ba.saving {
 		return
 	}
-	ba.saving = 0
+	ba.saving, ba.askAt = 0, ma.now.Add(ma.set.ElectionTimeout)
 	ma.electionAt = ma.now.Add(2*ma.now.Sub(ba.begun) + ma.set.ElectionTimeout/4 + ma.randomBelow(ma.set.ElectionTimeout/2))
 }
 
+// repeatVoteRequests asks those again that have not granted their votes. The election lasts as long as
+// slow disks need, and a request that was lost would not be made up for before the next one. A vote
+// that was granted is granted again.
+func (ma *Machine) repeatVoteRequests() {
+	ma.ballot.askAt = ma.now.Add(ma.set.ElectionTimeout)
+	for _, id := range ma.peers {
+		if _, granted := ma.ballot.granted[id]; !granted {
+			ma.requestVote(id)
+		}
+	}
+}
+
 // campaign starts an election for this replica. If pre is set it starts a pre-vote, so
 // that a replica that was cut off does not raise the term of the others when it cannot
 // win. transfer is set if the leader asked for the election. A failed election is
--- a/quorum/machine.go
+++ b/quorum/machine.go
@@ -145,6 +145,8 @@
 	case ma.role == Candidate && ma.ballot.saving != 0:
 	case !ma.now.Before(ma.electionAt):
 		ma.campaign(true, false)
+	case ma.role == Candidate && !ma.ballot.pre && !ma.now.Before(ma.ballot.askAt):
+		ma.repeatVoteRequests()
 	}
 }
 
