announce: a departure without a start ends no run that begins after it

One whose start is not known (a DELETE from an upstream that has not reported to this run of the node) covers the runs before its time. After the clock was set back by a minute, a run under the same id that started after the departure was refused for up to that minute.

Change: such a departure keeps its time, unless it would be dropped at once for lack of room. Departures with a start are dated as before, since their time says only which ones are retained.

--- a/internal/fleet/announce/report.go
+++ b/internal/fleet/announce/report.go
@@ -87,10 +87,12 @@
 }
 
 // depart adds a departure that was reported at the time now. It is the newest one also if the
-// clock was set back, since only the newest are retained.
+// clock was set back, since only the newest are retained. One without a start covers the runs before
+// its time, and gets a later one only if it would be dropped at once.
 func (rh *reportHistory) depart(now time.Time, inc incarnation) {
-	at := now.Truncate(time.Millisecond)
-	if len(rh.departures) > 0 && !at.After(rh.departures[0].At) {
+	at, count := now.Truncate(time.Millisecond), len(rh.departures)
+	dropped := count >= membership.MaxDepartures && !at.After(rh.departures[count-1].At)
+	if count > 0 && !at.After(rh.departures[0].At) && (!inc.startTime.IsZero() || dropped) {
 		at = rh.departures[0].At.Add(time.Millisecond)
 	}
 	rh.departures = membership.AddDeparture(rh.departures, membership.Departure{
--- a/internal/fleet/announce/report_test.go
+++ b/internal/fleet/announce/report_test.go
@@ -270,3 +270,28 @@
 		t.Errorf("late report after a restart: %v, want ErrStaleReport", err)
 	}
 }
+
+// TestRunAfterClockStepIsNotDeparted guards against a departure that says nothing of its start and is
+// taken to be later than it was, as one from before a step of the clock is. A run under the same id
+// that starts after it must be announced.
+func TestRunAfterClockStepIsNotDeparted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rg := New(func() time.Time { return now }, func([]membership.Upstream) {})
+	report := func(instance string) error {
+		return rg.AddReport(Report{
+			Upstream:  membership.Upstream{Service: "s", Instance: instance, Address: "127.0.0.1:1"},
+			StartTime: now, Number: 1,
+		})
+	}
+	if err := report("before"); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(2 * time.Minute)
+	rg.EndInstance("before")
+	now = now.Add(-time.Minute)
+	rg.EndInstance("again")
+	now = now.Add(2 * time.Second)
+	if err := report("again"); err != nil {
+		t.Errorf("report of a run that started 2 s after the departure of the one before: %v", err)
+	}
+}
