platform: the names and documents of the platform's other sides are in platform/document

Cause: the rig wrote headers, paths and documents of the platform in internal/lab/soak/wire.go, and wire names are to stand in platform/ only; two comments of the rig named a deployment.

Result: go vet for both architectures, revive and go test ./internal/lab/soak (37.9 s) pass; no check changed.

--- a/internal/lab/soak/config_check.go
+++ b/internal/lab/soak/config_check.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/platform/document"
 )
 
 // Rules that a ConfigCheck finds broken besides Config.
@@ -301,7 +302,7 @@
 }
 
 // weights returns the weight of each service of a route, and their sum.
-func (ro Route) weights() (map[call.Service]int, int) {
+func weights(ro Route) (map[call.Service]int, int) {
 	if ro.Service != "" {
 		return map[call.Service]int{ro.Service: 1}, 1
 	}
@@ -332,7 +333,7 @@
 	if ha.service == "" || !ok {
 		return ha.service == "" && !ok
 	}
-	by, _ := ro.weights()
+	by, _ := weights(ro)
 	return by[ha.service] > 0
 }
 
@@ -610,7 +611,7 @@
 	}
 	for i, ch := range cc.possible(rq.At, when, ConfigApply) {
 		other, found := ch.route(rq.Path)
-		if !found || i > 0 && string(encode(other)) != string(encode(ro)) {
+		if !found || i > 0 && string(document.Encode(other)) != string(document.Encode(ro)) {
 			return Route{}, false
 		}
 		ro, ok = other, true
@@ -664,7 +665,7 @@
 		if !ok || len(ro.TrafficSplit) == 0 {
 			continue
 		}
-		key := string(encode(ro))
+		key := string(document.Encode(ro))
 		if groups[key] == nil {
 			groups[key] = &group{ro: ro, by: make(map[call.Service]int)}
 		}
@@ -672,9 +673,9 @@
 		groups[key].by[cc.Services[rq.arrived[0].Upstream]]++
 	}
 	for _, gr := range groups {
-		weights, sum := gr.ro.weights()
+		wanted, sum := weights(gr.ro)
 		for _, sh := range gr.ro.TrafficSplit {
-			want, got := float64(weights[sh.Service])/float64(sum), float64(gr.by[sh.Service])/float64(gr.total)
+			want, got := float64(wanted[sh.Service])/float64(sum), float64(gr.by[sh.Service])/float64(gr.total)
 			if gr.total >= minSplit && math.Abs(got-want) > maxShareError {
 				cc.find(Config, "%s has %.2f of %d requests for %s instead of %.2f", sh.Service, got, gr.total, gr.ro.Prefix, want)
 			}
--- a/internal/lab/soak/config_check_test.go
+++ b/internal/lab/soak/config_check_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"camphortrail/call"
+	"camphortrail/platform/document"
 )
 
 // TestConfigCheck runs the scripts in testdata/config. The input of the command check is a record
@@ -132,9 +133,9 @@
 				ro.Service = call.Service(service)
 				break
 			}
-			ro.TrafficSplit = append(ro.TrafficSplit, Share{call.Service(service), number(t, weight)})
+			ro.TrafficSplit = append(ro.TrafficSplit, Share{Service: call.Service(service), Weight: number(t, weight)})
 		}
-		co.Resources = append(co.Resources, NewRoute(name, ro))
+		co.Resources = append(co.Resources, document.NewRoute(name, ro))
 	}
 	ch.Configuration = co
 	return ch
--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -658,7 +658,7 @@
 	rnd := cr.seed.Rand(name)
 	for n := 0; pause(ctx, time.Duration(rnd.Int64N(int64(configGap)))) == nil; n++ {
 		co, dropped, changed := cr.op.Current()
-		prefixes := co.Prefixes()
+		prefixes := prefixesOf(co)
 		isFirst := func(prefix string) bool { return firstRoutes[strings.Trim(prefix, "/")].Host != "" }
 		added := slices.DeleteFunc(slices.Clone(prefixes), isFirst)
 		first := slices.DeleteFunc(prefixes, func(prefix string) bool { return !isFirst(prefix) })
@@ -684,7 +684,7 @@
 // loadNode sends requests for first routes with long work to a node until ctx ends.
 func (cr *configRun) loadNode(ctx context.Context, ma *Machine, name string) {
 	rnd := cr.seed.Rand(name)
-	first := cr.fl.FirstConfiguration().Prefixes()
+	first := prefixesOf(cr.fl.FirstConfiguration())
 	gap := func() time.Duration { return time.Duration(rnd.Int64N(int64(configGap))) }
 	for n := 0; pause(ctx, gap()) == nil; n++ {
 		path := fmt.Sprintf("%sx?work=%d", first[rnd.IntN(len(first))], loadWork)
--- a/internal/lab/soak/disk_test.go
+++ b/internal/lab/soak/disk_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"camphortrail/internal/lab/soak/faultdisk"
+	"camphortrail/platform/document"
 )
 
 var (
@@ -167,7 +168,7 @@
 		name := fmt.Sprintf("more-%d-%d", pt.rng.IntN(1e6), i)
 		ro := newRoute(Safe, Sportello, 2)
 		ro.Prefix = "/" + name + "/"
-		co.Resources = append(co.Resources, NewRoute(name, ro))
+		co.Resources = append(co.Resources, document.NewRoute(name, ro))
 	}
 	pt.sent[co.Version] = co
 	return co
@@ -192,7 +193,7 @@
 	limit := time.Duration(pt.rng.IntN(8000)) * time.Microsecond
 	ctx, stop := context.WithTimeout(pt.Context(), limit)
 	defer stop()
-	status, err := pt.fl.Put(ctx, pt.fl.Controls[pt.rng.IntN(len(pt.fl.Controls))], encode(co))
+	status, err := pt.fl.Put(ctx, pt.fl.Controls[pt.rng.IntN(len(pt.fl.Controls))], document.Encode(co))
 	if err == nil && status == http.StatusOK {
 		pt.acked = co.Version
 	}
@@ -230,7 +231,7 @@
 	if got < pt.acked {
 		pt.Fatalf("round %d: %s answers version %d, %d was acknowledged", round, ma.Name, got, pt.acked)
 	}
-	if want := string(encode(pt.sent[got])); body != want {
+	if want := string(document.Encode(pt.sent[got])); body != want {
 		pt.Fatalf("round %d: %s answers version %d with %.200s, want %.200s", round, ma.Name, got, body, want)
 	}
 	pt.acked = got
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -18,6 +18,7 @@
 
 	"camphortrail/call"
 	"camphortrail/platform"
+	"camphortrail/platform/document"
 )
 
 // The bounds of the deployment, as the users state them.
@@ -66,7 +67,7 @@
 	Slots, MaxConns int
 }
 
-// The services of the deployment brambilla-tag.
+// The services of the fleet.
 const (
 	Sportello   call.Service = "sportello"
 	Emissione   call.Service = "emissione"
@@ -74,7 +75,7 @@
 	Cassa       call.Service = "cassa"
 )
 
-// Services returns the services of the deployment brambilla-tag.
+// Services returns the services of a fleet of 19 nodes.
 func Services() []ServiceSize {
 	return []ServiceSize{{Sportello, 7, 39, 334}, {Emissione, 4, 69, 514}, {Planimetrie, 4, 69, 514}, {Cassa, 4, 17, 202}}
 }
@@ -250,7 +251,7 @@
 // Apply sends a configuration to one control replica after the other until one answers with a
 // status that ends the call. Unless that is a 200, the error matches ErrNotApplied.
 func (fl *Fleet) Apply(ctx context.Context, co Configuration) error {
-	body := encode(co)
+	body := document.Encode(co)
 	for i := 0; ; i++ {
 		status, err := fl.Put(ctx, fl.Controls[i%len(fl.Controls)], body)
 		switch {
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -16,6 +16,7 @@
 
 	"camphortrail/call"
 	"camphortrail/platform"
+	"camphortrail/platform/document"
 )
 
 // MachineKind says which process a machine runs.
@@ -110,7 +111,7 @@
 // writeSettings replaces the settings file. The caller holds ma.mu.
 func (ma *Machine) writeSettings() error {
 	temporary := ma.settingsPath() + ".new"
-	if err := os.WriteFile(temporary, encode(ma.settings()), 0o644); err != nil {
+	if err := os.WriteFile(temporary, document.Encode(ma.settings()), 0o644); err != nil {
 		return err
 	}
 	return os.Rename(temporary, ma.settingsPath())
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/platform/document"
 )
 
 const (
@@ -186,7 +187,7 @@
 		ro.Service = "nobody"
 	case 1:
 		fault = "same host and prefix"
-		co.Resources = append(co.Resources, NewRoute("twin", ro))
+		co.Resources = append(co.Resources, document.NewRoute("twin", ro))
 	case 2:
 		fault, ro.TimeoutMS = "timeout of 0", 0
 	case 3:
@@ -203,7 +204,7 @@
 	if co.Resources[last].Metadata.Name == "twin" {
 		last--
 	}
-	co.Resources[last] = NewRoute(co.Resources[last].Metadata.Name, ro)
+	co.Resources[last] = document.NewRoute(co.Resources[last].Metadata.Name, ro)
 	op.deliver(ctx, co, fault, 0)
 }
 
@@ -235,13 +236,13 @@
 		at := op.rnd.IntN(len(services))
 		ro.Service = ""
 		ro.TrafficSplit = []Share{
-			{services[at].Name, 10 * (1 + op.rnd.IntN(9))},
-			{services[(at+1)%len(services)].Name, 10 * (1 + op.rnd.IntN(9))},
+			{Service: services[at].Name, Weight: 10 * (1 + op.rnd.IntN(9))},
+			{Service: services[(at+1)%len(services)].Name, Weight: 10 * (1 + op.rnd.IntN(9))},
 		}
 	default:
 		ro.TimeoutMS = int64(500 * (1 + op.rnd.IntN(8)))
 	}
-	co.Resources[i] = NewRoute(name, ro)
+	co.Resources[i] = document.NewRoute(name, ro)
 }
 
 // editable returns the indices of the routes that were added one by one.
@@ -264,7 +265,7 @@
 	services := op.fl.opt.Services
 	ro := newRoute(Safe, services[op.rnd.IntN(len(services))].Name, 1)
 	ro.Prefix = "/" + name + "/"
-	co.Resources = append(co.Resources, NewRoute(name, ro))
+	co.Resources = append(co.Resources, document.NewRoute(name, ro))
 	return ro
 }
 
@@ -282,7 +283,7 @@
 	for i := range manyRoutes {
 		ro := newRoute(Safe, services[i%len(services)].Name, 2)
 		ro.Prefix = fmt.Sprintf("%s%d/", manyPrefix, i)
-		co.Resources = append(co.Resources, NewRoute(fmt.Sprintf("many-%d", i), ro))
+		co.Resources = append(co.Resources, document.NewRoute(fmt.Sprintf("many-%d", i), ro))
 	}
 }
 
@@ -291,7 +292,7 @@
 func (op *Operator) deliver(ctx context.Context, co Configuration, fault string, lose int) int {
 	ctx, stop := context.WithTimeout(ctx, changeTime)
 	defer stop()
-	body := encode(co)
+	body := document.Encode(co)
 	if fault == faultTruncated {
 		body = body[:len(body)-2]
 	}
@@ -442,5 +443,5 @@
 	wg.Wait()
 }
 
-// Prefixes returns the prefixes of the routes of a configuration, sorted.
-func (co Configuration) Prefixes() []string { return slices.Sorted(maps.Keys(routesOf(co))) }
+// prefixesOf returns the prefixes of the routes of a configuration, sorted.
+func prefixesOf(co Configuration) []string { return slices.Sorted(maps.Keys(routesOf(co))) }
--- a/internal/lab/soak/proxy_cut_test.go
+++ b/internal/lab/soak/proxy_cut_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"camphortrail/platform/document"
 )
 
 var (
@@ -113,7 +115,7 @@
 		co.Version, co.BaseVersion = ct.version+1, ct.version
 		ro := newRoute(Safe, ct.fl.opt.Services[0].Name, 2)
 		ro.Prefix = newestPrefix(co.Version)
-		co.Resources = append(co.Resources, NewRoute(fmt.Sprintf("newest-%d", co.Version), ro))
+		co.Resources = append(co.Resources, document.NewRoute(fmt.Sprintf("newest-%d", co.Version), ro))
 		ctx, stop := context.WithTimeout(ct.Context(), RecoveryTime)
 		err := ct.fl.Apply(ctx, co)
 		stop()
--- a/internal/lab/soak/routes.go
+++ b/internal/lab/soak/routes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/platform/document"
 )
 
 const (
@@ -34,14 +35,14 @@
 // FirstConfiguration returns the configuration with which a fleet begins, as version 1. The prefix
 // of each route is its name between slashes.
 func (fl *Fleet) FirstConfiguration() Configuration {
-	co := Configuration{Version: 1, Resources: []Resource{newLimits()}}
+	co := Configuration{Version: 1, Resources: []Resource{document.NewLimits()}}
 	for _, sz := range fl.opt.Services {
-		co.Resources = append(co.Resources, newService(sz.Name, sz.MaxConns))
+		co.Resources = append(co.Resources, document.NewService(sz.Name, sz.MaxConns))
 	}
 	for _, name := range slices.Sorted(maps.Keys(firstRoutes)) {
 		ro := firstRoutes[name]
 		ro.Prefix = "/" + name + "/"
-		co.Resources = append(co.Resources, NewRoute(name, ro))
+		co.Resources = append(co.Resources, document.NewRoute(name, ro))
 	}
 	return co
 }
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"camphortrail/platform/document"
 )
 
 const (
@@ -217,7 +219,7 @@
 		state = stateDraining
 	}
 	ma := up.ma
-	return up.send(ctx, http.MethodPut, encode(reportMessage{
+	return up.send(ctx, http.MethodPut, document.Encode(reportMessage{
 		Service: ma.Service, Address: ma.UpstreamAddress(), Zone: ma.Zone, Version: "v1", Slots: ma.size.Slots,
 		State: state, Seq: up.seq.Add(1), Born: up.born.UnixMilli(),
 	}))
