entry, guard: log how long before its time a request ended, and by whose clock

Adds early-us and clock to the events of answers of a node itself while an upstream may be at work, and camphortrail_entry_early_failures_total. A request that a guard ends early is no longer logged as caller-left.

--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -58,6 +58,19 @@
 // shares.
 const FairShare = "fair-share"
 
+// Clock says which bound on the time of a request comes first.
+type Clock string
+
+// The bounds on the time of a request.
+const (
+	// CallerClock is the deadline that the sender stated.
+	CallerClock Clock = "caller"
+	// TimeoutClock is the time-out of the route.
+	TimeoutClock Clock = "timeout"
+	// EntryClock is the deadline that an entry sent to the guard of another VM, or of its own.
+	EntryClock Clock = "entry"
+)
+
 // Event is one decision. Zero fields are left out of the line, except the two times.
 type Event struct {
 	Kind Kind `json:"event"`
@@ -81,6 +94,10 @@
 	// in milliseconds.
 	TookMS int64 `json:"took-ms"`
 	LeftMS int64 `json:"left-ms"`
+	// EarlyUS is the time, in microseconds, from an answer of the node itself until the request was
+	// due, where an upstream may still be at work. Clock says which bound made it due.
+	EarlyUS int64 `json:"early-us,omitempty"`
+	Clock   Clock `json:"clock,omitempty"`
 	// RetryAfterMS is the backoff that the answer asks of the sender, in milliseconds.
 	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
 	// Running, Waiting and Slots are the attempts that run, those that wait and the
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -13,6 +13,7 @@
 	"camphortrail/call"
 	"camphortrail/config"
 	"camphortrail/internal/customers/shares"
+	"camphortrail/internal/ops/events"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/calltree"
@@ -44,6 +45,8 @@
 	// callsDone is the number of calls that the attempts above the request have completed.
 	callsDone int
 	deadline  time.Time
+	// clock says which bound gives the deadline.
+	clock events.Clock
 	// parent is the attempt on this VM that made the request as a call, or nil.
 	parent *calltree.Inbound
 	// ownAccount is the id of the request's retry account if the request has one even
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"camphortrail/call"
 	"camphortrail/config"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/ops/series"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
 	"camphortrail/internal/traffic/calltree"
@@ -116,10 +118,10 @@
 	kind := rt.PickKind(en.randomUint64())
 	rq := &request{
 		kind: kind, deployment: cd.Deployment, id: rd.ID, account: retry.RequestAccount(rd.ID), importance: kind.Importance,
-		deadline: now.Add(kind.Deadline), method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
+		deadline: now.Add(kind.Deadline), clock: events.TimeoutClock, method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
 	}
 	if !rd.Deadline.IsZero() && rd.Deadline.Before(rq.deadline) {
-		rq.deadline = rd.Deadline
+		rq.deadline, rq.clock = rd.Deadline, events.CallerClock
 	}
 	rq.history.Idempotent = kind.Idempotent
 	rq.ownAccount, rq.label = rd.ID, rd.Label
@@ -208,9 +210,13 @@
 		ev.Importance, ev.Attempts = int(rq.importance), rq.attempts
 		ev.LeftMS = rq.deadline.Sub(now).Milliseconds()
 		ev.OccupancyPercent, ev.SharePercent = int(rq.occupancy), rq.share
-		if an.Reason == ReasonDeadline && now.Before(rq.deadline) {
+		if an.Reason == ReasonDeadline && now.Before(rq.deadline) && rq.cause != nil {
 			ev.Reason = leftReason(rq.cause)
 		}
+		if an.Outcome == call.Unknown && ev.Reason != events.CallerLeft {
+			ev.EarlyUS, ev.Clock = max(rq.deadline.Sub(now), 0).Microseconds(), rq.clock
+			en.countEarly(now, rq, ev.Reason)
+		}
 		ev.Customer = string(rq.customerName())
 		if rq.parent != nil {
 			ev.Parent = rq.parent.Label
@@ -223,6 +229,16 @@
 	en.opt.Events.Add(now, ev)
 }
 
+// countEarly counts a request that got an answer of the node itself before it was due, where an
+// upstream may still be at work.
+func (en *Entry) countEarly(now time.Time, rq *request, reason string) {
+	if en.opt.Metrics == nil || !now.Before(rq.deadline) {
+		return
+	}
+	name := series.Name("camphortrail_entry_early_failures_total", "reason", reason, "stopping", strconv.FormatBool(en.stopping()))
+	en.opt.Metrics.GetOrCreateCounter(name).Inc()
+}
+
 // serveCapped serves a request if the usage cap of its customer allows it. What is beyond the cap
 // does not count as demand.
 func (en *Entry) serveCapped(ctx context.Context, rq *request) *attempt.Answer {
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -302,8 +302,11 @@
 	if an.Outcome == call.Unknown {
 		ev.Kind = events.Failed
 	}
-	if an.Reason == ReasonDeadline && now.Before(at.Deadline) {
+	switch {
+	case an.Reason == ReasonDeadline && now.Before(at.Deadline):
 		ev.Reason = "guard-" + events.CallerLeft
+	case an.Outcome == call.Unknown:
+		ev.EarlyUS, ev.Clock = max(at.Deadline.Sub(now), 0).Microseconds(), events.EntryClock
 	}
 	gd.events.Add(now, ev)
 }
