attempt, guard, entry: a request is not ended before its time by another VM's clock

Cause: the deadline that an entry sent to a guard was 1 ms earlier than the request's, so that answers would return in time; the guard broke the exchange off at that time, and the entry passed its 504 on at once.

Change: the frame states the whole time that is left, rounded up. The guard keeps the margin for what it refuses before it begins, and for the time that it tells the upstream, whose own 504 so still arrives in time. It ends what runs only 20 ms after its clock says so; the entry cancels by its own clock before that. A guard that ends an attempt early all the same, as older ones do, is waited for until the request is due.

--- a/internal/traffic/attempt/attempt.go
+++ b/internal/traffic/attempt/attempt.go
@@ -32,8 +32,11 @@
 	Service    call.Service
 	Importance call.Importance
 	Depth      call.Depth
-	// Deadline is the time by which the caller must have the answer.
+	// Deadline is the time by which the caller must have the answer. An attempt that runs is not
+	// ended before it.
 	Deadline time.Time
+	// ReturnMargin is the time that the answer takes to the entry on another VM, or zero on the same.
+	ReturnMargin time.Duration
 	// RetryBudget is the number of retries that the calls of this attempt may spend.
 	RetryBudget int
 	Idempotent  bool
@@ -61,6 +64,9 @@
 	Body   []byte
 }
 
+// AnswerBy returns the time by which an answer must leave the guard to reach the caller in time.
+func (at *Attempt) AnswerBy() time.Time { return at.Deadline.Add(-at.ReturnMargin) }
+
 // Cohort returns the cohort of the attempt, which orders it among those of its importance.
 func (at *Attempt) Cohort() call.Cohort { return at.Request.Cohort().After(at.CallsDone) }
 
--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -45,7 +45,7 @@
 	want.Label, want.Class = "label", "counter"
 	want.RepeatedSend, want.CallsDone = true, 5
 	arrived := *want
-	arrived.Deadline = want.Deadline.Add(-returnMargin)
+	arrived.ReturnMargin = returnMargin
 	for _, blocks := range []bool{false, true} {
 		got, err := FromFrame(sent(t, want.Frame(now, blocks)).GetAttempt(), now)
 		if err != nil {
--- a/internal/traffic/attempt/frame.go
+++ b/internal/traffic/attempt/frame.go
@@ -16,8 +16,7 @@
 // ErrBadFrame is returned for a message between nodes with a missing or invalid field.
 var ErrBadFrame = errors.New("attempt: bad frame")
 
-// returnMargin is subtracted from the time that is left when an attempt is sent to
-// another VM, so that the answer has time to return before the deadline.
+// returnMargin is the time that an answer takes to return to the entry on another VM.
 const returnMargin = time.Millisecond
 
 // Frame converts the attempt to the frame that is sent to a guard. blocks says whether
@@ -26,7 +25,7 @@
 	af := &attemptFrame{attempt: schema.Attempt{
 		AttemptId: at.ID[:], RequestId: at.Request[:], Service: string(at.Service),
 		Importance: uint32(at.Importance), Depth: uint32(at.Depth),
-		DeadlineUs: uint64(max(0, at.Deadline.Add(-returnMargin).Sub(now).Microseconds())),
+		DeadlineUs: uint64(max(0, ceilMicroseconds(at.Deadline.Sub(now)))),
 		Allowance:  uint32(max(0, at.RetryBudget)), Idempotent: at.Idempotent, MaxAnswerBytes: at.MaxAnswerBytes,
 		Stamp: at.Stamp.String(), Label: at.Label, Class: string(at.Class), Method: at.Method, Host: at.Host, Uri: at.URI,
 		Body: at.Body, Customer: string(at.Customer), RepeatedSend: at.RepeatedSend, CallsDone: uint32(min(max(at.CallsDone, 0), maxCount)),
@@ -40,6 +39,11 @@
 	return &af.frame
 }
 
+// ceilMicroseconds returns a duration in microseconds, rounded up.
+func ceilMicroseconds(length time.Duration) int64 {
+	return (length + time.Microsecond - 1).Microseconds()
+}
+
 // attemptFrame holds the parts of a frame with an attempt in one allocation.
 type attemptFrame struct {
 	frame   schema.Frame
@@ -59,7 +63,7 @@
 func FromFrame(msg *schema.Attempt, now time.Time) (*Attempt, error) {
 	at := &Attempt{
 		Service: call.Service(msg.GetService()), Importance: call.Importance(msg.GetImportance()), Depth: call.Depth(msg.GetDepth()),
-		Deadline:    now.Add(time.Duration(msg.GetDeadlineUs()) * time.Microsecond),
+		Deadline: now.Add(time.Duration(msg.GetDeadlineUs()) * time.Microsecond), ReturnMargin: returnMargin,
 		RetryBudget: int(msg.GetAllowance()), Idempotent: msg.GetIdempotent(), MaxAnswerBytes: msg.GetMaxAnswerBytes(),
 		Label: msg.GetLabel(), Class: call.Class(msg.GetClass()), Method: msg.GetMethod(), Host: msg.GetHost(), URI: msg.GetUri(),
 		Body: msg.GetBody(), Customer: call.Customer(msg.GetCustomer()), RepeatedSend: msg.GetRepeatedSend(),
--- a/internal/traffic/entry/early_test.go
+++ b/internal/traffic/entry/early_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"testing"
@@ -13,6 +14,8 @@
 
 	"camphortrail/call"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/traffic/link"
+	"camphortrail/route"
 )
 
 // logOf returns the lines that an entry has written.
@@ -59,3 +62,46 @@
 		})
 	}
 }
+
+// newRemoteTestNode returns a routed test node whose upstream is beside the guard of another VM.
+func newRemoteTestNode(t *testing.T, upstream http.HandlerFunc) *testNode {
+	t.Helper()
+	remote := newRoutedTestNode(t, upstream)
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, remote.opt.Guard)
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	tn := newRoutedTestNode(t, answerOK)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = tn.opt.Pool.Run(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	tn.ApplyRouteEvent(route.Remove{VM: "a", Service: "cassa"})
+	tn.ApplyRouteEvent(route.Upsert{VM: "b", Service: "cassa", Domain: "d1", Slots: 4, Incarnation: 1})
+	tn.SetAddress("b", strings.TrimPrefix(srv.URL, "http://"))
+	return tn
+}
+
+// TestRequestIsNotEndedBeforeItsDeadline guards against an answer of the entry's own, while the
+// upstream of another VM works, just before the request is due.
+func TestRequestIsNotEndedBeforeItsDeadline(t *testing.T) {
+	for name, uri := range map[string]string{"may be repeated": "/x/1", "may run once": "/x/once/1"} {
+		t.Run(name, func(t *testing.T) {
+			end := make(chan struct{})
+			tn := newRemoteTestNode(t, func(http.ResponseWriter, *http.Request) { <-end })
+			defer close(end)
+			for i := range 5 {
+				deadline := time.Now().Add(100*time.Millisecond + time.Duration(i)*time.Millisecond/5)
+				an := tn.ServeRequest(t.Context(), &Request{
+					ID: call.RequestID{byte(i), 1}, Method: "POST", Host: "h", URI: uri, Header: http.Header{}, Deadline: deadline,
+				})
+				if early := time.Until(deadline); early > 0 {
+					t.Errorf("answered %v %q %v before the deadline", an.Outcome, an.Reason, early)
+				}
+			}
+		})
+	}
+}
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -177,6 +177,9 @@
 				return rs.Answer
 			}
 		}
+		if reachedDeadline(rs) {
+			return en.expire(ctx, rq)
+		}
 		if advice := rq.history.Decide(); advice == withdrawal.GiveUp || advice == withdrawal.Wait {
 			return en.answerUnknown(ctx, rq, rs)
 		}
@@ -196,6 +199,23 @@
 	}
 }
 
+// reachedDeadline reports whether the guard has ended an attempt that ran, at its deadline.
+func reachedDeadline(rs peer.Result) bool {
+	return rs.Answer != nil && rs.Answer.Outcome == call.Unknown && rs.Answer.Reason == guard.ReasonDeadline
+}
+
+// expire answers a request whose last attempt has reached its deadline by the clock of a guard. That
+// clock may be ahead, and the time that is left is too short for another attempt.
+func (en *Entry) expire(ctx context.Context, rq *request) *attempt.Answer {
+	timer := time.NewTimer(time.Until(rq.deadline))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
+}
+
 // chooseVM returns the VM for the next attempt and its peer address. The error wraps
 // route.ErrNoUpstream or route.ErrShed.
 func (en *Entry) chooseVM(now time.Time, rq *request, exclude []call.VM) (call.VM, string, error) {
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -20,7 +20,7 @@
 		rq.Header = make(http.Header)
 	}
 	pa.sends++
-	gd.protocol.AddRequestHeaders(rq.Header, at, tg.upstream.Instance, time.Until(at.Deadline))
+	gd.protocol.AddRequestHeaders(rq.Header, at, tg.upstream.Instance, time.Until(at.AnswerBy()))
 	var an *attempt.Answer
 	err := tg.client.Do(rn, tg.upstream.Address, rq, func(res upstream.Answer) (next bool) {
 		an, next = gd.readAnswer(pa, res)
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -56,6 +56,9 @@
 	// cancelTimeout bounds the time for which a cancellation waits while the input queue
 	// of the admission loop is full.
 	cancelTimeout = time.Second
+	// cancelAllowance is the time after the deadline of an attempt of another VM in which its entry
+	// cancels it. It exceeds what their clocks differ by in the time of a request.
+	cancelAllowance = 20 * time.Millisecond
 	// fifoRunLimit is the run time of an attempt under the fifo policy.
 	fifoRunLimit = time.Minute
 	// freeAnswerBytes is the size up to which an answer is not counted once it has been read. Entries
@@ -303,7 +306,7 @@
 		ev.Kind = events.Failed
 	}
 	switch {
-	case an.Reason == ReasonDeadline && now.Before(at.Deadline):
+	case an.Reason == ReasonDeadline && now.Before(at.AnswerBy()):
 		ev.Reason = "guard-" + events.CallerLeft
 	case an.Outcome == call.Unknown:
 		ev.EarlyUS, ev.Clock = max(at.Deadline.Sub(now), 0).Microseconds(), events.EntryClock
@@ -347,7 +350,7 @@
 	at := pa.attempt
 	arrival := admission.Arrive{
 		ID: at.ID, Importance: at.Importance, Cohort: at.Cohort(), Depth: at.Depth,
-		Deadline: at.Deadline, Abortable: at.Idempotent,
+		Deadline: at.AnswerBy(), Abortable: at.Idempotent,
 	}
 	if !gd.loop.inputs.Offer(input{event: arrival, attempt: pa}) {
 		return gd.refuse(at, attempt.Refusal(ReasonFull, fullRetryAfter))
@@ -374,10 +377,14 @@
 }
 
 // runDeadline returns the time at which a running attempt is given up: its deadline, or
-// a fixed limit under the fifo policy, which ignores deadlines.
+// a fixed limit under the fifo policy, which ignores deadlines. An entry on another VM ends its
+// attempts by its own clock.
 func (gd *Guard) runDeadline(at *attempt.Attempt) time.Time {
-	if gd.fifo {
+	switch {
+	case gd.fifo:
 		return time.Now().Add(fifoRunLimit)
+	case at.ReturnMargin > 0:
+		return at.Deadline.Add(cancelAllowance)
 	}
 	return at.Deadline
 }
@@ -392,9 +399,9 @@
 // execute runs an attempt that was admitted at the given time, and then frees its slot.
 func (gd *Guard) execute(pa *pendingAttempt, admitted time.Time) *attempt.Answer {
 	at := pa.attempt
-	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.Deadline, Label: at.Label, Class: at.Class, Customer: at.Customer, CallsDone: at.CallsDone}
+	in := &calltree.Inbound{ID: at.ID, Request: at.Request, Importance: at.Importance, Depth: at.Depth, Deadline: at.AnswerBy(), Label: at.Label, Class: at.Class, Customer: at.Customer, CallsDone: at.CallsDone}
 	now := time.Now()
-	in.Started, in.UpstreamDeadline = now, now.Add(at.Deadline.Sub(now).Truncate(time.Millisecond))
+	in.Started, in.UpstreamDeadline = now, now.Add(in.Deadline.Sub(now).Truncate(time.Millisecond))
 	fin := admission.Finish{ID: at.ID}
 	ended := now
 	defer func() { _ = gd.loop.inputs.Put(context.Background(), input{event: fin, ended: ended}) }()
