--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -17,9 +17,6 @@
 	termEnd = Grace + time.Second
 	// excusedSend is how long after a SIGTERM a request may be sent whose long work may be cut.
 	excusedSend = 3 * time.Second
-	// deadlineResolution is the unit in which deadlines are stated. A deadline counts as reached in its
-	// last unit.
-	deadlineResolution = time.Millisecond
 	// lastPart is the part of the grace time in which such work may be cut.
 	lastPart = Grace / 6
 	// configEnd is how long after the ack of a configuration the rule LOST holds.
@@ -111,7 +108,7 @@
 	switch {
 	case fa.upstreamBrokeOff():
 		return ExcusedBrokeOff
-	case end.Sub(fa.Begun) > fa.time()-deadlineResolution:
+	case end.Sub(fa.Begun) >= fa.time():
 		return ExcusedTimeOver
 	case anyMeets(hi.unplanned, span{fa.Begun.Add(-ContactWindow), end}):
 		return ExcusedImpairment
