--- a/cmd/camphortrail/soak.go
+++ b/cmd/camphortrail/soak.go
@@ -19,7 +19,8 @@
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the plan of events"`
 	For      time.Duration `long:"for" default:"2m" description:"length of the run after all nodes are ready"`
 	Scenario string        `long:"scenario" default:"lost" description:"what happens: see --list"`
-	Scale    int           `long:"scale" default:"1" description:"number of times that each service has its upstreams"`
+	Scale    float64       `long:"scale" default:"1" description:"factor on the number of upstreams of each service"`
+	Deploy   string        `long:"deployment" description:"JSON file that describes the deployment (default: one of 19 nodes)"`
 	List     bool          `long:"list" description:"print the names of the scenarios and end"`
 	Program  string        `long:"program" description:"command camphortrail of the fleet (default: this one)"`
 	Report   string        `long:"report" description:"file for the report, as JSON (default: standard output)"`
@@ -48,13 +49,17 @@
 		}
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	services := soak.Services()
-	for i := range services {
-		services[i].Upstreams *= cm.Scale
+	opt := soak.Options{Seed: soak.Seed(cm.Seed), Program: program, Folder: folder, Services: soak.Services()}
+	if cm.Deploy != "" {
+		if opt.Deployment, err = soak.LoadDeployment(cm.Deploy); err != nil {
+			return err
+		}
+		opt.Deployment.Scale(cm.Scale)
+	} else {
+		dep := soak.Deployment{Services: opt.Services}
+		dep.Scale(cm.Scale)
 	}
-	re, err := soak.Run(ctx, cm.Scenario, cm.For, soak.Options{
-		Seed: soak.Seed(cm.Seed), Program: program, Folder: folder, Services: services,
-	}, os.Stderr)
+	re, err := soak.Run(ctx, cm.Scenario, cm.For, opt, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -50,6 +50,8 @@
 	Calls float64
 	// SlowBodies is the share of requests with bodies that are sent slowly in chunks.
 	SlowBodies float64
+	// Parts is 1 if answers may come in parts. Only callers of a Deployment ask for that.
+	Parts float64
 }
 
 // request is what a caller sends, chosen from the seed.
@@ -57,6 +59,8 @@
 	kind     Kind
 	path     string
 	deadline time.Duration // 0 if the caller does not state it
+	timeout  time.Duration // of the route
+	key      string        // of a customer, or empty
 	body     []byte
 	// parts is the number of parts in which the body is sent, partGap the time between two of
 	// them. With 0 parts it is sent at once, with its length.
@@ -69,7 +73,7 @@
 // wait returns the time for which the caller waits.
 func (rq *request) wait() time.Duration {
 	if rq.deadline == 0 {
-		return routeTimeout + time.Second
+		return rq.timeout + time.Second
 	}
 	return rq.deadline
 }
@@ -80,8 +84,8 @@
 // chooseRequest returns the next request of a caller.
 func (mx Mix) chooseRequest(rnd *rand.Rand, ahead bool) *request {
 	name := callerRoutes[rnd.IntN(len(callerRoutes))]
-	rq := &request{kind: firstRoutes[name].Kind, deadline: 5 * time.Second, length: 200 + rnd.IntN(3000)}
-	if ahead && rq.kind == Unsafe {
+	rq := &request{kind: firstRoutes[name].Kind, deadline: 5 * time.Second, timeout: routeTimeout, length: 200 + rnd.IntN(3000)}
+	if ahead && rq.kind.RunsOnce() {
 		name, rq.kind = "tag-lookup", Safe
 	}
 	work := minWork + rand64(rnd, maxWork-minWork)
@@ -109,7 +113,7 @@
 		query["call"] = []string{"/bay-ledger-read/a?" + inner.Encode()}
 	}
 	rq.path = "/" + name + "/a?" + query.Encode()
-	if rq.kind == Unsafe || rnd.Float64() < mx.SlowBodies {
+	if rq.kind.RunsOnce() || rnd.Float64() < mx.SlowBodies {
 		rq.body = make([]byte, 100+rnd.IntN(20_000))
 	}
 	if rq.body != nil && rnd.Float64() < mx.SlowBodies {
@@ -143,7 +147,11 @@
 func newCaller(ma *Machine, index int, mix Mix) *caller {
 	name := fmt.Sprintf("caller-%s-%d", ma.Name, index)
 	ca := &caller{ma: ma, name: name, mix: mix, rnd: ma.fl.opt.Seed.Rand(name), ahead: 1}
-	if ca.rnd.Float64() < mix.Ahead {
+	share := mix.Ahead
+	if dep := ma.fl.opt.Deployment; dep != nil {
+		share = max(share, dep.AheadShare)
+	}
+	if ca.rnd.Float64() < share {
 		ca.ahead = 2 + ca.rnd.IntN(3)
 	}
 	return ca
@@ -202,8 +210,8 @@
 // converse sends requests until ctx or the connection ends, and waits for the answers.
 func (cn *callerConn) converse(ctx context.Context) {
 	ca := cn.ca
-	for pauseUnless(ctx, rand64(ca.rnd, maxGap), cn.ended) && cn.waitBelow(ctx, ca.ahead) {
-		rq := ca.mix.chooseRequest(ca.rnd, ca.ahead > 1)
+	for pauseUnless(ctx, rand64(ca.rnd, ca.maxGap()), cn.ended) && cn.waitBelow(ctx, ca.ahead) {
+		rq := ca.chooseRequest()
 		cn.send(rq, rq.wait(), false)
 		if ctx.Err() != nil {
 			break
@@ -212,6 +220,22 @@
 	cn.finish()
 }
 
+// maxGap returns the longest time between two requests.
+func (ca *caller) maxGap() time.Duration {
+	if dep := ca.ma.fl.opt.Deployment; dep != nil {
+		return time.Duration(dep.MaxGapMS) * time.Millisecond
+	}
+	return maxGap
+}
+
+// chooseRequest returns the next request.
+func (ca *caller) chooseRequest() *request {
+	if dep := ca.ma.fl.opt.Deployment; dep != nil {
+		return dep.chooseRequest(ca.rnd, ca.mix, ca.ahead > 1)
+	}
+	return ca.mix.chooseRequest(ca.rnd, ca.ahead > 1)
+}
+
 // finish waits until nothing is outstanding, and closes the connection.
 func (cn *callerConn) finish() {
 	cn.mu.Lock()
@@ -264,7 +288,7 @@
 	}
 	sent := Sent{
 		ID: ou.id, Begun: ou.begun, Node: ca.ma.Name, Conn: cn.id, Kept: cn.kept, Kind: rq.kind,
-		Deadline: min(rq.deadline, wait).Truncate(time.Millisecond), Timeout: routeTimeout, Path: rq.path,
+		Deadline: min(rq.deadline, wait).Truncate(time.Millisecond), Timeout: rq.timeout, Path: rq.path,
 	}
 	cn.mu.Lock()
 	sent.Behind = len(cn.waiting) > 0
@@ -287,8 +311,11 @@
 
 // closedByNode reports whether the end of the node's side of the connection has arrived. The
 // reading goroutine learns of it later, on a busy computer by more than the loss slack.
-func (cn *callerConn) closedByNode() bool {
-	raw, err := cn.nc.(*net.TCPConn).SyscallConn()
+func (cn *callerConn) closedByNode() bool { return closedByPeer(cn.nc) }
+
+// closedByPeer reports whether the end of the peer's side of a TCP connection has arrived.
+func closedByPeer(nc net.Conn) bool {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return true
 	}
@@ -311,6 +338,9 @@
 	if deadline > 0 {
 		fmt.Fprintf(&head, "%s: %d\r\n", deadlineHeader, deadline.Milliseconds())
 	}
+	if rq.key != "" {
+		fmt.Fprintf(&head, "%s: %s %s\r\n", keyHeader, keyScheme, rq.key)
+	}
 	switch {
 	case rq.parts > 0:
 		head.WriteString("Transfer-Encoding: chunked\r\n\r\n")
@@ -444,7 +474,7 @@
 		return
 	}
 	left := time.Until(ou.giveUp)
-	if status/100 == 2 || ou.resent || ou.kind == Unsafe && !promisesNotRun(status) || left <= 0 {
+	if status/100 == 2 || ou.resent || ou.kind.RunsOnce() && !promisesNotRun(status) || left <= 0 {
 		return
 	}
 	seconds, _ := strconv.ParseFloat(after, 64)
--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -482,14 +481,7 @@
 
 // starve runs busy processes for some seconds.
 func (cr *configRun) starve(ctx context.Context, rnd *rand.Rand) {
-	ctx, stop := context.WithTimeout(ctx, 2*time.Second+time.Duration(rnd.Int64N(int64(3*time.Second))))
-	defer stop()
-	var wg sync.WaitGroup
-	for range busyProcesses {
-		// The shell is killed when ctx ends.
-		wg.Go(func() { _ = exec.CommandContext(ctx, "sh", "-c", "while :; do :; done").Run() })
-	}
-	wg.Wait()
+	starve(ctx, 2*time.Second+time.Duration(rnd.Int64N(int64(3*time.Second))))
 }
 
 // freezeSome suspends some nodes, unless others are.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -60,13 +60,6 @@
 	ErrNotReady = errors.New("soak: nodes not ready")
 )
 
-// ServiceSize is a service of a deployment.
-type ServiceSize struct {
-	Name            call.Service
-	Upstreams       int
-	Slots, MaxConns int
-}
-
 // The services of the fleet.
 const (
 	Sportello   call.Service = "sportello"
@@ -77,7 +70,12 @@
 
 // Services returns the services of a fleet of 19 nodes.
 func Services() []ServiceSize {
-	return []ServiceSize{{Sportello, 7, 39, 334}, {Emissione, 4, 69, 514}, {Planimetrie, 4, 69, 514}, {Cassa, 4, 17, 202}}
+	return []ServiceSize{
+		{Name: Sportello, Upstreams: 7, Slots: 39, MaxConns: 334},
+		{Name: Emissione, Upstreams: 4, Slots: 69, MaxConns: 514},
+		{Name: Planimetrie, Upstreams: 4, Slots: 69, MaxConns: 514},
+		{Name: Cassa, Upstreams: 4, Slots: 17, MaxConns: 202},
+	}
 }
 
 // failureDomains are those of the deployment, all in one region.
@@ -92,6 +90,9 @@
 	Program string
 	// Folder holds a folder for each machine, with its settings, log and disk.
 	Folder string
+	// Deployment, if not nil, takes the place of the services and control replicas, of the routes and of
+	// what callers send.
+	Deployment *Deployment
 	// Services are the services of the nodes (default: Services()).
 	Services []ServiceSize
 	// Controls is the number of control replicas (default: 4).
@@ -118,10 +119,15 @@
 
 	opt   Options
 	ports ports
+	// startUpstream starts a new upstream beside a node, which ends with the fleet.
+	startUpstream func(ma *Machine) error
 }
 
 // New prepares a fleet. It starts nothing.
 func New(opt Options) (*Fleet, error) {
+	if dep := opt.Deployment; dep != nil {
+		opt.Services, opt.Controls = dep.Services, dep.Controls
+	}
 	if opt.Services == nil {
 		opt.Services = Services()
 	}
@@ -144,14 +150,23 @@
 
 // newMachine returns the machine of a kind with the given index.
 func (fl *Fleet) newMachine(index int, kind MachineKind, class string) *Machine {
-	fd := failureDomains[index%len(failureDomains)]
-	name := fmt.Sprintf("%s-%s-%d", class, fd, 1+index/len(failureDomains))
+	domains := fl.failureDomains()
+	fd := domains[index%len(domains)]
+	name := fmt.Sprintf("%s-%s-%d", class, fd, 1+index/len(domains))
 	return &Machine{
 		Name: call.VM(name), Zone: fd, Kind: kind, fl: fl,
 		folder: filepath.Join(fl.opt.Folder, name),
 	}
 }
 
+// failureDomains returns the failure domains of the deployment.
+func (fl *Fleet) failureDomains() []call.FailureDomain {
+	if dep := fl.opt.Deployment; dep != nil {
+		return dep.FailureDomains
+	}
+	return failureDomains
+}
+
 // Machines returns all machines, control replicas first.
 func (fl *Fleet) Machines() []*Machine {
 	return append(append([]*Machine{}, fl.Controls...), fl.Nodes...)
@@ -217,12 +232,11 @@
 		}
 	}
 	for _, ma := range fl.Nodes {
-		up, err := NewUpstream(ctx, ma)
-		if err != nil {
+		if err := ma.startUpstream(ctx); err != nil {
 			return err
 		}
-		ma.Upstream = up
 	}
+	fl.startUpstream = func(ma *Machine) error { return ma.startUpstream(ctx) }
 	return nil
 }
 
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -85,7 +85,7 @@
 		GraceSeconds: Grace.Seconds(), DrainMS: float64(DrainPeriod.Milliseconds()),
 		RetryRatio: retryRatio, RetrySlack: retrySlack,
 	}
-	for _, fd := range failureDomains {
+	for _, fd := range ma.fl.failureDomains() {
 		set.FailureDomains[string(fd)] = region
 	}
 	for _, co := range ma.fl.Controls[:min(3, len(ma.fl.Controls))] {
@@ -99,6 +99,9 @@
 		set.Service, set.UpstreamAddress = string(ma.Service), ma.UpstreamAddress()
 		set.MemoryMB, set.Descriptors = nodeMemoryMB, nodeDescriptors
 	}
+	if dep := ma.fl.opt.Deployment; dep != nil {
+		dep.editSettings(ma, set)
+	}
 	if ma.edit != nil {
 		ma.edit(set)
 	}
@@ -108,6 +111,18 @@
 	return set
 }
 
+// editSettings sets what a deployment states.
+func (dep *Deployment) editSettings(ma *Machine, set *platform.Settings) {
+	for fd := range set.FailureDomains {
+		set.FailureDomains[fd] = dep.Region
+	}
+	set.RetryRatio, set.RetrySlack, set.RevokeMS = dep.RetryRatio, dep.RetrySlack, dep.RevokeMS
+	set.MemoryMB = dep.NodeMemoryMB
+	if ma.Kind == ControlMachine {
+		set.MemoryMB = dep.ControlMemoryMB
+	}
+}
+
 // writeSettings replaces the settings file. The caller holds ma.mu.
 func (ma *Machine) writeSettings() error {
 	temporary := ma.settingsPath() + ".new"
@@ -181,6 +196,16 @@
 	return err.Error()
 }
 
+// startUpstream starts an upstream beside the node, which ends with ctx.
+func (ma *Machine) startUpstream(ctx context.Context) error {
+	up, err := NewUpstream(ctx, ma)
+	if err != nil {
+		return err
+	}
+	ma.Upstream = up
+	return nil
+}
+
 // Signal sends a signal to the process that the rig started on the machine, if it runs. After a
 // SIGTERM or SIGKILL its end is not its own.
 func (ma *Machine) Signal(sig syscall.Signal) {
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -11,7 +11,7 @@
 	hi := newHistory(events, nil)
 	var findings []Finding
 	for _, fa := range hi.fates {
-		if fa.Kind != Unsafe {
+		if !fa.Kind.RunsOnce() {
 			continue
 		}
 		runs := 0
--- a/internal/lab/soak/routes.go
+++ b/internal/lab/soak/routes.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"camphortrail/call"
@@ -34,11 +35,18 @@
 
 // FirstConfiguration returns the configuration with which a fleet begins, as version 1. The prefix
 // of each route is its name between slashes.
-func (fl *Fleet) FirstConfiguration() Configuration {
+func (fl *Fleet) FirstConfiguration() Configuration { return fl.configuration(nil) }
+
+// configuration returns the first configuration, but for the keys of customers that are withdrawn.
+func (fl *Fleet) configuration(withdrawn map[int]bool) Configuration {
 	co := Configuration{Version: 1, Resources: []Resource{document.NewLimits()}}
 	for _, sz := range fl.opt.Services {
 		co.Resources = append(co.Resources, document.NewService(sz.Name, sz.MaxConns))
 	}
+	if dep := fl.opt.Deployment; dep != nil {
+		co.Resources = append(co.Resources, dep.resources(withdrawn)...)
+		return co
+	}
 	for _, name := range slices.Sorted(maps.Keys(firstRoutes)) {
 		ro := firstRoutes[name]
 		ro.Prefix = "/" + name + "/"
@@ -46,3 +54,37 @@
 	}
 	return co
 }
+
+// resources returns the routes and customers of a deployment. Customers whose number is withdrawn have
+// another key.
+func (dep *Deployment) resources(withdrawn map[int]bool) []Resource {
+	var rs []Resource
+	for _, ro := range dep.Routes {
+		rs = append(rs, document.NewRoute(ro.Name, Route{
+			Host: routeHost, Prefix: "/" + ro.Name + "/", Kind: ro.Kind, TimeoutMS: ro.TimeoutMS, TargetMS: ro.TargetMS,
+			Priority: ro.Priority, Service: ro.Service, Attempts: 2,
+		}))
+	}
+	for n := range dep.Customers.Count {
+		spec := document.CustomerSpec{
+			Keys: []string{customerKey(n)}, RatePerS: dep.Customers.RatePerS * dep.Customers.share(n), Burst: dep.Customers.Burst * dep.Customers.share(n),
+		}
+		if withdrawn[n] {
+			spec.Keys = []string{customerKey(n) + "-new"}
+		}
+		rs = append(rs, document.NewCustomer(customerName(n), spec))
+	}
+	return rs
+}
+
+// timeout returns the time-out of the route of a path, and the time for which a sender waits on it, or 0
+// if it states none of its own.
+func (fl *Fleet) timeout(path string) (timeout, deadline time.Duration) {
+	if dep := fl.opt.Deployment; dep != nil {
+		name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+		if ro := dep.route(name); ro != nil {
+			return ro.timeout(), ro.deadline()
+		}
+	}
+	return routeTimeout, 0
+}
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -24,6 +24,8 @@
 type Scenario struct {
 	// Options changes the options of the fleet, if it is not nil.
 	Options func(Options) Options
+	// AnyDeployment says that the scenario plays Options.Deployment. Others need the default one.
+	AnyDeployment bool
 	// Play acts on a fleet whose nodes are ready and whose first configuration is in force, until
 	// ctx ends, and returns when all that it began is over.
 	Play func(ctx context.Context, fl *Fleet) error
@@ -47,6 +49,8 @@
 	Cut      int     `json:"cut"`
 	GaveUp   int     `json:"gave-up"`
 	Stops    int     `json:"stops"`
+	// Statuses counts the answers by status.
+	Statuses map[int]int `json:"statuses"`
 	// Losses counts the requests that had no whole answer of an upstream.
 	Losses map[LossVerdict]int `json:"losses"`
 	// OwnEnds are the processes that ended by themselves.
@@ -58,11 +62,14 @@
 const startLimit = time.Minute
 
 // Run plays a scenario on a new fleet for a time and returns the report. It writes a line of
-// progress each second to progress. The errors match ErrScenario, or those of a fleet.
+// progress each second to progress. The errors match ErrScenario or ErrDeployment, or are those of a fleet.
 func Run(ctx context.Context, name string, length time.Duration, opt Options, progress io.Writer) (*Report, error) {
 	sc, ok := scenarios[name]
-	if !ok {
+	switch {
+	case !ok:
 		return nil, errors.Wrap(ErrScenario, name)
+	case opt.Deployment != nil && !sc.AnyDeployment:
+		return nil, errors.Wrap(ErrDeployment, name+" plays the default deployment only")
 	}
 	if sc.Options != nil {
 		opt = sc.Options(opt)
@@ -186,13 +193,14 @@
 
 // report counts what the record holds.
 func (fl *Fleet) report() *Report {
-	re := new(Report)
+	re := &Report{Statuses: make(map[int]int)}
 	for _, ev := range fl.Recorder.Events() {
 		switch ev := ev.(type) {
 		case Sent:
 			re.Requests++
 		case Answered:
 			re.Answered++
+			re.Statuses[ev.Status]++
 		case Cut:
 			re.Cut++
 		case GaveUp:
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -26,6 +26,14 @@
 	// Together is the number of nodes that each round stops at once, or 0 for 1 to 5 nodes at once
 	// or one after the other.
 	Together int
+	// WholeService lets all nodes of a service stop in each round, one after the other.
+	WholeService bool
+	// Repeated lets a second SIGTERM come during a stop, and Young lets some nodes stop once more soon
+	// after their start.
+	Repeated, Young bool
+	// Exchanges lets upstreams leave and others take their place, Changes changes the configuration, keys
+	// of customers included, and Starve takes the processors away for seconds; all until the end.
+	Exchanges, Changes, Starve bool
 }
 
 const (
@@ -40,6 +48,13 @@
 	minRound, maxRound = 4 * time.Second, 10 * time.Second
 	// maxHangups is the number of running nodes that get a SIGHUP in a round.
 	maxHangups = 2
+	// serviceGap bounds the time between the stops of two nodes of a service.
+	serviceGap = time.Second
+	// maxYoung bounds the time from the start of a node to a stop under Young.
+	maxYoung = 1500 * time.Millisecond
+	// maxExchangeGap, maxConfigGap and maxStarveGap bound the time between two exchanges of an upstream,
+	// two changes of the configuration, and two times without processors.
+	maxExchangeGap, maxConfigGap, maxStarveGap = 2 * time.Second, 3 * time.Second, 8 * time.Second
 	// maxRestart bounds the time from the end of a process to its next start.
 	maxRestart = time.Second
 	// callerServiceShare is the share of nodes that have callers under NoCallersAtStops.
@@ -51,16 +66,26 @@
 
 func init() {
 	for name, sp := range map[string]StopPlan{
-		"lost":        {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true, Controls: true},
-		"lost-late":   {Mix: Mix{Long: longShare}, Rounds: 1, Together: maxStops},
-		"lost-series": {Mix: Mix{Long: longShare}},
-		"lost-guard":  {Mix: Mix{Long: longShare}, NoCallersAtStops: true},
-		"lost-ahead":  {Mix: Mix{Long: longShare, Ahead: 1}},
-		"lost-calls":  {Mix: Mix{Long: longShare, Calls: 1}},
-		"lost-bodies": {Mix: Mix{Long: longShare, SlowBodies: 1}},
-		"lost-hangup": {Mix: Mix{Long: longShare}, Hangups: true},
+		"lost":         {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true, Controls: true},
+		"lost-late":    {Mix: Mix{Long: longShare}, Rounds: 1, Together: maxStops},
+		"lost-series":  {Mix: Mix{Long: longShare}},
+		"lost-guard":   {Mix: Mix{Long: longShare}, NoCallersAtStops: true},
+		"lost-ahead":   {Mix: Mix{Long: longShare, Ahead: 1}},
+		"lost-calls":   {Mix: Mix{Long: longShare, Calls: 1}},
+		"lost-bodies":  {Mix: Mix{Long: longShare, SlowBodies: 1}},
+		"lost-hangup":  {Mix: Mix{Long: longShare}, Hangups: true},
+		"lost-service": {Mix: Mix{Long: longShare}, WholeService: true},
+		"lost-again":   {Mix: Mix{Long: longShare}, Repeated: true, Young: true, Hangups: true},
+		"lost-leave":   {Mix: Mix{Long: longShare}, Exchanges: true},
+		"lost-change":  {Mix: Mix{Long: longShare}, Changes: true},
+		"lost-parts":   {Mix: Mix{Long: longShare, Parts: 1}},
+		"lost-starve":  {Mix: Mix{Long: longShare}, Starve: true},
+		"lost-all": {
+			Mix:     Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15, Parts: 1},
+			Hangups: true, Controls: true, WholeService: true, Repeated: true, Young: true, Exchanges: true, Changes: true,
+		},
 	} {
-		scenarios[name] = Scenario{Play: sp.play, Check: checkStops}
+		scenarios[name] = Scenario{AnyDeployment: true, Play: sp.play, Check: checkStops}
 	}
 }
 
@@ -85,10 +110,18 @@
 		if sp.NoCallersAtStops && slices.Contains(targets, ma) {
 			continue
 		}
-		for i := range callersPerNode {
+		for i := range fl.callersPerNode() {
 			group.Go(func() { newCaller(ma, i, sp.Mix).run(ctx) })
 		}
 	}
+	for _, duty := range []struct {
+		on  bool
+		run func(ctx context.Context, fl *Fleet)
+	}{{sp.Exchanges, exchangeUpstreams}, {sp.Changes, changeConfigurations}, {sp.Starve, starveOften}} {
+		if duty.on {
+			group.Go(func() { duty.run(ctx, fl) })
+		}
+	}
 	err := newStopper(sp, fl, targets).run(ctx)
 	stop()
 	group.Wait()
@@ -144,9 +177,10 @@
 type plannedStop struct {
 	ma *Machine
 	// after is the time from the beginning of the round to the SIGTERM, hangup that from the SIGTERM to
-	// a SIGHUP (0 for none), and restart that from the end of the process to the next start.
-	after, hangup, restart time.Duration
-	hangupOnly             bool
+	// a SIGHUP (0 for none), again that to a second SIGTERM (0 for none), restart that from the end of the
+	// process to the next start, and young that from the start to another stop (0 for none).
+	after, hangup, again, restart, young time.Duration
+	hangupOnly                           bool
 }
 
 // run stops nodes until ctx ends or all rounds are over, and then waits until all nodes run again.
@@ -182,6 +216,12 @@
 	}
 	hangups := st.Hangups && st.rnd.IntN(2) == 0
 	control := st.rnd.IntN(3 * len(st.fl.Controls)) // no replica stops if there is none with the index
+	if st.WholeService {
+		sizes := st.fl.opt.Services
+		order = st.nodesOf(sizes[st.rnd.IntN(len(sizes))].Name)
+		number, together = len(order), false
+	}
+	gap := rand64(st.rnd, serviceGap)
 	var round []plannedStop
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -190,9 +230,18 @@
 		if hangup := rand64(st.rnd, Grace); st.Hangups && st.rnd.IntN(3) == 0 {
 			ps.hangup = hangup
 		}
+		if again := rand64(st.rnd, Grace); st.Repeated && st.rnd.IntN(3) == 0 {
+			ps.again = again
+		}
+		if young := rand64(st.rnd, maxYoung); st.Young && st.rnd.IntN(3) == 0 {
+			ps.young = young
+		}
 		if together {
 			ps.after = 0
 		}
+		if st.WholeService {
+			ps.after = time.Duration(i) * gap
+		}
 		if i >= number {
 			ps.hangupOnly = hangups && i < number+maxHangups
 			if !ps.hangupOnly {
@@ -207,6 +256,16 @@
 	return round
 }
 
+// nodesOf returns the indexes of the targets of a service.
+func (st *stopper) nodesOf(service call.Service) (order []int) {
+	for i, ma := range st.targets {
+		if ma.Service == service {
+			order = append(order, i)
+		}
+	}
+	return order
+}
+
 // appendFree appends a stop to the round unless its machine is still being stopped.
 func (st *stopper) appendFree(round []plannedStop, ps plannedStop) []plannedStop {
 	if st.busy[ps.ma.Name] {
@@ -230,20 +289,33 @@
 	if pause(ctx, ps.after) != nil {
 		return
 	}
+	for stopAgain := true; stopAgain; {
+		ps.signalAndWait(ctx)
+		if pause(ctx, ps.restart) != nil {
+			return
+		}
+		if err := ps.ma.Restart(); err != nil {
+			st.fl.Recorder.Find(Fault, "%s does not start: %v", ps.ma.Name, err)
+			return
+		}
+		stopAgain = ps.young > 0 && pause(ctx, ps.young) == nil
+		ps.young = 0
+	}
+}
+
+// signalAndWait sends the signals of a stop and waits for the end of the process.
+func (ps plannedStop) signalAndWait(ctx context.Context) {
 	stopping, stopped := context.WithCancel(context.WithoutCancel(ctx))
-	if ps.hangup > 0 {
+	defer stopped()
+	for sig, after := range map[syscall.Signal]time.Duration{syscall.SIGHUP: ps.hangup, syscall.SIGTERM: ps.again} {
+		if after == 0 {
+			continue
+		}
 		go func() {
-			if pause(stopping, ps.hangup) == nil {
-				ps.ma.Signal(syscall.SIGHUP)
+			if pause(stopping, after) == nil {
+				ps.ma.Signal(sig)
 			}
 		}()
 	}
 	ps.ma.Stop(stopping)
-	stopped()
-	if pause(ctx, ps.restart) != nil {
-		return
-	}
-	if err := ps.ma.Restart(); err != nil {
-		st.fl.Recorder.Find(Fault, "%s does not start: %v", ps.ma.Name, err)
-	}
 }
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -9,11 +9,8 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"camphortrail/platform/document"
 )
 
@@ -37,6 +34,9 @@
 	waiting atomic.Int64
 	seq     atomic.Uint64
 	calls   atomic.Uint64
+	conns   callConns
+	// stop ends the reports and closes all connections.
+	stop context.CancelFunc
 	// draining is set once the upstream reports that it drains.
 	draining atomic.Bool
 }
@@ -48,13 +48,17 @@
 		return nil, err
 	}
 	born := time.Now()
+	ctx, stop := context.WithCancel(ctx)
 	up := &Upstream{
 		ma: ma, instance: fmt.Sprintf("i-%s-%d", ma.Name, born.UnixMilli()), born: born,
-		slots: make(chan struct{}, ma.size.Slots),
+		slots: make(chan struct{}, ma.size.Slots), stop: stop,
 	}
 	up.srv = &http.Server{Handler: up, IdleTimeout: upstreamIdleTimeout}
 	go func() { _ = up.srv.Serve(ln) }()
-	context.AfterFunc(ctx, func() { _ = up.srv.Close() })
+	context.AfterFunc(ctx, func() {
+		_ = up.srv.Close()
+		up.conns.close()
+	})
 	go up.report(ctx)
 	return up, nil
 }
@@ -95,6 +99,11 @@
 		defer stop()
 	}
 	if !up.takeSlot(ctx) {
+		if up.ma.size.Hangs {
+			rc.Add(Arrived{ID: id, At: rc.Now(), Upstream: up.ma.Name, NotRun: true, Path: r.RequestURI})
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		refuse(http.StatusServiceUnavailable)
 		return
 	}
@@ -110,21 +119,52 @@
 		hd.Set(signatureHeader, signature(id, status, length))
 		hd.Set("Content-Length", strconv.Itoa(length))
 		w.WriteHeader(status)
-		_, _ = w.Write(bytes.Repeat([]byte("x"), length))
+		gap, _ := strconv.Atoi(r.URL.Query().Get("part-gap"))
+		writeParts(w, bytes.Repeat([]byte("x"), length), time.Duration(gap)*time.Millisecond)
 	}
 	ran.At = rc.Now()
 	rc.Add(ran)
 }
 
+// answerParts is the number of parts of an answer with a pause between two of them.
+const answerParts = 4
+
+// writeParts writes a body, in parts if there is a pause between them.
+func writeParts(w http.ResponseWriter, body []byte, gap time.Duration) {
+	size := len(body)
+	if gap > 0 {
+		size = (len(body) + answerParts - 1) / answerParts
+	}
+	for len(body) > 0 {
+		part := body[:min(size, len(body))]
+		body = body[len(part):]
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		if len(body) > 0 {
+			_ = http.NewResponseController(w).Flush() // the next Write fails if this does
+			time.Sleep(gap)
+		}
+	}
+}
+
 // signature returns the signature of an answer, which names all that a caller checks.
 func signature(id RequestID, status, length int) string {
 	return fmt.Sprintf("%s.%d.%d", id, status, length)
 }
 
+// queue returns the number of requests that wait for a slot.
+func (sz ServiceSize) queue() int {
+	if sz.Queue > 0 {
+		return sz.Queue
+	}
+	return int(queuePerSlot * float64(sz.Slots))
+}
+
 // takeSlot waits for a slot, unless too many requests wait already.
 func (up *Upstream) takeSlot(ctx context.Context) bool {
 	defer up.waiting.Add(-1)
-	full := up.waiting.Add(1) > int64(queuePerSlot*float64(cap(up.slots)))
+	full := up.waiting.Add(1) > int64(up.ma.size.queue())
 	if full {
 		select {
 		case up.slots <- struct{}{}:
@@ -147,10 +187,8 @@
 		return http.StatusInternalServerError
 	}
 	query := r.URL.Query()
-	for _, path := range query["call"] {
-		if !up.call(ctx, path) {
-			return failureStatus(ctx)
-		}
+	if !up.makeCalls(ctx, query["call"], query.Get("together") != "") {
+		return failureStatus(ctx)
 	}
 	ms, _ := strconv.Atoi(query.Get("work"))
 	if pause(ctx, time.Duration(ms)*time.Millisecond) != nil {
@@ -167,38 +205,6 @@
 	return http.StatusInternalServerError
 }
 
-// call makes a call through the node beside the upstream and reports whether it succeeded.
-func (up *Upstream) call(ctx context.Context, path string) bool {
-	rc := up.ma.fl.Recorder
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+up.ma.CallerAddress()+path, nil)
-	if err != nil {
-		return false
-	}
-	id := RequestID(fmt.Sprintf("%s-call-%d", up.instance, up.calls.Add(1)))
-	rq.Host = routeHost
-	rq.Header.Set(requestIDHeader, string(id))
-	sent := Sent{ID: id, Begun: rc.Now(), At: rc.Now(), Node: up.ma.Name, Kind: Safe, Timeout: routeTimeout, Path: path, Call: true}
-	if end, ok := ctx.Deadline(); ok {
-		sent.Deadline = time.Until(end).Truncate(time.Millisecond)
-		rq.Header.Set(deadlineHeader, strconv.FormatInt(sent.Deadline.Milliseconds(), 10))
-	}
-	rc.Add(sent)
-	res, err := client.Do(rq)
-	if err == nil {
-		defer res.Body.Close()
-		_, err = io.Copy(io.Discard, res.Body)
-	}
-	switch {
-	case err == nil:
-		rc.Add(Answered{ID: id, At: rc.Now(), Status: res.StatusCode, Signed: res.Header.Get(signatureHeader) != ""})
-	case ctx.Err() != nil:
-		rc.Add(GaveUp{id, rc.Now()})
-	default:
-		rc.Add(Cut{id, rc.Now(), errors.Is(err, syscall.ECONNRESET), err.Error()})
-	}
-	return err == nil && res.StatusCode/100 == 2
-}
-
 // report sends a report in each heartbeat period, and sooner until one is acknowledged.
 func (up *Upstream) report(ctx context.Context) {
 	for {
@@ -246,3 +252,18 @@
 	_ = res.Body.Close()
 	return res.StatusCode
 }
+
+// upstreamLinger is the time for which an upstream still serves after the drain period.
+const upstreamLinger = 500 * time.Millisecond
+
+// leave reports that the upstream drains, serves for the drain period, reports that it is gone, and ends
+// once all its requests are answered.
+func (up *Upstream) leave(ctx context.Context) {
+	for up.Drain(ctx) != http.StatusOK && pause(ctx, HeartbeatPeriod/5) == nil {
+	}
+	_ = pause(ctx, DrainPeriod+upstreamLinger)
+	up.send(ctx, http.MethodDelete, nil)
+	// Requests that are still running end with the fleet at the latest.
+	_ = up.srv.Shutdown(ctx)
+	up.stop()
+}
--- a/internal/lab/soak/wire.go
+++ b/internal/lab/soak/wire.go
@@ -14,6 +14,8 @@
 	reportPath        = document.ReportPath
 	configurationPath = document.ConfigurationPath
 	healthPath        = document.HealthPath
+	keyHeader         = document.KeyHeader
+	keyScheme         = document.KeyScheme
 	stateReady        = document.StateReady
 	stateDraining     = document.StateDraining
 )
@@ -23,6 +25,7 @@
 	Safe     = document.Safe
 	Unsafe   = document.Unsafe
 	Download = document.Download
+	Upload   = document.Upload
 )
 
 // Documents of the platform.
