guard: a stopping node begins no attempt that usually outlasts it

Cause: until 1 s before the end of the notice the guard judged nothing by its own end, but took all that came.

Change: from the SIGTERM on, an attempt whose deadline is after the end must usually be over by then, by eight times the mean of its class, as for an upstream that leaves. It is refused as not run, and goes elsewhere at no charge.

guard.TestStoppingGuardBeginsNoLongAttempt fails before.

--- a/internal/lab/soak/beside.go
+++ b/internal/lab/soak/beside.go
@@ -97,3 +97,21 @@
 	}
 	wg.Wait()
 }
+
+// throttlePeriod is the period in which a process gets its part of a processor.
+const throttlePeriod = 100 * time.Millisecond
+
+// throttleNodes lets each node run for processorShare of each period. The kernel would let a process that
+// is allowed so much of a processor wait only once it has used it, but for as long.
+func throttleNodes(ctx context.Context, fl *Fleet) {
+	var wg sync.WaitGroup
+	for _, ma := range fl.Nodes {
+		rnd := fl.opt.Seed.Rand("throttle-" + string(ma.Name))
+		wg.Go(func() {
+			for pause(ctx, rand64(rnd, 2*time.Duration(processorShare*float64(throttlePeriod)))) == nil {
+				ma.throttle(time.Duration((1 - processorShare) * float64(throttlePeriod)))
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -80,6 +80,21 @@
 	return append(findings, hi.checkConfigs(byRate)...), verdicts
 }
 
+// maxOwnAnswers bounds the own answers that a report describes.
+const maxOwnAnswers = 20
+
+// describeOwnAnswers describes the first requests that got an own answer while an upstream worked, at nodes
+// that do not stop.
+func describeOwnAnswers(events []Event, controls []call.VM) (texts []string) {
+	hi := newHistory(events, controls)
+	for _, fa := range hi.fates {
+		if len(texts) < maxOwnAnswers && hi.verdict(fa) == ExcusedOwnAnswer {
+			texts = append(texts, hi.describe(fa))
+		}
+	}
+	return texts
+}
+
 // lostInTouch reports whether a machine in touch passed a request from a kept connection on to a
 // sound upstream, and closed that connection without an answer.
 func (hi *history) lostInTouch(fa *fate) bool {
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -222,6 +222,20 @@
 	_ = ma.cmd.Process.Signal(sig)
 }
 
+// throttle suspends the process for a time, unless it has ended. The record does not count it: a process
+// that is allowed a part of a processor waits like this.
+func (ma *Machine) throttle(length time.Duration) {
+	ma.mu.Lock()
+	defer ma.mu.Unlock()
+	if !ma.running() {
+		return
+	}
+	// The process may end meanwhile.
+	_ = ma.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = ma.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // Wait waits for the end of the process, or returns the error of ctx if that ends first.
 func (ma *Machine) Wait(ctx context.Context) error {
 	ma.mu.Lock()
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -53,6 +53,9 @@
 	Statuses map[int]int `json:"statuses"`
 	// Losses counts the requests that had no whole answer of an upstream.
 	Losses map[LossVerdict]int `json:"losses"`
+	// OwnAnswers are some of the requests with the verdict ExcusedOwnAnswer. Around a stop they would break
+	// the rule.
+	OwnAnswers []string `json:"own-answers"`
 	// OwnEnds are the processes that ended by themselves.
 	OwnEnds  []string  `json:"own-ends"`
 	Findings []Finding `json:"findings"`
@@ -101,6 +104,7 @@
 	re := fl.report()
 	re.Scenario, re.Seed, re.Seconds = name, opt.Seed, time.Since(begun).Seconds()
 	_, re.Losses = CheckLost(fl.Recorder.Events(), fl.controlNames())
+	re.OwnAnswers = describeOwnAnswers(fl.Recorder.Events(), fl.controlNames())
 	re.Findings = slices.Concat(fl.Recorder.Findings(), sc.Check(fl), fl.checkOwnEnds())
 	return re, nil
 }
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -34,6 +34,8 @@
 	// Exchanges lets upstreams leave and others take their place, Changes changes the configuration, keys
 	// of customers included, and Starve takes the processors away for seconds; all until the end.
 	Exchanges, Changes, Starve bool
+	// Throttle lets nodes have only a part of a processor.
+	Throttle bool
 }
 
 const (
@@ -61,25 +63,29 @@
 	callerServiceShare = 0.6
 )
 
+// processorShare is the part of a processor that a node gets under Throttle.
+const processorShare = 0.64
+
 // longShare is the share of long requests in all scenarios of stops.
 const longShare = 0.2
 
 func init() {
 	for name, sp := range map[string]StopPlan{
-		"lost":         {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true, Controls: true},
-		"lost-late":    {Mix: Mix{Long: longShare}, Rounds: 1, Together: maxStops},
-		"lost-series":  {Mix: Mix{Long: longShare}},
-		"lost-guard":   {Mix: Mix{Long: longShare}, NoCallersAtStops: true},
-		"lost-ahead":   {Mix: Mix{Long: longShare, Ahead: 1}},
-		"lost-calls":   {Mix: Mix{Long: longShare, Calls: 1}},
-		"lost-bodies":  {Mix: Mix{Long: longShare, SlowBodies: 1}},
-		"lost-hangup":  {Mix: Mix{Long: longShare}, Hangups: true},
-		"lost-service": {Mix: Mix{Long: longShare}, WholeService: true},
-		"lost-again":   {Mix: Mix{Long: longShare}, Repeated: true, Young: true, Hangups: true},
-		"lost-leave":   {Mix: Mix{Long: longShare}, Exchanges: true},
-		"lost-change":  {Mix: Mix{Long: longShare}, Changes: true},
-		"lost-parts":   {Mix: Mix{Long: longShare, Parts: 1}},
-		"lost-starve":  {Mix: Mix{Long: longShare}, Starve: true},
+		"lost":          {Mix: Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15}, Hangups: true, Controls: true},
+		"lost-late":     {Mix: Mix{Long: longShare}, Rounds: 1, Together: maxStops},
+		"lost-series":   {Mix: Mix{Long: longShare}},
+		"lost-guard":    {Mix: Mix{Long: longShare}, NoCallersAtStops: true},
+		"lost-ahead":    {Mix: Mix{Long: longShare, Ahead: 1}},
+		"lost-calls":    {Mix: Mix{Long: longShare, Calls: 1}},
+		"lost-bodies":   {Mix: Mix{Long: longShare, SlowBodies: 1}},
+		"lost-hangup":   {Mix: Mix{Long: longShare}, Hangups: true},
+		"lost-service":  {Mix: Mix{Long: longShare}, WholeService: true},
+		"lost-again":    {Mix: Mix{Long: longShare}, Repeated: true, Young: true, Hangups: true},
+		"lost-leave":    {Mix: Mix{Long: longShare}, Exchanges: true},
+		"lost-change":   {Mix: Mix{Long: longShare}, Changes: true},
+		"lost-parts":    {Mix: Mix{Long: longShare, Parts: 1}},
+		"lost-starve":   {Mix: Mix{Long: longShare}, Starve: true},
+		"lost-throttle": {Mix: Mix{Long: longShare}, Throttle: true, WholeService: true},
 		"lost-all": {
 			Mix:     Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15, Parts: 1},
 			Hangups: true, Controls: true, WholeService: true, Repeated: true, Young: true, Exchanges: true, Changes: true,
@@ -117,7 +123,7 @@
 	for _, duty := range []struct {
 		on  bool
 		run func(ctx context.Context, fl *Fleet)
-	}{{sp.Exchanges, exchangeUpstreams}, {sp.Changes, changeConfigurations}, {sp.Starve, starveOften}} {
+	}{{sp.Exchanges, exchangeUpstreams}, {sp.Changes, changeConfigurations}, {sp.Starve, starveOften}, {sp.Throttle, throttleNodes}} {
 		if duty.on {
 			group.Go(func() { duty.run(ctx, fl) })
 		}
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -257,13 +257,15 @@
 const upstreamLinger = 500 * time.Millisecond
 
 // leave reports that the upstream drains, serves for the drain period, reports that it is gone, and ends
-// once all its requests are answered.
+// once all its requests are answered. If ctx ends first, the upstream goes on.
 func (up *Upstream) leave(ctx context.Context) {
 	for up.Drain(ctx) != http.StatusOK && pause(ctx, HeartbeatPeriod/5) == nil {
 	}
-	_ = pause(ctx, DrainPeriod+upstreamLinger)
+	if pause(ctx, DrainPeriod+upstreamLinger) != nil {
+		return
+	}
 	up.send(ctx, http.MethodDelete, nil)
-	// Requests that are still running end with the fleet at the latest.
-	_ = up.srv.Shutdown(ctx)
-	up.stop()
+	if up.srv.Shutdown(ctx) == nil {
+		up.stop()
+	}
 }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -211,7 +211,8 @@
 type stopTimes struct{ from, end time.Time }
 
 // FinishBy makes the guard refuse, from a time on, the attempts whose deadline is after the end, when
-// the process stops. Others may still begin, as they are over by then.
+// the process stops. Others may still begin, as they are over by then. Before that time, attempts are
+// judged by the usual duration of their class.
 func (gd *Guard) FinishBy(from, end time.Time) { gd.stop.Store(&stopTimes{from, end}) }
 
 // outlastsStop reports whether the process or the upstream stops and the attempt may still run then.
@@ -223,7 +224,7 @@
 // outlastsProcess reports whether the process stops and the attempt may still run then.
 func (gd *Guard) outlastsProcess(now time.Time, at *attempt.Attempt) bool {
 	st := gd.stop.Load()
-	return st != nil && !now.Before(st.from) && at.Deadline.After(st.end)
+	return st != nil && at.Deadline.After(st.end) && (!now.Before(st.from) || gd.mayRunBeyond(now, at.Class, st.end))
 }
 
 // Wait waits until no attempt is being handled, or until ctx ends.
--- a/internal/traffic/guard/target_test.go
+++ b/internal/traffic/guard/target_test.go
@@ -108,3 +108,35 @@
 		}
 	})
 }
+
+// TestStoppingGuardBeginsNoLongAttempt guards against an attempt that begins in the first part of a stop,
+// usually lasts until after the end, and is cut off there: its entry may be stopping as well.
+func TestStoppingGuardBeginsNoLongAttempt(t *testing.T) {
+	const stop = 10 * time.Second
+	address, _ := fakeUpstream(t, answerOK)
+	gd := startGuard(t, false, address)
+	if !gd.mayRunBeyond(time.Now(), "read", time.Now().Add(stop)) {
+		t.Error("nothing is known of an attempt, and it does not outlast the stop")
+	}
+	for class, usual := range map[call.Class]time.Duration{"read": 15 * time.Millisecond, "report": stop / maxRunTimeFactor} {
+		gd.slots.addSlotTime(time.Now(), class, usual)
+	}
+	now := time.Now()
+	gd.FinishBy(now.Add(stop/2), now.Add(stop))
+	for _, tt := range []struct {
+		name     string
+		class    call.Class
+		deadline time.Duration
+		want     call.Outcome
+	}{
+		{"usually ends soon", "read", 2 * stop, call.Done},
+		{"usually takes long", "report", 2 * stop, call.NotRun},
+		{"usually takes long, but ends by its deadline", "report", stop / 2, call.Done},
+	} {
+		at := newAttempt(gd, true, tt.deadline)
+		at.Class = tt.class
+		if an := gd.Handle(t.Context(), at); an.Outcome != tt.want || an.Outcome == call.NotRun && an.Reason != ReasonStopping {
+			t.Errorf("%s: %v (%s), want %v", tt.name, an.Outcome, an.Reason, tt.want)
+		}
+	}
+}
