--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -31,7 +31,11 @@
 
 // vmHistory is what happened to the process of a machine.
 type vmHistory struct {
+	// terms are the SIGTERMs that began a stop. One more during a stop begins none: the grace time runs
+	// from the first.
 	terms, hangups []Moment
+	// stopping says that a SIGTERM has come since the last start.
+	stopping bool
 	// disturbed are the spans for which a machine is not in touch, without the contact window.
 	disturbed []span
 	// down are the spans in which the process does not run and did not end by itself.
@@ -102,6 +106,7 @@
 	switch ev := ev.(type) {
 	case Started:
 		vh := hi.vm(ev.VM)
+		vh.stopping = false
 		vh.disturbed = append(vh.disturbed, span{ev.At, ev.At})
 		closeSpan(vh.down, ev.At)
 	case Ended:
@@ -141,7 +146,10 @@
 	vh := hi.vm(ev.VM)
 	switch ev.Signal {
 	case syscall.SIGTERM:
-		vh.terms = append(vh.terms, ev.At)
+		if !vh.stopping {
+			vh.terms = append(vh.terms, ev.At)
+		}
+		vh.stopping = true
 		vh.disturbed = append(vh.disturbed, span{ev.At, ev.At})
 	case syscall.SIGHUP:
 		vh.hangups = append(vh.hangups, ev.At)
