guard: an attempt that is given up for memory says so

It was told as one at its deadline.

guard.TestAttemptGivenUpForMemoryNamesTheReason fails before: unknown "deadline".

--- a/internal/traffic/guard/budget_test.go
+++ b/internal/traffic/guard/budget_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"camphortrail/call"
+	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
 )
 
@@ -88,3 +89,20 @@
 		t.Errorf("%d bytes are charged after the end", used)
 	}
 }
+
+// TestAttemptGivenUpForMemoryNamesTheReason guards against an attempt that is given up for memory, and is
+// told as one at its deadline: its entry would wait for the rest of the time.
+func TestAttemptGivenUpForMemoryNamesTheReason(t *testing.T) {
+	end := make(chan struct{})
+	defer close(end)
+	address, started := fakeUpstream(t, func(net.Conn, *http.Request) { <-end })
+	gd := startGuard(t, false, address)
+	pa := newPendingAttempt(gd, newAttempt(gd, true, 20*time.Second))
+	done := make(chan *attempt.Answer, 1)
+	go func() { done <- gd.handle(pa) }()
+	waitUntil(t, "the attempt runs", func() bool { return started.Load() == 1 })
+	(*attemptHolder)(pa).Cancel()
+	if an := <-done; an.Outcome != call.Unknown || an.Reason != ReasonNoMemory {
+		t.Errorf("%v %q, want unknown %q", an.Outcome, an.Reason, ReasonNoMemory)
+	}
+}
--- a/internal/traffic/guard/forward.go
+++ b/internal/traffic/guard/forward.go
@@ -65,7 +65,7 @@
 // brokenAnswer returns the answer to an attempt whose answer could not be read to its end.
 func (pa *pendingAttempt) brokenAnswer() *attempt.Answer {
 	switch {
-	case pa.memory.Evicted():
+	case pa.memory.Evicted(), pa.givenUp.Load():
 		return attempt.UnknownOutcome(ReasonNoMemory, http.StatusBadGateway)
 	case pa.run.Ended():
 		return attempt.UnknownOutcome(ReasonDeadline, http.StatusGatewayTimeout)
--- a/internal/traffic/guard/pending.go
+++ b/internal/traffic/guard/pending.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
@@ -23,8 +24,10 @@
 	// decision after its last refusal.
 	sends     int
 	sendAgain furtherDecision
-	// request is the memory of an attempt of another node, with its header.
+	// request is the memory of an attempt of another node, with its header. givenUp is set when it is
+	// needed for smaller ones.
 	request buffer.Reservation
+	givenUp atomic.Bool
 
 	mu sync.Mutex
 	// cancelled says that nobody waits for the answer any more. admitting is set while the
@@ -61,7 +64,11 @@
 func (*attemptHolder) Abort() {}
 
 // Cancel implements buffer.Canceller.
-func (ah *attemptHolder) Cancel() { go (*pendingAttempt)(ah).cancel() }
+func (ah *attemptHolder) Cancel() {
+	pa := (*pendingAttempt)(ah)
+	pa.givenUp.Store(true)
+	go pa.cancel()
+}
 
 // cancel tells the admission loop, now or once it knows the attempt, that nobody waits for the
 // answer any more. It does not wait for the loop. Later calls have no effect.
