--- a/internal/lab/soak/deployment_test.go
+++ b/internal/lab/soak/deployment_test.go
@@ -19,7 +19,13 @@
 
 func loadExample(t *testing.T, scale float64) *Deployment {
 	t.Helper()
-	dep, err := LoadDeployment(exampleDeployment)
+	return loadDeployment(t, "three-domains", scale)
+}
+
+// loadDeployment returns an example by its name, with its upstreams multiplied.
+func loadDeployment(t *testing.T, name string, scale float64) *Deployment {
+	t.Helper()
+	dep, err := LoadDeployment("../../../examples/soak/" + name + ".json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,24 +123,9 @@
 // TestStopsOfServiceLoseNothing stops all nodes of one service after the other, in a deployment whose
 // routes time out before their callers, while some requests work until about then.
 func TestStopsOfServiceLoseNothing(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts real processes")
-	}
-	program, err := buildProgram()
-	if err != nil {
-		t.Fatal(err)
-	}
-	re, err := Run(t.Context(), "lost-service", 15*time.Second, Options{
-		Seed: 1, Program: program, Folder: t.TempDir(), Deployment: loadExample(t, 0.1),
-	}, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
+	re := playScenario(t, "lost-service", 15*time.Second, Options{Seed: 1, Deployment: loadExample(t, 0.1)})
 	t.Logf("%d requests, answers %v, %d cut, %d stops, %v", re.Requests, re.Statuses, re.Cut, re.Stops, re.Losses)
 	if re.Stops == 0 || re.Statuses[200] == 0 {
 		t.Errorf("%d stops, answers %v", re.Stops, re.Statuses)
 	}
-	for _, fi := range re.Findings {
-		t.Errorf("%s: %s", fi.Rule, fi.Text)
-	}
 }
--- a/internal/lab/soak/seeds_test.go
+++ b/internal/lab/soak/seeds_test.go
@@ -36,24 +36,38 @@
 		if _, ok := scenarios[name]; !ok {
 			t.Errorf("unknown scenario %s", name)
 		}
+		opt := Options{Seed: Seed(seed)}
+		if file, factor, ok := strings.Cut(fields[3], "@"); ok {
+			scale, err := strconv.ParseFloat(factor, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			opt.Deployment = loadDeployment(t, file, scale)
+		}
 		if *failedSeeds {
-			t.Run(name+" "+fields[1], func(t *testing.T) { playSeed(t, name, Seed(seed), length) })
+			t.Run(name+" "+fields[1], func(t *testing.T) { playScenario(t, name, length, opt) })
 		}
 	}
 }
 
-// playSeed plays a scenario with real processes and fails for each finding.
-func playSeed(t *testing.T, name string, seed Seed, length time.Duration) {
+// playScenario plays a scenario with real processes, fails for each finding, and returns the report. It
+// skips short tests.
+func playScenario(t *testing.T, name string, length time.Duration, opt Options) *Report {
 	t.Helper()
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
 	program, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
 	}
-	re, err := Run(t.Context(), name, length, Options{Seed: seed, Program: program, Folder: t.TempDir()}, io.Discard)
+	opt.Program, opt.Folder = program, t.TempDir()
+	re, err := Run(t.Context(), name, length, opt, io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, fi := range re.Findings {
 		t.Errorf("%s: %s", fi.Rule, fi.Text)
 	}
+	return re
 }
--- a/internal/lab/soak/stops_test.go
+++ b/internal/lab/soak/stops_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"testing"
 	"time"
 )
@@ -15,7 +14,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		sp := StopPlan{Hangups: true, Controls: true}
+		sp := StopPlan{Hangups: true, Controls: true, Repeated: true, Young: true}
 		st := newStopper(sp, fl, fl.Nodes)
 		mx := Mix{Long: 0.2, Ahead: 0.5, Calls: 0.5, SlowBodies: 0.5}
 		ca := newCaller(fl.Nodes[3], 2, mx)
@@ -23,7 +22,7 @@
 		for range 20 {
 			text += fmt.Sprintf(" %+v", *mx.chooseRequest(ca.rnd, false))
 			for _, ps := range st.chooseRound() {
-				text += fmt.Sprintf(" %s %s %s %s %t", ps.ma.Name, ps.after, ps.hangup, ps.restart, ps.hangupOnly)
+				text += fmt.Sprintf(" %s %s %s %s %s %s %t", ps.ma.Name, ps.after, ps.hangup, ps.again, ps.restart, ps.young, ps.hangupOnly)
 			}
 			clear(st.busy)
 		}
@@ -40,24 +39,9 @@
 // TestStoppingNodeCutsNoLateRequests stops five nodes at once, 3.4 s after the first request, while
 // callers go on sending to them, one request in five with long work.
 func TestStoppingNodeCutsNoLateRequests(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts real processes")
-	}
-	program, err := buildProgram()
-	if err != nil {
-		t.Fatal(err)
-	}
-	re, err := Run(t.Context(), "lost-late", 30*time.Second, Options{
-		Seed: 1, Program: program, Folder: t.TempDir(),
-	}, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
+	re := playScenario(t, "lost-late", 30*time.Second, Options{Seed: 1})
 	t.Logf("%d requests, %d answered, %d cut, %d given up, %d stops", re.Requests, re.Answered, re.Cut, re.GaveUp, re.Stops)
 	if re.Stops != 5 || re.Answered == 0 {
 		t.Errorf("%d stops, %d answers", re.Stops, re.Answered)
 	}
-	for _, fi := range re.Findings {
-		t.Errorf("%s: %s", fi.Rule, fi.Text)
-	}
 }
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -259,7 +259,10 @@
 // leave reports that the upstream drains, serves for the drain period, reports that it is gone, and ends
 // once all its requests are answered. If ctx ends first, the upstream goes on.
 func (up *Upstream) leave(ctx context.Context) {
-	for up.Drain(ctx) != http.StatusOK && pause(ctx, HeartbeatPeriod/5) == nil {
+	for up.Drain(ctx) != http.StatusOK {
+		if pause(ctx, HeartbeatPeriod/5) != nil {
+			return
+		}
 	}
 	if pause(ctx, DrainPeriod+upstreamLinger) != nil {
 		return
