--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -64,14 +64,13 @@
 }
 
 // serveDuringNotice waits for the notice period. Without a drain period the upstream drains during
-// all of it. Otherwise it goes on serving, and what it begins from the last part of the notice on
-// must be over by the end of the stop.
+// all of it. Otherwise it goes on serving, and what it begins must be over by the end of the stop:
+// the entries of other nodes may stop as well, and may not answer for work that is cut off here.
 func (nd *Node) serveDuringNotice(ctx context.Context, noticeEnd, end time.Time) {
-	plan := nd.opt.Stop
-	if plan.DrainPeriod == 0 {
+	if nd.opt.Stop.DrainPeriod == 0 {
 		nd.announcements.Drain()
 	} else {
-		nd.guard.FinishBy(noticeEnd.Add(-min(plan.DrainPeriod, plan.NoticePeriod)), end)
+		nd.guard.FinishBy(end)
 	}
 	pause(ctx, time.Until(noticeEnd))
 }
--- a/internal/traffic/guard/further_test.go
+++ b/internal/traffic/guard/further_test.go
@@ -211,7 +211,7 @@
 func TestNoFurtherSendDuringStop(t *testing.T) {
 	var gd *Guard
 	address, runs := fakeUpstream(t, func(conn net.Conn, rq *http.Request) {
-		gd.FinishBy(time.Now(), time.Now().Add(time.Second))
+		gd.FinishBy(time.Now().Add(time.Second))
 		writeRefusal(conn, rq)
 	})
 	gd, _ = sharingGuard(t, address, 20)
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -117,8 +117,8 @@
 	protocol Protocol
 	events   *events.Log
 	target   atomic.Pointer[target]
-	// stop is set when the process stops.
-	stop    atomic.Pointer[stopTimes]
+	// stop is the end of the stop of the process, once that has begun.
+	stop    atomic.Pointer[time.Time]
 	fifo    bool
 	metrics *metrics.Set
 	active  inflight.Counter
@@ -206,25 +206,19 @@
 
 func (gd *Guard) level() call.Level { return call.Level(gd.loop.level.Load()) }
 
-// stopTimes says from when on attempts must be over by the end of the process to be accepted, and
-// when that is.
-type stopTimes struct{ from, end time.Time }
-
-// FinishBy makes the guard refuse, from a time on, the attempts whose deadline is after the end, when
-// the process stops. Others may still begin, as they are over by then. Before that time, attempts are
-// judged by the usual duration of their class.
-func (gd *Guard) FinishBy(from, end time.Time) { gd.stop.Store(&stopTimes{from, end}) }
+// FinishBy makes the guard refuse, from now on, the attempts whose deadline is after the end, when the
+// process stops. Others may still begin, as they are over by then.
+func (gd *Guard) FinishBy(end time.Time) { gd.stop.Store(&end) }
 
 // outlastsStop reports whether the process or the upstream stops and the attempt may still run then.
 func (gd *Guard) outlastsStop(at *attempt.Attempt) bool {
-	now := time.Now()
-	return gd.outlastsProcess(now, at) || gd.outlastsUpstream(now, at)
+	return gd.outlastsProcess(at) || gd.outlastsUpstream(time.Now(), at)
 }
 
 // outlastsProcess reports whether the process stops and the attempt may still run then.
-func (gd *Guard) outlastsProcess(now time.Time, at *attempt.Attempt) bool {
-	st := gd.stop.Load()
-	return st != nil && at.Deadline.After(st.end) && (!now.Before(st.from) || gd.mayRunBeyond(now, at.Class, st.end))
+func (gd *Guard) outlastsProcess(at *attempt.Attempt) bool {
+	end := gd.stop.Load()
+	return end != nil && at.Deadline.After(*end)
 }
 
 // Wait waits until no attempt is being handled, or until ctx ends.
@@ -407,7 +401,7 @@
 	ended := now
 	defer func() { _ = gd.loop.inputs.Put(context.Background(), input{event: fin, ended: ended}) }()
 	tg, refusal := gd.targetFor(at)
-	if refusal == nil && gd.outlastsProcess(now, at) {
+	if refusal == nil && gd.outlastsProcess(at) {
 		// It has waited since before the stop.
 		refusal = attempt.Refusal(ReasonStopping, 0)
 	}
--- a/internal/traffic/guard/leaving.go
+++ b/internal/traffic/guard/leaving.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"camphortrail/call"
 	"camphortrail/internal/traffic/attempt"
 )
 
@@ -27,14 +26,8 @@
 	if tg == nil || tg.upstream.ServesUntil.IsZero() || !at.Deadline.After(tg.upstream.ServesUntil) {
 		return false
 	}
-	return !at.Idempotent || gd.mayRunBeyond(now, at.Class, tg.upstream.ServesUntil)
-}
-
-// mayRunBeyond reports whether an attempt of a class that begins now may run beyond the end, judging by the
-// usual duration of its class.
-func (gd *Guard) mayRunBeyond(now time.Time, class call.Class, end time.Time) bool {
-	usual := gd.slots.slotTime(class)
-	return usual == 0 || now.Add(maxRunTimeFactor*usual).After(end)
+	usual := gd.slots.slotTime(at.Class)
+	return !at.Idempotent || usual == 0 || now.Add(maxRunTimeFactor*usual).After(tg.upstream.ServesUntil)
 }
 
 // hasEnded reports whether the upstream of the target has started to leave and serves no longer.
--- a/internal/traffic/guard/target_test.go
+++ b/internal/traffic/guard/target_test.go
@@ -96,7 +96,7 @@
 		waitUntil(t, "all slots are taken", func() bool { return started.Load() == 4 })
 		go func() { waiting <- gd.Handle(t.Context(), newAttempt(gd, false, 20*time.Second)) }()
 		waitUntil(t, "an attempt waits", func() bool { return gd.Load().Waiting == 1 })
-		gd.FinishBy(time.Now(), time.Now().Add(10*time.Second))
+		gd.FinishBy(time.Now().Add(10 * time.Second))
 		close(release)
 		for range cap(first) {
 			if an := <-first; an.Outcome != call.Done {
@@ -109,34 +109,16 @@
 	})
 }
 
-// TestStoppingGuardBeginsNoLongAttempt guards against an attempt that begins in the first part of a stop,
-// usually lasts until after the end, and is cut off there: its entry may be stopping as well.
-func TestStoppingGuardBeginsNoLongAttempt(t *testing.T) {
-	const stop = 10 * time.Second
+// TestStoppingGuardBeginsNothingBeyondItsEnd guards against an attempt that begins after the SIGTERM, may
+// last until after the end of the stop, and is cut off there: its entry may be stopping as well.
+func TestStoppingGuardBeginsNothingBeyondItsEnd(t *testing.T) {
 	address, _ := fakeUpstream(t, answerOK)
 	gd := startGuard(t, false, address)
-	if !gd.mayRunBeyond(time.Now(), "read", time.Now().Add(stop)) {
-		t.Error("nothing is known of an attempt, and it does not outlast the stop")
-	}
-	for class, usual := range map[call.Class]time.Duration{"read": 15 * time.Millisecond, "report": stop / maxRunTimeFactor} {
-		gd.slots.addSlotTime(time.Now(), class, usual)
-	}
-	now := time.Now()
-	gd.FinishBy(now.Add(stop/2), now.Add(stop))
-	for _, tt := range []struct {
-		name     string
-		class    call.Class
-		deadline time.Duration
-		want     call.Outcome
-	}{
-		{"usually ends soon", "read", 2 * stop, call.Done},
-		{"usually takes long", "report", 2 * stop, call.NotRun},
-		{"usually takes long, but ends by its deadline", "report", stop / 2, call.Done},
-	} {
-		at := newAttempt(gd, true, tt.deadline)
-		at.Class = tt.class
-		if an := gd.Handle(t.Context(), at); an.Outcome != tt.want || an.Outcome == call.NotRun && an.Reason != ReasonStopping {
-			t.Errorf("%s: %v (%s), want %v", tt.name, an.Outcome, an.Reason, tt.want)
+	gd.FinishBy(time.Now().Add(10 * time.Second))
+	for timeout, want := range map[time.Duration]call.Outcome{5 * time.Second: call.Done, 20 * time.Second: call.NotRun} {
+		an := gd.Handle(t.Context(), newAttempt(gd, true, timeout))
+		if an.Outcome != want || an.Outcome == call.NotRun && an.Reason != ReasonStopping {
+			t.Errorf("deadline in %v: %v (%s), want %v", timeout, an.Outcome, an.Reason, want)
 		}
 	}
 }
