--- a/internal/lab/soak/config_run.go
+++ b/internal/lab/soak/config_run.go
@@ -106,7 +106,7 @@
 		"config-kills":  {KillAll: true, Final: true},
 		"config-starve": {Faults: true, KillAll: true, Starve: true, Final: true},
 	} {
-		sc := Scenario{Play: plan.play, Check: checkConfig}
+		sc := Scenario{Keyless: true, Play: plan.play, Check: checkConfig}
 		switch {
 		case plan.Disks:
 			sc.Options = Options.WithDiskFaults
@@ -440,7 +440,8 @@
 	switch choice {
 	case 0:
 		var outside []*Machine
-		inside, outside = cr.fl.Zone(failureDomains[rnd.IntN(len(failureDomains))])
+		domains := cr.fl.failureDomains()
+		inside, outside = cr.fl.Zone(domains[rnd.IntN(len(domains))])
 		links = LinksBetween(inside, outside, true)
 	case 1: // the control replicas are split in two halves, and all nodes reach both
 		inside = slices.Clone(cr.fl.Controls)
@@ -648,10 +649,11 @@
 // dropped, and some that never were. Some last longer than the timeouts of routes.
 func (cr *configRun) callNode(ctx context.Context, ma *Machine, name string) {
 	rnd := cr.seed.Rand(name)
+	firsts := prefixesOf(cr.fl.FirstConfiguration())
 	for n := 0; pause(ctx, time.Duration(rnd.Int64N(int64(configGap)))) == nil; n++ {
 		co, dropped, changed := cr.op.Current()
 		prefixes := prefixesOf(co)
-		isFirst := func(prefix string) bool { return firstRoutes[strings.Trim(prefix, "/")].Host != "" }
+		isFirst := func(prefix string) bool { return slices.Contains(firsts, prefix) }
 		added := slices.DeleteFunc(slices.Clone(prefixes), isFirst)
 		first := slices.DeleteFunc(prefixes, func(prefix string) bool { return !isFirst(prefix) })
 		choice, work := rnd.IntN(20), 1+rnd.IntN(shortWork)
--- a/internal/lab/soak/deployment_test.go
+++ b/internal/lab/soak/deployment_test.go
@@ -64,7 +64,7 @@
 		})
 	}
 	if _, err := Run(t.Context(), "config-calm", time.Second, Options{Deployment: loadExample(t, 1)}, io.Discard); !errors.Is(err, ErrDeployment) {
-		t.Errorf("scenario of the default deployment: error %v, want %v", err, ErrDeployment)
+		t.Errorf("scenario without keys: error %v, want %v", err, ErrDeployment)
 	}
 	if _, err := LoadDeployment(filepath.Join(t.TempDir(), "missing")); !errors.Is(err, ErrDeployment) {
 		t.Errorf("missing file: error %v, want %v", err, ErrDeployment)
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -24,8 +24,8 @@
 type Scenario struct {
 	// Options changes the options of the fleet, if it is not nil.
 	Options func(Options) Options
-	// AnyDeployment says that the scenario plays Options.Deployment. Others need the default one.
-	AnyDeployment bool
+	// Keyless says that the requests have no keys, so that no deployment with customers can be played.
+	Keyless bool
 	// Play acts on a fleet whose nodes are ready and whose first configuration is in force, until
 	// ctx ends, and returns when all that it began is over.
 	Play func(ctx context.Context, fl *Fleet) error
@@ -71,8 +71,8 @@
 	switch {
 	case !ok:
 		return nil, errors.Wrap(ErrScenario, name)
-	case opt.Deployment != nil && !sc.AnyDeployment:
-		return nil, errors.Wrap(ErrDeployment, name+" plays the default deployment only")
+	case opt.Deployment != nil && sc.Keyless && opt.Deployment.Customers.Count > 0:
+		return nil, errors.Wrap(ErrDeployment, name+" plays no deployment with customers")
 	}
 	if sc.Options != nil {
 		opt = sc.Options(opt)
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -91,7 +91,7 @@
 			Hangups: true, Controls: true, WholeService: true, Repeated: true, Young: true, Exchanges: true, Changes: true,
 		},
 	} {
-		scenarios[name] = Scenario{AnyDeployment: true, Play: sp.play, Check: checkStops}
+		scenarios[name] = Scenario{Play: sp.play, Check: checkStops}
 	}
 }
 
