--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// minLongWork and maxLongWork bound the work of a long request of a deployment, as a share of the
+	// minLongShare and maxLongShare bound the work of a long request of a deployment, as a share of the
 	// time-out of its route.
 	minLongShare, maxLongShare = 0.8, 1.3
 	// noDeadlineShare is the share of requests whose callers state no deadline.
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -165,8 +165,10 @@
 // stopper stops nodes as a plan says.
 type stopper struct {
 	StopPlan
-	fl      *Fleet
-	rnd     *rand.Rand
+	fl  *Fleet
+	rnd *rand.Rand
+	// extras chooses what later plans added, so that the seeds of earlier ones keep their choices.
+	extras  *rand.Rand
 	targets []*Machine
 
 	mu sync.Mutex
@@ -176,7 +178,10 @@
 
 // newStopper returns a stopper of the targets.
 func newStopper(sp StopPlan, fl *Fleet, targets []*Machine) *stopper {
-	return &stopper{StopPlan: sp, fl: fl, rnd: fl.opt.Seed.Rand("stops"), targets: targets, busy: make(map[call.VM]bool)}
+	return &stopper{
+		StopPlan: sp, fl: fl, rnd: fl.opt.Seed.Rand("stops"), extras: fl.opt.Seed.Rand("stops-extras"), targets: targets,
+		busy: make(map[call.VM]bool),
+	}
 }
 
 // plannedStop is the stop of one machine, chosen from the seed, or its SIGHUP if hangupOnly is set.
@@ -224,10 +229,10 @@
 	control := st.rnd.IntN(3 * len(st.fl.Controls)) // no replica stops if there is none with the index
 	if st.WholeService {
 		sizes := st.fl.opt.Services
-		order = st.nodesOf(sizes[st.rnd.IntN(len(sizes))].Name)
+		order = st.nodesOf(sizes[st.extras.IntN(len(sizes))].Name)
 		number, together = len(order), false
 	}
-	gap := rand64(st.rnd, serviceGap)
+	gap := rand64(st.extras, serviceGap)
 	var round []plannedStop
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -236,10 +241,10 @@
 		if hangup := rand64(st.rnd, Grace); st.Hangups && st.rnd.IntN(3) == 0 {
 			ps.hangup = hangup
 		}
-		if again := rand64(st.rnd, Grace); st.Repeated && st.rnd.IntN(3) == 0 {
+		if again := rand64(st.extras, Grace); st.Repeated && st.extras.IntN(3) == 0 {
 			ps.again = again
 		}
-		if young := rand64(st.rnd, maxYoung); st.Young && st.rnd.IntN(3) == 0 {
+		if young := rand64(st.extras, maxYoung); st.Young && st.extras.IntN(3) == 0 {
 			ps.young = young
 		}
 		if together {
