--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -411,8 +411,12 @@
 
 // mayAbandon reports whether an attempt without an answer may be given up for another one,
 // and charges the retry budget for that. If no retry is allowed, giving up the attempt
-// would gain nothing, and it continues.
+// would gain nothing, and it continues. It also does while the node stops: the guard may only be slow,
+// and if no other takes the request, its caller would get an answer of the node while it still runs.
 func (en *Entry) mayAbandon(rq *request) bool {
+	if en.stop.Load() != nil {
+		return false
+	}
 	if en.opt.HopRetries == 0 {
 		rq.retryCharged = en.chargeRetry(rq)
 		return rq.retryCharged
