entry, node: the log says which build runs and what ended each attempt

No line names the program, so that nobody can tell which landing a record is of. Change: peer.Result has the step that ended an attempt without an answer. The event of a request holds its attempts without an answer as step+ms@VM, early in the line, since records are cut short; early answers have a budget of lines of their own. The build is in the lines of the start, the stop and each configuration in force, and in camphortrail_build_info. Result: TestEarlyAnswerIsLogged asks for the attempt that was lost; it failed before. No decision is changed.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -31,6 +31,7 @@
 	"camphortrail/internal/fleet/renewal"
 	"camphortrail/internal/fleet/rollout"
 	"camphortrail/internal/ops/events"
+	"camphortrail/internal/ops/process"
 	"camphortrail/internal/traffic/allocation"
 	"camphortrail/internal/traffic/attempt"
 	"camphortrail/internal/traffic/buffer"
@@ -357,7 +358,7 @@
 	}
 	nd.entry.ApplyRouteEvent(route.SameRegion{Domains: sameRegionDomains(cfg, nd.set.GetFailureDomain())})
 	nd.gossip.SetRevision(revision)
-	nd.log.WithFields(log.Fields{"revision": revision, "version": cfg.GetVersion()}).Info("configuration in force")
+	nd.log.WithFields(log.Fields{"build": process.Build(), "revision": revision, "version": cfg.GetVersion()}).Info("configuration in force")
 	return nil
 }
 
--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"camphortrail/internal/ops/process"
+	"camphortrail/internal/ops/series"
 )
 
 // Run runs the node until ctx ends or one of its tasks fails. When ctx ends, it stops as
@@ -29,7 +30,8 @@
 	for _, server := range servers {
 		group.Go(func() error { return ignoreServerClosed(server.Serve(server.listener)) })
 	}
-	nd.log.Info("node started")
+	nd.log.WithField("build", process.Build()).Info("node started")
+	nd.metrics.GetOrCreateGauge(series.Name("camphortrail_build_info", "build", process.Build()), func() float64 { return 1 })
 	select {
 	case <-ctx.Done():
 		nd.stop(taskCtx, servers)
@@ -39,7 +41,7 @@
 	nd.guard.Disconnect(taskCtx)
 	cancelTasks()
 	err := group.Wait()
-	nd.log.Info("node stopped")
+	nd.log.WithField("build", process.Build()).Info("node stopped")
 	return err
 }
 
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -22,6 +22,9 @@
 	// maxLinesPerKey is the number of lines of one kind, reason, route and service in each
 	// window. Further events are folded.
 	maxLinesPerKey = 5
+	// maxEarlyLinesPerKey is maxLinesPerKey for answers of the node itself before their requests were
+	// due. Each may break a promise, so that it should have a line of its own.
+	maxEarlyLinesPerKey = 50
 	// maxKeys bounds the number of combinations of kind, reason, route and service with a
 	// line of their own. Events of further combinations are folded by kind and reason alone.
 	maxKeys = 256
@@ -79,6 +82,14 @@
 	// Parent is the request for which an upstream makes this request as a call.
 	Parent string `json:"parent,omitempty"`
 	Reason string `json:"reason,omitempty"`
+	// EarlyUS is the time, in microseconds, from an answer of the node itself until the request was
+	// due, where an upstream may still be at work. Clock says which bound made it due.
+	EarlyUS int64 `json:"early-us,omitempty"`
+	// Ends names the attempts of a request that brought no answer of an upstream, in their order: for
+	// each "step+time@VM", with the step that ended it and the time since the request arrived, in
+	// milliseconds. It stands early in the line, as records may be cut short.
+	Ends  string `json:"ends,omitempty"`
+	Clock Clock  `json:"clock,omitempty"`
 	// Customer is the customer of the request, or of the request that it is a call of.
 	Customer string `json:"customer,omitempty"`
 	Class    string `json:"class,omitempty"`
@@ -94,10 +105,6 @@
 	// in milliseconds.
 	TookMS int64 `json:"took-ms"`
 	LeftMS int64 `json:"left-ms"`
-	// EarlyUS is the time, in microseconds, from an answer of the node itself until the request was
-	// due, where an upstream may still be at work. Clock says which bound made it due.
-	EarlyUS int64 `json:"early-us,omitempty"`
-	Clock   Clock `json:"clock,omitempty"`
 	// RetryAfterMS is the backoff that the answer asks of the sender, in milliseconds.
 	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
 	// Running, Waiting and Slots are the attempts that run, those that wait and the
@@ -151,6 +158,8 @@
 	reason  string
 	class   string
 	service string
+	// early is true for answers of the node itself before their requests were due.
+	early bool
 }
 
 // foldWindow counts the events of one key in one window.
@@ -195,7 +204,10 @@
 func (lg *Log) reserveLine(now time.Time, ev Event) (before foldWindow, ok bool) {
 	lg.mu.Lock()
 	defer lg.mu.Unlock()
-	fk := foldKey{ev.Kind, ev.Reason, ev.Class, ev.Service}
+	fk, limit := foldKey{ev.Kind, ev.Reason, ev.Class, ev.Service, ev.EarlyUS > 0}, maxLinesPerKey
+	if fk.early {
+		limit = maxEarlyLinesPerKey
+	}
 	if len(lg.folds) >= maxKeys && lg.folds[fk] == nil {
 		fk.class, fk.service = "", ""
 	}
@@ -208,7 +220,7 @@
 		before = *fw
 		*fw = foldWindow{start: now}
 	}
-	if fw.written >= maxLinesPerKey {
+	if fw.written >= limit {
 		fw.folded++
 		fw.last, fw.lastEvent = now, ev
 		return foldWindow{}, false
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -21,6 +21,7 @@
 
 	"camphortrail/claim"
 	"camphortrail/internal/fleet/gossip"
+	"camphortrail/internal/ops/process"
 	"camphortrail/internal/traffic/peer"
 	"camphortrail/queue"
 	"camphortrail/quorum"
@@ -307,7 +308,7 @@
 func (co *Control) logRecovery(re store.OpenReport, recovered quorum.State, took time.Duration) {
 	lg := co.log.WithFields(log.Fields{
 		"records": re.Records, "entries": len(recovered.Entries), "snapshot": uint64(recovered.Snapshot.Index),
-		"incarnation": uint64(recovered.Incarnation), "took-ms": took.Milliseconds(),
+		"incarnation": uint64(recovered.Incarnation), "build": process.Build(), "took-ms": took.Milliseconds(),
 	})
 	switch {
 	case re.Damage != "":
--- a/internal/traffic/entry/early_test.go
+++ b/internal/traffic/entry/early_test.go
@@ -54,6 +54,9 @@
 			if !regexp.MustCompile(`"early-us":[1-9]\d*`).MatchString(log) || !strings.Contains(log, `"clock":"`+string(tt.clock)+`"`) {
 				t.Errorf("log %s, want early-us and clock %q", log, tt.clock)
 			}
+			if !regexp.MustCompile(`"ends":"broken-answer\+\d+@a"`).MatchString(log) {
+				t.Errorf("log %s, want the attempt that was lost", log)
+			}
 			var out bytes.Buffer
 			tn.opt.Metrics.WritePrometheus(&out)
 			if want := `camphortrail_entry_early_failures_total{reason="broken-answer",stopping="false"} 1`; !strings.Contains(out.String(), want) {
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -54,6 +54,9 @@
 	ownAccount call.RequestID
 	// label is the request id that the sender uses, for logs.
 	label string
+	// begun is when the request arrived, and ends the attempts that brought no answer of an upstream.
+	begun time.Time
+	ends  []attemptEnd
 	// connection identifies the connection of the request, or is empty.
 	connection string
 	// isCall is true if the request is a call of an upstream, even if the parent is
@@ -136,7 +139,7 @@
 		return nil, refusalWithStatus(ReasonRequestIncomplete, http.StatusBadRequest)
 	}
 	rq := &request{
-		kind: kind, deployment: cd.Deployment, importance: kind.Importance, deadline: now.Add(kind.Deadline),
+		kind: kind, deployment: cd.Deployment, importance: kind.Importance, begun: now, deadline: now.Add(kind.Deadline),
 		method: r.Method, host: r.Host, uri: r.URL.RequestURI(), header: attempt.StripHeaders(maps.Clone(r.Header)), body: body,
 		key: r.Header.Get(header.IdempotencyKey),
 	}
--- a/internal/traffic/entry/routed.go
+++ b/internal/traffic/entry/routed.go
@@ -118,7 +118,7 @@
 	kind := rt.PickKind(en.randomUint64())
 	rq := &request{
 		kind: kind, deployment: cd.Deployment, id: rd.ID, account: retry.RequestAccount(rd.ID), importance: kind.Importance,
-		deadline: now.Add(kind.Deadline), clock: events.TimeoutClock, method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
+		begun: now, deadline: now.Add(kind.Deadline), clock: events.TimeoutClock, method: rd.Method, host: rd.Host, uri: rd.URI, header: rd.Header, body: rd.Body,
 	}
 	if !rd.Deadline.IsZero() && rd.Deadline.Before(rq.deadline) {
 		rq.deadline, rq.clock = rd.Deadline, events.CallerClock
@@ -213,6 +213,9 @@
 		if an.Reason == ReasonDeadline && now.Before(rq.deadline) && rq.cause != nil {
 			ev.Reason = leftReason(rq.cause)
 		}
+		if an.Outcome != call.Done {
+			ev.Ends = rq.describeEnds()
+		}
 		if an.Outcome == call.Unknown && ev.Reason != events.CallerLeft {
 			ev.EarlyUS, ev.Clock = max(rq.deadline.Sub(now), 0).Microseconds(), rq.clock
 			en.countEarly(now, rq, ev.Reason)
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -309,6 +309,9 @@
 func (en *Entry) recordResult(rq *request, vm call.VM, at *attempt.Attempt, rs peer.Result, took time.Duration, ended bool) {
 	now := time.Now()
 	done := rs.Answer != nil && rs.Answer.Outcome == call.Done
+	if !done {
+		rq.ends = append(rq.ends, endOf(now, rq, vm, rs))
+	}
 	rq.history.RecordState(at.ID, rs.State, done)
 	switch {
 	case rs.Answer != nil:
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -46,6 +46,28 @@
 // ErrNoStamp is returned when the query for a guard's stamp fails.
 var ErrNoStamp = errors.New("peer: no stamp of the guard")
 
+// Step is a step that ends an attempt without an answer, as logs name it.
+type Step string
+
+// The steps that end an attempt without an answer.
+const (
+	// StepNoStamp means that the guard's stamp could not be obtained.
+	StepNoStamp Step = "no-stamp"
+	// StepNotSent means that the link took no frame or was not established.
+	StepNotSent Step = "not-sent"
+	// StepQueryUnanswered means that the guard did not answer a query, and that another attempt was allowed.
+	StepQueryUnanswered Step = "query-unanswered"
+	// StepEnded means that the request ended first.
+	StepEnded Step = "request-ended"
+	// StepWithdrawn means that a query withdrew the attempt before it began.
+	StepWithdrawn Step = "withdrawn"
+	// StepNoAnswer means that by a query the attempt has ended, and that its guard has no answer.
+	StepNoAnswer Step = "ended-without-answer"
+	// StepStateUnknown means that the guard does not know the attempt: it has started anew since, or
+	// forgotten it.
+	StepStateUnknown Step = "state-unknown"
+)
+
 // Result is the result of sending an attempt.
 type Result struct {
 	// Answer is nil when no answer arrived. State then says whether the attempt may
@@ -54,6 +76,8 @@
 	State  withdrawal.State
 	// Sent is false when no byte of the attempt was sent.
 	Sent bool
+	// Step is the step that ended an attempt without an answer.
+	Step Step
 	// onOwnConn is true when the answer arrived on the connection that carried the
 	// attempt, and false when it came from a query.
 	onOwnConn bool
@@ -217,7 +241,7 @@
 func (pl *Pool) Send(ctx context.Context, vm call.VM, address string, at *attempt.Attempt, mayResend func() bool) Result {
 	sp, err := pl.freshStamp(ctx, vm, address)
 	if err != nil {
-		return Result{State: withdrawal.Dequeued}
+		return Result{State: withdrawal.Dequeued, Step: StepNoStamp}
 	}
 	at.Stamp = sp
 	pa := &pendingAttempt{
@@ -230,7 +254,7 @@
 	settled := withdrawal.Settled{Attempt: at.ID}
 	defer func() { pl.signal(settled) }()
 	if err := cn.link.Send(at.Frame(pa.sent, cn.link.SupportsHeaderBlocks())); err != nil {
-		return Result{State: withdrawal.Dequeued}
+		return Result{State: withdrawal.Dequeued, Step: StepNotSent}
 	}
 	timer := deadlineTimers.Get().(*time.Timer)
 	timer.Reset(time.Until(at.Deadline) + lastAnswerTime)
@@ -247,25 +271,25 @@
 			}
 			pa.queryFailed.Store(false)
 			if mayResend() {
-				return pl.abandon(cn, at.ID)
+				return pl.abandon(cn, at.ID, StepQueryUnanswered)
 			}
 		case <-timer.C:
-			return pl.abandon(cn, at.ID)
+			return pl.abandon(cn, at.ID, StepEnded)
 		case <-ctx.Done():
-			return pl.abandon(cn, at.ID)
+			return pl.abandon(cn, at.ID, StepEnded)
 		}
 	}
 }
 
 // abandon gives up an attempt without an answer. If its link could not be established for a while,
 // as in a partition, the attempt has not run: the link is closed before it can be sent.
-func (pl *Pool) abandon(cn *conn, id call.AttemptID) Result {
+func (pl *Pool) abandon(cn *conn, id call.AttemptID, sp Step) Result {
 	if time.Since(cn.opened) >= unreachableTime && cn.link.CloseUnsent() {
 		pl.markSuspect(cn.id)
-		return Result{State: withdrawal.Dequeued}
+		return Result{State: withdrawal.Dequeued, Step: StepNotSent}
 	}
 	cn.cancel(id)
-	return Result{State: withdrawal.Unknown, Sent: true}
+	return Result{State: withdrawal.Unknown, Sent: true, Step: sp}
 }
 
 // deadlineTimers holds stopped timers for the deadlines of attempts.
@@ -458,7 +482,7 @@
 		if began {
 			pl.signal(withdrawal.Failed{Attempt: id})
 		} else {
-			pa.deliver(Result{State: withdrawal.Dequeued})
+			pa.deliver(Result{State: withdrawal.Dequeued, Step: StepNotSent})
 		}
 	}
 	pl.markSuspect(cn.id)
--- a/internal/traffic/peer/query.go
+++ b/internal/traffic/peer/query.go
@@ -109,14 +109,16 @@
 		if rec := rs.GetAnswer(); rec != nil {
 			an, err := attempt.FromRecord(rec)
 			if err != nil {
-				pa.deliver(Result{State: withdrawal.Unknown, Sent: true})
+				pa.deliver(Result{State: withdrawal.Unknown, Sent: true, Step: StepNoAnswer})
 				return
 			}
 			pa.deliver(resultOf(an))
 			return
 		}
-		pa.deliver(Result{State: st, Sent: true})
+		pa.deliver(Result{State: st, Sent: true, Step: StepNoAnswer})
+	case withdrawal.Fenced, withdrawal.Dequeued:
+		pa.deliver(Result{State: st, Sent: true, Step: StepWithdrawn})
 	default:
-		pa.deliver(Result{State: st, Sent: true})
+		pa.deliver(Result{State: st, Sent: true, Step: StepStateUnknown})
 	}
 }
