soak: loads that serve, pauses, rolls, scale-in, releases and troubles before stops; narrow impairments

What the users' sheets have beside stops was not played. The report tells the share that was served, what was at work at a SIGTERM, and own answers at all nodes. Scenarios lost-roll, lost-pause, lost-pause-at, lost-pause-service, lost-scale-in, lost-release, lost-troubles and lost-sheet; cold upstreams. An impairment excuses only requests on whose way its machine is. The limit on memory is measured. Result: earlier scenarios keep their plans, as what is new draws from sources of its own.

--- a/internal/lab/soak/beside.go
+++ b/internal/lab/soak/beside.go
@@ -17,14 +17,26 @@
 func exchangeUpstreams(ctx context.Context, fl *Fleet) {
 	rnd := fl.opt.Seed.Rand("exchanges")
 	for pause(ctx, rand64(rnd, maxExchangeGap)) == nil {
-		ma := fl.Nodes[rnd.IntN(len(fl.Nodes))]
-		ma.Upstream.leave(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err := fl.startUpstream(ma); err != nil {
-			fl.Recorder.Find(Fault, "upstream beside %s does not start: %v", ma.Name, err)
-		}
+		fl.exchangeUpstream(ctx, fl.Nodes[rnd.IntN(len(fl.Nodes))])
+	}
+}
+
+// exchangeUpstream lets the upstream beside a node leave and starts another one in its place, unless
+// that is being done already. If ctx ends first, the upstream stays.
+func (fl *Fleet) exchangeUpstream(ctx context.Context, ma *Machine) {
+	if !ma.exchanging.TryLock() {
+		return
+	}
+	defer ma.exchanging.Unlock()
+	if ma.currentUpstream().leave(ctx); ctx.Err() == nil {
+		fl.replaceUpstream(ma)
+	}
+}
+
+// replaceUpstream starts another upstream beside a node. The caller holds ma.exchanging.
+func (fl *Fleet) replaceUpstream(ma *Machine) {
+	if err := fl.startUpstream(ma); err != nil {
+		fl.Recorder.Find(Fault, "upstream beside %s does not start: %v", ma.Name, err)
 	}
 }
 
@@ -98,6 +110,20 @@
 	wg.Wait()
 }
 
+// minPause and maxPause bound the time for which a node is suspended.
+const minPause, maxPause = 600 * time.Millisecond, 1500 * time.Millisecond
+
+// pauseNodes suspends one node after the other, until ctx ends.
+func pauseNodes(ctx context.Context, fl *Fleet) {
+	rnd := fl.opt.Seed.Rand("pauses")
+	for pause(ctx, rand64(rnd, time.Second)) == nil {
+		ma, length := fl.Nodes[rnd.IntN(len(fl.Nodes))], minPause+rand64(rnd, maxPause-minPause)
+		if ma.mayBeSuspended(length) {
+			ma.suspend(length)
+		}
+	}
+}
+
 // throttlePeriod is the period in which a process gets its part of a processor.
 const throttlePeriod = 100 * time.Millisecond
 
--- a/internal/lab/soak/deployment.go
+++ b/internal/lab/soak/deployment.go
@@ -38,6 +38,8 @@
 	// CallersPerNode is the number of kept connections at each node, and MaxGapMS the longest time
 	// between two requests on one of them, in milliseconds. AheadShare is the share of callers that send
 	// safe requests before earlier ones are answered.
+	// ColdMS is the time after its start for which an upstream works for coldFactor times as long.
+	ColdMS         int     `json:"cold-ms"`
 	CallersPerNode int     `json:"callers-per-node"`
 	MaxGapMS       int     `json:"max-gap-ms"`
 	AheadShare     float64 `json:"ahead-share"`
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -14,8 +14,6 @@
 	fates    []*fate // in the order in which they were sent
 	vms      map[call.VM]*vmHistory
 	configs  map[Version]*configHistory
-	// unplanned are the unplanned impairments of all machines.
-	unplanned []span
 	begin     Moment
 	end       Moment
 }
@@ -38,6 +36,8 @@
 	stopping bool
 	// disturbed are the spans for which a machine is not in touch, without the contact window.
 	disturbed []span
+	// unplanned are the unplanned impairments.
+	unplanned []span
 	// down are the spans in which the process does not run and did not end by itself.
 	down []span
 }
@@ -119,11 +119,11 @@
 		vh := hi.vm(ev.VM)
 		if ev.Over {
 			closeSpan(vh.disturbed, ev.At)
-			closeSpan(hi.unplanned, ev.At)
+			closeSpan(vh.unplanned, ev.At)
 			return
 		}
 		vh.disturbed = append(vh.disturbed, span{ev.At, forever})
-		hi.unplanned = append(hi.unplanned, span{ev.At, forever})
+		vh.unplanned = append(vh.unplanned, span{ev.At, forever})
 	case ConfigSent:
 		if hi.configs[ev.Version] == nil {
 			hi.configs[ev.Version] = &configHistory{sent: ev.At}
@@ -156,14 +156,14 @@
 	case syscall.SIGKILL:
 		vh.disturbed = append(vh.disturbed, span{ev.At, ev.At})
 		if te, ok := vh.lastTerm(ev.At); !ok || ev.At.Sub(te) < Grace {
-			hi.unplanned = append(hi.unplanned, span{ev.At, ev.At})
+			vh.unplanned = append(vh.unplanned, span{ev.At, ev.At})
 		}
 	case syscall.SIGSTOP:
 		vh.disturbed = append(vh.disturbed, span{ev.At, forever})
-		hi.unplanned = append(hi.unplanned, span{ev.At, forever})
+		vh.unplanned = append(vh.unplanned, span{ev.At, forever})
 	case syscall.SIGCONT:
 		closeSpan(vh.disturbed, ev.At)
-		closeSpan(hi.unplanned, ev.At)
+		closeSpan(vh.unplanned, ev.At)
 	}
 }
 
@@ -194,6 +194,13 @@
 	return 0, false
 }
 
+// impaired reports whether a machine on the way of a request had an unplanned impairment: that of the node
+// that took it, or one of those that it was passed on to.
+func (hi *history) impaired(fa *fate, sp span) bool {
+	return anyMeets(hi.vm(fa.Node).unplanned, sp) ||
+		slices.ContainsFunc(fa.arrivals, func(ar Arrived) bool { return anyMeets(hi.vm(ar.Upstream).unplanned, sp) })
+}
+
 // inTouch reports whether a machine is in touch at a moment. That all links are sound is taken for
 // granted where no impairment is recorded.
 func (hi *history) inTouch(name call.VM, at Moment) bool {
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -83,16 +83,44 @@
 // maxOwnAnswers bounds the own answers that a report describes.
 const maxOwnAnswers = 20
 
-// describeOwnAnswers describes the first requests that got an own answer while an upstream worked, at nodes
-// that do not stop.
-func describeOwnAnswers(events []Event, controls []call.VM) (texts []string) {
-	hi := newHistory(events, controls)
+// ownAnswers counts the requests that got an own answer before they were due while an upstream worked, at
+// all nodes, and describes the first of them.
+func (hi *history) ownAnswers() (texts []string, count int) {
 	for _, fa := range hi.fates {
-		if len(texts) < maxOwnAnswers && hi.verdict(fa) == ExcusedOwnAnswer {
+		if lv := hi.verdict(fa); fa.cut != nil || lv != ExcusedOwnAnswer && lv != LostAtTerm && lv != ExcusedImpairment {
+			continue
+		}
+		if count++; len(texts) < maxOwnAnswers {
 			texts = append(texts, hi.describe(fa))
 		}
 	}
-	return texts
+	return texts, count
+}
+
+// servedShare returns the share of the requests of callers that an upstream answered with 200.
+func (hi *history) servedShare() float64 {
+	served, all := 0, 0
+	for _, fa := range hi.fates {
+		if fa.Call {
+			continue
+		}
+		all++
+		if fa.answer != nil && fa.answer.Signed && fa.answer.Status == 200 {
+			served++
+		}
+	}
+	return float64(served) / float64(max(all, 1))
+}
+
+// atWorkAtStops returns the number of requests of callers on which an upstream was at work when their node
+// got a SIGTERM.
+func (hi *history) atWorkAtStops() (count int) {
+	for _, fa := range hi.fates {
+		if !fa.Call && slices.ContainsFunc(hi.vm(fa.Node).terms, func(te Moment) bool { return fa.At <= te && fa.atWork(span{te, te}) }) {
+			count++
+		}
+	}
+	return count
 }
 
 // lostInTouch reports whether a machine in touch passed a request from a kept connection on to a
@@ -125,7 +153,7 @@
 		return ExcusedBrokeOff
 	case end.Sub(fa.Begun) >= fa.time():
 		return ExcusedTimeOver
-	case anyMeets(hi.unplanned, span{fa.Begun.Add(-ContactWindow), end}):
+	case hi.impaired(fa, span{fa.Begun.Add(-ContactWindow), end}):
 		return ExcusedImpairment
 	}
 	if term, ok := hi.vm(fa.Node).lastTerm(end); ok && end.Sub(term) <= termEnd {
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +39,10 @@
 	Service call.Service // of a node
 	// Upstream is the upstream beside a node, from Fleet.Start on.
 	Upstream *Upstream
+	// exchanging is held while the upstream is exchanged for another one.
+	exchanging sync.Mutex
+	// trouble is the troubleKind that impairs the upstream.
+	trouble atomic.Int32
 
 	fl     *Fleet
 	size   ServiceSize
@@ -49,8 +55,9 @@
 	first  bool
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// ended says that the rig has ended the process.
-	ended bool
+	// ended says that the rig has ended the process, and terminated when it sent the first SIGTERM to it.
+	ended      bool
+	terminated time.Time
 }
 
 func (ma *Machine) addr(port int) string { return net.JoinHostPort(ma.IP, strconv.Itoa(port)) }
@@ -176,7 +183,7 @@
 		return err
 	}
 	exited := make(chan struct{})
-	ma.cmd, ma.exited, ma.ended = cmd, exited, false
+	ma.cmd, ma.exited, ma.ended, ma.terminated = cmd, exited, false, time.Time{}
 	ma.fl.Recorder.Add(Started{ma.Name, ma.fl.Recorder.Now()})
 	go func() {
 		defer close(exited)
@@ -202,6 +209,8 @@
 	if err != nil {
 		return err
 	}
+	ma.mu.Lock()
+	defer ma.mu.Unlock()
 	ma.Upstream = up
 	return nil
 }
@@ -217,6 +226,9 @@
 	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
 		ma.ended = true
 	}
+	if sig == syscall.SIGTERM && ma.terminated.IsZero() {
+		ma.terminated = time.Now()
+	}
 	ma.fl.Recorder.Add(Signalled{ma.Name, ma.fl.Recorder.Now(), sig})
 	// The process may have ended by itself, which its Ended records.
 	_ = ma.cmd.Process.Signal(sig)
@@ -236,6 +248,58 @@
 	_ = ma.cmd.Process.Signal(syscall.SIGCONT)
 }
 
+// suspend suspends the process for a time. Unlike throttle, it lets other signals through meanwhile. The
+// record does not count it.
+func (ma *Machine) suspend(length time.Duration) {
+	ma.mu.Lock()
+	cmd, running := ma.cmd, ma.running()
+	ma.mu.Unlock()
+	if !running {
+		return
+	}
+	// The process may end meanwhile, and os.Process then sends nothing.
+	_ = cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// lastBreak is the time before the end of the grace time from which a stopping process must run in order
+// to answer what it has read.
+const lastBreak = 800 * time.Millisecond
+
+// mayBeSuspended reports whether a process that is suspended for a time from now on runs again before the
+// last steps of its stop. It could answer nothing otherwise, whatever it did.
+func (ma *Machine) mayBeSuspended(length time.Duration) bool {
+	ma.mu.Lock()
+	defer ma.mu.Unlock()
+	return ma.terminated.IsZero() || time.Since(ma.terminated)+length < Grace-2*lastBreak
+}
+
+// currentUpstream returns the upstream beside a node.
+func (ma *Machine) currentUpstream() *Upstream {
+	ma.mu.Lock()
+	defer ma.mu.Unlock()
+	return ma.Upstream
+}
+
+// memoryKB returns the resident memory of the process in KB, or 0 if it does not run.
+func (ma *Machine) memoryKB() int64 {
+	ma.mu.Lock()
+	defer ma.mu.Unlock()
+	if !ma.running() {
+		return 0
+	}
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(ma.cmd.Process.Pid) + "/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize()) >> 10
+}
+
 // Wait waits for the end of the process, or returns the error of ctx if that ends first.
 func (ma *Machine) Wait(ctx context.Context) error {
 	ma.mu.Lock()
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -49,6 +50,14 @@
 	Cut      int     `json:"cut"`
 	GaveUp   int     `json:"gave-up"`
 	Stops    int     `json:"stops"`
+	// Served is the share of the requests of callers that an upstream answered with 200, and AtWork the
+	// number of those at whose node a SIGTERM came while an upstream worked on them.
+	Served float64 `json:"served"`
+	AtWork int     `json:"at-work-at-stops"`
+	// OwnAnswerCount is the number of requests that got an answer of a node while an upstream worked and
+	// before they were due, and PeakMemoryMB the most memory that all processes together took.
+	OwnAnswerCount int   `json:"own-answer-count"`
+	PeakMemoryMB   int64 `json:"peak-memory-mb"`
 	// Statuses counts the answers by status.
 	Statuses map[int]int `json:"statuses"`
 	// Losses counts the requests that had no whole answer of an upstream.
@@ -94,17 +103,26 @@
 	defer stopPlay()
 	var group sync.WaitGroup
 	group.Go(func() { fl.printProgress(playCtx, progress) })
+	var peakKB int64
+	var memoryErr error
+	group.Go(func() {
+		defer stopPlay()
+		peakKB, memoryErr = fl.watchMemory(playCtx)
+	})
 	begun := time.Now()
 	err = sc.Play(playCtx, fl)
 	stopPlay()
 	group.Wait()
-	if err != nil {
+	if err = cmp.Or(err, memoryErr); err != nil {
 		return nil, err
 	}
 	re := fl.report()
+	re.PeakMemoryMB = peakKB >> 10
 	re.Scenario, re.Seed, re.Seconds = name, opt.Seed, time.Since(begun).Seconds()
 	_, re.Losses = CheckLost(fl.Recorder.Events(), fl.controlNames())
-	re.OwnAnswers = describeOwnAnswers(fl.Recorder.Events(), fl.controlNames())
+	hi := newHistory(fl.Recorder.Events(), fl.controlNames())
+	re.OwnAnswers, re.OwnAnswerCount = hi.ownAnswers()
+	re.Served, re.AtWork = hi.servedShare(), hi.atWorkAtStops()
 	re.Findings = slices.Concat(fl.Recorder.Findings(), sc.Check(fl), fl.checkOwnEnds())
 	return re, nil
 }
@@ -115,23 +133,40 @@
 // ErrLimits is returned for a fleet that is too large for this computer.
 var ErrLimits = errors.New("soak: the fleet is too large")
 
-// checkLimits checks that the processes together may not take half of the memory of this computer.
+// checkLimits checks the number of processes.
 func (fl *Fleet) checkLimits() error {
+	if count := len(fl.Machines()); count > maxProcesses {
+		return errors.Wrapf(ErrLimits, "%d processes", count)
+	}
+	return nil
+}
+
+// memoryInterval is the time between two measurements of the memory of all processes.
+const memoryInterval = 250 * time.Millisecond
+
+// watchMemory measures the memory of all processes until ctx ends, and returns the peak. The error matches
+// ErrLimits if they take more than half of the memory of this computer.
+func (fl *Fleet) watchMemory(ctx context.Context) (peakKB int64, err error) {
 	data, err := os.ReadFile("/proc/meminfo")
 	if err != nil {
-		return errors.Wrap(ErrLimits, err.Error())
+		return 0, errors.Wrap(ErrLimits, err.Error())
 	}
-	var totalKB, needMB int64
+	var totalKB int64
 	if _, err := fmt.Sscanf(string(data), "MemTotal: %d", &totalKB); err != nil {
-		return errors.Wrap(ErrLimits, err.Error())
+		return 0, errors.Wrap(ErrLimits, err.Error())
 	}
-	for _, ma := range fl.Machines() {
-		needMB += ma.settings().MemoryMB
-	}
-	if count := len(fl.Machines()); count > maxProcesses || needMB > totalKB>>10/2 {
-		return errors.Wrapf(ErrLimits, "%d processes, %d MB of %d MB", count, needMB, totalKB>>10)
+	for {
+		var usedKB int64
+		for _, ma := range fl.Machines() {
+			usedKB += ma.memoryKB()
+		}
+		if peakKB = max(peakKB, usedKB); usedKB > totalKB/2 {
+			return peakKB, errors.Wrapf(ErrLimits, "%d MB of %d MB", usedKB>>10, totalKB>>10)
+		}
+		if pause(ctx, memoryInterval) != nil {
+			return peakKB, nil
+		}
 	}
-	return nil
 }
 
 // startServing starts the fleet, whose upstreams end with ctx, applies the first configuration and
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -36,6 +36,18 @@
 	Exchanges, Changes, Starve bool
 	// Throttle lets nodes have only a part of a processor.
 	Throttle bool
+	// Roll lets a third of the nodes stop in each round, rollTogether at a time and rollGap apart, so that
+	// the grace times of several failure domains overlap.
+	Roll bool
+	// Pauses suspends one node after the other, and PausesAtStops some nodes that do not stop, from just
+	// before the first SIGTERM of a round. The record does not count either: processes that share a computer
+	// with others may get no processor for as long.
+	Pauses, PausesAtStops bool
+	// ScaleIn lets the upstream beside each stopped node leave before the SIGTERM, and Release exchanges half
+	// of the upstreams of a service in each round.
+	ScaleIn, Release bool
+	// Troubles impairs upstreams and nodes, each until a few seconds before a round.
+	Troubles bool
 }
 
 const (
@@ -59,6 +71,17 @@
 	maxExchangeGap, maxConfigGap, maxStarveGap = 2 * time.Second, 3 * time.Second, 8 * time.Second
 	// maxRestart bounds the time from the end of a process to its next start.
 	maxRestart = time.Second
+	// rollShare, rollTogether and rollGap describe a round under Roll.
+	rollShare    = 0.36
+	rollTogether = 4
+	rollGap      = 1200 * time.Millisecond
+	// pausedAtStops is the number of nodes that are suspended at a round under PausesAtStops, and minLead
+	// and maxLead bound the time from then to the first SIGTERM.
+	pausedAtStops    = 4
+	minLead, maxLead = 200 * time.Millisecond, 600 * time.Millisecond
+	// releaseTogether and releaseGap describe the exchanges under Release.
+	releaseTogether = 5
+	releaseGap      = 1100 * time.Millisecond
 	// callerServiceShare is the share of nodes that have callers under NoCallersAtStops.
 	callerServiceShare = 0.6
 )
@@ -86,6 +109,19 @@
 		"lost-parts":    {Mix: Mix{Long: longShare, Parts: 1}},
 		"lost-starve":   {Mix: Mix{Long: longShare}, Starve: true},
 		"lost-throttle": {Mix: Mix{Long: longShare}, Throttle: true, WholeService: true},
+		"lost-roll":     {Mix: Mix{Long: longShare}, Roll: true},
+		"lost-pause":    {Mix: Mix{Long: longShare}, Pauses: true},
+		"lost-pause-at": {Mix: Mix{Long: longShare}, PausesAtStops: true},
+		"lost-pause-service": {
+			Mix: Mix{Long: longShare}, PausesAtStops: true, WholeService: true,
+		},
+		"lost-scale-in": {Mix: Mix{Long: longShare}, ScaleIn: true},
+		"lost-release":  {Mix: Mix{Long: longShare}, Release: true, Roll: true},
+		"lost-troubles": {Mix: Mix{Long: longShare}, Troubles: true, Roll: true},
+		"lost-sheet": {
+			Mix:    Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15, Parts: 1},
+			Pauses: true, Roll: true, ScaleIn: true, Release: true, Troubles: true, Exchanges: true, Changes: true, Hangups: true, Controls: true,
+		},
 		"lost-all": {
 			Mix:     Mix{Long: longShare, Ahead: 0.25, Calls: 0.25, SlowBodies: 0.15, Parts: 1},
 			Hangups: true, Controls: true, WholeService: true, Repeated: true, Young: true, Exchanges: true, Changes: true,
@@ -123,7 +159,7 @@
 	for _, duty := range []struct {
 		on  bool
 		run func(ctx context.Context, fl *Fleet)
-	}{{sp.Exchanges, exchangeUpstreams}, {sp.Changes, changeConfigurations}, {sp.Starve, starveOften}, {sp.Throttle, throttleNodes}} {
+	}{{sp.Exchanges, exchangeUpstreams}, {sp.Changes, changeConfigurations}, {sp.Starve, starveOften}, {sp.Throttle, throttleNodes}, {sp.Pauses, pauseNodes}} {
 		if duty.on {
 			group.Go(func() { duty.run(ctx, fl) })
 		}
@@ -169,6 +205,8 @@
 	rnd *rand.Rand
 	// extras chooses what later plans added, so that the seeds of earlier ones keep their choices.
 	extras  *rand.Rand
+	// troubles chooses the impairments.
+	troubles *rand.Rand
 	targets []*Machine
 
 	mu sync.Mutex
@@ -179,7 +217,8 @@
 // newStopper returns a stopper of the targets.
 func newStopper(sp StopPlan, fl *Fleet, targets []*Machine) *stopper {
 	return &stopper{
-		StopPlan: sp, fl: fl, rnd: fl.opt.Seed.Rand("stops"), extras: fl.opt.Seed.Rand("stops-extras"), targets: targets,
+		StopPlan: sp, fl: fl, rnd: fl.opt.Seed.Rand("stops"), extras: fl.opt.Seed.Rand("stops-extras"),
+		troubles: fl.opt.Seed.Rand("troubles"), targets: targets,
 		busy: make(map[call.VM]bool),
 	}
 }
@@ -192,6 +231,8 @@
 	// process to the next start, and young that from the start to another stop (0 for none).
 	after, hangup, again, restart, young time.Duration
 	hangupOnly                           bool
+	// leaves says that the upstream leaves before the SIGTERM, and another one comes after the start.
+	leaves bool
 }
 
 // run stops nodes until ctx ends or all rounds are over, and then waits until all nodes run again.
@@ -203,7 +244,11 @@
 		if pause(ctx, wait) != nil {
 			return nil
 		}
-		for _, ps := range st.chooseRound() {
+		round := st.chooseRound()
+		for _, duty := range st.chooseDuties(round) {
+			group.Go(func() { duty(ctx) })
+		}
+		for _, ps := range round {
 			if ps.hangupOnly {
 				group.Go(func() { st.hangUp(ctx, ps) })
 				continue
@@ -211,6 +256,9 @@
 			group.Go(func() { st.stop(ctx, ps) })
 		}
 		wait = minRound + rand64(st.rnd, maxRound-minRound)
+		if st.Troubles {
+			group.Go(func() { st.trouble(ctx, wait) })
+		}
 	}
 	group.Wait()
 	return nil
@@ -232,6 +280,9 @@
 		order = st.nodesOf(sizes[st.extras.IntN(len(sizes))].Name)
 		number, together = len(order), false
 	}
+	if st.Roll {
+		number, together = int(rollShare*float64(len(order))), false
+	}
 	gap := rand64(st.extras, serviceGap)
 	var round []plannedStop
 	st.mu.Lock()
@@ -247,12 +298,18 @@
 		if young := rand64(st.extras, maxYoung); st.Young && st.extras.IntN(3) == 0 {
 			ps.young = young
 		}
+		if st.ScaleIn {
+			ps.leaves = st.extras.IntN(2) == 0
+		}
 		if together {
 			ps.after = 0
 		}
 		if st.WholeService {
 			ps.after = time.Duration(i) * gap
 		}
+		if st.Roll {
+			ps.after = time.Duration(i/rollTogether) * rollGap
+		}
 		if i >= number {
 			ps.hangupOnly = hangups && i < number+maxHangups
 			if !ps.hangupOnly {
@@ -277,6 +334,36 @@
 	return order
 }
 
+// chooseDuties returns what is done beside the stops of a round.
+func (st *stopper) chooseDuties(round []plannedStop) (duties []func(ctx context.Context)) {
+	if st.PausesAtStops {
+		lead := minLead + rand64(st.extras, maxLead-minLead)
+		for i := range round {
+			round[i].after += lead
+		}
+		for _, index := range st.extras.Perm(len(st.fl.Nodes))[:min(pausedAtStops, len(st.fl.Nodes))] {
+			ma, length := st.fl.Nodes[index], minPause+rand64(st.extras, maxPause-minPause)
+			if !slices.ContainsFunc(round, func(ps plannedStop) bool { return ps.ma == ma && ps.after < length }) && ma.mayBeSuspended(length) {
+				duties = append(duties, func(context.Context) { ma.suspend(length) })
+			}
+		}
+	}
+	if st.Release {
+		sizes := st.fl.opt.Services
+		service := sizes[st.extras.IntN(len(sizes))].Name
+		nodes := st.nodesOf(service)
+		for i, index := range nodes[:(len(nodes)+1)/2] {
+			ma, after := st.targets[index], time.Duration(i/releaseTogether)*releaseGap
+			duties = append(duties, func(ctx context.Context) {
+				if pause(ctx, after) == nil {
+					st.fl.exchangeUpstream(ctx, ma)
+				}
+			})
+		}
+	}
+	return duties
+}
+
 // appendFree appends a stop to the round unless its machine is still being stopped.
 func (st *stopper) appendFree(round []plannedStop, ps plannedStop) []plannedStop {
 	if st.busy[ps.ma.Name] {
@@ -300,6 +387,14 @@
 	if pause(ctx, ps.after) != nil {
 		return
 	}
+	if ps.leaves {
+		ps.leaves = ps.ma.exchanging.TryLock()
+	}
+	if ps.leaves {
+		defer ps.ma.exchanging.Unlock()
+		ps.ma.currentUpstream().leave(ctx)
+		defer st.fl.replaceUpstream(ps.ma)
+	}
 	for stopAgain := true; stopAgain; {
 		ps.signalAndWait(ctx)
 		if pause(ctx, ps.restart) != nil {
--- a/internal/lab/soak/upstream.go
+++ b/internal/lab/soak/upstream.go
@@ -70,6 +70,11 @@
 func (up *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	hd := w.Header()
 	hd.Set("Keep-Alive", "timeout="+strconv.Itoa(int(upstreamIdleTimeout.Seconds())))
+	if troubleKind(up.ma.trouble.Load()) == closedConns {
+		hd.Set("Keep-Alive", "timeout="+strconv.Itoa(int(upstreamIdleTimeout.Seconds())))
+		up.srv.SetKeepAlivesEnabled(false)
+		defer up.srv.SetKeepAlivesEnabled(true)
+	}
 	if r.URL.Path == healthPath {
 		hd.Set(upstreamHeader, up.instance)
 		if up.draining.Load() {
@@ -111,6 +116,24 @@
 	rc.Add(Arrived{ID: id, At: rc.Now(), Upstream: up.ma.Name, Path: r.RequestURI})
 	status := up.work(ctx, r)
 	ran := Ran{ID: id, Upstream: up.ma.Name, Status: status, Dropped: r.Context().Err() != nil}
+	switch {
+	case ran.Dropped:
+	case up.spoils(lostAnswers, id):
+		ran.BrokeOff, ran.At = true, rc.Now()
+		rc.Add(ran)
+		loseAnswer(w)
+		return
+	case up.spoils(secondAnswers, id):
+		length, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+		if status != http.StatusOK {
+			length = 0
+		}
+		hd.Set(signatureHeader, signature(id, status, length))
+		ran.At = rc.Now()
+		rc.Add(ran)
+		answerTwice(w, status, bytes.Repeat([]byte("x"), length))
+		return
+	}
 	if !ran.Dropped {
 		length, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 		if status != http.StatusOK {
@@ -191,7 +214,7 @@
 		return failureStatus(ctx)
 	}
 	ms, _ := strconv.Atoi(query.Get("work"))
-	if pause(ctx, time.Duration(ms)*time.Millisecond) != nil {
+	if pause(ctx, time.Duration(up.workFactor()*float64(ms)*float64(time.Millisecond))) != nil {
 		return failureStatus(ctx)
 	}
 	return http.StatusOK
