entry, peer: only an answer, its caller or its deadline ends a request while an attempt may be at work

What callers saw: 502 or 503 with up to 1.2 s left while an upstream worked on their request, at any node; LOST where the node then stopped. An attempt that its guard had forgotten ended the request with answer-lost, though its upstream might be at work. Change: Pool.Send returns such an attempt as Pending, and it goes on beside the next one. The entry owns the end of the request: the first answer of an upstream, or its deadline; a refusal beside ends nothing. The others are cancelled when the request ends. A request that its guard has forgotten is answered at its deadline.

--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -14,8 +14,8 @@
 	fates    []*fate // in the order in which they were sent
 	vms      map[call.VM]*vmHistory
 	configs  map[Version]*configHistory
-	begin     Moment
-	end       Moment
+	begin    Moment
+	end      Moment
 }
 
 // fate is what became of a request.
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -204,10 +204,10 @@
 	fl  *Fleet
 	rnd *rand.Rand
 	// extras chooses what later plans added, so that the seeds of earlier ones keep their choices.
-	extras  *rand.Rand
+	extras *rand.Rand
 	// troubles chooses the impairments.
 	troubles *rand.Rand
-	targets []*Machine
+	targets  []*Machine
 
 	mu sync.Mutex
 	// busy are the nodes that are being stopped and started again.
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -81,6 +81,11 @@
 	history      withdrawal.History
 	// answer is the latest complete answer of an upstream, or nil.
 	answer *attempt.Answer
+	// beside holds the attempts that go on beside the latest one, or is nil.
+	beside *besideAttempts
+	// untraced is true if the guard of an attempt has started anew or forgotten it, so that nobody can tell
+	// whether it still runs.
+	untraced bool
 	// attempts is the number of attempts that were sent.
 	attempts int
 	// vm is the target of the latest attempt, and lastResult its result.
--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -147,10 +147,24 @@
 	return an
 }
 
-// serveAttempts sends attempts until one brings an answer or no further attempt is
-// allowed.
+// serveAttempts sends attempts until one brings an answer, or until no further one is allowed and none may
+// be at work any more. Of what may be, only an answer of an upstream, its caller and its deadline end a
+// request.
 func (en *Entry) serveAttempts(ctx context.Context, rq *request) *attempt.Answer {
-	// refused holds the VMs whose upstreams refused a request that may run only once.
+	an := en.sendAttempts(ctx, rq)
+	if rq.beside != nil {
+		an = en.awaitBeside(ctx, rq, an)
+	}
+	if an.Outcome == call.Unknown && rq.untraced {
+		return en.expire(ctx, rq)
+	}
+	return an
+}
+
+// sendAttempts sends attempts until one brings an answer or no further attempt is allowed.
+func (en *Entry) sendAttempts(ctx context.Context, rq *request) *attempt.Answer {
+	// refused holds the VMs that are not tried again: those whose upstreams refused a request that may run
+	// only once, and those at which an attempt goes on.
 	var exclude, refused []call.VM
 	for {
 		now := time.Now()
@@ -169,6 +183,9 @@
 			return en.unroutable(ctx, rq, err)
 		}
 		rs := en.send(ctx, rq, vm, address)
+		if an := en.takeBeside(ctx, rq); an != nil {
+			return an
+		}
 		rq.lastResult = rs
 		if rs.Answer != nil && rs.Answer.Outcome == call.Done {
 			rq.answer = rs.Answer
@@ -187,7 +204,7 @@
 			continue
 		}
 		exclude = append(exclude, vm)
-		if !rq.kind.Idempotent && rs.Answer != nil && rs.Answer.UpstreamRefused {
+		if !rq.kind.Idempotent && rs.Answer != nil && rs.Answer.UpstreamRefused || rs.Pending != nil {
 			refused = append(refused, vm)
 		}
 		if !en.mayRetry(rq, rs) {
@@ -273,12 +290,18 @@
 	rq.vm = vm
 	begun := time.Now()
 	var rs peer.Result
+	sending := rq.sendingContext(ctx)
 	if vm == en.opt.VM {
-		rs = en.sendLocal(ctx, at)
+		rs = en.sendLocal(sending, at)
 	} else {
-		rs = en.opt.Pool.Send(ctx, vm, address, at, func() bool { return en.mayAbandon(rq) })
+		rs = en.opt.Pool.Send(sending, vm, address, at, func() bool { return en.maySendBeside(rq) })
+	}
+	if rs.Pending != nil {
+		recordGoesOn(rq, vm, at, rs)
+		en.goOn(ctx, rq, vm, at, begun, rs.Pending)
+		return rs
 	}
-	en.recordResult(rq, vm, at, rs, time.Since(begun), rq.ended(ctx, time.Now()))
+	en.recordResult(rq, vm, at, rs, time.Since(begun), rq.ended(sending, time.Now()))
 	return rs
 }
 
@@ -313,6 +336,7 @@
 		rq.ends = append(rq.ends, endOf(now, rq, vm, rs))
 	}
 	rq.history.RecordState(at.ID, rs.State, done)
+	rq.untraced = rq.untraced || rs.Step == peer.StepStateUnknown
 	switch {
 	case rs.Answer != nil:
 		en.opt.Trees.StepRetry(now, retry.Return{Account: rq.account, Attempt: at.ID, Unused: retry.Budget(rs.Answer.UnusedRetries)})
@@ -412,15 +436,13 @@
 	return en.chargeRetry(rq)
 }
 
-// mayAbandon reports whether an attempt without an answer may be given up for another one,
-// and charges the retry budget for that. If no retry is allowed, giving up the attempt
-// would gain nothing, and it continues. It also does while the node stops: the guard may only be slow,
-// and if no other takes the request, its caller would get an answer of the node while it still runs.
-func (en *Entry) mayAbandon(rq *request) bool {
-	if en.stop.Load() != nil {
+// maySendBeside reports whether another attempt may be sent beside one whose guard does not answer, and
+// charges the retry budget for that.
+func (en *Entry) maySendBeside(rq *request) bool {
+	switch {
+	case rq.beside != nil && rq.beside.running >= maxBeside:
 		return false
-	}
-	if en.opt.HopRetries == 0 {
+	case en.opt.HopRetries == 0:
 		rq.retryCharged = en.chargeRetry(rq)
 		return rq.retryCharged
 	}
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -212,6 +213,23 @@
 	}
 }
 
+// shutDownConn closes and removes a connection whose attempts have ended, once its last frames are
+// written: they may cancel attempts.
+func (pl *Pool) shutDownConn(ctx context.Context, id withdrawal.ConnID) {
+	pl.mu.Lock()
+	cn := pl.connsByID[id]
+	delete(pl.connsByID, id)
+	pl.mu.Unlock()
+	if cn == nil {
+		return
+	}
+	go func() {
+		ctx, stop := context.WithTimeout(ctx, lastFramesTime)
+		defer stop()
+		cn.link.Shutdown(ctx)
+	}()
+}
+
 // Forget closes the current connections to a VM that left the membership, and deletes its
 // stamp.
 func (pl *Pool) Forget(vm call.VM) {
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -38,6 +38,11 @@
 	// stampRefreshAge is the age at which a guard's stamp is replaced by a new one before
 	// an attempt uses it.
 	stampRefreshAge = time.Minute
+	// lastFramesTime bounds the time in which the last frames of a link are written that is closed since
+	// its attempts have ended.
+	lastFramesTime = 500 * time.Millisecond
+	// guardHasAttempt is the reason of a guard that has another copy of an attempt.
+	guardHasAttempt = "duplicate-attempt"
 	// idleWakeInterval is the time until the next step of the failure detector when it
 	// has nothing to watch and no signal arrives.
 	idleWakeInterval = time.Hour
@@ -55,7 +60,7 @@
 	StepNoStamp Step = "no-stamp"
 	// StepNotSent means that the link took no frame or was not established.
 	StepNotSent Step = "not-sent"
-	// StepQueryUnanswered means that the guard did not answer a query, and that another attempt was allowed.
+	// StepQueryUnanswered means that the guard did not answer a query. The attempt goes on beside another one.
 	StepQueryUnanswered Step = "query-unanswered"
 	// StepEnded means that the request ended first.
 	StepEnded Step = "request-ended"
@@ -84,6 +89,8 @@
 	// queryFailed says that this is no result, but that a query for the state of the attempt
 	// failed.
 	queryFailed bool
+	// Pending is set when this is no result, but the attempt goes on without its sender; see Send.
+	Pending *Pending
 }
 
 // Pool holds the connections to other guards. It is safe for concurrent use.
@@ -210,7 +217,7 @@
 	case withdrawal.MarkSuspect:
 		pl.markSuspect(ac.Conn)
 	case withdrawal.CloseConn:
-		pl.closeConn(ac.Conn)
+		pl.shutDownConn(ctx, ac.Conn)
 	case withdrawal.Query:
 		go pl.query(ctx, ac)
 	}
@@ -231,14 +238,13 @@
 // Send sends the attempt to the guard of a VM, and returns when its answer arrives, when a
 // query to the guard yields its final state, just after its deadline, or when ctx ends.
 //
-// Each time a query for the state of an idempotent attempt fails, Send calls mayResend. If
-// it returns true, Send cancels the attempt and returns State Unknown, so that the caller
-// can send another attempt. Otherwise Send continues to wait, because the guard may only
-// be slow.
+// Each time a query for the state of an idempotent attempt fails, Send calls maySendBeside. If
+// it returns true, Send returns State Running with the Pending attempt, which goes on: the guard
+// may only be slow, and what is sent beside it may be refused. Otherwise Send continues to wait.
 //
 // If the guard's stamp can't be obtained, the connection accepts no frame, or it is not established
 // when the attempt ends, Send returns State Dequeued and Sent false: the attempt has not run.
-func (pl *Pool) Send(ctx context.Context, vm call.VM, address string, at *attempt.Attempt, mayResend func() bool) Result {
+func (pl *Pool) Send(ctx context.Context, vm call.VM, address string, at *attempt.Attempt, maySendBeside func() bool) Result {
 	sp, err := pl.freshStamp(ctx, vm, address)
 	if err != nil {
 		return Result{State: withdrawal.Dequeued, Step: StepNoStamp}
@@ -249,47 +255,71 @@
 		results: make(chan Result, 3),
 	}
 	cn := pl.register(vm, address, at.ID, pa)
-	defer pl.remove(at.ID)
+	pd := &Pending{pool: pl, conn: cn, id: at.ID, deadline: at.Deadline, pendingAttempt: pa}
 	pl.signal(withdrawal.Sent{Conn: cn.id, Attempt: at.ID, VM: vm, At: pa.sent, Deadline: at.Deadline})
-	settled := withdrawal.Settled{Attempt: at.ID}
-	defer func() { pl.signal(settled) }()
 	if err := cn.link.Send(at.Frame(pa.sent, cn.link.SupportsHeaderBlocks())); err != nil {
-		return Result{State: withdrawal.Dequeued, Step: StepNotSent}
+		return pd.settle(Result{State: withdrawal.Dequeued, Step: StepNotSent})
 	}
+	return pd.wait(ctx, maySendBeside)
+}
+
+// Pending is an attempt whose answer has not arrived yet.
+type Pending struct {
+	pool     *Pool
+	conn     *conn
+	id       call.AttemptID
+	deadline time.Time
+	*pendingAttempt
+}
+
+// Wait returns the result of an attempt that goes on after Send has returned. It must be called once,
+// and cancels the attempt when ctx ends.
+func (pd *Pending) Wait(ctx context.Context) Result {
+	return pd.wait(ctx, func() bool { return false })
+}
+
+// wait is Send for an attempt that was sent.
+func (pd *Pending) wait(ctx context.Context, maySendBeside func() bool) Result {
 	timer := deadlineTimers.Get().(*time.Timer)
-	timer.Reset(time.Until(at.Deadline) + lastAnswerTime)
+	timer.Reset(time.Until(pd.deadline) + lastAnswerTime)
 	defer func() {
 		timer.Stop()
 		deadlineTimers.Put(timer)
 	}()
 	for {
 		select {
-		case rs := <-pa.results:
+		case rs := <-pd.results:
 			if !rs.queryFailed {
-				settled.Answered = rs.onOwnConn
-				return rs
+				return pd.settle(rs)
 			}
-			pa.queryFailed.Store(false)
-			if mayResend() {
-				return pl.abandon(cn, at.ID, StepQueryUnanswered)
+			pd.queryFailed.Store(false)
+			if maySendBeside() {
+				return Result{State: withdrawal.Running, Sent: true, Step: StepQueryUnanswered, Pending: pd}
 			}
 		case <-timer.C:
-			return pl.abandon(cn, at.ID, StepEnded)
+			return pd.settle(pd.pool.abandon(pd.conn, pd.id))
 		case <-ctx.Done():
-			return pl.abandon(cn, at.ID, StepEnded)
+			return pd.settle(pd.pool.abandon(pd.conn, pd.id))
 		}
 	}
 }
 
+// settle ends the watch over the attempt, and returns its result.
+func (pd *Pending) settle(rs Result) Result {
+	pd.pool.remove(pd.id)
+	pd.pool.signal(withdrawal.Settled{Attempt: pd.id, Answered: rs.onOwnConn})
+	return rs
+}
+
 // abandon gives up an attempt without an answer. If its link could not be established for a while,
 // as in a partition, the attempt has not run: the link is closed before it can be sent.
-func (pl *Pool) abandon(cn *conn, id call.AttemptID, sp Step) Result {
+func (pl *Pool) abandon(cn *conn, id call.AttemptID) Result {
 	if time.Since(cn.opened) >= unreachableTime && cn.link.CloseUnsent() {
 		pl.markSuspect(cn.id)
 		return Result{State: withdrawal.Dequeued, Step: StepNotSent}
 	}
-	cn.cancel(id)
-	return Result{State: withdrawal.Unknown, Sent: true, Step: sp}
+	pl.cancel(cn, id)
+	return Result{State: withdrawal.Unknown, Sent: true, Step: StepEnded}
 }
 
 // deadlineTimers holds stopped timers for the deadlines of attempts.
@@ -362,10 +392,20 @@
 	}
 }
 
-// cancel notifies the guard that nobody waits for the answer of an attempt any more.
-func (cn *conn) cancel(id call.AttemptID) {
-	// An error means that the link is closed, which the guard notices by itself.
-	_ = cn.link.Send(&schema.Frame{Kind: &schema.Frame_CancelledAttempt{CancelledAttempt: id[:]}})
+// cancel notifies the guard that nobody waits for the answer of an attempt any more. If the link of the
+// attempt has ended, the guard is told on the present one, since it lets the attempt go on for a while.
+func (pl *Pool) cancel(cn *conn, id call.AttemptID) {
+	fr := &schema.Frame{Kind: &schema.Frame_CancelledAttempt{CancelledAttempt: id[:]}}
+	if cn.link.Send(fr) == nil {
+		return
+	}
+	pl.mu.Lock()
+	present := pl.connsByVM[cn.vm]
+	pl.mu.Unlock()
+	if present != nil && present != cn {
+		// If this link ends as well, the guard learns nothing, and asks for nothing.
+		_ = present.link.Send(fr)
+	}
 }
 
 // readFrames handles the frames from a guard until the connection ends.
@@ -452,8 +492,9 @@
 		return
 	}
 	an, err := attempt.FromAnswerFrame(msg)
-	if err != nil || int64(len(an.Body)) > pa.maxAnswerBytes {
-		// A malformed or too large answer counts as lost, so the guard is queried.
+	if err != nil || int64(len(an.Body)) > pa.maxAnswerBytes || an.Reason == guardHasAttempt && an.Outcome == call.Unknown {
+		// A malformed or too large answer counts as lost, so the guard is queried. So it is if another copy
+		// of the attempt is there already, whose answer is not known yet.
 		pl.signal(withdrawal.Failed{Attempt: id})
 		return
 	}
