guard, peer: a lost link ends no attempt

What callers saw: 502 (answer-lost) with time left while an upstream worked, for all attempts of a link at once. Cause: a guard cancelled the attempts of a link as soon as it ended, although their entry then asks for them on another connection. Entries closed the link to a VM that they took for gone, also if it had only been silent; the cancellation of an attempt on a link that was then closed could be lost with it. Their entry cancels them on its present link. A link to a VM that counts as gone takes no new attempts and ends with the last one.

--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -119,6 +119,7 @@
 	fifo    bool
 	metrics *metrics.Set
 	active  inflight.Counter
+	orphans orphans
 
 	usage usage
 
@@ -298,6 +299,8 @@
 		ev.Kind = events.Failed
 	}
 	switch {
+	case an.Reason == ReasonDeadline && now.Before(at.AnswerBy()) && pa.linkEnded.Load():
+		ev.Reason = "guard-link-ended"
 	case an.Reason == ReasonDeadline && now.Before(at.AnswerBy()):
 		ev.Reason = "guard-" + events.CallerLeft
 	case an.Outcome == call.Unknown:
--- a/internal/traffic/guard/pending.go
+++ b/internal/traffic/guard/pending.go
@@ -28,6 +28,8 @@
 	// needed for smaller ones.
 	request buffer.Reservation
 	givenUp atomic.Bool
+	// linkEnded is set when the attempt is cancelled since its link has ended and its entry did not ask for it.
+	linkEnded atomic.Bool
 
 	mu sync.Mutex
 	// cancelled says that nobody waits for the answer any more. admitting is set while the
--- a/internal/traffic/guard/serve.go
+++ b/internal/traffic/guard/serve.go
@@ -182,27 +182,31 @@
 	}
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
-	if pa := ses.unanswered[call.AttemptID(id)]; pa != nil {
-		pa.cancel()
-		delete(ses.unanswered, call.AttemptID(id))
+	pa := ses.unanswered[call.AttemptID(id)]
+	if pa == nil {
+		// It may have come on a link that has ended.
+		ses.guard.orphans.cancel(call.AttemptID(id))
+		return
 	}
+	pa.cancel()
+	delete(ses.unanswered, call.AttemptID(id))
 }
 
 // remove removes an attempt that has its answer.
 func (ses *session) remove(id call.AttemptID) {
 	ses.mu.Lock()
-	defer ses.mu.Unlock()
 	delete(ses.unanswered, id)
+	ses.mu.Unlock()
+	ses.guard.orphans.remove(id)
 }
 
-// end cancels all attempts of a link that has ended.
+// end leaves the attempts of a link that has ended to their entries.
 func (ses *session) end() {
 	ses.timer.Stop()
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
-	for _, pa := range ses.unanswered {
-		pa.cancel()
-	}
+	ses.guard.orphans.add(ses.unanswered)
+	ses.unanswered = nil
 }
 
 // addLink registers a link for Disconnect.
@@ -246,6 +250,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "withdraw")
 	}
+	gd.orphans.asked(call.AttemptID(rq.GetAttemptId()))
 	res := gd.Withdraw(call.AttemptID(rq.GetAttemptId()), sp, rq.GetInspect())
 	rs.State = schema.AttemptState(res.State)
 	if res.HasAnswer {
--- a/internal/traffic/peer/conn.go
+++ b/internal/traffic/peer/conn.go
@@ -230,8 +230,8 @@
 	}()
 }
 
-// Forget closes the current connections to a VM that left the membership, and deletes its
-// stamp.
+// Forget stops the use of the current connections to a VM that left the membership, and deletes its
+// stamp. Attempts on them go on, since a VM that was only silent may still run them.
 func (pl *Pool) Forget(vm call.VM) {
 	pl.mu.Lock()
 	cn := pl.connsByVM[vm]
@@ -241,9 +241,11 @@
 	if qc != nil {
 		pl.discardQueryConn(qc)
 	}
-	if cn != nil {
-		pl.discard(cn)
+	if cn == nil || pl.closeIfUnused(cn) {
+		return
 	}
+	pl.markSuspect(cn.id)
+	pl.signal(withdrawal.ConnDoubted{Conn: cn.id})
 }
 
 // discard closes a connection and makes the failure detector query the state of the
--- a/internal/traffic/peer/pool_test.go
+++ b/internal/traffic/peer/pool_test.go
@@ -259,6 +259,104 @@
 	}
 }
 
+// TestLostLinkEndsNothing guards against a guard that breaks off the attempts of a link that ends, while
+// their entry waits and would learn their answers by queries: the link is lost, or the VM counts as gone
+// since it was silent.
+func TestLostLinkEndsNothing(t *testing.T) {
+	for name, lose := range map[string]func(pl *Pool){
+		"the link is lost":       func(pl *Pool) { pl.currentLink("vm").Close() },
+		"the VM counts as gone":  func(pl *Pool) { pl.Forget("vm") },
+		"both, one by the other": func(pl *Pool) { pl.Forget("vm"); pl.onlyLink().Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestSetup(t)
+			ts.send(t.Context(), "/cassa/charges", true)
+			done := make(chan Result, 1)
+			go func() { done <- ts.send(t.Context(), "/cassa/held", true) }()
+			for ts.runs.Load() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			lose(ts.pool)
+			// Longer than an entry may take to ask, and than it takes to ask again.
+			time.Sleep(1500 * time.Millisecond)
+			close(ts.hold)
+			if rs := <-done; rs.Answer == nil || string(rs.Answer.Body) != "whole" || ts.runs.Load() != 2 {
+				t.Errorf("result %+v after %d runs, want the answer of the second", rs, ts.runs.Load())
+			}
+		})
+	}
+}
+
+// currentLink returns the link that takes new attempts to a VM.
+func (pl *Pool) currentLink(vm call.VM) *link.Link {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.connsByVM[vm].link
+}
+
+// onlyLink returns the link of a pool with one.
+func (pl *Pool) onlyLink() *link.Link {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for _, cn := range pl.connsByID {
+		return cn.link
+	}
+	return nil
+}
+
+// Nobody waits for an attempt whose entry has cancelled it or gone, so that its run ends: at once if the
+// entry can tell the guard on another link, and otherwise when it does not ask.
+func TestOrphanEnds(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// otherLink says that the entry has another link when its request ends.
+		otherLink bool
+		within    time.Duration
+	}{
+		{"cancelled on another link", true, 900 * time.Millisecond},
+		{"not asked for", false, 10 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ts := newTestSetup(t)
+			ts.send(t.Context(), "/cassa/charges", true)
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan Result, 1)
+			go func() { done <- ts.send(ctx, "/cassa/held", true) }()
+			for ts.runs.Load() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			defer close(ts.hold)
+			lk := ts.pool.currentLink("vm")
+			lk.Close()
+			for ts.pool.takesAttempts(lk) {
+				time.Sleep(time.Millisecond)
+			}
+			if tt.otherLink {
+				ts.send(t.Context(), "/cassa/charges", true)
+			}
+			stop()
+			<-done
+			for begun := time.Now(); ts.guard.Load().Running > 0; time.Sleep(time.Millisecond) {
+				if time.Since(begun) > tt.within {
+					t.Fatalf("the attempt still runs %v after its request has ended", tt.within)
+				}
+			}
+		})
+	}
+}
+
+// takesAttempts reports whether a link still takes new attempts.
+func (pl *Pool) takesAttempts(lk *link.Link) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for _, cn := range pl.connsByVM {
+		if cn.link == lk {
+			return true
+		}
+	}
+	return false
+}
+
 // An attempt to a guard that doesn't listen must be reported as not sent and not run, so that
 // it can be sent elsewhere.
 func TestUnreachableGuardIsNotRun(t *testing.T) {
--- a/withdrawal/failure_detector.go
+++ b/withdrawal/failure_detector.go
@@ -129,6 +129,10 @@
 		fd.failed(now, sg.Attempt)
 	case ConnClosed:
 		fd.connClosed(now, sg.Conn)
+	case ConnDoubted:
+		if cn := fd.conns[sg.Conn]; cn != nil && !cn.suspect {
+			fd.suspectConn(now, cn)
+		}
 	case TimePassed:
 		fd.timePassed(now)
 	}
--- a/withdrawal/signal.go
+++ b/withdrawal/signal.go
@@ -49,15 +49,22 @@
 	Conn ConnID
 }
 
+// ConnDoubted reports that the VM of a connection may be gone, for a reason other than what the
+// detector sees. The connection becomes suspect; its attempts remain pending.
+type ConnDoubted struct {
+	Conn ConnID
+}
+
 // TimePassed is a timer event. The caller sends it at the time that NextWake returns.
 type TimePassed struct{}
 
-func (Sent) signal()       {}
-func (Acked) signal()      {}
-func (Settled) signal()    {}
-func (Failed) signal()     {}
-func (ConnClosed) signal() {}
-func (TimePassed) signal() {}
+func (Sent) signal()        {}
+func (Acked) signal()       {}
+func (Settled) signal()     {}
+func (Failed) signal()      {}
+func (ConnClosed) signal()  {}
+func (ConnDoubted) signal() {}
+func (TimePassed) signal()  {}
 
 // Action is an output of a FailureDetector, for the caller to perform.
 type Action interface{ action() }
