pipeline: a shutdown answers what has arrived before it closes a connection

Cause: closeIdle closed a connection without a request in flight, and did not look whether one had arrived that the process had had no time to read, nor whether one was buffered behind the last. A request that holds up another one gave way on a timer that fired after a stall, before the process had acted on its SIGTERM. Change: a connection with data that nobody has read is not idle. After a stall, giving way waits for 25 ms. What is in flight at the end of a shutdown has 300 ms to be answered, in place of 200.

--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"camphortrail/internal/traffic/buffer"
@@ -349,9 +350,10 @@
 func (cn *conn) setRequestDeadline(lim Limits) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	cn.readingRequest = false
+	// What is buffered belongs to the next request.
+	cn.readingRequest = cn.br.Buffered() > 0
 	switch {
-	case cn.br.Buffered() > 0:
+	case cn.readingRequest:
 	case len(cn.queue) > 0 || cn.writing:
 		_ = cn.nc.SetReadDeadline(time.Time{})
 	default:
@@ -563,6 +565,22 @@
 	return ex.request.Deadline.Add(-max(stated/giveWayDivisor, minGiveWay))
 }
 
+// maxTimerDelay is the delay of a timer from which the process is taken to have stalled.
+const maxTimerDelay = 25 * time.Millisecond
+
+// giveWayLater calls giveWay after a time. If the process has stalled, it does so a little later, once
+// the process has acted on a signal that came meanwhile: a server that drains gives no way.
+func (cn *conn) giveWayLater(ex *exchange, wait time.Duration) {
+	due := time.Now().Add(max(wait, 0))
+	time.AfterFunc(wait, func() {
+		if time.Since(due) > maxTimerDelay {
+			time.AfterFunc(maxTimerDelay, func() { cn.giveWay(ex) })
+			return
+		}
+		cn.giveWay(ex)
+	})
+}
+
 // giveWay cancels the requests that hold up the answer of a finished one which is about to
 // expire, if all of them may be repeated. A server that drains answers all that it has accepted.
 func (cn *conn) giveWay(ex *exchange) {
@@ -650,7 +668,7 @@
 		return
 	}
 	if len(cn.queue) > 0 && cn.queue[0] != ex && !ex.request.Deadline.IsZero() {
-		time.AfterFunc(time.Until(ex.giveWayAt()), func() { cn.giveWay(ex) })
+		cn.giveWayLater(ex, time.Until(ex.giveWayAt()))
 	}
 	cn.writeAnswers()
 }
@@ -724,15 +742,35 @@
 	_ = cn.nc.SetReadDeadline(time.Now())
 }
 
-// closeIdle closes the connection if no request is in flight or being read.
+// closeIdle closes the connection if no request is in flight, being read or waiting to be read: the
+// process may not have run since it arrived.
 func (cn *conn) closeIdle() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if len(cn.queue) == 0 && !cn.writing && !cn.readingRequest && !cn.closing {
+	if len(cn.queue) == 0 && !cn.writing && !cn.readingRequest && !cn.closing && !hasUnread(cn.nc) {
 		cn.close()
 	}
 }
 
+// hasUnread reports whether data has arrived on a connection that nobody has read.
+func hasUnread(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	// Unlike Read, Control does not wait for the goroutine that reads.
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		unread, _, err = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && unread > 0
+}
+
 // abort closes the connection at once, without the answers of requests in flight.
 func (cn *conn) abort() {
 	cn.mu.Lock()
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -32,7 +32,7 @@
 	pollInterval = 20 * time.Millisecond
 	// answerTimeout bounds the time in which the requests that a shutdown has cancelled are
 	// answered.
-	answerTimeout = 200 * time.Millisecond
+	answerTimeout = 300 * time.Millisecond
 )
 
 // Limits bounds the size of requests and the time that a caller may take to send them and to
--- a/internal/traffic/pipeline/pipeline_test.go
+++ b/internal/traffic/pipeline/pipeline_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -276,6 +277,41 @@
 	}
 }
 
+// TestShutdownAnswersWhatHasArrived guards against idle connections that a shutdown closes although requests
+// have arrived on them that the process has had no time to read: it was suspended, or others had the
+// processors.
+func TestShutdownAnswersWhatHasArrived(t *testing.T) {
+	// With one processor, no goroutine reads between the sends and the shutdown.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	ts := newTestServer(t, testLimits())
+	var clients []*caller
+	for range 20 {
+		cl := ts.dial(t)
+		cl.send("/quick")
+		cl.want(200, "/quick ", false)
+		<-ts.started
+		clients = append(clients, cl)
+	}
+	ts.draining.Store(true)
+	for _, cl := range clients {
+		cl.send("/quick")
+	}
+	done := make(chan error)
+	go func() {
+		for range clients {
+			<-ts.started
+		}
+	}()
+	go func() { done <- ts.Shutdown(t.Context()) }()
+	for _, cl := range clients {
+		cl.want(200, "/quick ", true)
+		_ = cl.Close()
+	}
+	if err := <-done; err != nil {
+		t.Error("Shutdown:", err)
+	}
+}
+
 // A new connection above MaxConns closes the one that has been idle longest, and not one
 // with a request in flight.
 func TestNewConnectionClosesLongestIdle(t *testing.T) {
