node: the times of a stop count from when its SIGTERM may have come

Cause: the notice and the end of a stop counted from when the process acted. Change: process.Stalls knows for how long the process did not run. What a stop lets in must be over by its end as counted from the beginning of that time; the stop ends as counted from when the process acted, but at most 400 ms later.

--- a/cmd/camphortrail/platform.go
+++ b/cmd/camphortrail/platform.go
@@ -44,6 +44,8 @@
 	stopDrain = time.Second
 	// stopReserve is the part of the grace time that is left for the process to exit.
 	stopReserve = 800 * time.Millisecond
+	// stopLateTime is the part of it that a process may use that acted late on its SIGTERM.
+	stopLateTime = 400 * time.Millisecond
 )
 
 // loadPlatformSettings reads the settings file of the platform, sends the log to standard
@@ -90,7 +92,7 @@
 			{Address: set.ReadinessAddress, Handler: set.NewReadinessHandler},
 			{Address: set.ControlAddress, Handler: set.NewReportHandler},
 		},
-		Stop: node.StopPlan{NoticePeriod: stopNotice, DrainPeriod: stopDrain, FinishTimeout: set.Grace() - stopNotice - stopReserve, AcceptCallers: true},
+		Stop: node.StopPlan{NoticePeriod: stopNotice, DrainPeriod: stopDrain, FinishTimeout: set.Grace() - stopNotice - stopReserve, LateTime: stopLateTime, AcceptCallers: true},
 	})
 	if err != nil {
 		return err
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -153,6 +153,10 @@
 	DrainPeriod time.Duration
 	// FinishTimeout bounds the wait for work in flight after NoticePeriod.
 	FinishTimeout time.Duration
+	// LateTime is how much later than that the stop may end if the process acted late on its signal.
+	// All times count from the earliest time at which that may have come, but for the end, which counts
+	// from the latest.
+	LateTime time.Duration
 	// AcceptCallers says that requests of callers are accepted during NoticePeriod. While
 	// Stopping returns true, the server for callers asks them to go to another node.
 	AcceptCallers bool
@@ -175,6 +179,8 @@
 	set     *schema.Settings
 	log     log.Interface
 	metrics *metrics.Set
+	// stalls knows when the process did not run.
+	stalls process.Stalls
 
 	opt                                         Options
 	stopping                                    atomic.Bool
--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -22,7 +22,7 @@
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context) error{
 		nd.guard.Run, nd.pool.Run, nd.gossip.Run, nd.rollout.Run, nd.announcements.Run, nd.followMembers, nd.followRecalls, nd.runClaims, nd.runEvents,
-		nd.runSummaries, nd.entry.RunDemandReports, nd.renewal.Run,
+		nd.runSummaries, nd.entry.RunDemandReports, nd.renewal.Run, nd.stalls.Run,
 	} {
 		group.Go(func() error { return ignoreAfterCancel(taskCtx, task(taskCtx)) })
 	}
--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"camphortrail/internal/fleet/gossip"
+	"camphortrail/internal/ops/process"
 )
 
 // stop stops the node in the order that lets work in flight finish, while the upstream beside it
@@ -19,13 +20,12 @@
 // their trees need is cut off. The upstream may be the only one of its service that others can
 // reach then.
 func (nd *Node) stop(ctx context.Context, servers []namedServer) {
-	nd.log.Info("node stopping")
+	nd.log.WithField("build", process.Build()).Info("node stopping")
 	plan := nd.opt.Stop
 	nd.stopping.Store(true)
-	now := time.Now()
-	noticeEnd := now.Add(plan.NoticePeriod)
-	end := noticeEnd.Add(plan.FinishTimeout)
-	ctx, cancel := context.WithDeadline(ctx, end)
+	times := plan.times(nd.stalls.Earliest(time.Now()), time.Now())
+	now, noticeEnd, end := times.begun, times.noticeEnd, times.finishBy
+	ctx, cancel := context.WithDeadline(ctx, times.end)
 	defer cancel()
 	// The entry still admits the calls that the upstream itself makes, because its work
 	// in flight needs them.
@@ -36,7 +36,7 @@
 	}
 	nd.serveDuringNotice(ctx, noticeEnd, end)
 	if plan.DrainPeriod > 0 {
-		nd.drainLate(ctx, end)
+		nd.drainLate(ctx, times.end)
 	}
 	nd.stopStep("guard", "attempts cut off", func() error { return nd.guard.Wait(ctx) })
 	nd.stopStep("entry", "requests cut off", func() error { return nd.entry.Wait(ctx) })
@@ -44,6 +44,23 @@
 	nd.shutDown(ctx, servers)
 }
 
+// stopTimes are the times of a stop.
+type stopTimes struct {
+	// begun is the earliest time at which the signal may have come. What begins from then on must be over
+	// by finishBy, and the stop ends at end.
+	begun, noticeEnd, finishBy, end time.Time
+}
+
+// times returns the times of a stop whose signal came between earliest and now.
+func (plan StopPlan) times(earliest, now time.Time) stopTimes {
+	whole := plan.NoticePeriod + plan.FinishTimeout
+	st := stopTimes{begun: earliest, noticeEnd: earliest.Add(plan.NoticePeriod), finishBy: earliest.Add(whole), end: now.Add(whole)}
+	if latest := st.finishBy.Add(plan.LateTime); st.end.After(latest) {
+		st.end = latest
+	}
+	return st
+}
+
 // shutDown closes the links of other nodes, and shuts all servers down at the same time, so that
 // one that has to wait takes no time from the others.
 func (nd *Node) shutDown(ctx context.Context, servers []namedServer) {
--- a/internal/fleet/node/stop_test.go
+++ b/internal/fleet/node/stop_test.go
@@ -35,3 +35,25 @@
 		}
 	}
 }
+
+// TestLateSignalEndsStopInTime guards against a process that acts late on its SIGTERM, as it had no processor,
+// and counts the grace time from then: it lets in what the SIGKILL cuts.
+func TestLateSignalEndsStopInTime(t *testing.T) {
+	plan := StopPlan{NoticePeriod: 2500 * time.Millisecond, FinishTimeout: 2700 * time.Millisecond, LateTime: 400 * time.Millisecond}
+	now := time.Now()
+	for _, tt := range []struct {
+		name                     string
+		late                     time.Duration
+		noticeEnd, finishBy, end time.Duration
+	}{
+		{"in time", 0, 2500 * time.Millisecond, 5200 * time.Millisecond, 5200 * time.Millisecond},
+		{"a little late", 300 * time.Millisecond, 2200 * time.Millisecond, 4900 * time.Millisecond, 5200 * time.Millisecond},
+		{"late", 1500 * time.Millisecond, time.Second, 3700 * time.Millisecond, 4100 * time.Millisecond},
+	} {
+		st := plan.times(now.Add(-tt.late), now)
+		want := stopTimes{now.Add(-tt.late), now.Add(tt.noticeEnd), now.Add(tt.finishBy), now.Add(tt.end)}
+		if st != want {
+			t.Errorf("%s: %+v, want %+v", tt.name, st, want)
+		}
+	}
+}
