--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -565,22 +565,6 @@
 	return ex.request.Deadline.Add(-max(stated/giveWayDivisor, minGiveWay))
 }
 
-// maxTimerDelay is the delay of a timer from which the process is taken to have stalled.
-const maxTimerDelay = 25 * time.Millisecond
-
-// giveWayLater calls giveWay after a time. If the process has stalled, it does so a little later, once
-// the process has acted on a signal that came meanwhile: a server that drains gives no way.
-func (cn *conn) giveWayLater(ex *exchange, wait time.Duration) {
-	due := time.Now().Add(max(wait, 0))
-	time.AfterFunc(wait, func() {
-		if time.Since(due) > maxTimerDelay {
-			time.AfterFunc(maxTimerDelay, func() { cn.giveWay(ex) })
-			return
-		}
-		cn.giveWay(ex)
-	})
-}
-
 // giveWay cancels the requests that hold up the answer of a finished one which is about to
 // expire, if all of them may be repeated. A server that drains answers all that it has accepted.
 func (cn *conn) giveWay(ex *exchange) {
@@ -668,7 +652,7 @@
 		return
 	}
 	if len(cn.queue) > 0 && cn.queue[0] != ex && !ex.request.Deadline.IsZero() {
-		cn.giveWayLater(ex, time.Until(ex.giveWayAt()))
+		time.AfterFunc(time.Until(ex.giveWayAt()), func() { cn.giveWay(ex) })
 	}
 	cn.writeAnswers()
 }
