--- a/internal/traffic/entry/serve.go
+++ b/internal/traffic/entry/serve.go
@@ -167,6 +167,9 @@
 	// only once, and those at which an attempt goes on.
 	var exclude, refused []call.VM
 	for {
+		if an := en.takeBeside(ctx, rq); an != nil {
+			return an
+		}
 		now := time.Now()
 		if rq.ended(ctx, now) {
 			return en.giveUp(rq, ReasonDeadline, http.StatusGatewayTimeout, 0)
