upstream: a body that ends with its connection is whole only if nothing failed on it

What callers saw: the part of an answer as a complete 200 (MIXED), where a server answered a long upload at once without a length, sent 16 bytes and reset the connection while the upload was being written. Cause: the write and the read of a connection go on side by side. The one that learns of the reset takes the socket's error, so that the other one sees just the end, and a body that ends with its connection ended there. Change: such a body returns ErrCutOff in place of io.EOF if the request could not be written, or if the connection is closed though this side has not closed it (TCP_INFO, on Linux). Bodies with a length or in chunks were not concerned: they end with an error where something is missing. Requests of callers always have one of the two, and frames between nodes a length. TestAnswerUntilClose holds that an answer that ends in order is whole, also before the upload is read.

--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -109,7 +109,7 @@
 // exchange sends a request and passes its answer to the handler. reusable is true when the
 // connection can carry another request.
 func (cn *conn) exchange(rq *Request, handle Handler) (reusable bool, err error) {
-	written, sendErr := rq.send(cn.nc)
+	wr := rq.send(cn.nc)
 	previous := cn.previousHeader
 	cn.previousHeader = rq.Header
 	for {
@@ -117,11 +117,14 @@
 		// before it has read the whole request.
 		res, err := cn.readAnswer(rq.Method, rq.Memory)
 		if err != nil {
-			if sendErr != nil {
+			if sendErr := wr.errSoFar(); sendErr != nil {
 				err = sendErr
 			}
 			return false, errors.Wrap(err, "upstream")
 		}
+		if endsWithConnection(res, rq.Method) {
+			res.Body = &untilClose{res.Body, cn, wr}
+		}
 		// The header is used before the handler, which may change it.
 		cn.applyKeepAlive(res.Header)
 		late := handle(Answer{Response: res, PreviousHeader: previous})
@@ -133,7 +136,7 @@
 			previous = nil
 			continue
 		}
-		return !late && sendErr == nil && whole && !res.Close && cn.br.Buffered() == 0 && fullyWritten(rq, written), nil
+		return !late && whole && !res.Close && cn.br.Buffered() == 0 && wr.succeeded(), nil
 	}
 }
 
@@ -200,22 +203,6 @@
 	return n == 0 && err == io.EOF
 }
 
-// fullyWritten reports whether the whole request has been written. It waits up to
-// bodyWriteGrace.
-func fullyWritten(rq *Request, written <-chan struct{}) bool {
-	if len(rq.Body) <= maxInlineBodyBytes {
-		return true
-	}
-	timer := time.NewTimer(bodyWriteGrace)
-	defer timer.Stop()
-	select {
-	case <-written:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // applyKeepAlive sets idleTimeout to the idle time that the upstream states in its
 // Keep-Alive header, at most maxIdleTime. It subtracts a margin, so that a request doesn't
 // arrive while the upstream closes the connection.
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -217,31 +217,28 @@
 }
 
 // send writes a request. It writes a body longer than maxInlineBodyBytes in another
-// goroutine, because the upstream may answer before it has read the body. written is closed
-// when the whole long body is written, and stays open if that fails. For shorter bodies it
-// is nil.
-func (rq *Request) send(w io.Writer) (written chan struct{}, err error) {
+// goroutine, because the upstream may answer before it has read the body.
+func (rq *Request) send(w io.Writer) write {
 	buf := headBuffers.Get().(*bytes.Buffer)
 	buf.Reset()
 	rq.encode(buf)
-	_, err = w.Write(buf.Bytes())
+	_, err := w.Write(buf.Bytes())
 	if buf.Cap() <= maxPooledHeadBytes {
 		headBuffers.Put(buf)
 	}
 	if err != nil || len(rq.Body) <= maxInlineBodyBytes {
-		return nil, err
+		return write{err: err}
 	}
-	return rq.sendBody(w), nil
+	return write{body: rq.sendBody(w)}
 }
 
-// sendBody writes the body in another goroutine, and returns a channel that is closed when it is
-// written. It is a function of its own so that short requests allocate no variables for it.
-func (rq *Request) sendBody(w io.Writer) chan struct{} {
-	written := make(chan struct{})
+// sendBody writes the body in another goroutine. It is a function of its own so that short requests
+// allocate no variables for it.
+func (rq *Request) sendBody(w io.Writer) *bodyWrite {
+	bw := &bodyWrite{done: make(chan struct{})}
 	go func() {
-		if _, err := w.Write(rq.Body); err == nil {
-			close(written)
-		}
+		defer close(bw.done)
+		_, bw.err = w.Write(rq.Body)
 	}()
-	return written
+	return bw
 }
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -400,3 +400,56 @@
 		t.Fatalf("error %v, %d requests served on %d connections, want 2 on 1", err, served.Load(), conns.Load())
 	}
 }
+
+// TestResetWhileUploadIsWritten guards against the part of an answer that is taken for a whole one: the
+// upstream answers without a length before it has read the upload, and resets the connection, of which
+// only the write may be told.
+func TestResetWhileUploadIsWritten(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		t.Run(proto, func(t *testing.T) {
+			address, _ := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				_, _ = io.WriteString(nc, proto+" 200 OK\r\n\r\nthe first part of")
+				_ = nc.(*net.TCPConn).SetLinger(0)
+			})
+			cl := New()
+			defer cl.Close()
+			for range 100 {
+				rq := &Request{Method: http.MethodPost, URI: "/", Host: "host", Header: http.Header{}, Body: make([]byte, 3<<20)}
+				whole := false
+				_ = cl.Do(newRun(t.Context()), address, rq, func(an Answer) bool {
+					_, err := io.ReadAll(an.Body)
+					whole = err == nil
+					return false
+				})
+				if whole {
+					t.Fatal("the part of an answer was taken for a whole one")
+				}
+			}
+		})
+	}
+}
+
+// An answer that ends with its connection is whole if the upstream ends it in order, also before it has read
+// the upload.
+func TestAnswerUntilClose(t *testing.T) {
+	address, _ := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+		rq, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = nc.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, rq.Body)
+	})
+	cl := New()
+	defer cl.Close()
+	for _, size := range []int{0, 100, 3 << 20} {
+		for range 20 {
+			rq := &Request{Method: http.MethodPost, URI: "/", Host: "host", Header: http.Header{}, Body: make([]byte, size)}
+			wantAnswer(t, cl, address, rq, "whole")
+		}
+	}
+}
