--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -393,6 +393,10 @@
 	if ps.leaves {
 		defer ps.ma.exchanging.Unlock()
 		ps.ma.currentUpstream().leave(ctx)
+		if ctx.Err() != nil {
+			// It has not left.
+			return
+		}
 		defer st.fl.replaceUpstream(ps.ma)
 	}
 	for stopAgain := true; stopAgain; {
