soak: own answers of kept runs are failures; the report is tested

Cause: own answers at nodes that do not stop break no rule, so that a run with them passed. At work at a SIGTERM counted requests that had been answered before.

--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -116,7 +116,10 @@
 // got a SIGTERM.
 func (hi *history) atWorkAtStops() (count int) {
 	for _, fa := range hi.fates {
-		if !fa.Call && slices.ContainsFunc(hi.vm(fa.Node).terms, func(te Moment) bool { return fa.At <= te && fa.atWork(span{te, te}) }) {
+		open := func(te Moment) bool {
+			return fa.At <= te && (fa.answer == nil || te < fa.answer.At) && (fa.cut == nil || te < fa.cut.At) && fa.atWork(span{te, te})
+		}
+		if !fa.Call && slices.ContainsFunc(hi.vm(fa.Node).terms, open) {
 			count++
 		}
 	}
--- a/internal/lab/soak/lost_test.go
+++ b/internal/lab/soak/lost_test.go
@@ -129,3 +129,39 @@
 	}
 	return Version(number)
 }
+
+// The report of a run says how much was served, what was at work at a SIGTERM, and which requests got an
+// answer of the system's own before they were due, at any node.
+func TestServedAndOwnAnswersAreReported(t *testing.T) {
+	var events []Event
+	for _, line := range []string{
+		"10 signalled a SIGTERM",
+		"9 sent r1 node=a timeout=3s",
+		"9.1 arrived r1 upstream=b",
+		"10.5 ran r1 upstream=b",
+		"10.6 answered r1 status=200 signed",
+		"9 sent r2 node=a timeout=3s",
+		"9.1 arrived r2 upstream=b",
+		"9.5 answered r2 status=502",
+		"20 sent r3 node=b timeout=3s",
+		"20.1 arrived r3 upstream=c",
+		"21 answered r3 status=504",
+		"20 sent r4 node=b timeout=3s",
+		"20.1 arrived r4 upstream=c",
+		"23 answered r4 status=504",
+		"20 sent r5 node=b timeout=3s",
+		"20.1 answered r5 status=503",
+	} {
+		events = append(events, parseEvent(t, line))
+	}
+	hi := newHistory(events, nil)
+	if got := hi.servedShare(); got != 0.2 {
+		t.Errorf("served %v, want 0.2", got)
+	}
+	if got := hi.atWorkAtStops(); got != 1 {
+		t.Errorf("%d at work at the SIGTERM, want r1", got)
+	}
+	if texts, count := hi.ownAnswers(); count != 2 {
+		t.Errorf("%d own answers, want r2 and r3: %q", count, texts)
+	}
+}
--- a/internal/lab/soak/seeds_test.go
+++ b/internal/lab/soak/seeds_test.go
@@ -45,7 +45,11 @@
 			opt.Deployment = loadDeployment(t, file, scale)
 		}
 		if *failedSeeds {
-			t.Run(name+" "+fields[1], func(t *testing.T) { playScenario(t, name, length, opt) })
+			t.Run(name+" "+fields[1], func(t *testing.T) {
+				if re := playScenario(t, name, length, opt); strings.HasPrefix(name, "lost") && re.OwnAnswerCount > 0 {
+					t.Errorf("%d own answers while an upstream worked: %s", re.OwnAnswerCount, re.OwnAnswers)
+				}
+			})
 		}
 	}
 }
