--- a/internal/traffic/entry/early_test.go
+++ b/internal/traffic/entry/early_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"regexp"
 	"strings"
 	"testing"
@@ -14,8 +13,6 @@
 
 	"camphortrail/call"
 	"camphortrail/internal/ops/events"
-	"camphortrail/internal/traffic/link"
-	"camphortrail/route"
 )
 
 // logOf returns the lines that an entry has written.
@@ -70,21 +67,8 @@
 func newRemoteTestNode(t *testing.T, upstream http.HandlerFunc) *testNode {
 	t.Helper()
 	remote := newRoutedTestNode(t, upstream)
-	mux := http.NewServeMux()
-	mux.Handle(link.Path, remote.opt.Guard)
-	srv := httptest.NewServer(mux)
-	t.Cleanup(srv.Close)
-	tn := newRoutedTestNode(t, answerOK)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = tn.opt.Pool.Run(ctx)
-	}()
-	t.Cleanup(func() { stop(); <-done })
-	tn.ApplyRouteEvent(route.Remove{VM: "a", Service: "cassa"})
-	tn.ApplyRouteEvent(route.Upsert{VM: "b", Service: "cassa", Domain: "d1", Slots: 4, Incarnation: 1})
-	tn.SetAddress("b", strings.TrimPrefix(srv.URL, "http://"))
+	tn := newEntryOnly(t)
+	tn.addRemote(t, "b", remote.opt.Guard, nil)
 	return tn
 }
 
