node: a stop after a long stall gives what runs a chance to end

Cause: found by reading: a process that was suspended for longer than a stop takes cut all at once, as its SIGTERM may have come at the beginning, although it may have come just now. Change: the end of a stop is at least FinishTimeout after the process acts. Result: TestLateSignalEndsStopInTime has the case.

--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -56,7 +56,12 @@
 	whole := plan.NoticePeriod + plan.FinishTimeout
 	st := stopTimes{begun: earliest, noticeEnd: earliest.Add(plan.NoticePeriod), finishBy: earliest.Add(whole), end: now.Add(whole)}
 	if latest := st.finishBy.Add(plan.LateTime); st.end.After(latest) {
+		// After a long stall the process may be killed at any moment, or have all of its time. What runs
+		// gets a chance to end.
 		st.end = latest
+		if least := now.Add(plan.FinishTimeout); latest.Before(least) {
+			st.end = least
+		}
 	}
 	return st
 }
--- a/internal/fleet/node/stop_test.go
+++ b/internal/fleet/node/stop_test.go
@@ -48,6 +48,7 @@
 	}{
 		{"in time", 0, 2500 * time.Millisecond, 5200 * time.Millisecond, 5200 * time.Millisecond},
 		{"a little late", 300 * time.Millisecond, 2200 * time.Millisecond, 4900 * time.Millisecond, 5200 * time.Millisecond},
+		{"very late", 8 * time.Second, -5500 * time.Millisecond, -2800 * time.Millisecond, 2700 * time.Millisecond},
 		{"late", 1500 * time.Millisecond, time.Second, 3700 * time.Millisecond, 4100 * time.Millisecond},
 	} {
 		st := plan.times(now.Add(-tt.late), now)
