peer: an attempt that has not left does not go on beside another one

Cause: found by reading the diff: in a partition an attempt waits in a link that is not established. It was withdrawn for certain when it was given up, and went on since, so that it might run when the partition healed. Change: where another attempt may be sent, such a link is closed before anything is sent on it, as before. Result: TestUnsentAttemptDoesNotGoOn failed before (State Running with a Pending attempt).

--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -15,6 +15,7 @@
 	"camphortrail/call"
 	"camphortrail/internal/traffic/allocation"
 	"camphortrail/internal/traffic/attempt"
+	"camphortrail/internal/traffic/guard"
 	"camphortrail/internal/traffic/link"
 	"camphortrail/queue"
 	"camphortrail/schema"
@@ -41,8 +42,6 @@
 	// lastFramesTime bounds the time in which the last frames of a link are written that is closed since
 	// its attempts have ended.
 	lastFramesTime = 500 * time.Millisecond
-	// guardHasAttempt is the reason of a guard that has another copy of an attempt.
-	guardHasAttempt = "duplicate-attempt"
 	// idleWakeInterval is the time until the next step of the failure detector when it
 	// has nothing to watch and no signal arrives.
 	idleWakeInterval = time.Hour
@@ -240,7 +239,8 @@
 //
 // Each time a query for the state of an idempotent attempt fails, Send calls maySendBeside. If
 // it returns true, Send returns State Running with the Pending attempt, which goes on: the guard
-// may only be slow, and what is sent beside it may be refused. Otherwise Send continues to wait.
+// may only be slow, and what is sent beside it may be refused. Otherwise Send continues to wait. An
+// attempt whose link is not established is withdrawn in place of that.
 //
 // If the guard's stamp can't be obtained, the connection accepts no frame, or it is not established
 // when the attempt ends, Send returns State Dequeued and Sent false: the attempt has not run.
@@ -293,9 +293,13 @@
 				return pd.settle(rs)
 			}
 			pd.queryFailed.Store(false)
-			if maySendBeside() {
-				return Result{State: withdrawal.Running, Sent: true, Step: StepQueryUnanswered, Pending: pd}
+			if !maySendBeside() {
+				continue
 			}
+			if pd.pool.closeUnsent(pd.conn) {
+				return pd.settle(Result{State: withdrawal.Dequeued, Step: StepNotSent})
+			}
+			return Result{State: withdrawal.Running, Sent: true, Step: StepQueryUnanswered, Pending: pd}
 		case <-timer.C:
 			return pd.settle(pd.pool.abandon(pd.conn, pd.id))
 		case <-ctx.Done():
@@ -311,11 +315,19 @@
 	return rs
 }
 
-// abandon gives up an attempt without an answer. If its link could not be established for a while,
-// as in a partition, the attempt has not run: the link is closed before it can be sent.
+// closeUnsent closes a link that could not be established for a while, as in a partition, and reports
+// whether it did. Its attempts have not run.
+func (pl *Pool) closeUnsent(cn *conn) bool {
+	if time.Since(cn.opened) < unreachableTime || !cn.link.CloseUnsent() {
+		return false
+	}
+	pl.markSuspect(cn.id)
+	return true
+}
+
+// abandon gives up an attempt without an answer.
 func (pl *Pool) abandon(cn *conn, id call.AttemptID) Result {
-	if time.Since(cn.opened) >= unreachableTime && cn.link.CloseUnsent() {
-		pl.markSuspect(cn.id)
+	if pl.closeUnsent(cn) {
 		return Result{State: withdrawal.Dequeued, Step: StepNotSent}
 	}
 	pl.cancel(cn, id)
@@ -403,7 +415,7 @@
 	present := pl.connsByVM[cn.vm]
 	pl.mu.Unlock()
 	if present != nil && present != cn {
-		// If this link ends as well, the guard learns nothing, and asks for nothing.
+		// If this link ends as well, the guard cancels the attempt once it is not queried any more.
 		_ = present.link.Send(fr)
 	}
 }
@@ -492,9 +504,9 @@
 		return
 	}
 	an, err := attempt.FromAnswerFrame(msg)
-	if err != nil || int64(len(an.Body)) > pa.maxAnswerBytes || an.Reason == guardHasAttempt && an.Outcome == call.Unknown {
-		// A malformed or too large answer counts as lost, so the guard is queried. So it is if another copy
-		// of the attempt is there already, whose answer is not known yet.
+	if err != nil || int64(len(an.Body)) > pa.maxAnswerBytes || isDuplicate(an) {
+		// A malformed or too large answer counts as lost, so the guard is queried. So it is about another
+		// copy of the attempt.
 		pl.signal(withdrawal.Failed{Attempt: id})
 		return
 	}
@@ -504,6 +516,12 @@
 	pl.recordTransit(cn.vm, time.Since(pa.sent)-an.GuardTime)
 }
 
+// isDuplicate reports whether an answer says only that the guard has another copy of the attempt, which may
+// run.
+func isDuplicate(an *attempt.Answer) bool {
+	return an.Outcome == call.Unknown && an.Reason == guard.ReasonDuplicateAttempt
+}
+
 // parseAttemptID returns the attempt id in a frame. ok is false if its length is wrong.
 func parseAttemptID(text []byte) (id call.AttemptID, ok bool) {
 	return id, copy(id[:], text) == len(id) && len(text) == len(id)
--- a/internal/traffic/peer/pool_test.go
+++ b/internal/traffic/peer/pool_test.go
@@ -183,6 +183,28 @@
 	}
 }
 
+// In a partition an attempt has not left, so that it is withdrawn for certain in place of going on beside
+// another one, and never runs.
+func TestUnsentAttemptDoesNotGoOn(t *testing.T) {
+	ts := newTestSetup(t)
+	ts.maySendBeside = true
+	ts.send(t.Context(), "/cassa/charges", true)
+	ts.pool.mu.Lock()
+	ts.pool.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ts.pool.connsByVM["vm"].suspect = true
+	ts.pool.mu.Unlock()
+	rs := ts.send(t.Context(), "/cassa/charges", true)
+	if rs.State != withdrawal.Dequeued || rs.Sent || rs.Pending != nil {
+		t.Errorf("result %+v, want dequeued and not sent", rs)
+	}
+	if runs := ts.runs.Load(); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
+
 // An attempt is lost on a connection that stopped delivering data. The guard fences it, so
 // that it can be sent again, and the next attempt uses a new connection.
 func TestLostAttemptIsFenced(t *testing.T) {
