--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -36,8 +36,9 @@
 	stopping bool
 	// disturbed are the spans for which a machine is not in touch, without the contact window.
 	disturbed []span
-	// unplanned are the unplanned impairments.
+	// unplanned are the unplanned impairments, and causes those of some of them, by their beginning.
 	unplanned []span
+	causes    map[Moment]string
 	// down are the spans in which the process does not run and did not end by itself.
 	down []span
 }
@@ -124,6 +125,10 @@
 		}
 		vh.disturbed = append(vh.disturbed, span{ev.At, forever})
 		vh.unplanned = append(vh.unplanned, span{ev.At, forever})
+		if vh.causes == nil {
+			vh.causes = make(map[Moment]string)
+		}
+		vh.causes[ev.At] = ev.Cause
 	case ConfigSent:
 		if hi.configs[ev.Version] == nil {
 			hi.configs[ev.Version] = &configHistory{sent: ev.At}
--- a/internal/lab/soak/lost.go
+++ b/internal/lab/soak/lost.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -275,11 +276,19 @@
 		}
 		return ""
 	}
-	text += since(fa.Node)
+	impaired := func(name call.VM) (text string) {
+		for _, sp := range hi.vm(name).unplanned {
+			if sp.meets(span{fa.Begun.Add(-ContactWindow), end}) {
+				text += fmt.Sprintf(", %s impaired at %s: %s", name, sp.begin, cmp.Or(hi.vm(name).causes[sp.begin], "a signal"))
+			}
+		}
+		return text
+	}
+	text += since(fa.Node) + impaired(fa.Node)
 	for _, ar := range fa.arrivals {
 		text += fmt.Sprintf(", passed on to %s at %s", ar.Upstream, ar.At)
 		if ar.Upstream != fa.Node {
-			text += since(ar.Upstream)
+			text += since(ar.Upstream) + impaired(ar.Upstream)
 		}
 		for _, ru := range fa.runs {
 			if ru.Upstream == ar.Upstream && ru.At >= ar.At && !ru.Dropped {
