node: the times of a stop under their own names

Cause: found by reading the diff: begun, noticeEnd and finishBy had second names. Change: none of behaviour. Result: tests of the node pass.

--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -23,18 +23,18 @@
 	nd.log.WithField("build", process.Build()).Info("node stopping")
 	plan := nd.opt.Stop
 	nd.stopping.Store(true)
-	times := plan.times(nd.stalls.Earliest(time.Now()), time.Now())
-	now, noticeEnd, end := times.begun, times.noticeEnd, times.finishBy
+	now := time.Now()
+	times := plan.times(nd.stalls.Earliest(now), now)
 	ctx, cancel := context.WithDeadline(ctx, times.end)
 	defer cancel()
 	// The entry still admits the calls that the upstream itself makes, because its work
 	// in flight needs them.
 	if plan.AcceptCallers {
-		nd.entry.Stop(noticeEnd, end)
+		nd.entry.Stop(times.noticeEnd, times.finishBy)
 	} else {
-		nd.entry.Stop(now, end)
+		nd.entry.Stop(times.begun, times.finishBy)
 	}
-	nd.serveDuringNotice(ctx, noticeEnd, end)
+	nd.serveDuringNotice(ctx, times.noticeEnd, times.finishBy)
 	if plan.DrainPeriod > 0 {
 		nd.drainLate(ctx, times.end)
 	}
