guard, upstream, pipeline: what a first reading of the diff would stop at

Cause: read as a newcomer: an attempt that its entry cancelled on another link was logged as guard-link-ended; the end of a body that ends with its connection was looked at twice, for 50 ms each while an upload goes on; a shadowed error; the order of fields. Change: these. Result: tests of the packages pass with -race.

--- a/internal/traffic/entry/beside.go
+++ b/internal/traffic/entry/beside.go
@@ -20,16 +20,17 @@
 // The load pattern is a VM that gets no processor for a while, in a service whose other VMs are full: its
 // attempt is the only one that will be answered.
 type besideAttempts struct {
+	// waiting is the context of these attempts, which stop ends.
+	waiting context.Context
+	stop    context.CancelFunc
 	// sending is the context of the attempts that are sent meanwhile. It ends when one of these has brought
 	// an answer that ends the request.
 	sending     context.Context
 	stopSending context.CancelFunc
-	// stop cancels the attempts.
-	stop context.CancelFunc
-	// ended takes the results. It has room for all of them.
-	ended   chan besideEnd
+	// running is the number of these attempts without a recorded result, and ended takes their results. It
+	// has room for all of them.
 	running int
-	waiting context.Context
+	ended   chan besideEnd
 }
 
 // besideEnd is the result of an attempt that went on beside others.
--- a/internal/traffic/guard/orphans.go
+++ b/internal/traffic/guard/orphans.go
@@ -37,7 +37,7 @@
 		or.attempts = make(map[call.AttemptID]*orphan)
 	}
 	for id, pa := range attempts {
-		or.attempts[id] = &orphan{attempt: pa, timer: time.AfterFunc(firstQueryTime, func() { or.cancel(id) })}
+		or.attempts[id] = &orphan{attempt: pa, timer: time.AfterFunc(firstQueryTime, func() { or.expire(id) })}
 	}
 }
 
@@ -50,14 +50,21 @@
 	}
 }
 
-// cancel removes an attempt and tells the admission loop that nobody waits for its answer.
-func (or *orphans) cancel(id call.AttemptID) {
+// expire cancels an attempt that its entry does not ask for.
+func (or *orphans) expire(id call.AttemptID) {
 	if pa := or.remove(id); pa != nil {
 		pa.linkEnded.Store(true)
 		pa.cancel()
 	}
 }
 
+// cancel cancels an attempt at the request of its entry. It does nothing for an unknown id.
+func (or *orphans) cancel(id call.AttemptID) {
+	if pa := or.remove(id); pa != nil {
+		pa.cancel()
+	}
+}
+
 // remove removes an attempt, for example as it has its answer, and returns it, or nil if it is not there.
 func (or *orphans) remove(id call.AttemptID) *pendingAttempt {
 	or.mu.Lock()
--- a/internal/traffic/pipeline/conn.go
+++ b/internal/traffic/pipeline/conn.go
@@ -750,7 +750,8 @@
 	// Unlike Read, Control does not wait for the goroutine that reads.
 	err = raw.Control(func(fd uintptr) {
 		var buf [1]byte
-		unread, _, err = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		// Without data, or at the end of the connection, unread is not positive.
+		unread, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	return err == nil && unread > 0
 }
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -123,7 +123,7 @@
 			return false, errors.Wrap(err, "upstream")
 		}
 		if endsWithConnection(res, rq.Method) {
-			res.Body = &untilClose{res.Body, cn, wr}
+			res.Body = &untilClose{ReadCloser: res.Body, conn: cn, write: wr}
 		}
 		// The header is used before the handler, which may change it.
 		cn.applyKeepAlive(res.Header)
--- a/internal/traffic/upstream/until_close.go
+++ b/internal/traffic/upstream/until_close.go
@@ -22,13 +22,19 @@
 	io.ReadCloser
 	conn  *conn
 	write write
+	// end is the error that Read returned at the end of the body.
+	end error
 }
 
 // Read returns ErrCutOff in place of io.EOF if anything failed on the connection.
 func (uc *untilClose) Read(data []byte) (int, error) {
+	if uc.end != nil {
+		return 0, uc.end
+	}
 	n, err := uc.ReadCloser.Read(data)
 	if err == io.EOF && (isReset(uc.conn.raw) || uc.write.failed()) {
 		err = ErrCutOff
 	}
+	uc.end = err
 	return n, err
 }
